Lay down the workspace, the ports and the toolchain

Cause: an empty repository. Conclusion: the packages can now be filled side by side against fixed ports.

--- /dev/null
+++ b/packages/clock/src/createSystemClock.ts
@@ -0,0 +1,20 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import { performance } from "node:perf_hooks";
+import { createSleep } from "./createSleep.js";
+
+/** The machine's clocks. Timers do not keep the process alive by themselves when `unref` is true. */
+export function createSystemClock(unref = false): Clock {
+    function startTimer(delayMs: number, run: () => void): () => void {
+        const timer = setTimeout(run, delayMs);
+        if (unref) {
+            timer.unref();
+        }
+        return () => clearTimeout(timer);
+    }
+    return {
+        monotonicMs: () => performance.now(),
+        wallMs: () => Date.now(),
+        startTimer,
+        sleep: createSleep(startTimer),
+    };
+}
--- /dev/null
+++ b/packages/dispatch/src/DispatcherDeps.ts
@@ -0,0 +1,28 @@
+import type { Metrics } from "@auburnarch/metrics/Metrics";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import type { JobManifest } from "@auburnarch/types/JobManifest";
+import type { LimitsManifest } from "@auburnarch/types/LimitsManifest";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { MadeSample } from "@auburnarch/types/MadeSample";
+import type { Random } from "@auburnarch/types/Random";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+import type { SamplerView } from "@auburnarch/types/SamplerView";
+import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+
+/** What a dispatcher is built from. */
+export interface DispatcherDeps {
+    job: () => JobManifest;
+    limits: () => LimitsManifest;
+    fencing: FencingNumber;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    metrics: Metrics;
+    /** Samplers of the job's service as this entry sees them now. */
+    listSamplers: () => SamplerView[];
+    sidecar: (sampler: SamplerId) => SidecarPort;
+    /** False once the lease is lost or lapsed: nothing more is sent. */
+    mayAct: () => boolean;
+    onMade: (made: MadeSample) => void;
+}
--- /dev/null
+++ b/packages/invariants/src/createInvariants.ts
@@ -0,0 +1,23 @@
+import type { LogFields } from "@auburnarch/types/LogFields";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import type { Invariants } from "./Invariants.js";
+
+/** Makes the assertions of a process. `observe` feeds the metric; tests let it throw. */
+export function createInvariants(
+    logger: Logger,
+    observe: (code: ResultCode, fields: LogFields) => void,
+): Invariants {
+    let violations = 0;
+    return {
+        check: (code, holds, fields) => {
+            if (!holds) {
+                violations++;
+                logger.error("promiseBroken", { code: code.number, name: code.name, ...fields });
+                observe(code, fields);
+            }
+            return holds;
+        },
+        violations: () => violations,
+    };
+}
--- /dev/null
+++ b/packages/own/src/OwnerStatus.ts
@@ -0,0 +1,22 @@
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import type { JobId } from "@auburnarch/types/JobId";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+
+/** What `auburnarch jobs` shows of a job. */
+export interface OwnerStatus {
+    job: JobId;
+    fencing: FencingNumber;
+    publishedVersion: WeightVersion;
+    steps: {
+        step: number;
+        groups: number;
+        ready: number;
+        delivered: number;
+        waiting: number;
+        running: number;
+    }[];
+    /** Engine time of acknowledged samples. */
+    deliveredEngineMs: number;
+    /** Engine time of samples that the team itself gave up. */
+    discardedEngineMs: number;
+}
--- /dev/null
+++ b/packages/types/src/EngineFinish.ts
@@ -0,0 +1,7 @@
+/** How a generation ended at the engine; `engineMs` is the engine time it was charged with. */
+export interface EngineFinish {
+    reason: "stop" | "length" | "cancelled" | "crashed" | "rejected";
+    engineMs: number;
+    /** Prompt tokens found in the prefix cache. */
+    cachedPromptTokens: number;
+}
--- /dev/null
+++ b/packages/types/src/EntryId.ts
@@ -0,0 +1,4 @@
+import type { Brand } from "./Brand.js";
+
+/** Name of an entry process. */
+export type EntryId = Brand<string, "EntryId">;
--- /dev/null
+++ b/packages/types/src/Lease.ts
@@ -0,0 +1,13 @@
+import type { FencingNumber } from "./FencingNumber.js";
+
+/** A lease as its holder uses it. */
+export interface Lease {
+    key: string;
+    fencing: FencingNumber;
+    /** True while the holder's own clock, counted from before the last renewal was sent, is within the lease. */
+    isHeld(): boolean;
+    /** Gives the lease up, so that another may take it at once. */
+    release(): Promise<void>;
+    /** Aborted once the lease is lost for good (another holder seen). */
+    lost: AbortSignal;
+}
--- /dev/null
+++ b/packages/types/src/Manifest.ts
@@ -0,0 +1,15 @@
+import type { JobManifest } from "./JobManifest.js";
+import type { LimitsManifest } from "./LimitsManifest.js";
+import type { SamplerManifest } from "./SamplerManifest.js";
+import type { ServiceManifest } from "./ServiceManifest.js";
+import type { TeamManifest } from "./TeamManifest.js";
+
+/** The whole intent of the operators; validated whole, published as one object. */
+export interface Manifest {
+    name: string;
+    teams: TeamManifest[];
+    services: ServiceManifest[];
+    samplers: SamplerManifest[];
+    jobs: JobManifest[];
+    limits: LimitsManifest;
+}
--- /dev/null
+++ b/packages/types/src/SamplerManifest.ts
@@ -0,0 +1,10 @@
+import type { FailureDomain } from "./FailureDomain.js";
+import type { SamplerId } from "./SamplerId.js";
+import type { ServiceId } from "./ServiceId.js";
+
+/** A sampler the operators expect; its address comes from membership, not from here. */
+export interface SamplerManifest {
+    sampler: SamplerId;
+    service: ServiceId;
+    failureDomain: FailureDomain;
+}
--- /dev/null
+++ b/packages/types/src/SidecarPort.ts
@@ -0,0 +1,30 @@
+import type { AttemptId } from "./AttemptId.js";
+import type { AttemptOutcome } from "./AttemptOutcome.js";
+import type { AttemptState } from "./AttemptState.js";
+import type { PlainAnswer } from "./PlainAnswer.js";
+import type { PlainRequest } from "./PlainRequest.js";
+import type { SampleAnswer } from "./SampleAnswer.js";
+import type { SampleAttempt } from "./SampleAttempt.js";
+import type { SamplerOrder } from "./SamplerOrder.js";
+import type { SamplerOrderResult } from "./SamplerOrderResult.js";
+import type { SamplerReport } from "./SamplerReport.js";
+import type { TokenSpan } from "./TokenSpan.js";
+import type { UsageCounter } from "./UsageCounter.js";
+
+/**
+ * A sidecar as entries and owners call it, over HTTP or in process. `runSample` and `callPlain` never reject:
+ * transport faults become outcomes. The others reject with code `sidecarUnreachable`.
+ */
+export interface SidecarPort {
+    /** Spans stream to `onSpan` in order. Aborting `signal` cancels; the answer then holds what was made. */
+    runSample(
+        attempt: SampleAttempt,
+        onSpan: (span: TokenSpan) => void,
+        signal: AbortSignal,
+    ): Promise<AttemptOutcome<SampleAnswer>>;
+    callPlain(request: PlainRequest, signal: AbortSignal): Promise<AttemptOutcome<PlainAnswer>>;
+    queryAttempt(attempt: AttemptId): Promise<AttemptState>;
+    order(order: SamplerOrder): Promise<SamplerOrderResult>;
+    readReport(): Promise<SamplerReport>;
+    readUsage(): Promise<UsageCounter[]>;
+}
