--- /dev/null
+++ b/packages/account/src/summarizeUsage.ts
@@ -0,0 +1,55 @@
+import type { TeamId } from "@auburnarch/types/TeamId";
+import type { UsageCounter } from "@auburnarch/types/UsageCounter";
+import type { JobUsage } from "./JobUsage.js";
+import type { TeamUsage } from "./TeamUsage.js";
+
+/**
+ * Sums merged counters (see `mergeUsage`) into one row a team, sorted by name. The sidecars' total is what the
+ * engines were used for; delivered and discarded come from the owners; overhead is the rest. While a sidecar's
+ * last report is outstanding the owners may know more than it has told: the overhead is then 0, not negative.
+ */
+export function summarizeUsage(counters: Iterable<UsageCounter>, jobs: Iterable<JobUsage>): TeamUsage[] {
+    const rows = new Map<TeamId, TeamUsage>();
+    const jobTotalsMs = new Map<TeamId, number>();
+    for (const counter of counters) {
+        const row = rowOf(rows, counter.team);
+        row.tokens += counter.tokens;
+        row.requests += counter.requests;
+        if (counter.job === undefined) {
+            row.deliveredEngineMs += counter.engineMs;
+        }
+        else {
+            jobTotalsMs.set(counter.team, (jobTotalsMs.get(counter.team) ?? 0) + counter.engineMs);
+        }
+    }
+    const claimedMs = new Map<TeamId, number>();
+    for (const job of jobs) {
+        const row = rowOf(rows, job.team);
+        row.deliveredEngineMs += job.deliveredEngineMs;
+        row.discardedEngineMs += job.discardedEngineMs;
+        const claimed = job.deliveredEngineMs + job.discardedEngineMs;
+        claimedMs.set(job.team, (claimedMs.get(job.team) ?? 0) + claimed);
+    }
+    for (const row of rows.values()) {
+        const rest = (jobTotalsMs.get(row.team) ?? 0) - (claimedMs.get(row.team) ?? 0);
+        row.overheadEngineMs = Math.max(0, rest);
+    }
+    return [...rows.values()].sort((a, b) => (a.team < b.team ? -1 : 1));
+}
+
+function rowOf(rows: Map<TeamId, TeamUsage>, team: TeamId): TeamUsage {
+    const present = rows.get(team);
+    if (present !== undefined) {
+        return present;
+    }
+    const fresh: TeamUsage = {
+        team,
+        deliveredEngineMs: 0,
+        discardedEngineMs: 0,
+        overheadEngineMs: 0,
+        tokens: 0,
+        requests: 0,
+    };
+    rows.set(team, fresh);
+    return fresh;
+}
--- /dev/null
+++ b/packages/admit/src/AnswerMemory.ts
@@ -0,0 +1,6 @@
+/** Bounds the bytes of answers remembered; the oldest are dropped first. */
+export interface AnswerMemory {
+    /** Counts an answer; `drop` is called when it has to go. The function given back uncounts it. */
+    add(bytes: number, drop: () => void): () => void;
+    bytes(): number;
+}
--- /dev/null
+++ b/packages/admit/src/KeptAnswer.ts
@@ -0,0 +1,6 @@
+/** A whole answer that can be given again. */
+export interface KeptAnswer {
+    status: number;
+    headers: Record<string, string>;
+    body: Uint8Array;
+}
--- /dev/null
+++ b/packages/admit/src/admission.test.ts
@@ -0,0 +1,83 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import type { TeamManifest } from "@auburnarch/types/TeamManifest";
+import fc from "fast-check";
+import { createHash } from "node:crypto";
+import { v4, v7 } from "uuid";
+import { expect, test } from "vitest";
+import { authenticate } from "./authenticate.js";
+import { createTeamLimit } from "./createTeamLimit.js";
+import { mintTime } from "./mintTime.js";
+import { rangeCount } from "./rangeCount.js";
+import { rangeOf } from "./rangeOf.js";
+
+const digestOf = (token: string): string => createHash("sha256").update(token).digest("hex");
+const lugo = "lugo" as TeamId;
+const burgos = "burgos" as TeamId;
+const teams: TeamManifest[] = [
+    { team: lugo, share: 0.5, tokenDigests: [digestOf("old"), digestOf("new")] },
+    { team: burgos, share: 0.5, tokenDigests: [digestOf("other"), "", "zz", digestOf("").slice(2)] },
+];
+
+function codeName(call: () => unknown): string {
+    try {
+        call();
+        return "ok";
+    }
+    catch (error) {
+        return codeOf(error).name;
+    }
+}
+
+test("each token of a team proves it, during a rotation too; nothing else does", () => {
+    expect(authenticate("old", teams)).toBe(lugo);
+    expect(authenticate("new", teams)).toBe(lugo);
+    expect(authenticate("other", teams)).toBe(burgos);
+    for (const token of [undefined, "", "old ", "Old", "zz", digestOf("old")]) {
+        expect(codeName(() => authenticate(token, teams))).toBe("unauthenticated");
+    }
+    expect(codeName(() => authenticate("", [{ team: lugo, share: 1, tokenDigests: [digestOf("")] }]))).toBe(
+        "unauthenticated",
+    );
+});
+
+test("a team's places are bounded, freed once, and do not touch another team's", () => {
+    const limit = createTeamLimit({ maxPerTeam: () => 2 });
+    const leave = limit.enter(lugo);
+    limit.enter(lugo);
+    expect(codeName(() => limit.enter(lugo))).toBe("queueFull");
+    limit.enter(burgos);
+    leave();
+    leave();
+    expect(limit.taken(lugo)).toBe(1);
+    limit.enter(lugo);
+    expect(codeName(() => limit.enter(lugo))).toBe("queueFull");
+});
+
+test("a key tells its minting time only if it is a UUIDv7", () => {
+    fc.assert(
+        fc.property(fc.integer({ min: 0, max: 2 ** 47 }), msecs => {
+            expect(mintTime(v7({ msecs }))).toBe(msecs);
+            expect(mintTime(v7({ msecs }).toUpperCase())).toBe(msecs);
+        }),
+        { seed: 3 },
+    );
+    fc.assert(
+        fc.property(fc.string(), text => {
+            expect(mintTime(text)).toBeUndefined();
+        }),
+        { seed: 3 },
+    );
+    expect(mintTime(v4())).toBeUndefined();
+});
+
+test("keys spread evenly over the ranges, whatever their minting time", () => {
+    const counts = new Array<number>(rangeCount).fill(0);
+    for (let n = 0; n < 64_000; n++) {
+        counts[rangeOf(v7({ msecs: 1_700_000_000_000 }))]!++;
+    }
+    const key = v7();
+    expect(rangeOf(key.toUpperCase())).toBe(rangeOf(key));
+    expect(Math.min(...counts)).toBeGreaterThan(800);
+    expect(Math.max(...counts)).toBeLessThan(1_200);
+});
--- /dev/null
+++ b/packages/admit/src/createKeyRange.ts
@@ -0,0 +1,180 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import { defaultKeyRangeGuards } from "./defaultKeyRangeGuards.js";
+import { keepAnswer } from "./keepAnswer.js";
+import type { KeptAnswer } from "./KeptAnswer.js";
+import type { KeyedRequest } from "./KeyedRequest.js";
+import type { KeyRange } from "./KeyRange.js";
+import type { KeyRangeDeps } from "./KeyRangeDeps.js";
+import { mintTime } from "./mintTime.js";
+import { replayAnswer } from "./replayAnswer.js";
+
+type Outcome = AttemptOutcome<PlainAnswer>;
+type Execute = () => Promise<Outcome>;
+
+/** What became of a key, and what a repeat of it is told. `lost`: it ran, and its answer is not in memory. */
+type KeyState =
+    | { kind: "running"; ended: Promise<Outcome>; }
+    | { kind: "answered"; answer: KeptAnswer; uncount: () => void; }
+    | { kind: "unknown"; code: ResultCode; }
+    | { kind: "lost"; };
+
+interface KeyEntry {
+    digest: ContentDigest;
+    acceptedAtMs: number;
+    state: KeyState;
+}
+
+const defaultWindowMs = 600_000;
+const defaultSkewMs = 2_000;
+const defaultMaxKeys = 20_000;
+const defaultMaxAnswerBytes = 4_000_000;
+const fullRetryAfterMs = 1_000;
+
+const notRun = (code: ResultCode, retryAfterMs?: number): Outcome => ({ kind: "notRun", code, retryAfterMs });
+const unknown = (code: ResultCode): Outcome => ({ kind: "unknown", code });
+
+/** Makes the owner's memory of a key range; see `docs/design/04-at-most-once.md`. */
+export function createKeyRange(deps: KeyRangeDeps): KeyRange {
+    const { clock, lease, logger, invariants, answers, range, takenOverAtMs } = deps;
+    const { windowMs = defaultWindowMs, skewMs = defaultSkewMs, maxKeys = defaultMaxKeys } = deps;
+    const { maxAnswerBytes = defaultMaxAnswerBytes, guards = defaultKeyRangeGuards } = deps;
+    /** In the order of acceptance. */
+    const entries = new Map<string, KeyEntry>();
+    let latestWallMs = clock.wallMs();
+
+    /** Wall time that never goes back: a clock set back must not make keys acceptable that were forgotten. */
+    function nowMs(): number {
+        latestWallMs = Math.max(latestWallMs, clock.wallMs());
+        return latestWallMs;
+    }
+
+    /** Forgets keys that would be refused for their age, in any case. */
+    function forgetOld(): void {
+        const limitMs = nowMs() - windowMs - skewMs;
+        for (const [id, entry] of entries) {
+            if (entry.acceptedAtMs >= limitMs) {
+                return;
+            }
+            entries.delete(id);
+            if (entry.state.kind === "running") {
+                // Still running after the whole window: it goes to the end and is kept on.
+                entry.acceptedAtMs = nowMs();
+                entries.set(id, entry);
+            }
+            else if (entry.state.kind === "answered") {
+                entry.state.uncount();
+            }
+        }
+    }
+
+    /** Why a key that is not in memory may not run; undefined if it may. */
+    function refuse(key: string): Outcome | undefined {
+        const mintedAtMs = mintTime(key);
+        if (mintedAtMs === undefined) {
+            return notRun(resultCodes.keyNotUuidV7);
+        }
+        if (!guards.mayAccept(lease.isHeld())) {
+            return notRun(resultCodes.notOwner);
+        }
+        if (mintedAtMs > nowMs() + skewMs) {
+            return notRun(resultCodes.keyTooOld);
+        }
+        if (!guards.isRemembered(mintedAtMs, nowMs(), windowMs)) {
+            return unknown(resultCodes.keyTooOld);
+        }
+        if (takenOverAtMs !== undefined && !guards.isAfterTakeover(mintedAtMs, takenOverAtMs, skewMs)) {
+            return unknown(resultCodes.keyTakenOver);
+        }
+        return entries.size >= maxKeys ? notRun(resultCodes.overloaded, fullRetryAfterMs) : undefined;
+    }
+
+    function noteAnswer(entry: KeyEntry, kept: KeptAnswer | undefined): void {
+        if (kept === undefined) {
+            entry.state = { kind: "lost" };
+            return;
+        }
+        const forget = (): void => {
+            entry.state = { kind: "lost" };
+        };
+        const state: KeyState = { kind: "answered", answer: kept, uncount: () => {} };
+        entry.state = state;
+        state.uncount = answers.add(kept.body.length, forget);
+    }
+
+    async function execution(id: string, entry: KeyEntry, execute: Execute): Promise<Outcome> {
+        const outcome = await execute();
+        if (outcome.kind === "notRun") {
+            // It truly did not run: the key is free, and the caller may send it again.
+            entries.delete(id);
+            return outcome;
+        }
+        if (outcome.kind === "unknown") {
+            entry.state = { kind: "unknown", code: outcome.code };
+            return outcome;
+        }
+        const { answer, kept } = await keepAnswer(outcome.answer, maxAnswerBytes);
+        noteAnswer(entry, kept);
+        return { kind: "ran", answer };
+    }
+
+    function start(id: string, request: KeyedRequest, execute: Execute): Promise<Outcome> {
+        const again = entries.get(id);
+        invariants.check(resultCodes.ranTwice, again === undefined, { range, key: request.key });
+        // Until it is known to be running it counts as unknown, so that nothing can slip in between.
+        const state: KeyState = { kind: "unknown", code: resultCodes.internal };
+        const entry: KeyEntry = { digest: request.digest, acceptedAtMs: nowMs(), state };
+        entries.set(id, entry);
+        const ended = execution(id, entry, execute).catch((error: unknown): Outcome => {
+            entry.state = { kind: "unknown", code: codeOf(error) };
+            return unknown(codeOf(error));
+        });
+        entry.state = { kind: "running", ended };
+        return ended;
+    }
+
+    async function repeat(entry: KeyEntry): Promise<Outcome> {
+        const { state } = entry;
+        switch (state.kind) {
+            case "answered":
+                return { kind: "ran", answer: replayAnswer(state.answer) };
+            case "unknown":
+                return unknown(state.code);
+            case "lost":
+                return unknown(resultCodes.keyTakenOver);
+            case "running": {
+                const outcome = await state.ended;
+                return outcome.kind === "notRun" ? outcome : repeat(entry);
+            }
+        }
+    }
+
+    async function run(request: KeyedRequest, execute: Execute): Promise<Outcome> {
+        forgetOld();
+        const id = `${request.team} ${request.key.toLowerCase()}`;
+        const found = entries.get(id);
+        if (found !== undefined && guards.isSeen(true)) {
+            const isSame = found.digest === request.digest;
+            return isSame ? repeat(found) : notRun(resultCodes.keyReused);
+        }
+        const refusal = refuse(request.key);
+        if (refusal !== undefined && refusal.kind !== "ran") {
+            const { code, kind } = refusal;
+            logger.warn("keyRefused", {
+                range,
+                team: request.team,
+                code: code.number,
+                name: code.name,
+                outcome: kind,
+            });
+            return refusal;
+        }
+        return start(id, request, execute);
+    }
+
+    return { run, size: () => entries.size };
+}
--- /dev/null
+++ b/packages/admit/src/createQuarantine.test.ts
@@ -0,0 +1,160 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import type { VmId } from "@auburnarch/types/VmId";
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { createQuarantine } from "./createQuarantine.js";
+import { mergeRecords } from "./mergeRecords.js";
+
+const poison = "poison" as ContentDigest;
+const neighbour = "neighbour" as ContentDigest;
+const vmOf = (name: string): VmId => name as VmId;
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
+
+function createFixture() {
+    const clock = createFakeClock();
+    const { store, control } = createFakeObjectStore({ clock, random: createRandom(1) });
+    let seed = 1;
+    const entry = (change: { expiresAfterMs?: number; } = {}) =>
+        createQuarantine({ store, clock, random: createRandom(seed++), logger: silent, ...change });
+    return { clock, store, control, entry };
+}
+
+const reportOf = (vm: string, bootId: string, ...digests: ContentDigest[]) => ({
+    suspects: digests.map(digest => ({ digest, deaths: [{ vm: vmOf(vm), bootId }] })),
+});
+
+test("content is refused everywhere after deaths on two VMs, its neighbours are not", async () => {
+    // Symptom: one request takes down one sampler after another. Sequence: it kills a sampler, its caller sends it
+    // again under a new request id, it kills the next. Cause: retries that know requests by id only.
+    const { entry } = createFixture();
+    const first = entry();
+    const second = entry();
+    first.noteReport(reportOf("vm-1", "b1", poison, neighbour));
+    first.noteReport(reportOf("vm-1", "b2", poison));
+    expect(first.isRefused(poison)).toBe(false);
+    await first.publish();
+    second.noteDeath(vmOf("vm-2"), "b9", [poison]);
+    const document = await second.publish();
+    expect(second.isRefused(poison)).toBe(true);
+    expect(first.offer(document!)).toBe(true);
+    expect(first.isRefused(poison)).toBe(true);
+    expect([first, second].some(one => one.isRefused(neighbour))).toBe(false);
+});
+
+test("one death reported by many, often, is one death, one record and one write", async () => {
+    const { clock, control, entry } = createFixture();
+    const entries = [entry(), entry(), entry()];
+    const abort = new AbortController();
+    const spread = (document: Parameters<(typeof entries)[0]["offer"]>[0]) =>
+        entries.forEach(one => one.offer(document));
+    entries.forEach(one => void one.run(abort.signal, spread));
+    for (let second = 0; second < 120; second++) {
+        entries.forEach(one => one.noteReport(reportOf("vm-1", "b1", poison)));
+        await clock.advance(1_000);
+    }
+    abort.abort();
+    expect(entries[0]!.list()[0]!.deaths.length).toBe(1);
+    expect(control.calls().write).toBeLessThanOrEqual(3);
+});
+
+test("suspects are kept apart; a clean finish clears one, on every entry", async () => {
+    // Symptom: an innocent request was refused. Sequence: it was in flight at a death, its retry ran beside the
+    // killing request again, on another VM. Cause: retrying the suspects of one death together.
+    const { entry } = createFixture();
+    const first = entry();
+    const second = entry();
+    first.noteReport(reportOf("vm-1", "b1", poison, neighbour));
+    expect(first.mustRunApart(neighbour, [poison])).toBe(true);
+    expect(first.mustRunApart(neighbour, ["other" as ContentDigest, neighbour])).toBe(false);
+    second.offer((await first.publish())!);
+    expect(second.mustRunApart(poison, [neighbour])).toBe(true);
+    second.noteCleanFinish(neighbour);
+    first.offer((await second.publish())!);
+    expect(first.mustRunApart(neighbour, [poison])).toBe(false);
+    first.noteReport(reportOf("vm-1", "b1", neighbour));
+    expect(first.isSuspect(neighbour)).toBe(false);
+});
+
+test("operators lift a content durably; new deaths count anew; records expire", async () => {
+    const { clock, control, entry } = createFixture();
+    const quarantine = entry({ expiresAfterMs: 60_000 });
+    quarantine.noteDeath(vmOf("vm-1"), "b1", [poison]);
+    quarantine.noteDeath(vmOf("vm-2"), "b1", [poison]);
+    await clock.advance(10);
+    control.setOutage(true);
+    await expect(quarantine.lift(poison)).rejects.toThrow("storeUnavailable");
+    control.setOutage(false);
+    await quarantine.lift(poison);
+    expect(quarantine.isRefused(poison)).toBe(false);
+    const fresh = entry();
+    fresh.offer({ version: control.revision(), value: control.peek("quarantine") });
+    expect(fresh.isRefused(poison)).toBe(false);
+    await clock.advance(10);
+    quarantine.noteDeath(vmOf("vm-1"), "b2", [poison]);
+    quarantine.noteDeath(vmOf("vm-3"), "b1", [poison]);
+    expect(quarantine.isRefused(poison)).toBe(true);
+    await clock.advance(60_001);
+    expect(quarantine.isRefused(poison)).toBe(false);
+    expect(quarantine.list()).toEqual([]);
+});
+
+test("entries that race lose nothing of each other", async () => {
+    const { entry } = createFixture();
+    const entries = [entry(), entry(), entry()];
+    entries.forEach((one, n) => one.noteDeath(vmOf(`vm-${n}`), "b", [`d${n}` as ContentDigest]));
+    await Promise.all(entries.map(one => one.publish()));
+    const last = entry();
+    last.noteDeath(vmOf("vm-9"), "b", [poison]);
+    const document = await last.publish();
+    expect(last.list().map(record => record.digest).sort()).toEqual(["d0", "d1", "d2", "poison"]);
+    expect(entries.every(one => one.offer(document!))).toBe(true);
+    expect(entries.every(one => one.list().length === 4)).toBe(true);
+});
+
+test("the list stays within its bound, and convicted content stays in it", () => {
+    const { clock, store } = createFixture();
+    const quarantine = createQuarantine({
+        store,
+        clock,
+        random: createRandom(1),
+        logger: silent,
+        maxRecords: 10,
+    });
+    quarantine.noteDeath(vmOf("vm-1"), "b1", [poison]);
+    quarantine.noteDeath(vmOf("vm-2"), "b1", [poison]);
+    for (let n = 0; n < 100; n++) {
+        quarantine.noteDeath(vmOf("vm-1"), `b${n}`, [`d${n}` as ContentDigest]);
+    }
+    expect(quarantine.list().length).toBe(10);
+    expect(quarantine.isRefused(poison)).toBe(true);
+});
+
+test("merging is independent of order and repeats", () => {
+    const record: fc.Arbitrary<QuarantineRecord> = fc.record({
+        digest: fc.constantFrom("a", "b").map(name => name as ContentDigest),
+        deaths: fc.array(
+            fc.record({
+                vm: fc.constantFrom("v1", "v2").map(vmOf),
+                bootId: fc.constantFrom("x", "y"),
+                atMs: fc.nat(5),
+            }),
+            { maxLength: 3 },
+        ),
+        expiresAtMs: fc.nat(9),
+        liftedAtMs: fc.option(fc.nat(9), { nil: undefined }),
+    });
+    const lists = fc.array(record, { maxLength: 4 });
+    fc.assert(
+        fc.property(lists, lists, lists, (a, b, c) => {
+            const merged = mergeRecords(a, b, c);
+            expect(mergeRecords(mergeRecords(c, a), b)).toEqual(merged);
+            expect(mergeRecords(merged, a)).toEqual(merged);
+        }),
+        { numRuns: 500, seed: 2 },
+    );
+});
--- /dev/null
+++ b/packages/admit/src/createQuarantineRecords.ts
@@ -0,0 +1,110 @@
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import { isConvicted } from "./isConvicted.js";
+import { mergeRecords } from "./mergeRecords.js";
+import type { QuarantineDeps } from "./QuarantineDeps.js";
+
+interface QuarantineRecords {
+    /** Takes records in; true if any told something new. */
+    take(offered: QuarantineRecord[]): boolean;
+    /** A death as records that tell it, without the digests for which it is known. */
+    newsOf(vm: string, bootId: string, digests: ContentDigest[]): QuarantineRecord[];
+    /** The record with its deaths so far forgiven; undefined where there is none. */
+    forgiven(digest: ContentDigest): QuarantineRecord | undefined;
+    isSuspect(digest: ContentDigest): boolean;
+    isRefused(digest: ContentDigest): boolean;
+    list(): QuarantineRecord[];
+}
+
+const defaultExpiresAfterMs = 24 * 3_600_000;
+const defaultMaxRecords = 1_000;
+const maxDeathsPerVm = 16;
+
+/** The records of a quarantine in memory, bounded and expiring. */
+export function createQuarantineRecords(deps: QuarantineDeps): QuarantineRecords {
+    const { clock, logger, maxRecords = defaultMaxRecords, expiresAfterMs = defaultExpiresAfterMs } = deps;
+    const convicts = deps.isConvicted ?? isConvicted;
+    const records = new Map<ContentDigest, QuarantineRecord>();
+
+    const isLive = (record: QuarantineRecord): boolean => record.expiresAtMs > clock.wallMs();
+    const list = (): QuarantineRecord[] => [...records.values()].filter(isLive);
+
+    /** Drops what expired, and beyond the limit the suspects that are nearest to it. */
+    function prune(): void {
+        [...records.values()].filter(record => !isLive(record)).forEach(({ digest }) =>
+            records.delete(digest)
+        );
+        const surplus = records.size - maxRecords;
+        if (surplus > 0) {
+            const suspects = list().filter(record => !convicts(record, clock.wallMs()));
+            suspects.sort((a, b) => a.expiresAtMs - b.expiresAtMs);
+            suspects.slice(0, surplus).forEach(({ digest }) => records.delete(digest));
+        }
+    }
+
+    function logChange(before: QuarantineRecord | undefined, after: QuarantineRecord): void {
+        const nowMs = clock.wallMs();
+        const was = before !== undefined && convicts(before, nowMs);
+        const is = convicts(after, nowMs);
+        if (was !== is) {
+            const vms = new Set(after.deaths.map(death => death.vm)).size;
+            logger.warn(is ? "contentQuarantined" : "contentReleased", { digest: after.digest, vms });
+        }
+    }
+
+    function takeOne(record: QuarantineRecord): boolean {
+        const known = records.get(record.digest);
+        const [merged] = mergeRecords(known === undefined ? [] : [known], [record]);
+        if (JSON.stringify(merged) === JSON.stringify(known)) {
+            return false;
+        }
+        records.set(record.digest, merged!);
+        logChange(known, merged!);
+        return true;
+    }
+
+    /** A death that adds nothing: told before, or one more on a VM that has many. */
+    function isKnown(digest: ContentDigest, vm: string, bootId: string): boolean {
+        const deaths = (records.get(digest)?.deaths ?? []).filter(death => death.vm === vm);
+        return deaths.length >= maxDeathsPerVm || deaths.some(death => death.bootId === bootId);
+    }
+
+    return {
+        take: offered => {
+            const changed = offered.filter(isLive).map(takeOne);
+            prune();
+            return changed.includes(true);
+        },
+        newsOf: (vm, bootId, digests) => {
+            // A repeated report is no news: it must neither prolong a record nor cause a write.
+            const atMs = clock.wallMs();
+            const news = digests.filter(digest => !isKnown(digest, vm, bootId)).map(digest => ({
+                digest,
+                deaths: [{ vm, bootId, atMs }],
+                expiresAtMs: atMs + expiresAfterMs,
+                liftedAtMs: undefined,
+            }));
+            return news as QuarantineRecord[];
+        },
+        forgiven: digest => {
+            const record = records.get(digest);
+            if (record === undefined) {
+                return undefined;
+            }
+            // Entries' clocks differ: a death told by one that is ahead is forgiven as well.
+            const liftedAtMs = Math.max(clock.wallMs(), ...record.deaths.map(death => death.atMs));
+            return { ...record, liftedAtMs };
+        },
+        isSuspect: digest => {
+            const record = records.get(digest);
+            const liftedAtMs = record?.liftedAtMs ?? Number.NEGATIVE_INFINITY;
+            return record !== undefined && isLive(record)
+                && record.deaths.some(death => death.atMs > liftedAtMs);
+        },
+        isRefused: digest => {
+            const record = records.get(digest);
+            return record !== undefined && convicts(record, clock.wallMs());
+        },
+        list,
+    };
+}
--- /dev/null
+++ b/packages/admit/src/keepAnswer.ts
@@ -0,0 +1,39 @@
+import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
+import type { KeptAnswer } from "./KeptAnswer.js";
+import { replayAnswer } from "./replayAnswer.js";
+
+/** `kept` is undefined where the body is longer than what may be kept; `answer` is whole in both cases. */
+interface KeepResult {
+    answer: PlainAnswer;
+    kept: KeptAnswer | undefined;
+}
+
+async function* chain(
+    first: Uint8Array[],
+    rest: AsyncIterator<Uint8Array>,
+): AsyncGenerator<Uint8Array> {
+    yield* first;
+    for (let next = await rest.next(); next.done !== true; next = await rest.next()) {
+        yield next.value;
+    }
+}
+
+/**
+ * Reads an answer whole, up to `maxBytes`; beyond that it streams on unread and is not kept. Rejects if the body
+ * breaks off while it is read.
+ */
+export async function keepAnswer(answer: PlainAnswer, maxBytes: number): Promise<KeepResult> {
+    const { status, headers } = answer;
+    const parts: Uint8Array[] = [];
+    const rest = answer.body[Symbol.asyncIterator]();
+    let bytes = 0;
+    for (let next = await rest.next(); next.done !== true; next = await rest.next()) {
+        parts.push(next.value);
+        bytes += next.value.length;
+        if (bytes > maxBytes) {
+            return { answer: { status, headers, body: chain(parts, rest) }, kept: undefined };
+        }
+    }
+    const kept = { status, headers, body: Buffer.concat(parts) };
+    return { answer: replayAnswer(kept), kept };
+}
--- /dev/null
+++ b/packages/admit/src/parseQuarantine.ts
@@ -0,0 +1,17 @@
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import { z } from "zod";
+
+const quarantineValue = z.object({
+    records: z.array(z.object({
+        digest: z.string(),
+        deaths: z.array(z.object({ vm: z.string(), bootId: z.string(), atMs: z.number() })),
+        expiresAtMs: z.number(),
+        liftedAtMs: z.number().optional(),
+    })),
+});
+
+/** Reads the value of the shared document `quarantine`; undefined where it is something else. */
+export function parseQuarantine(value: unknown): QuarantineRecord[] | undefined {
+    const parsed = quarantineValue.safeParse(value);
+    return parsed.success ? parsed.data.records as QuarantineRecord[] : undefined;
+}
--- /dev/null
+++ b/packages/cli/src/checkArguments.ts
@@ -0,0 +1,33 @@
+import { suggestName } from "@auburnarch/config/suggestName";
+import type { ArgsDef } from "citty";
+
+/**
+ * What is wrong with the arguments of a command, or undefined. The library passes unknown flags over, so that a
+ * misspelt `--dry-rum` would publish.
+ */
+export function checkArguments(definition: ArgsDef, args: string[]): string | undefined {
+    const flags = Object.keys(definition).filter(name => definition[name]!.type !== "positional");
+    const positionals = Object.keys(definition).filter(name => definition[name]!.type === "positional");
+    let words = 0;
+    for (let at = 0; at < args.length; at++) {
+        const arg = args[at]!;
+        if (!arg.startsWith("-")) {
+            words++;
+            continue;
+        }
+        const [name, value] = arg.replace(/^-+/u, "").split("=", 2) as [string, string | undefined];
+        if (!arg.startsWith("--") || !flags.includes(name)) {
+            return `There is no flag ${arg}.${suggestName(name, flags)}`;
+        }
+        if (definition[name]!.type === "string" && value === undefined) {
+            at++;
+            if (args[at] === undefined) {
+                return `The flag ${arg} needs a value.`;
+            }
+        }
+    }
+    if (words > positionals.length) {
+        return `Too many arguments; expected ${positionals.length}.`;
+    }
+    return words < positionals.length ? `Missing argument: ${positionals[words]!.toUpperCase()}.` : undefined;
+}
--- /dev/null
+++ b/packages/cli/src/createQuarantineCommand.ts
@@ -0,0 +1,68 @@
+import type { OperatorQuarantine } from "@auburnarch/types/OperatorQuarantine";
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import { type CommandDef, defineCommand } from "citty";
+import type { CliIo } from "./CliIo.js";
+import type { CommandOutput } from "./CommandOutput.js";
+import { commonArgs } from "./commonArgs.js";
+import { connect } from "./connect.js";
+import { exitCodes } from "./exitCodes.js";
+import { formatTable } from "./formatTable.js";
+
+const refusedFromVms = 2;
+
+const countVms = (record: QuarantineRecord): number =>
+    new Set(
+        record.deaths
+            .filter(death => death.atMs > (record.liftedAtMs ?? -Infinity))
+            .map(death => death.vm),
+    ).size;
+
+const toRow = (record: QuarantineRecord): (string | number)[] => [
+    record.digest,
+    countVms(record) >= refusedFromVms ? "refused" : "watched",
+    countVms(record),
+    new Date(record.expiresAtMs).toISOString(),
+];
+
+function describe({ records }: OperatorQuarantine): string[] {
+    return records.length === 0
+        ? ["No content is under suspicion."]
+        : formatTable(["DIGEST", "STATE", "VMS KILLED", "EXPIRES"], records.map(toRow));
+}
+
+function createListCommand(io: CliIo): CommandDef {
+    return defineCommand({
+        meta: { name: "list", description: "Show the contents that killed servers" },
+        args: commonArgs,
+        run: async ({ args }): Promise<CommandOutput> => {
+            const client = await connect(io, args);
+            const answer = await client.get("/operator/quarantine") as OperatorQuarantine;
+            return { exitCode: exitCodes.done, json: answer, lines: describe(answer) };
+        },
+    }) as CommandDef;
+}
+
+function createLiftCommand(io: CliIo): CommandDef {
+    return defineCommand({
+        meta: { name: "lift", description: "Let a refused content run again" },
+        args: {
+            digest: { type: "positional", required: true, description: "Digest as `list` shows it." },
+            ...commonArgs,
+        },
+        run: async ({ args }): Promise<CommandOutput> => {
+            const client = await connect(io, args);
+            const body = { digest: args.digest };
+            const answer = await client.post("/operator/quarantine/lift", body) as OperatorQuarantine;
+            const said = `Lifted ${args.digest}; it runs again once the lift has spread, within seconds.`;
+            return { exitCode: exitCodes.done, json: answer, lines: [said] };
+        },
+    }) as CommandDef;
+}
+
+/** `quarantine list` and `quarantine lift DIGEST`. */
+export function createQuarantineCommand(io: CliIo): CommandDef {
+    return defineCommand({
+        meta: { name: "quarantine", description: "Show or lift the refusal of contents that killed servers" },
+        subCommands: { list: createListCommand(io), lift: createLiftCommand(io) },
+    }) as CommandDef;
+}
--- /dev/null
+++ b/packages/cli/src/publishManifest.ts
@@ -0,0 +1,37 @@
+import { diffManifests } from "@auburnarch/config/diffManifests";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { Manifest } from "@auburnarch/types/Manifest";
+import type { OperatorApplied } from "@auburnarch/types/OperatorApplied";
+import type { OperatorManifest } from "@auburnarch/types/OperatorManifest";
+import type { OperatorClient } from "./OperatorClient.js";
+import { OperatorFailure } from "./OperatorFailure.js";
+
+/** Answers after which the change may or may not have been published. */
+const doubtful: number[] = [resultCodes.peerUnreachable.number, resultCodes.storeUnavailable.number];
+
+/**
+ * Publishes a manifest against the version it was compared with. If the answer is lost, what stands published is
+ * read back first: repeating blindly would report a race with oneself.
+ */
+export async function publishManifest(
+    client: OperatorClient,
+    manifest: Manifest,
+    expectedVersion: number,
+): Promise<OperatorApplied> {
+    try {
+        return await client.post("/operator/manifest", { manifest, expectedVersion }) as OperatorApplied;
+    }
+    catch (error) {
+        if (!(error instanceof OperatorFailure) || !doubtful.includes(error.error.code)) {
+            throw error;
+        }
+        const standing = await client.get("/operator/manifest") as OperatorManifest;
+        const isOurs = standing.manifest !== undefined
+            && standing.version > expectedVersion
+            && diffManifests(standing.manifest, manifest).length === 0;
+        if (isOurs) {
+            return { version: standing.version, changed: true };
+        }
+        throw error;
+    }
+}
--- /dev/null
+++ b/packages/collect/src/createSpanAssembler.test.ts
@@ -0,0 +1,29 @@
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { countTokens } from "./countTokens.js";
+import { createSpanAssembler } from "./createSpanAssembler.js";
+import { mergeSpans } from "./mergeSpans.js";
+
+const span = fc.record<TokenSpan>({
+    version: fc.nat(3).map(version => version as WeightVersion),
+    tokens: fc.integer({ min: 1, max: 9 }),
+    text: fc.string({ minLength: 1, maxLength: 4 }),
+});
+
+test("streamed spans behind resumed ones give the same as merging all at once", () => {
+    fc.assert(
+        fc.property(fc.array(span), fc.array(span), (resume, streamed) => {
+            const assembler = createSpanAssembler(resume);
+            streamed.forEach(assembler.add);
+            const whole = assembler.spans();
+            expect(whole).toEqual(mergeSpans([...resume, ...streamed]));
+            expect(countTokens(whole)).toBe(countTokens(resume) + assembler.addedTokens());
+            expect(assembler.addedSpans()).toBe(streamed.length);
+            const neighbours = whole.slice(1).map((next, at) => next.version === whole[at]!.version);
+            expect(neighbours).not.toContain(true);
+        }),
+        { seed: 3, numRuns: 300 },
+    );
+});
--- /dev/null
+++ b/packages/collect/src/createSpanAssembler.ts
@@ -0,0 +1,35 @@
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import { mergeSpans } from "./mergeSpans.js";
+import type { SpanAssembler } from "./SpanAssembler.js";
+
+/** Makes an assembler that continues behind `resume`. */
+export function createSpanAssembler(resume: TokenSpan[]): SpanAssembler {
+    const texts: string[][] = [];
+    const spans = mergeSpans(resume);
+    for (const span of spans) {
+        texts.push([span.text]);
+    }
+    let addedTokens = 0;
+    let addedSpans = 0;
+
+    function add(span: TokenSpan): void {
+        addedTokens += span.tokens;
+        addedSpans++;
+        const last = spans.at(-1);
+        if (last !== undefined && last.version === span.version) {
+            last.tokens += span.tokens;
+            texts.at(-1)!.push(span.text);
+        }
+        else {
+            spans.push({ ...span });
+            texts.push([span.text]);
+        }
+    }
+
+    return {
+        add,
+        spans: () => spans.map((span, at) => ({ ...span, text: texts[at]!.join("") })),
+        addedTokens: () => addedTokens,
+        addedSpans: () => addedSpans,
+    };
+}
--- /dev/null
+++ b/packages/collect/src/responseSink.ts
@@ -0,0 +1,34 @@
+import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
+import type { ByteSink } from "./ByteSink.js";
+
+/** Makes a sink of a server's answer. A body that is whole from the start is sent with its length, not in chunks. */
+export function responseSink(
+    response: ServerResponse,
+    status: number,
+    headers: OutgoingHttpHeaders,
+): ByteSink {
+    return {
+        begin: wholeBytes => {
+            const sized = !wholeBytes || "content-length" in headers
+                ? headers
+                : { ...headers, "content-length": wholeBytes };
+            response.writeHead(status, sized);
+        },
+        write: chunk => response.write(chunk),
+        end: last => void response.end(last),
+        drained: () =>
+            new Promise(resolve => {
+                if (response.destroyed || !response.writableNeedDrain) {
+                    resolve();
+                    return;
+                }
+                const done = (): void => {
+                    response.removeListener("drain", done);
+                    response.removeListener("close", done);
+                    resolve();
+                };
+                response.once("drain", done);
+                response.once("close", done);
+            }),
+    };
+}
--- /dev/null
+++ b/packages/config/src/applyFlags.ts
@@ -0,0 +1,43 @@
+import { z } from "zod";
+import { settingsSchema } from "./settingsSchema.js";
+
+function innermost(schema: unknown): unknown {
+    let inner = schema;
+    while (inner instanceof z.ZodOptional || inner instanceof z.ZodDefault) {
+        inner = inner.unwrap();
+    }
+    return inner;
+}
+
+function parseText(schema: unknown, text: string): unknown {
+    const inner = innermost(schema);
+    if (inner instanceof z.ZodArray) {
+        return text.split(",").filter(part => part !== "");
+    }
+    if (inner instanceof z.ZodNumber) {
+        // An empty text would become 0.
+        return text.trim() === "" ? text : Number(text);
+    }
+    return text;
+}
+
+/**
+ * Lays command-line flags over the settings of the file. A flag is a setting's name in camelCase or with dashes;
+ * lists are separated by commas, and `tls.certPath` reaches into `tls`.
+ */
+export function applyFlags(json: unknown, flags: Record<string, string>): unknown {
+    if (Object.keys(flags).length === 0) {
+        return json;
+    }
+    const merged: Record<string, unknown> = json instanceof Object ? { ...json } : {};
+    const shape: Record<string, unknown> = settingsSchema.shape;
+    for (const [flag, text] of Object.entries(flags)) {
+        const key = flag.replace(/-([a-z])/gu, (_, letter: string) => letter.toUpperCase());
+        const [outer, inner] = key.split(".", 2) as [string, string | undefined];
+        const present = merged[outer];
+        merged[outer] = inner === undefined
+            ? parseText(shape[outer], text)
+            : { ...(present instanceof Object ? present : {}), [inner]: text };
+    }
+    return merged;
+}
--- /dev/null
+++ b/packages/config/src/formatPath.ts
@@ -0,0 +1,13 @@
+/** Writes a path of keys and indexes as `jobs[0].groupSize`. */
+export function formatPath(path: readonly PropertyKey[]): string {
+    let text = "";
+    for (const part of path) {
+        if (typeof part === "number") {
+            text += `[${part}]`;
+        }
+        else {
+            text += text === "" ? String(part) : `.${String(part)}`;
+        }
+    }
+    return text;
+}
--- /dev/null
+++ b/packages/config/src/keysAt.ts
@@ -0,0 +1,28 @@
+import { z } from "zod";
+
+function unwrap(schema: unknown): unknown {
+    let inner = schema;
+    while (
+        inner instanceof z.ZodOptional || inner instanceof z.ZodDefault || inner instanceof z.ZodPrefault
+    ) {
+        inner = inner.unwrap();
+    }
+    return inner;
+}
+
+/** Keys that `schema` allows for the object at `path`; empty where there is no object. */
+export function keysAt(schema: unknown, path: readonly PropertyKey[]): string[] {
+    let at = unwrap(schema);
+    for (const part of path) {
+        if (at instanceof z.ZodArray) {
+            at = unwrap(at.element);
+        }
+        else if (at instanceof z.ZodObject) {
+            at = unwrap(at.shape[String(part)]);
+        }
+        else {
+            return [];
+        }
+    }
+    return at instanceof z.ZodObject ? Object.keys(at.shape) : [];
+}
--- /dev/null
+++ b/packages/config/src/validateDocument.ts
@@ -0,0 +1,37 @@
+import type { ConfigFault } from "@auburnarch/types/ConfigFault";
+import type { SharedDocument } from "@auburnarch/types/SharedDocument";
+import { z } from "zod";
+import { listFaults } from "./listFaults.js";
+import { validateManifest } from "./validateManifest.js";
+
+const text = z.string().min(1).max(256);
+const version = z.int().min(0);
+const wallMs = z.number();
+
+const quarantine = z.array(z.object({
+    digest: text,
+    deaths: z.array(z.object({ vm: text, bootId: z.string().max(256), atMs: wallMs })),
+    expiresAtMs: wallMs,
+    liftedAtMs: wallMs.optional(),
+}));
+
+const owner = z.object({ job: text, entry: text, address: text, fencing: version });
+const weights = z.object({ policy: text, version, location: z.string().max(4_096) });
+
+/**
+ * Faults of a shared document's value, by its name. Values of other names are passed on unread: a newer release
+ * may spread documents that this one does not know.
+ */
+export function validateDocument({ name, value }: SharedDocument): ConfigFault[] {
+    if (name === "manifest") {
+        const result = validateManifest(value);
+        return result.kind === "valid" ? [] : result.faults;
+    }
+    if (name === "quarantine") {
+        return listFaults(quarantine, value);
+    }
+    if (name.startsWith("owner/")) {
+        return listFaults(owner, value);
+    }
+    return name.startsWith("weights/") ? listFaults(weights, value) : [];
+}
--- /dev/null
+++ b/packages/daemon/src/runProcess.ts
@@ -0,0 +1,38 @@
+import type { Settings } from "@auburnarch/config/Settings";
+import { validateSettings } from "@auburnarch/config/validateSettings";
+import { readFile } from "node:fs/promises";
+import { match } from "ts-pattern";
+import type { ProcessContext } from "./ProcessContext.js";
+import type { RunningProcess } from "./RunningProcess.js";
+import { startEntry } from "./startEntry.js";
+import { startSidecar } from "./startSidecar.js";
+import { waitForSignal } from "./waitForSignal.js";
+
+const settingsExitCode = 2;
+
+function start(settings: Settings, context: ProcessContext): Promise<RunningProcess> {
+    return match(settings.role)
+        .with("entry", () => startEntry(settings, context))
+        .with("sidecar", () => startSidecar(settings, context))
+        .exhaustive();
+}
+
+/** Runs one process from its settings file until a signal, then shuts it down gracefully; resolves with the exit code. */
+export async function runProcess(
+    settingsPath: string,
+    flags: Record<string, string>,
+    context: ProcessContext,
+    tell: (line: string) => void,
+): Promise<number> {
+    const checked = validateSettings(JSON.parse(await readFile(settingsPath, "utf8")), flags);
+    if (checked.kind === "invalid") {
+        checked.faults.forEach(fault => tell(`${settingsPath}: ${fault.path}: ${fault.message}`));
+        tell("Correct the settings and start again; docs/settings.md lists each.");
+        return settingsExitCode;
+    }
+    const running = await start(checked.settings, context);
+    tell(`${running.name} listens at ${running.address}`);
+    await waitForSignal();
+    await running.shutdown();
+    return 0;
+}
--- /dev/null
+++ b/packages/daemon/src/runStandalone.ts
@@ -0,0 +1,97 @@
+import type { ManifestResult } from "@auburnarch/config/ManifestResult";
+import { parseManifest } from "@auburnarch/config/parseManifest";
+import { validateManifest } from "@auburnarch/config/validateManifest";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { Manifest } from "@auburnarch/types/Manifest";
+import { createWriteStream } from "node:fs";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { demoManifest } from "./demoManifest.js";
+import type { ProcessContext } from "./ProcessContext.js";
+import { runDemo } from "./runDemo.js";
+import { startStandalone } from "./startStandalone.js";
+import { waitForSignal } from "./waitForSignal.js";
+
+const entryCount = 2;
+const tokensPerSecond = 120;
+const swapMs = 300;
+const plainLatencyMs = 5;
+
+interface StandaloneFlags {
+    manifestPath: string | undefined;
+    port: number;
+    /** Runs the demonstration, then ends by itself. */
+    demo: boolean;
+    logPath: string | undefined;
+    context: ProcessContext;
+    tell: (line: string) => void;
+}
+
+function demand(checked: ManifestResult): Manifest {
+    if (checked.kind === "invalid") {
+        const faults = checked.faults.map(fault => `${fault.path}: ${fault.message}`);
+        throw new ResultError(resultCodes.manifestInvalid, faults.join("; "));
+    }
+    return checked.manifest;
+}
+
+/** Runs the whole system on loopback; resolves with the process's exit code. */
+export async function runStandalone(flags: StandaloneFlags): Promise<number> {
+    const { context, tell } = flags;
+    const { random } = context;
+    const folder = await mkdtemp(join(tmpdir(), "auburnarch-"));
+    const tokens = { plume: random.nextId(), ridge: random.nextId() };
+    const manifestPath = flags.manifestPath ?? join(folder, "manifest.json");
+    if (flags.manifestPath === undefined) {
+        await writeFile(
+            manifestPath,
+            JSON.stringify(demand(validateManifest(demoManifest(tokens))), undefined, 4),
+        );
+    }
+    const manifest = demand(parseManifest(await readFile(manifestPath, "utf8")));
+    const logPath = flags.logPath ?? (flags.demo ? join(folder, "demo.log") : undefined);
+    const log = logPath === undefined ? undefined : createWriteStream(logPath);
+    const writeLine = log === undefined
+        ? context.writeLine
+        // Timers of the parts may still write a line while the process ends.
+        : (line: string) => void (log.writableEnded || log.write(`${line}\n`));
+
+    const system = await startStandalone({
+        plan: { manifest, region: "norte", entries: entryCount, tokensPerSecond, swapMs, plainLatencyMs },
+        context: { ...context, writeLine },
+        manifestPath,
+        dataFolder: join(folder, "data"),
+        port: flags.port,
+    });
+    tell(`entries: ${system.entries.map(entry => entry.address).join(" ")}`);
+    tell(`manifest: ${manifestPath}`);
+    let exitCode = 0;
+    if (flags.demo) {
+        const tokenOf = new Map([["plume", tokens.plume], ["ridge", tokens.ridge]]);
+        const summary = await runDemo({
+            system,
+            context,
+            jobs: manifest.jobs,
+            tokens: tokenOf,
+            manifestPath,
+            tell,
+        });
+        await system.shutdown();
+        const broken = summary.missing + summary.duplicates + summary.staleViolations
+            + summary.alertsRunTwice;
+        exitCode = broken === 0 ? 0 : 1;
+        tell(`event=summary ${Object.entries(summary).map(([key, value]) => `${key}=${value}`).join(" ")}`);
+    }
+    else {
+        tell(`operator token: ${system.operatorToken}`);
+        tell(`team tokens: plume ${tokens.plume}, ridge ${tokens.ridge}`);
+        await waitForSignal();
+        tell("shutting down; a second signal ends at once");
+        await system.shutdown();
+    }
+    await new Promise<void>(resolve => log === undefined ? resolve() : log.end(resolve));
+    await rm(folder, { recursive: true, force: true });
+    return exitCode;
+}
--- /dev/null
+++ b/packages/daemon/src/startEntry.ts
@@ -0,0 +1,102 @@
+import type { Settings } from "@auburnarch/config/Settings";
+import { createEntry } from "@auburnarch/entry/createEntry";
+import { createForwardPlain } from "@auburnarch/entry/createForwardPlain";
+import { createPeerCall } from "@auburnarch/entry/createPeerCall";
+import type { EntryDeps } from "@auburnarch/entry/EntryDeps";
+import { serveEntry } from "@auburnarch/entry/serveEntry";
+import { createFileGroupKeep } from "@auburnarch/keep/createFileGroupKeep";
+import { createHttpSidecar } from "@auburnarch/send/createHttpSidecar";
+import { createBudgetedStore } from "@auburnarch/store/createBudgetedStore";
+import { createHttpObjectStore } from "@auburnarch/store/createHttpObjectStore";
+import { createHttpScoring } from "@auburnarch/store/createHttpScoring";
+import { createHttpVmList } from "@auburnarch/store/createHttpVmList";
+import type { EntryId } from "@auburnarch/types/EntryId";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { GroupKeep } from "@auburnarch/types/GroupKeep";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { Region } from "@auburnarch/types/Region";
+import type { VmId } from "@auburnarch/types/VmId";
+import { readFile } from "node:fs/promises";
+import { join } from "node:path";
+import { createToolbox } from "./createToolbox.js";
+import { digestToken } from "./digestToken.js";
+import type { ProcessContext } from "./ProcessContext.js";
+import type { RunningProcess } from "./RunningProcess.js";
+
+/** Of a quarter of the platform's 300 writes and 2,000 reads a second, the part of one entry of 400 in a burst. */
+const writesPerSecond = 20;
+const readsPerSecond = 50;
+const requestTimeoutMs = 60_000;
+const maxConnections = 4_096;
+
+function openKeep(
+    settings: Settings,
+    context: ProcessContext,
+    logger: Logger,
+): Promise<GroupKeep> | undefined {
+    if (settings.dataFolder === undefined) {
+        return undefined;
+    }
+    return createFileGroupKeep(join(settings.dataFolder, "groups"), { clock: context.clock, logger });
+}
+
+/** Starts the entry role from checked settings and resolves once it listens. */
+export async function startEntry(settings: Settings, context: ProcessContext): Promise<RunningProcess> {
+    const { clock, random } = context;
+    const { logger, metrics, invariants } = createToolbox(settings, context);
+    const store = createBudgetedStore(createHttpObjectStore(settings.objectApiUrl), {
+        clock,
+        random: random.fork(),
+        readsPerSecond,
+        writesPerSecond,
+    });
+    const keep = await openKeep(settings, context, logger);
+    const addressAt = (port: number): string =>
+        settings.publicAddress ?? `http://${settings.listenHost}:${port}`;
+    const { manifestPath } = settings;
+
+    const depsAt = (port: number): EntryDeps => ({
+        self: {
+            entry: settings.name as EntryId,
+            vm: settings.vm as VmId,
+            address: addressAt(port),
+            failureDomain: settings.failureDomain as FailureDomain,
+            region: settings.region as Region,
+        },
+        clock,
+        random: random.fork(),
+        logger,
+        metrics,
+        invariants,
+        store,
+        vmList: createHttpVmList(settings.vmListUrl),
+        scoring: createHttpScoring(settings.scoringUrl!),
+        keep,
+        cursorKey: settings.cursorKey!,
+        seeds: settings.seeds,
+        leaseTtlMs: settings.leaseTtlMs,
+        connectSidecar: report => createHttpSidecar({ address: report.address, clock }),
+        callPeer: createPeerCall(settings.clusterToken),
+        forwardPlain: createForwardPlain(settings.clusterToken, clock),
+        readManifestFile: manifestPath === undefined ? undefined : () => readFile(manifestPath, "utf8"),
+        timing: { vmListIntervalMs: settings.vmListIntervalMs },
+    });
+
+    const served = await serveEntry(port => createEntry(depsAt(port)), {
+        host: settings.listenHost,
+        port: settings.listenPort,
+        logger,
+        clusterTokenDigest: digestToken(settings.clusterToken),
+        operatorTokenDigest: settings.operatorToken === undefined ? "" : digestToken(settings.operatorToken),
+        requestTimeoutMs,
+        maxConnections,
+    });
+    return {
+        name: settings.name,
+        address: addressAt(served.port),
+        shutdown: async () => {
+            await served.entry.shutdown(settings.shutdownDeadlineMs);
+            await served.close();
+        },
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/startSidecar.ts
@@ -0,0 +1,128 @@
+import { faultsOfDocument } from "@auburnarch/config/faultsOfDocument";
+import type { Settings } from "@auburnarch/config/Settings";
+import { createPeerCall } from "@auburnarch/entry/createPeerCall";
+import { createGate } from "@auburnarch/gate/createGate";
+import type { Gate } from "@auburnarch/gate/Gate";
+import type { GateDeps } from "@auburnarch/gate/GateDeps";
+import { serveGate } from "@auburnarch/gate/serveGate";
+import { createReadFencing } from "@auburnarch/lease/createReadFencing";
+import { createReporter } from "@auburnarch/membership/createReporter";
+import { createFollower } from "@auburnarch/spread/createFollower";
+import { createBudgetedStore } from "@auburnarch/store/createBudgetedStore";
+import { createHttpEngine } from "@auburnarch/store/createHttpEngine";
+import { createHttpObjectStore } from "@auburnarch/store/createHttpObjectStore";
+import { createHttpPlainBackend } from "@auburnarch/store/createHttpPlainBackend";
+import { createHttpVmList } from "@auburnarch/store/createHttpVmList";
+import { createHttpWeightStore } from "@auburnarch/store/createHttpWeightStore";
+import type { ConfigVersion } from "@auburnarch/types/ConfigVersion";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { Manifest } from "@auburnarch/types/Manifest";
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import type { Region } from "@auburnarch/types/Region";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+import type { SamplerIdentity } from "@auburnarch/types/SamplerIdentity";
+import type { ServiceId } from "@auburnarch/types/ServiceId";
+import type { SharedDocument } from "@auburnarch/types/SharedDocument";
+import type { VmId } from "@auburnarch/types/VmId";
+import { createToolbox } from "./createToolbox.js";
+import type { ProcessContext } from "./ProcessContext.js";
+import type { RunningProcess } from "./RunningProcess.js";
+
+/** A sidecar only reads leases it is ordered under for the first time, and never writes. */
+const storeCallsPerSecond = 5;
+const reportTimeoutMs = 1_500;
+
+function identify(settings: Settings): SamplerIdentity {
+    return {
+        sampler: settings.sampler as SamplerId,
+        vm: settings.vm as VmId,
+        address: settings.publicAddress ?? "",
+        failureDomain: settings.failureDomain as FailureDomain,
+        region: settings.region as Region,
+        service: settings.service as ServiceId,
+    };
+}
+
+/** Hands a shared document to the gate, which takes it only if it is newer. */
+function takeDocument(gate: Gate, { name, version, value }: SharedDocument): void {
+    if (name === "manifest") {
+        gate.offerManifest({ version: version as ConfigVersion, manifest: value as Manifest });
+    }
+    if (name === "quarantine") {
+        gate.offerQuarantine(version, (value as { records: QuarantineRecord[]; }).records);
+    }
+}
+
+function createGateDeps(
+    settings: Settings,
+    context: ProcessContext,
+    identity: SamplerIdentity,
+    toolbox: ReturnType<typeof createToolbox>,
+): GateDeps {
+    const { clock, random } = context;
+    const store = createBudgetedStore(createHttpObjectStore(settings.objectApiUrl), {
+        clock,
+        random: random.fork(),
+        readsPerSecond: storeCallsPerSecond,
+        writesPerSecond: storeCallsPerSecond,
+    });
+    return {
+        ...toolbox,
+        identity,
+        clock,
+        random: random.fork(),
+        engine: settings.engineUrl === undefined ? undefined : createHttpEngine(settings.engineUrl),
+        backend: settings.backendUrl === undefined ? undefined : createHttpPlainBackend(settings.backendUrl),
+        weightStore: createHttpWeightStore(settings.weightStoreUrl ?? ""),
+        readFencing: createReadFencing(store),
+    };
+}
+
+/** Starts the sidecar role from checked settings and resolves once it listens and reports. */
+export async function startSidecar(settings: Settings, context: ProcessContext): Promise<RunningProcess> {
+    const { clock, random } = context;
+    const toolbox = createToolbox(settings, context);
+    const { logger } = toolbox;
+    const identity = identify(settings);
+    const gate = createGate(createGateDeps(settings, context, identity, toolbox));
+    const served = await serveGate(gate, {
+        host: settings.listenHost,
+        port: settings.listenPort,
+        clock,
+        logger,
+    });
+    // Known only now where the system chose the port; nothing is reported before.
+    identity.address = settings.publicAddress ?? `http://${settings.listenHost}:${served.port}`;
+
+    const { invariants } = toolbox;
+    const follower = createFollower(
+        { invariants, logger, faultsOf: faultsOfDocument },
+        document => takeDocument(gate, document),
+    );
+    const callPeer = createPeerCall(settings.clusterToken);
+    const reporter = createReporter({
+        sampler: identity.sampler,
+        clock,
+        random: random.fork(),
+        logger,
+        report: gate.report,
+        digest: follower.digest,
+        onDocuments: follower.receive,
+        onLeaving: gate.beginLeaving,
+        vmList: createHttpVmList(settings.vmListUrl),
+        seeds: settings.seeds,
+        exchange: (address, message) => callPeer(address, "report", message, reportTimeoutMs),
+    });
+    reporter.start();
+    return {
+        name: settings.name,
+        address: identity.address,
+        shutdown: async () => {
+            gate.beginLeaving();
+            reporter.reportNow();
+            await gate.shutdown(settings.shutdownDeadlineMs);
+            reporter.stop();
+            await served.close(true);
+        },
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/startStandalone.ts
@@ -0,0 +1,136 @@
+import type { Settings } from "@auburnarch/config/Settings";
+import { validateSettings } from "@auburnarch/config/validateSettings";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { Region } from "@auburnarch/types/Region";
+import type { SamplerManifest } from "@auburnarch/types/SamplerManifest";
+import type { VmId } from "@auburnarch/types/VmId";
+import type { ProcessContext } from "./ProcessContext.js";
+import type { RunningProcess } from "./RunningProcess.js";
+import type { Standalone } from "./Standalone.js";
+import type { StandInPlan } from "./StandInPlan.js";
+import type { StandIns } from "./StandIns.js";
+import { startEntry } from "./startEntry.js";
+import { startSidecar } from "./startSidecar.js";
+import { startStandIns } from "./startStandIns.js";
+
+const shutdownDeadlineMs = 5_000;
+
+interface StandaloneOptions {
+    plan: StandInPlan;
+    context: ProcessContext;
+    manifestPath: string;
+    dataFolder: string | undefined;
+    /** Port of the first entry; 0 lets the system choose. */
+    port: number;
+}
+
+function check(json: Record<string, unknown>): Settings {
+    const checked = validateSettings(json);
+    if (checked.kind === "invalid") {
+        const faults = checked.faults.map(fault => `${fault.path}: ${fault.message}`);
+        throw new ResultError(resultCodes.settingsInvalid, faults.join("; "));
+    }
+    return checked.settings;
+}
+
+function sharedSettings(standIns: StandIns, region: string, clusterToken: string): Record<string, unknown> {
+    return {
+        region,
+        listenHost: "127.0.0.1",
+        listenPort: 0,
+        objectApiUrl: standIns.objectApiUrl,
+        vmListUrl: standIns.vmListUrl,
+        weightStoreUrl: standIns.weightStoreUrl,
+        clusterToken,
+        shutdownDeadlineMs,
+    };
+}
+
+/** Starts stand-ins, entries and sidecars in this one process, each part with settings of its own over real HTTP. */
+export async function startStandalone(options: StandaloneOptions): Promise<Standalone> {
+    const { plan, context } = options;
+    const { random } = context;
+    const domains = [...new Set(plan.manifest.samplers.map(each => each.failureDomain))];
+    const [clusterToken, operatorToken, cursorKey] = [random.nextId(), random.nextId(), random.nextId()];
+    const standIns = await startStandIns(plan, context);
+    const shared = sharedSettings(standIns, plan.region, clusterToken);
+    const entries: RunningProcess[] = [];
+
+    function announce(
+        process: RunningProcess,
+        role: "entry" | "sidecar",
+        domain: FailureDomain,
+        sampler?: SamplerManifest,
+    ) {
+        standIns.addVm({
+            vm: `vm-${process.name}` as VmId,
+            address: process.address,
+            failureDomain: domain,
+            region: plan.region as Region,
+            role,
+            sampler: sampler?.sampler,
+            state: "live",
+        });
+    }
+
+    for (let index = 0; index < plan.entries; index++) {
+        const failureDomain = domains[index % domains.length]!;
+        const name = `entry-${index + 1}`;
+        const entry = await startEntry(
+            check({
+                ...shared,
+                name,
+                role: "entry",
+                vm: `vm-${name}`,
+                failureDomain,
+                listenPort: index === 0 ? options.port : 0,
+                scoringUrl: standIns.scoringUrl,
+                cursorKey,
+                operatorToken,
+                seeds: entries.map(each => each.address),
+                manifestPath: index === 0 ? options.manifestPath : undefined,
+                dataFolder: options.dataFolder,
+            }),
+            { ...context, random: random.fork() },
+        );
+        entries.push(entry);
+        announce(entry, "entry", failureDomain);
+    }
+
+    async function startOne(sampler: SamplerManifest): Promise<RunningProcess> {
+        const { sampler: name, service, failureDomain } = sampler;
+        const sidecar = await startSidecar(
+            check({
+                ...shared,
+                name: `sidecar-${name}`,
+                role: "sidecar",
+                vm: `vm-sidecar-${name}`,
+                failureDomain,
+                sampler: name,
+                service,
+                engineUrl: standIns.engineUrls.get(name),
+                backendUrl: standIns.backendUrls.get(name),
+                seeds: entries.map(each => each.address),
+            }),
+            { ...context, random: random.fork() },
+        );
+        announce(sidecar, "sidecar", failureDomain, sampler);
+        return sidecar;
+    }
+
+    const sidecars = await Promise.all(plan.manifest.samplers.map(startOne));
+    return {
+        standIns,
+        entries,
+        sidecars,
+        operatorToken,
+        clusterToken,
+        shutdown: async () => {
+            await Promise.all(entries.map(each => each.shutdown()));
+            await Promise.all(sidecars.map(each => each.shutdown()));
+            await standIns.close();
+        },
+    };
+}
--- a/packages/dispatch/src/DispatcherDeps.ts
+++ b/packages/dispatch/src/DispatcherDeps.ts
@@ -25,4 +25,8 @@
     /** False once the lease is lost or lapsed: nothing more is sent. */
     mayAct: () => boolean;
     onMade: (made: MadeSample) => void;
+    /** True if one more attempt after a failure is within the retry budget; by default one of this dispatcher alone. */
+    takeRetry?: () => boolean;
+    /** True if the swap roller is about to order this sampler to swap; by default none is. */
+    isAboutToSwap?: (sampler: SamplerId) => boolean;
 }
--- /dev/null
+++ b/packages/dispatch/src/Work.ts
@@ -0,0 +1,18 @@
+import type { WaitingSample } from "@auburnarch/queue/WaitingSample";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import type { RunningAttempt } from "./RunningAttempt.js";
+
+/** A sample that is wanted and not made yet. */
+export interface Work extends WaitingSample {
+    minVersion: WeightVersion;
+    /** Spans to continue behind, from attempts that ended early; empty for a fresh start. */
+    resume: TokenSpan[];
+    /** Attempts that ended without saying what came of them. */
+    failures: number;
+    attemptsSent: number;
+    /** Samplers that failed it. */
+    avoid: Set<SamplerId>;
+    running: Set<RunningAttempt>;
+}
--- /dev/null
+++ b/packages/dispatch/src/createAttemptRunner.ts
@@ -0,0 +1,162 @@
+import type { Candidate } from "@auburnarch/pick/Candidate";
+import type { PickDecision } from "@auburnarch/pick/PickDecision";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { SampleAnswer } from "@auburnarch/types/SampleAnswer";
+import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import { countTokens } from "./countTokens.js";
+import type { DispatcherDeps } from "./DispatcherDeps.js";
+import type { DispatchState } from "./DispatchState.js";
+import type { RunningAttempt } from "./RunningAttempt.js";
+import type { Work } from "./Work.js";
+
+type Picked = Extract<PickDecision, { kind: "picked"; }>;
+
+/** Sends attempts and ends them. */
+interface AttemptRunner {
+    send(work: Work, candidate: Candidate, decision: Picked, nowMs: number): void;
+    /** Cancels; the outcome still comes. */
+    end(attempt: RunningAttempt, cause: NonNullable<RunningAttempt["endCause"]>): void;
+    /** Forgets the attempt; true the first time. */
+    release(attempt: RunningAttempt): boolean;
+    /** Resolves once no outcome is awaited any more. */
+    settled(): Promise<void>;
+}
+
+/** Longest that a sidecar may spend on one attempt. */
+const attemptBudgetMs = 1_800_000;
+const fallbackTokensPerSecond = 50;
+
+/** Makes the runner of one dispatcher. `onOutcome` gets each attempt's outcome exactly once. */
+export function createAttemptRunner(
+    deps: DispatcherDeps,
+    state: DispatchState,
+    onOutcome: (attempt: RunningAttempt, outcome: AttemptOutcome<SampleAnswer>) => void,
+): AttemptRunner {
+    const { clock, logger, metrics } = deps;
+    const awaited = new Set<Promise<void>>();
+
+    function toSampleAttempt(
+        work: Work,
+        attempt: AttemptId,
+        nowMs: number,
+        tokensPerSecond: number,
+    ): SampleAttempt {
+        const { task } = work;
+        const { job, team, policy, priority } = deps.job();
+        const expectedRunMs = work.expectedTokens / tokensPerSecond * 1000;
+        const { needAtMs } = task;
+        return {
+            attempt,
+            sample: task.sample,
+            job,
+            team,
+            policy,
+            fencing: deps.fencing,
+            minVersion: work.minVersion,
+            prompt: task.prompt,
+            maxTokens: task.maxTokens,
+            priority: state.policy.priority({ jobPriority: priority, needAtMs, nowMs, expectedRunMs }),
+            seed: task.seed,
+            digest: task.digest,
+            budgetMs: attemptBudgetMs,
+            resume: work.resume,
+        };
+    }
+
+    function logPick(attempt: RunningAttempt, decision: Picked): void {
+        const { work } = attempt;
+        logger.info("samplerPicked", {
+            sample: work.task.sample,
+            attempt: attempt.attempt,
+            sampler: attempt.sampler,
+            reason: decision.reason,
+            candidates: decision.candidates,
+            policy: state.policy.name,
+            estimatedFinishMs: decision.estimatedFinishMs,
+            expectedTokens: Math.round(work.expectedTokens),
+            resumeTokens: countTokens(work.resume),
+            waiting: state.queue.size(),
+        });
+        metrics.count("dispatch_attempts_total", { job: deps.job().job, reason: decision.reason });
+    }
+
+    function note(attempt: RunningAttempt, candidate: Candidate): void {
+        const { work, sampler } = attempt;
+        state.queue.remove(work);
+        state.attempts.add(attempt);
+        state.attemptsSent++;
+        state.ledger.noteSent(attempt);
+        state.hints.noteSent(work.task.prompt, sampler, attempt.sentAtMs);
+        work.running.add(attempt);
+        work.attemptsSent++;
+        candidate.outstanding++;
+        candidate.outstandingTokens += work.expectedTokens;
+        candidate.sentSinceReport++;
+        candidate.room--;
+        candidate.lastSentOrder = state.ledger.record(sampler).lastSentOrder;
+    }
+
+    function send(work: Work, candidate: Candidate, decision: Picked, nowMs: number): void {
+        const attempt: RunningAttempt = {
+            attempt: deps.random.nextId() as AttemptId,
+            work,
+            sampler: decision.sampler,
+            abort: new AbortController(),
+            resumed: work.resume,
+            spans: [],
+            tokens: 0,
+            expectedTokens: work.expectedTokens,
+            sentAtMs: nowMs,
+            firstSpanAtMs: undefined,
+            lastSpanAtMs: undefined,
+            firstSpanTokens: 0,
+            endCause: undefined,
+        };
+        note(attempt, candidate);
+        logPick(attempt, decision);
+        const speed = candidate.observedTokensPerSecond ?? fallbackTokensPerSecond;
+        const request = toSampleAttempt(work, attempt.attempt, nowMs, speed);
+        const outcome = deps.sidecar(attempt.sampler)
+            .runSample(request, span => takeSpan(attempt, span), attempt.abort.signal);
+        const ended = outcome.then(settled => onOutcome(attempt, settled));
+        awaited.add(ended);
+        void ended.finally(() => awaited.delete(ended));
+    }
+
+    function takeSpan(attempt: RunningAttempt, span: TokenSpan): void {
+        const nowMs = clock.monotonicMs();
+        attempt.spans.push(span);
+        attempt.tokens += span.tokens;
+        attempt.firstSpanTokens ||= span.tokens;
+        attempt.firstSpanAtMs ??= nowMs;
+        attempt.lastSpanAtMs = nowMs;
+        if (span.version < attempt.work.minVersion) {
+            end(attempt, "stale");
+        }
+    }
+
+    function end(attempt: RunningAttempt, cause: NonNullable<RunningAttempt["endCause"]>): void {
+        if (attempt.endCause === undefined) {
+            attempt.endCause = cause;
+            attempt.abort.abort();
+        }
+    }
+
+    return {
+        send,
+        end,
+        release: attempt => {
+            if (!state.attempts.delete(attempt)) {
+                return false;
+            }
+            attempt.work.running.delete(attempt);
+            state.ledger.noteEnded(attempt, clock.monotonicMs());
+            return true;
+        },
+        settled: async () => {
+            await Promise.all(awaited);
+        },
+    };
+}
--- /dev/null
+++ b/packages/dispatch/src/createBaselinePolicy.ts
@@ -0,0 +1,16 @@
+import type { SamplerPicker } from "@auburnarch/pick/SamplerPicker";
+import { orderByArrival } from "@auburnarch/queue/orderByArrival";
+import type { DispatchPolicy } from "./DispatchPolicy.js";
+import { priorityFixed } from "./priorityFixed.js";
+
+/** A simple rule to measure against: first come, first served, sent at once to the sampler that `pick` chooses. */
+export function createBaselinePolicy(name: string, pick: SamplerPicker): DispatchPolicy {
+    return {
+        name,
+        order: orderByArrival,
+        pick,
+        outstandingLimit: () => Infinity,
+        priority: priorityFixed,
+        predictsLength: false,
+    };
+}
--- /dev/null
+++ b/packages/dispatch/src/createDispatcher.ts
@@ -0,0 +1,162 @@
+import { createWaitingQueue } from "@auburnarch/queue/createWaitingQueue";
+import type { SampleTask } from "@auburnarch/types/SampleTask";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import { countTokens } from "./countTokens.js";
+import { createAttemptRunner } from "./createAttemptRunner.js";
+import { createLengthModel } from "./createLengthModel.js";
+import { createOutcomes } from "./createOutcomes.js";
+import { createPlacement } from "./createPlacement.js";
+import { createPrefixHints } from "./createPrefixHints.js";
+import { createSamplerLedger } from "./createSamplerLedger.js";
+import { defaultDispatchPolicy } from "./defaultDispatchPolicy.js";
+import type { Dispatcher } from "./Dispatcher.js";
+import type { DispatcherDeps } from "./DispatcherDeps.js";
+import type { DispatchPolicy } from "./DispatchPolicy.js";
+import type { DispatchState } from "./DispatchState.js";
+import { expectTokens } from "./expectTokens.js";
+import type { Work } from "./Work.js";
+
+/** Views change without notice, so waiting work is looked at this often even if nothing of ours ended. */
+const tickMs = 100;
+/** A stop waits this long for cancelled attempts to end; a frozen VM never says so. */
+const stopGraceMs = 1_000;
+
+const createState = (policy: DispatchPolicy): DispatchState => ({
+    policy,
+    queue: createWaitingQueue<Work>(policy.order),
+    wanted: new Map(),
+    attempts: new Set(),
+    ledger: createSamplerLedger(),
+    lengths: createLengthModel(),
+    hints: createPrefixHints(),
+    attemptsSent: 0,
+    isStopped: false,
+});
+
+const createWork = (task: SampleTask, arrivalOrder: number, minVersion: WeightVersion): Work => ({
+    task,
+    arrivalOrder,
+    expectedTokens: 0,
+    notBeforeMs: 0,
+    minVersion,
+    resume: [],
+    failures: 0,
+    attemptsSent: 0,
+    avoid: new Set(),
+    running: new Set(),
+});
+
+const higher = (a: WeightVersion, b: WeightVersion): WeightVersion => a > b ? a : b;
+
+/** Makes the dispatcher of one job under one fencing number; see `Dispatcher`. */
+export function createDispatcher(
+    deps: DispatcherDeps,
+    policy: DispatchPolicy = defaultDispatchPolicy,
+): Dispatcher {
+    const { clock, logger } = deps;
+    const state = createState(policy);
+    const placement = createPlacement(deps, state);
+    const outcomes = createOutcomes(deps, state, () => runner, enqueue);
+    const runner = createAttemptRunner(deps, state, (attempt, outcome) => {
+        outcomes.take(attempt, outcome);
+        requestPump();
+    });
+    let oldestVersion = 0 as WeightVersion;
+    let arrivals = 0;
+    let isPumpSet = false;
+    let cancelPump = (): void => {};
+
+    function enqueue(work: Work, delayMs: number): void {
+        work.expectedTokens = expectTokens(state, work, countTokens(work.resume));
+        work.notBeforeMs = clock.monotonicMs() + delayMs;
+        state.queue.add(work);
+        requestPump();
+    }
+
+    /** Many ends at one moment lead to one look at the queue. */
+    function requestPump(): void {
+        if (!isPumpSet && !state.isStopped) {
+            isPumpSet = true;
+            cancelPump = clock.startTimer(0, pump);
+        }
+    }
+
+    function pump(): void {
+        isPumpSet = false;
+        if (state.isStopped || state.queue.size() === 0 || !deps.mayAct()) {
+            return;
+        }
+        const nowMs = clock.monotonicMs();
+        const candidates = placement.listCandidates(nowMs);
+        for (const work of state.queue.due(nowMs)) {
+            if (!candidates.some(candidate => candidate.room > 0)) {
+                return;
+            }
+            const decision = placement.decide(work, candidates, nowMs);
+            if (decision.kind === "picked") {
+                const chosen = candidates.find(({ view }) => view.report.sampler === decision.sampler)!;
+                runner.send(work, chosen, decision, nowMs);
+            }
+        }
+    }
+
+    function tick(): void {
+        outcomes.giveUpStalled();
+        if (state.queue.size() > 0) {
+            requestPump();
+        }
+        cancelTick = clock.startTimer(tickMs, tick);
+    }
+
+    function raiseMinVersion(published: WeightVersion, minVersion: WeightVersion): void {
+        oldestVersion = higher(oldestVersion, minVersion);
+        let stale = 0;
+        for (const work of state.wanted.values()) {
+            work.minVersion = higher(work.minVersion, oldestVersion);
+            const isStale = (span: TokenSpan): boolean => span.version < work.minVersion;
+            if (work.resume.some(isStale)) {
+                work.resume = [];
+            }
+            for (const attempt of work.running) {
+                if (attempt.resumed.some(isStale) || attempt.spans.some(isStale)) {
+                    runner.end(attempt, "stale");
+                    stale++;
+                }
+            }
+        }
+        logger.info("minVersionRaised", { published, minVersion, stale, waiting: state.queue.size() });
+        requestPump();
+    }
+
+    let cancelTick = clock.startTimer(tickMs, tick);
+    return {
+        submit: tasks => {
+            const fresh = tasks.filter(task => !state.isStopped && !state.wanted.has(task.sample));
+            for (const task of fresh) {
+                const work = createWork(task, arrivals++, higher(task.minVersion, oldestVersion));
+                state.wanted.set(task.sample, work);
+                enqueue(work, 0);
+            }
+        },
+        withdraw: samples => {
+            for (const work of samples.flatMap(sample => state.wanted.get(sample) ?? [])) {
+                state.wanted.delete(work.task.sample);
+                state.queue.remove(work);
+                work.running.forEach(attempt => runner.end(attempt, "withdrawn"));
+            }
+        },
+        raiseMinVersion,
+        waiting: () => state.queue.size(),
+        running: () => state.attempts.size,
+        stop: async () => {
+            state.isStopped = true;
+            cancelPump();
+            cancelTick();
+            state.attempts.forEach(attempt => runner.end(attempt, "stopped"));
+            const grace = new AbortController();
+            await Promise.race([runner.settled(), clock.sleep(stopGraceMs, grace.signal)]);
+            grace.abort();
+        },
+    };
+}
--- /dev/null
+++ b/packages/dispatch/src/createOutcomes.ts
@@ -0,0 +1,170 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import type { SampleAnswer } from "@auburnarch/types/SampleAnswer";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import { match } from "ts-pattern";
+import { countTokens } from "./countTokens.js";
+import type { createAttemptRunner } from "./createAttemptRunner.js";
+import { createRetryAllowance } from "./createRetryAllowance.js";
+import type { DispatcherDeps } from "./DispatcherDeps.js";
+import type { DispatchState } from "./DispatchState.js";
+import { findStalled } from "./findStalled.js";
+import { groupKey } from "./groupKey.js";
+import { joinSpans } from "./joinSpans.js";
+import type { RunningAttempt } from "./RunningAttempt.js";
+import type { Work } from "./Work.js";
+
+/** Decides what becomes of a sample when an attempt of it ends. */
+interface Outcomes {
+    take(attempt: RunningAttempt, outcome: AttemptOutcome<SampleAnswer>): void;
+    /** Gives up attempts whose sampler has gone silent, and sends their samples elsewhere. */
+    giveUpStalled(): void;
+}
+
+/** Pause of a sample whose content is refused everywhere until an operator lifts it or it expires. */
+const quarantinePauseMs = 30_000;
+/** Pause of a sample that the retry budget does not allow yet. */
+const budgetPauseMs = 500;
+
+const fieldsOf = (attempt: RunningAttempt): { sample: string; attempt: string; sampler: string; } => ({
+    sample: attempt.work.task.sample,
+    attempt: attempt.attempt,
+    sampler: attempt.sampler,
+});
+
+/** Makes the outcome rules of one dispatcher. `enqueue` puts a sample back into the queue after a delay. */
+export function createOutcomes(
+    deps: DispatcherDeps,
+    state: DispatchState,
+    runner: () => Pick<ReturnType<typeof createAttemptRunner>, "end" | "release">,
+    enqueue: (work: Work, delayMs: number) => void,
+): Outcomes {
+    const { clock, logger } = deps;
+    const ownAllowance = createRetryAllowance(
+        () => deps.limits().retryBudgetRatio,
+        () => state.attemptsSent,
+    );
+    const takeRetry = deps.takeRetry ?? ownAllowance;
+    function enqueueIfIdle(work: Work, delayMs: number): void {
+        if (work.running.size === 0) {
+            enqueue(work, delayMs);
+        }
+    }
+
+    /** Keeps what an ended attempt made if all of it may still be used and it is more than what is there. */
+    function keepSpans(work: Work, spans: TokenSpan[]): void {
+        const isFresh = spans.every(span => span.version >= work.minVersion);
+        if (isFresh && countTokens(spans) >= countTokens(work.resume)) {
+            work.resume = spans;
+        }
+    }
+
+    function finish(work: Work, answer: SampleAnswer): void {
+        state.wanted.delete(work.task.sample);
+        state.queue.remove(work);
+        work.running.forEach(other => runner().end(other, "lostRace"));
+        const tokens = countTokens(answer.spans);
+        state.lengths.observe(groupKey(work.task), tokens);
+        logger.info("sampleMade", {
+            sample: work.task.sample,
+            attempt: answer.attempt,
+            sampler: answer.sampler,
+            tokens,
+            spans: answer.spans.length,
+            attempts: work.attemptsSent,
+        });
+        deps.onMade({ task: work.task, answer });
+    }
+
+    function takeAnswer(attempt: RunningAttempt, answer: SampleAnswer, isFirst: boolean): void {
+        const { work } = attempt;
+        state.hints.noteFound(work.task.prompt, attempt.sampler, answer.cachedPromptTokens);
+        const isFresh = answer.spans.every(span => span.version >= work.minVersion);
+        if (answer.complete && isFresh) {
+            finish(work, answer);
+            return;
+        }
+        if (!isFirst) {
+            return;
+        }
+        if (isFresh) {
+            keepSpans(work, joinSpans(answer.spans));
+        }
+        logger.info("sampleRequeued", {
+            ...fieldsOf(attempt),
+            cause: isFresh ? attempt.endCause ?? "preempted" : "stale",
+            keptTokens: countTokens(work.resume),
+        });
+        enqueueIfIdle(work, 0);
+    }
+
+    function takeRefusal(attempt: RunningAttempt, code: ResultCode, retryAfterMs: number | undefined): void {
+        const isQuarantined = code.number === resultCodes.quarantined.number;
+        if (!isQuarantined) {
+            state.ledger.noteRefused(attempt.sampler, retryAfterMs, clock.monotonicMs());
+        }
+        logger.info("sampleRefused", {
+            ...fieldsOf(attempt),
+            code: code.number,
+            name: code.name,
+            retryAfterMs,
+        });
+        enqueueIfIdle(attempt.work, isQuarantined ? quarantinePauseMs : 0);
+    }
+
+    function retry(attempt: RunningAttempt, code: ResultCode): void {
+        const { work } = attempt;
+        keepSpans(work, joinSpans(attempt.resumed, attempt.spans));
+        work.failures++;
+        work.avoid.add(attempt.sampler);
+        const isAllowed = takeRetry();
+        logger.warn("sampleRetried", {
+            ...fieldsOf(attempt),
+            code: code.number,
+            name: code.name,
+            failures: work.failures,
+            withinBudget: isAllowed,
+            keptTokens: countTokens(work.resume),
+        });
+        enqueueIfIdle(work, isAllowed ? 0 : budgetPauseMs);
+    }
+
+    function giveUp(attempt: RunningAttempt): void {
+        runner().end(attempt, "stalled");
+        runner().release(attempt);
+        retry(attempt, resultCodes.connectionBroken);
+    }
+
+    return {
+        take: (attempt, outcome) => {
+            const isFirst = runner().release(attempt);
+            if (state.isStopped || state.wanted.get(attempt.work.task.sample) !== attempt.work) {
+                return;
+            }
+            match(outcome)
+                .with({ kind: "ran" }, ran => takeAnswer(attempt, ran.answer, isFirst))
+                .with({ kind: "notRun" }, notRun => {
+                    if (isFirst) {
+                        takeRefusal(attempt, notRun.code, notRun.retryAfterMs);
+                    }
+                })
+                .with({ kind: "unknown" }, unknown => {
+                    if (isFirst) {
+                        retry(attempt, unknown.code);
+                    }
+                })
+                .exhaustive();
+        },
+        giveUpStalled: () => {
+            const nowMs = clock.monotonicMs();
+            for (const attempt of findStalled(state.attempts, deps.listSamplers(), nowMs)) {
+                logger.warn("attemptStalled", {
+                    ...fieldsOf(attempt),
+                    silentMs: nowMs - (attempt.lastSpanAtMs ?? attempt.sentAtMs),
+                });
+                giveUp(attempt);
+            }
+        },
+    };
+}
--- /dev/null
+++ b/packages/dispatch/src/createPlacement.ts
@@ -0,0 +1,79 @@
+import type { Candidate } from "@auburnarch/pick/Candidate";
+import type { PickDecision } from "@auburnarch/pick/PickDecision";
+import type { PickRequest } from "@auburnarch/pick/PickRequest";
+import { selectCandidates } from "@auburnarch/pick/selectCandidates";
+import type { SamplerView } from "@auburnarch/types/SamplerView";
+import type { DispatcherDeps } from "./DispatcherDeps.js";
+import type { DispatchState } from "./DispatchState.js";
+import type { Work } from "./Work.js";
+
+/** Turns views into candidates and a waiting sample into a decision. */
+interface Placement {
+    listCandidates(nowMs: number): Candidate[];
+    decide(work: Work, candidates: Candidate[], nowMs: number): PickDecision;
+}
+
+const charsPerToken = 4;
+
+/** Makes the placement of one dispatcher. */
+export function createPlacement(deps: DispatcherDeps, state: DispatchState): Placement {
+    const { ledger, hints, policy } = state;
+
+    function toCandidate(view: SamplerView, nowMs: number): Candidate {
+        const record = ledger.record(view.report.sampler);
+        let outstandingTokens = 0;
+        for (const attempt of record.running) {
+            outstandingTokens += Math.max(0, attempt.expectedTokens - attempt.tokens);
+        }
+        const limit = record.coolUntilMs <= nowMs ? policy.outstandingLimit(view) : 0;
+        return {
+            view,
+            outstanding: record.running.size,
+            outstandingTokens,
+            sentSinceReport: ledger.sentSinceReport(view, nowMs),
+            room: limit - record.running.size,
+            cachedPromptTokens: 0,
+            observedTokensPerSecond: record.tokensPerSecond,
+            aboutToSwap: deps.isAboutToSwap?.(view.report.sampler) ?? false,
+            lastSentOrder: record.lastSentOrder,
+        };
+    }
+
+    function toRequest(work: Work, candidates: Candidate[], nowMs: number): PickRequest {
+        const { task } = work;
+        const isSuspect = candidates.some(candidate =>
+            candidate.view.report.suspects.some(suspect => suspect.digest === task.digest)
+        );
+        return {
+            policy: deps.job().policy,
+            minVersion: work.minVersion,
+            digest: task.digest,
+            promptTokens: Math.ceil(task.prompt.length / charsPerToken),
+            expectedTokens: work.expectedTokens,
+            needAtMs: task.needAtMs,
+            nowMs,
+            suspect: isSuspect,
+            avoid: work.avoid,
+        };
+    }
+
+    function noteHints(able: Candidate[], prompt: string, promptTokens: number, nowMs: number): void {
+        for (const candidate of able) {
+            const sampler = candidate.view.report.sampler;
+            candidate.cachedPromptTokens = hints.expectCachedTokens(prompt, sampler, promptTokens, nowMs);
+        }
+    }
+
+    return {
+        listCandidates: nowMs => deps.listSamplers().map(view => toCandidate(view, nowMs)),
+        decide: (work, candidates, nowMs) => {
+            const request = toRequest(work, candidates, nowMs);
+            const able = selectCandidates(candidates, request);
+            if (able.length === 0) {
+                return { kind: "none", reason: "noneAble", candidates: 0 };
+            }
+            noteHints(able, work.task.prompt, request.promptTokens, nowMs);
+            return policy.pick(able, request, deps.random);
+        },
+    };
+}
--- /dev/null
+++ b/packages/dispatch/src/priorityByNeed.ts
@@ -0,0 +1,15 @@
+import type { PriorityRule } from "./PriorityRule.js";
+
+const perJobPriority = 5;
+const urgencySpan = 40;
+
+/**
+ * The job's priority plus up to 40 as the expected end nears the need date: 0 with twice the expected run time
+ * to spare, 40 when the need date cannot be met any more.
+ */
+export const priorityByNeed: PriorityRule = ({ jobPriority, needAtMs, nowMs, expectedRunMs }) => {
+    const spareMs = needAtMs - nowMs - expectedRunMs;
+    const comfortMs = Math.max(1, 2 * expectedRunMs);
+    const urgency = Math.min(1, Math.max(0, 1 - spareMs / comfortMs));
+    return Math.min(99, Math.round(jobPriority * perJobPriority + urgency * urgencySpan));
+};
--- /dev/null
+++ b/packages/entry/src/PeerCall.ts
@@ -0,0 +1,7 @@
+/** Calls a method of another process of the system; rejects with a `ResultError`. */
+export type PeerCall = (
+    address: string,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+) => Promise<unknown>;
--- /dev/null
+++ b/packages/entry/src/createAdmission.ts
@@ -0,0 +1,101 @@
+import { createQuarantine } from "@auburnarch/admit/createQuarantine";
+import { createTeamLimit } from "@auburnarch/admit/createTeamLimit";
+import type { LeaseKeeper } from "@auburnarch/lease/LeaseKeeper";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import { createKeyedDesk } from "./createKeyedDesk.js";
+import { createRangeOwnership } from "./createRangeOwnership.js";
+import type { EntryDeps } from "./EntryDeps.js";
+import type { Fleet } from "./Fleet.js";
+import type { OwnerDirectory } from "./OwnerDirectory.js";
+
+const defaultMaxQueued = 100;
+const reportsEveryMs = 500;
+
+interface AdmissionDeps {
+    deps: EntryDeps;
+    fleet: Fleet;
+    leases: LeaseKeeper;
+    directory: OwnerDirectory;
+    logger: Logger;
+    store: ObjectStore;
+}
+
+interface Admission {
+    start(): void;
+    stop(): void;
+    isQuarantined(digest: ContentDigest): boolean;
+    takePlace(team: TeamId): () => void;
+    runKeyed: ReturnType<typeof createKeyedDesk>;
+    listQuarantine(): QuarantineRecord[];
+    liftQuarantine(digest: ContentDigest): Promise<void>;
+    ownedRanges(): number;
+}
+
+/** Makes what decides on a request before any work: the team's place, the quarantine, at most once by key. */
+export function createAdmission({ deps, fleet, leases, directory, logger, store }: AdmissionDeps): Admission {
+    const { clock, random, self } = deps;
+    const { spread } = fleet;
+    const stopped = new AbortController();
+    const quarantine = createQuarantine({
+        store,
+        clock,
+        random: random.fork(),
+        logger,
+        isConvicted: deps.guards?.isConvicted,
+    });
+    const places = createTeamLimit({
+        maxPerTeam: () => fleet.manifest()?.manifest.limits.maxQueuedPerTeam ?? defaultMaxQueued,
+    });
+    const ranges = createRangeOwnership({
+        self: self.entry,
+        clock,
+        logger,
+        invariants: deps.invariants,
+        guards: deps.guards?.keyRange,
+        listEntries: fleet.listLiveEntries,
+        takeLease: leases.tryAcquire,
+        announce: directory.announceRange,
+    });
+    const runKeyed = createKeyedDesk({
+        clock,
+        logger,
+        selfAddress: self.address,
+        findRange: ranges.get,
+        findOwner: directory.findRange,
+        forward: deps.forwardPlain,
+    });
+
+    async function readReports(): Promise<void> {
+        while (!stopped.signal.aborted) {
+            fleet.views.listAll().forEach(view => quarantine.noteReport(view.report));
+            await clock.sleep(reportsEveryMs, stopped.signal);
+        }
+    }
+
+    return {
+        start: () => {
+            spread.onChange(document => {
+                if (document.name === "quarantine") {
+                    quarantine.offer(document);
+                }
+            });
+            void quarantine.run(stopped.signal, spread.offer);
+            void readReports();
+            ranges.start();
+        },
+        stop: () => {
+            stopped.abort();
+            ranges.stop();
+        },
+        isQuarantined: quarantine.isRefused,
+        takePlace: places.enter,
+        runKeyed,
+        listQuarantine: quarantine.list,
+        liftQuarantine: quarantine.lift,
+        ownedRanges: ranges.owned,
+    };
+}
--- /dev/null
+++ b/packages/entry/src/createCountedSidecar.ts
@@ -0,0 +1,65 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+import type { SendCounter } from "./SendCounter.js";
+
+const unreachableCodes: ReadonlySet<number> = new Set([
+    resultCodes.connectFailed.number,
+    resultCodes.connectionBroken.number,
+    resultCodes.sidecarUnreachable.number,
+    resultCodes.incarnationChanged.number,
+]);
+
+/** Only a missing connection is sure to have sent nothing; any other fault leaves it open whether it ran. */
+function failed(error: unknown): AttemptOutcome<never> {
+    const code = codeOf(error);
+    return code === resultCodes.sidecarUnreachable
+        ? { kind: "notRun", code, retryAfterMs: undefined }
+        : { kind: "unknown", code };
+}
+
+/**
+ * Wraps a sidecar so that its sends are counted. `connect` gives the present connection and throws
+ * `sidecarUnreachable` where there is none; `noteReached` hears of each attempt whether the sidecar was reached.
+ */
+export function createCountedSidecar(
+    counter: SendCounter,
+    connect: () => SidecarPort,
+    noteReached: (reached: boolean) => void,
+): SidecarPort {
+    async function counted<Answer>(
+        expectedTokens: number,
+        run: (port: SidecarPort, progress: (tokens: number) => void) => Promise<AttemptOutcome<Answer>>,
+    ): Promise<AttemptOutcome<Answer>> {
+        const send = counter.begin(expectedTokens);
+        try {
+            const outcome = await run(connect(), send.progress);
+            noteReached(outcome.kind === "ran" || !unreachableCodes.has(outcome.code.number));
+            return outcome;
+        }
+        catch (error) {
+            noteReached(false);
+            return failed(error);
+        }
+        finally {
+            send.end();
+        }
+    }
+
+    return {
+        runSample: (attempt, onSpan, signal) =>
+            counted(attempt.maxTokens, (port, progress) => {
+                const forward: typeof onSpan = span => {
+                    progress(span.tokens);
+                    onSpan(span);
+                };
+                return port.runSample(attempt, forward, signal);
+            }),
+        callPlain: (request, signal) => counted(0, port => port.callPlain(request, signal)),
+        queryAttempt: async attempt => connect().queryAttempt(attempt),
+        order: async order => connect().order(order),
+        readReport: async () => connect().readReport(),
+        readUsage: async () => connect().readUsage(),
+    };
+}
--- /dev/null
+++ b/packages/entry/src/createFleet.ts
@@ -0,0 +1,62 @@
+import { faultsOfDocument } from "@auburnarch/config/faultsOfDocument";
+import { createMembership } from "@auburnarch/membership/createMembership";
+import { createSpread } from "@auburnarch/spread/createSpread";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import { createManifestView } from "./createManifestView.js";
+import { createSamplerViews } from "./createSamplerViews.js";
+import type { EntryDeps } from "./EntryDeps.js";
+import type { Fleet } from "./Fleet.js";
+
+const exchangeTimeoutMs = 1_500;
+
+/** Makes an entry's knowledge of the fleet; nothing runs before `start`. */
+export function createFleet(deps: EntryDeps, logger: Logger, store: ObjectStore): Fleet {
+    const { self, clock, random, callPeer } = deps;
+    const membership = createMembership({
+        self,
+        clock,
+        random: random.fork(),
+        logger,
+        vmList: deps.vmList,
+        seeds: deps.seeds.filter(address => address !== self.address),
+        exchange: (address, message) => callPeer(address, "gossip", message, exchangeTimeoutMs),
+        newerDocuments: theirs => spread.transfersFor(theirs),
+        timing: deps.timing,
+    });
+    const spread = createSpread({
+        clock,
+        random: random.fork(),
+        logger,
+        invariants: deps.invariants,
+        store,
+        listPeers: membership.listPeers,
+        isRelay: membership.isRelay,
+        exchange: (address, message) => callPeer(address, "spread", message, exchangeTimeoutMs),
+        faultsOf: faultsOfDocument,
+        guards: deps.guards?.spread,
+    });
+    return {
+        membership,
+        spread,
+        manifest: createManifestView(spread.get),
+        views: createSamplerViews({
+            clock,
+            listReports: membership.listReports,
+            connect: deps.connectSidecar,
+            noteSampler: membership.noteSampler,
+        }),
+        listLiveEntries: () => {
+            const others = membership.listEntries().filter(each => !each.suspected && !each.leaving);
+            return [self.entry, ...others.map(each => each.record.entry)];
+        },
+        start: () => {
+            membership.start();
+            spread.start();
+        },
+        stop: () => {
+            spread.stop();
+            membership.stop();
+        },
+    };
+}
--- /dev/null
+++ b/packages/entry/src/createForwardPlain.ts
@@ -0,0 +1,94 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { exchangeHttp } from "@auburnarch/send/exchangeHttp";
+import { parseAddress } from "@auburnarch/send/parseAddress";
+import { passHeaders } from "@auburnarch/send/passHeaders";
+import { readWhole } from "@auburnarch/send/readWhole";
+import { writeHeaders } from "@auburnarch/send/writeHeaders";
+import { codeByNumber } from "@auburnarch/store/codeByNumber";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
+import { Agent } from "node:http";
+import type { CallerRequest } from "./CallerRequest.js";
+import { forwardHeaders } from "./forwardHeaders.js";
+import type { ForwardPlain } from "./ForwardPlain.js";
+
+const maxRefusalBytes = 65_536;
+const maxIdleConnections = 16;
+const defaultBudgetMs = 60_000;
+/** The owner answers at the deadline at the latest; its answer may take this much longer to arrive. */
+const answerGraceMs = 1_000;
+
+interface Refusal {
+    code?: number;
+    outcome?: string;
+    retryAfterMs?: number;
+}
+
+/** Makes the client that passes a request on to the entry which owns its key's range. */
+export function createForwardPlain(clusterToken: string, clock: Clock): ForwardPlain {
+    const agent = new Agent({ keepAlive: true, maxFreeSockets: maxIdleConnections });
+
+    function headersOf(request: CallerRequest): Record<string, string | string[]> {
+        const headers: Record<string, string | string[]> = {
+            ...writeHeaders(request.headers),
+            authorization: `Bearer ${clusterToken}`,
+            [forwardHeaders.forwarded]: "1",
+            [forwardHeaders.team]: request.team,
+            [forwardHeaders.idempotent]: "false",
+            "content-length": String(request.body.byteLength),
+        };
+        if (request.budgetMs !== undefined) {
+            headers[forwardHeaders.deadlineMs] = String(request.budgetMs);
+        }
+        if (request.idempotencyKey !== undefined) {
+            headers["idempotency-key"] = request.idempotencyKey;
+        }
+        return headers;
+    }
+
+    /** An answer that is not the owner's word on the request leaves it open whether it ran. */
+    async function readRefusal(body: AsyncIterable<Uint8Array>): Promise<AttemptOutcome<PlainAnswer>> {
+        const unclear = { kind: "unknown", code: resultCodes.connectionBroken } as const;
+        try {
+            const refusal = JSON.parse((await readWhole(body, maxRefusalBytes)).toString()) as Refusal;
+            const code = codeByNumber(refusal.code);
+            if (code === undefined) {
+                return unclear;
+            }
+            return refusal.outcome === "notRun"
+                ? { kind: "notRun", code, retryAfterMs: refusal.retryAfterMs }
+                : { kind: "unknown", code };
+        }
+        catch {
+            return unclear;
+        }
+    }
+
+    return async (address, request, signal) => {
+        const { host, port } = parseAddress(address);
+        const exchange = await exchangeHttp({
+            clock,
+            agent,
+            host,
+            port,
+            method: request.method,
+            path: `/v1/services/${request.service}${request.path}`,
+            headers: headersOf(request),
+            body: request.body.byteLength === 0 ? undefined : request.body,
+            signal,
+            timeoutMs: (request.budgetMs ?? defaultBudgetMs) + answerGraceMs,
+        });
+        if (exchange.kind === "notWritten") {
+            return { kind: "notRun", code: resultCodes.connectFailed, retryAfterMs: undefined };
+        }
+        if (exchange.kind === "broken") {
+            return { kind: "unknown", code: resultCodes.connectionBroken };
+        }
+        if (exchange.headers[forwardHeaders.outcome] !== "ran") {
+            return readRefusal(exchange.body);
+        }
+        const headers = passHeaders(exchange.headers);
+        return { kind: "ran", answer: { status: exchange.status, headers, body: exchange.body } };
+    };
+}
--- /dev/null
+++ b/packages/entry/src/createKeyedDesk.ts
@@ -0,0 +1,91 @@
+import type { KeyRange } from "@auburnarch/admit/KeyRange";
+import { mintTime } from "@auburnarch/admit/mintTime";
+import { rangeOf } from "@auburnarch/admit/rangeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
+import type { CallerRequest } from "./CallerRequest.js";
+import type { ForwardPlain } from "./ForwardPlain.js";
+
+const retryAfterMs = 1_000;
+/** An owner that dies in the middle is replaced within its lease; a caller is told to come back meanwhile. */
+const maxForwards = 2;
+
+type Outcome = AttemptOutcome<PlainAnswer>;
+
+interface KeyedDeskDeps {
+    clock: Clock;
+    logger: Logger;
+    selfAddress: string;
+    findRange: (range: number) => KeyRange | undefined;
+    /** Address of the entry that owns a range, as last heard. */
+    findOwner: (range: number) => string | undefined;
+    forward: ForwardPlain;
+}
+
+const notRun = (code: typeof resultCodes[keyof typeof resultCodes]): Outcome => ({
+    kind: "notRun",
+    code,
+    retryAfterMs,
+});
+
+/**
+ * Runs a non-idempotent request with a key: here if this entry owns the key's range, else at the owner. The same
+ * key may be passed on again after a broken connection, since the owner's memory keeps it from running twice.
+ */
+export function createKeyedDesk(
+    deps: KeyedDeskDeps,
+): (
+    request: CallerRequest,
+    digest: ContentDigest,
+    budgetMs: number,
+    execute: (signal: AbortSignal) => Promise<Outcome>,
+    signal: AbortSignal,
+) => Promise<Outcome> {
+    const { clock, logger } = deps;
+
+    async function pass(
+        request: CallerRequest,
+        range: number,
+        budgetMs: number,
+        signal: AbortSignal,
+    ): Promise<Outcome> {
+        const deadlineMs = clock.monotonicMs() + budgetMs;
+        let outcome: Outcome = notRun(resultCodes.notOwner);
+        for (let tries = 0; tries < maxForwards; tries++) {
+            const address = deps.findOwner(range);
+            const leftMs = deadlineMs - clock.monotonicMs();
+            if (address === undefined || address === deps.selfAddress || leftMs <= 0) {
+                return outcome;
+            }
+            logger.info("requestPassedOn", { key: request.idempotencyKey, range, address, tries });
+            const next = await deps.forward(address, { ...request, budgetMs: Math.ceil(leftMs) }, signal);
+            if (next.kind === "ran" || signal.aborted) {
+                return next;
+            }
+            // Once it may have run, a later "not run" speaks only of the later sending.
+            outcome = outcome.kind === "unknown" ? outcome : next;
+            if (next.kind === "notRun" && next.code !== resultCodes.connectFailed) {
+                return outcome;
+            }
+        }
+        return outcome;
+    }
+
+    return async (request, digest, budgetMs, execute, signal) => {
+        const key = request.idempotencyKey!;
+        if (mintTime(key) === undefined) {
+            return { kind: "notRun", code: resultCodes.keyNotUuidV7, retryAfterMs: undefined };
+        }
+        const range = rangeOf(key);
+        const here = deps.findRange(range);
+        if (here !== undefined) {
+            // The run belongs to the key, not to the caller that happened to start it: that one may go away.
+            return here.run({ team: request.team, key, digest }, () => execute(new AbortController().signal));
+        }
+        return request.forwarded ? notRun(resultCodes.notOwner) : pass(request, range, budgetMs, signal);
+    };
+}
--- /dev/null
+++ b/packages/entry/src/createMemberReader.ts
@@ -0,0 +1,95 @@
+import type { EntryView } from "@auburnarch/membership/EntryView";
+import type { ConfigVersion } from "@auburnarch/types/ConfigVersion";
+import type { EntryRecord } from "@auburnarch/types/EntryRecord";
+import type { OperatorMember } from "@auburnarch/types/OperatorMember";
+import type { SamplerView } from "@auburnarch/types/SamplerView";
+import type { ManifestView } from "./ManifestView.js";
+import type { PeerCall } from "./PeerCall.js";
+
+const describeTimeoutMs = 1_500;
+const noVersion = 0 as ConfigVersion;
+
+interface MemberReaderDeps {
+    self: EntryRecord;
+    manifest: ManifestView;
+    listEntries: () => EntryView[];
+    listSamplers: () => SamplerView[];
+    callPeer: PeerCall;
+}
+
+interface MemberReader {
+    /** This entry and the samplers that report to it. */
+    describeHere(): OperatorMember[];
+    /** Every process of the fleet that an entry knows of, each by its freshest word. */
+    readAll(): Promise<OperatorMember[]>;
+}
+
+function describeSampler({ report, reportAgeMs, suspected }: SamplerView): OperatorMember {
+    return {
+        name: report.sampler,
+        role: "sidecar",
+        vm: report.vm,
+        address: report.address,
+        failureDomain: report.failureDomain,
+        region: report.region,
+        state: suspected ? "suspected" : report.state,
+        configVersion: report.configVersion,
+        ageMs: Math.round(reportAgeMs),
+    };
+}
+
+function describeRecord(record: EntryRecord, state: OperatorMember["state"], ageMs: number): OperatorMember {
+    return {
+        name: record.entry,
+        role: "entry",
+        vm: record.vm,
+        address: record.address,
+        failureDomain: record.failureDomain,
+        region: record.region,
+        state,
+        configVersion: noVersion,
+        ageMs: Math.round(ageMs),
+    };
+}
+
+const isFresher = (member: OperatorMember, than: OperatorMember | undefined): boolean =>
+    than === undefined
+    || member.configVersion > than.configVersion
+    || (member.configVersion === than.configVersion && member.ageMs < than.ageMs);
+
+/** Makes the reader of who is there and which manifest is in force where; asks every live entry once. */
+export function createMemberReader(deps: MemberReaderDeps): MemberReader {
+    function describeHere(): OperatorMember[] {
+        const self = describeRecord(deps.self, "ready", 0);
+        const version = deps.manifest()?.version ?? noVersion;
+        return [{ ...self, configVersion: version }, ...deps.listSamplers().map(describeSampler)];
+    }
+
+    async function ask(view: EntryView): Promise<OperatorMember[]> {
+        const standing = view.suspected ? "suspected" : "ready";
+        const known = describeRecord(view.record, view.leaving ? "leaving" : standing, view.ageMs);
+        const asked = deps.callPeer(view.record.address, "describe", {}, describeTimeoutMs);
+        const told = await asked.catch(() => []) as OperatorMember[];
+        return [
+            known,
+            ...told.map(each => each.name === known.name ? { ...each, state: known.state } : each),
+        ];
+    }
+
+    return {
+        describeHere,
+        readAll: async () => {
+            const told = await Promise.all(deps.listEntries().map(ask));
+            const byName = new Map<string, OperatorMember>();
+            for (const member of [describeHere(), ...told].flat()) {
+                const key = `${member.role}/${member.name}`;
+                if (isFresher(member, byName.get(key))) {
+                    byName.set(key, member);
+                }
+            }
+            return [...byName.values()].sort((a, b) =>
+                a.role.localeCompare(b.role) || a.name.localeCompare(b.name)
+            );
+        },
+    };
+}
--- /dev/null
+++ b/packages/entry/src/createOwnership.ts
@@ -0,0 +1,74 @@
+import { createLeaseKeeper } from "@auburnarch/lease/createLeaseKeeper";
+import type { LeaseKeeper } from "@auburnarch/lease/LeaseKeeper";
+import { createOwner } from "@auburnarch/own/createOwner";
+import type { Owner } from "@auburnarch/own/Owner";
+import type { JobManifest } from "@auburnarch/types/JobManifest";
+import type { Lease } from "@auburnarch/types/Lease";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import { createJobOwnership } from "./createJobOwnership.js";
+import { createOwnerDirectory } from "./createOwnerDirectory.js";
+import type { EntryDeps } from "./EntryDeps.js";
+import type { Fleet } from "./Fleet.js";
+import type { JobOwnership } from "./JobOwnership.js";
+import type { OwnerDirectory } from "./OwnerDirectory.js";
+
+interface Ownership {
+    leases: LeaseKeeper;
+    directory: OwnerDirectory;
+    jobs: JobOwnership;
+}
+
+/** Makes what an entry holds by lease: its jobs, and the directory of who owns what. */
+export function createOwnership(
+    deps: EntryDeps,
+    fleet: Fleet,
+    logger: Logger,
+    store: ObjectStore,
+): Ownership {
+    const { self, clock, random, guards } = deps;
+    const { views, spread } = fleet;
+    const leases = createLeaseKeeper({
+        store,
+        clock,
+        random: random.fork(),
+        logger,
+        invariants: deps.invariants,
+        holder: self.entry,
+        ttlMs: deps.leaseTtlMs,
+        guards: guards?.lease,
+    });
+    const directory = createOwnerDirectory({ self, get: spread.get, offer: spread.offer });
+
+    function startOwner(job: JobManifest, lease: Lease): Promise<Owner> {
+        const ownerDeps = {
+            job,
+            limits: () => fleet.manifest()!.manifest.limits,
+            lease,
+            clock,
+            random: random.fork(),
+            logger,
+            metrics: deps.metrics,
+            invariants: deps.invariants,
+            store,
+            listSamplers: () => views.list(job.service),
+            sidecar: views.sidecar,
+            scoring: deps.scoring,
+            keep: deps.keep,
+            cursorKey: deps.cursorKey,
+        };
+        return createOwner(ownerDeps, guards?.owner, guards?.ownerParts);
+    }
+
+    const jobs = createJobOwnership({
+        self: self.entry,
+        clock,
+        logger,
+        listEntries: fleet.listLiveEntries,
+        listJobs: () => fleet.manifest()?.manifest.jobs ?? [],
+        takeLease: leases.tryAcquire,
+        createOwner: startOwner,
+        announce: directory.announceJob,
+    });
+    return { leases, directory, jobs };
+}
--- /dev/null
+++ b/packages/entry/src/createPeerCall.ts
@@ -0,0 +1,101 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import { codeByNumber } from "@auburnarch/store/codeByNumber";
+import { JSONRPCClient, JSONRPCErrorException } from "json-rpc-2.0";
+import type { JSONRPCResponse } from "json-rpc-2.0";
+import { Agent as HttpAgent, request as httpRequest } from "node:http";
+import { Agent as HttpsAgent, request as httpsRequest } from "node:https";
+import type { SecureContextOptions } from "node:tls";
+import type { PeerCall } from "./PeerCall.js";
+
+const maxAnswerBytes = 64 * 1024 * 1024;
+const agentOptions = { keepAlive: true, maxSockets: 64, maxFreeSockets: 4 };
+
+interface ErrorData {
+    detail?: string;
+    retryAfterMs?: number;
+}
+
+function toResultError(error: unknown): ResultError {
+    if (error instanceof ResultError) {
+        return error;
+    }
+    if (error instanceof JSONRPCErrorException) {
+        const data = (error.data ?? {}) as ErrorData;
+        return new ResultError(
+            codeByNumber(error.code) ?? resultCodes.internal,
+            data.detail ?? "",
+            data.retryAfterMs,
+        );
+    }
+    return new ResultError(
+        resultCodes.peerUnreachable,
+        error instanceof Error ? error.message : String(error),
+    );
+}
+
+/** Makes the client for JSON-RPC 2.0 over HTTP between processes; one keep-alive agent for all peers. */
+export function createPeerCall(
+    clusterToken: string,
+    tls: () => SecureContextOptions | undefined = () => undefined,
+): PeerCall {
+    const plainAgent = new HttpAgent(agentOptions);
+    const secureAgent = new HttpsAgent(agentOptions);
+    let lastId = 0;
+
+    function post(address: string, payload: unknown, timeoutMs: number): Promise<JSONRPCResponse> {
+        const body = Buffer.from(JSON.stringify(payload));
+        const url = new URL("/rpc", address);
+        const secure = url.protocol === "https:";
+        const options = {
+            method: "POST",
+            agent: secure ? secureAgent : plainAgent,
+            timeout: timeoutMs,
+            headers: {
+                "content-type": "application/json",
+                "content-length": body.byteLength,
+                authorization: `Bearer ${clusterToken}`,
+            },
+            ...(secure ? tls() : {}),
+        };
+        return new Promise((resolve, reject) => {
+            const sent = (secure ? httpsRequest : httpRequest)(url, options, answer => {
+                const chunks: Buffer[] = [];
+                let answerBytes = 0;
+                answer.on("data", (chunk: Buffer) => {
+                    answerBytes += chunk.byteLength;
+                    if (answerBytes > maxAnswerBytes) {
+                        sent.destroy(new Error("answer too large"));
+                        return;
+                    }
+                    chunks.push(chunk);
+                });
+                answer.on("error", reject);
+                answer.on("end", () => {
+                    try {
+                        resolve(JSON.parse(Buffer.concat(chunks).toString()) as JSONRPCResponse);
+                    }
+                    catch (error) {
+                        reject(error as Error);
+                    }
+                });
+            });
+            sent.on("timeout", () => sent.destroy(new Error(`no answer within ${timeoutMs} ms`)));
+            sent.on("error", reject);
+            sent.end(body);
+        });
+    }
+
+    return async (address, method, params, timeoutMs) => {
+        const client: JSONRPCClient = new JSONRPCClient(
+            async payload => client.receive(await post(address, payload, timeoutMs)),
+            () => ++lastId,
+        );
+        try {
+            return await client.request(method, params);
+        }
+        catch (error) {
+            throw toResultError(error);
+        }
+    };
+}
--- /dev/null
+++ b/packages/entry/src/createPeerDesk.ts
@@ -0,0 +1,65 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { JobId } from "@auburnarch/types/JobId";
+import type { OperatorMember } from "@auburnarch/types/OperatorMember";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import { z } from "zod";
+import type { Fleet } from "./Fleet.js";
+import type { JobOwnership } from "./JobOwnership.js";
+import type { TrainerCall } from "./TrainerCall.js";
+
+const trainParams = z.object({
+    team: z.string(),
+    call: z.object({ kind: z.string(), job: z.string() }).loose(),
+});
+const jobParams = z.object({ job: z.string() });
+
+interface PeerDeskDeps {
+    fleet: Fleet;
+    jobs: JobOwnership;
+    train: (team: TeamId, call: TrainerCall, forwarded: boolean) => Promise<unknown>;
+    describeHere: () => OperatorMember[];
+}
+
+function parse<T>(schema: z.ZodType<T>, params: unknown): T {
+    const parsed = schema.safeParse(params);
+    if (!parsed.success) {
+        throw new ResultError(resultCodes.badRequest, parsed.error.issues[0]?.message ?? "");
+    }
+    return parsed.data;
+}
+
+/** Answers calls of other processes: `gossip`, `spread`, `report`, `train`, `jobStatus`, `describe`. */
+export function createPeerDesk(deps: PeerDeskDeps): (method: string, params: unknown) => Promise<unknown> {
+    const { fleet, jobs } = deps;
+
+    async function train(params: unknown): Promise<unknown> {
+        const { team, call } = parse(trainParams, params);
+        return deps.train(team as TeamId, call as unknown as TrainerCall, true);
+    }
+
+    function jobStatus(params: unknown): unknown {
+        const owned = jobs.get(parse(jobParams, params).job as JobId);
+        if (owned === undefined) {
+            throw new ResultError(resultCodes.notOwner);
+        }
+        return owned.owner.status();
+    }
+
+    const methods: Record<string, (params: unknown) => unknown> = {
+        gossip: fleet.membership.receiveGossip,
+        spread: fleet.spread.receive,
+        report: fleet.membership.receiveReport,
+        train,
+        jobStatus,
+        describe: deps.describeHere,
+    };
+
+    return async (method, params) => {
+        const run = methods[method];
+        if (run === undefined) {
+            throw new ResultError(resultCodes.notFound, `method ${method}`);
+        }
+        return run(params);
+    };
+}
--- /dev/null
+++ b/packages/entry/src/createRangeOwnership.ts
@@ -0,0 +1,100 @@
+import { createAnswerMemory } from "@auburnarch/admit/createAnswerMemory";
+import { createKeyRange } from "@auburnarch/admit/createKeyRange";
+import type { KeyRange } from "@auburnarch/admit/KeyRange";
+import type { KeyRangeGuards } from "@auburnarch/admit/KeyRangeGuards";
+import { rangeCount } from "@auburnarch/admit/rangeCount";
+import { codeOf } from "@auburnarch/errors/codeOf";
+import type { Invariants } from "@auburnarch/invariants/Invariants";
+import { rangeLeaseKey } from "@auburnarch/lease/rangeLeaseKey";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { EntryId } from "@auburnarch/types/EntryId";
+import type { Lease } from "@auburnarch/types/Lease";
+import type { Logger } from "@auburnarch/types/Logger";
+import { createRankCache } from "./createRankCache.js";
+import type { LeaseTaker } from "./LeaseTaker.js";
+import type { RangeOwnership } from "./RangeOwnership.js";
+
+/** Two standbys for each of 64 ranges: 43 reads a second for the whole fleet, whatever its size. */
+const tickMs = 3_000;
+const standbys = 2;
+/** The others are heard of first, so that the first entry to start does not take every range. */
+const settleMs = 2_000;
+
+interface RangeOwnershipDeps {
+    self: EntryId;
+    clock: Clock;
+    logger: Logger;
+    invariants: Invariants;
+    guards: KeyRangeGuards | undefined;
+    listEntries: () => EntryId[];
+    takeLease: LeaseTaker;
+    announce: (range: number, lease: Lease) => void;
+}
+
+/**
+ * Takes key ranges whose hash ranks this entry among the first two. A range stays where it is while its holder
+ * lives: a move makes its recent keys unanswerable, so none is made for the sake of balance.
+ */
+export function createRangeOwnership(deps: RangeOwnershipDeps): RangeOwnership {
+    const { clock, logger, invariants } = deps;
+    const owned = new Map<number, KeyRange>();
+    const taking = new Set<number>();
+    const stopped = new AbortController();
+    const answers = createAnswerMemory();
+    const rank = createRankCache();
+
+    async function take(range: number): Promise<void> {
+        const lease = await deps.takeLease(rangeLeaseKey(range));
+        if (lease === undefined || owned.has(range)) {
+            return;
+        }
+        if (stopped.signal.aborted) {
+            await lease.release();
+            return;
+        }
+        owned.set(
+            range,
+            createKeyRange({
+                range,
+                lease,
+                takenOverAtMs: clock.wallMs(),
+                clock,
+                logger,
+                invariants,
+                answers,
+                guards: deps.guards,
+            }),
+        );
+        lease.lost.addEventListener("abort", () => owned.delete(range), { once: true });
+        deps.announce(range, lease);
+    }
+
+    function tryTake(range: number, entries: readonly EntryId[]): void {
+        const standsBy = rank(rangeLeaseKey(range), entries).slice(0, standbys).includes(deps.self);
+        if (!standsBy || owned.has(range) || taking.has(range)) {
+            return;
+        }
+        taking.add(range);
+        take(range)
+            .catch(error => logger.warn("rangeNotTaken", { range, code: codeOf(error).name }))
+            .finally(() => taking.delete(range));
+    }
+
+    async function loop(): Promise<void> {
+        await clock.sleep(settleMs, stopped.signal);
+        while (!stopped.signal.aborted) {
+            const entries = deps.listEntries();
+            for (let range = 0; range < rangeCount; range++) {
+                tryTake(range, entries);
+            }
+            await clock.sleep(tickMs, stopped.signal);
+        }
+    }
+
+    return {
+        start: () => void loop(),
+        stop: () => stopped.abort(),
+        get: range => owned.get(range),
+        owned: () => owned.size,
+    };
+}
--- /dev/null
+++ b/packages/entry/src/createRankCache.ts
@@ -0,0 +1,21 @@
+import { rankByRendezvous } from "@auburnarch/membership/rankByRendezvous";
+import type { EntryId } from "@auburnarch/types/EntryId";
+
+/**
+ * Remembers rankings while the set of entries stays the same. Ranking 64 key ranges over 400 entries takes 25,600
+ * hashes, too many to repeat each second; the set itself changes a few times an hour.
+ */
+export function createRankCache(): (key: string, entries: readonly EntryId[]) => EntryId[] {
+    let signature = "";
+    let ranks = new Map<string, EntryId[]>();
+    return (key, entries) => {
+        const present = [...entries].sort().join("\n");
+        if (present !== signature) {
+            signature = present;
+            ranks = new Map();
+        }
+        const known = ranks.get(key) ?? rankByRendezvous(key, entries, id => id);
+        ranks.set(key, known);
+        return known;
+    };
+}
--- /dev/null
+++ b/packages/entry/src/createServiceDesk.ts
@@ -0,0 +1,160 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { Metrics } from "@auburnarch/metrics/Metrics";
+import { createRetryBudget } from "@auburnarch/send/createRetryBudget";
+import type { SendGuards } from "@auburnarch/send/SendGuards";
+import { sendPlain } from "@auburnarch/send/sendPlain";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { EntryRecord } from "@auburnarch/types/EntryRecord";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { Manifest } from "@auburnarch/types/Manifest";
+import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
+import type { PlainRequest } from "@auburnarch/types/PlainRequest";
+import type { Random } from "@auburnarch/types/Random";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+import type { ServiceManifest } from "@auburnarch/types/ServiceManifest";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import type { CallerRequest } from "./CallerRequest.js";
+import { choosePlainSampler } from "./choosePlainSampler.js";
+import { digestRequest } from "./digestRequest.js";
+import { isRepeatable } from "./isRepeatable.js";
+import type { SamplerViews } from "./SamplerViews.js";
+
+/** First attempt and two more; each further one finds the same trouble at growing cost. */
+const maxAttempts = 3;
+const defaultRatio = 0.1;
+const notReadyRetryMs = 1_000;
+
+type Execute = (signal: AbortSignal) => Promise<AttemptOutcome<PlainAnswer>>;
+
+interface ServiceDeskDeps {
+    self: EntryRecord;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    metrics: Metrics;
+    manifest: () => Manifest | undefined;
+    views: SamplerViews;
+    isQuarantined: (digest: ContentDigest) => boolean;
+    /** Takes a place for a team's request, rejecting with `queueFull`; the function given back frees it. */
+    takePlace: (team: TeamId) => () => void;
+    guards?: SendGuards;
+    /** Runs a non-idempotent request with a key at most once, here or at the entry that owns the key's range. */
+    runKeyed: (
+        request: CallerRequest,
+        digest: ContentDigest,
+        budgetMs: number,
+        execute: Execute,
+        signal: AbortSignal,
+    ) => Promise<AttemptOutcome<PlainAnswer>>;
+}
+
+function toAnswer(outcome: AttemptOutcome<PlainAnswer>): PlainAnswer {
+    if (outcome.kind === "ran") {
+        return outcome.answer;
+    }
+    const retryAfterMs = outcome.kind === "notRun" ? outcome.retryAfterMs : undefined;
+    throw new ResultError(outcome.code, "", retryAfterMs);
+}
+
+/** Serves callers' requests: refuses what cannot run, keeps to at most once where asked, and sends the rest. */
+export function createServiceDesk(
+    deps: ServiceDeskDeps,
+): (request: CallerRequest, signal: AbortSignal) => Promise<PlainAnswer> {
+    const { clock, logger, metrics, random } = deps;
+    const retryBudget = createRetryBudget({
+        clock,
+        ratio: () => deps.manifest()?.limits.retryBudgetRatio ?? defaultRatio,
+    });
+
+    function demandService(request: CallerRequest): ServiceManifest {
+        const manifest = deps.manifest();
+        if (manifest === undefined) {
+            throw new ResultError(resultCodes.notReady, "no manifest yet", notReadyRetryMs);
+        }
+        const service = manifest.services.find(each => each.service === request.service);
+        if (service === undefined) {
+            throw new ResultError(resultCodes.unknownService, request.service);
+        }
+        return service;
+    }
+
+    function pickFor(request: CallerRequest, id: string): (tried: SamplerId[]) => SamplerId | undefined {
+        return tried => {
+            const views = deps.views.list(request.service);
+            const choice = choosePlainSampler(views, tried, deps.self.failureDomain, random.nextUnit);
+            logger.info("requestPlaced", {
+                request: id,
+                service: request.service,
+                team: request.team,
+                sampler: choice?.sampler,
+                candidates: choice?.candidates ?? 0,
+                tried: tried.length,
+                reason: choice?.reason ?? "noneAble",
+                loadRatio: choice === undefined ? undefined : Number(choice.loadRatio.toFixed(3)),
+            });
+            return choice?.sampler;
+        };
+    }
+
+    function createExecute(
+        request: CallerRequest,
+        idempotent: boolean,
+        digest: ContentDigest,
+        budgetMs: number,
+    ): Execute {
+        const id = random.nextId();
+        const plain: Omit<PlainRequest, "attempt"> = {
+            service: request.service,
+            team: request.team,
+            method: request.method,
+            path: request.path,
+            headers: request.idempotencyKey === undefined
+                ? request.headers
+                : { ...request.headers, "idempotency-key": request.idempotencyKey },
+            body: request.body,
+            idempotent,
+            digest,
+            budgetMs,
+        };
+        const plainDeps = {
+            pick: pickFor(request, id),
+            sidecar: deps.views.sidecar,
+            newAttempt: () => random.nextId() as AttemptId,
+            retryBudget,
+            maxAttempts,
+            clock,
+            logger,
+            guards: deps.guards,
+        };
+        return async signal => (await sendPlain(plain, plainDeps, signal)).outcome;
+    }
+
+    return async (request, signal) => {
+        const service = demandService(request);
+        const digest = digestRequest(request);
+        if (deps.isQuarantined(digest)) {
+            throw new ResultError(resultCodes.quarantined);
+        }
+        const budgetMs = request.budgetMs ?? deps.manifest()!.limits.defaultDeadlineMs;
+        const idempotent = request.idempotent ?? isRepeatable(service, request.method, request.path);
+        const leave = deps.takePlace(request.team);
+        const startedAtMs = clock.monotonicMs();
+        try {
+            const execute = createExecute(request, idempotent, digest, budgetMs);
+            const keyed = !idempotent && request.idempotencyKey !== undefined;
+            const outcome = keyed
+                ? await deps.runKeyed(request, digest, budgetMs, execute, signal)
+                : await execute(signal);
+            metrics.count("requests_total", { service: request.service, outcome: outcome.kind });
+            return toAnswer(outcome);
+        }
+        finally {
+            leave();
+            metrics.observeMs("request_ms", { service: request.service }, clock.monotonicMs() - startedAtMs);
+        }
+    };
+}
--- /dev/null
+++ b/packages/entry/src/createTrainerDesk.ts
@@ -0,0 +1,68 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { Owner } from "@auburnarch/own/Owner";
+import type { JobId } from "@auburnarch/types/JobId";
+import type { Manifest } from "@auburnarch/types/Manifest";
+import type { OwnerDocument } from "@auburnarch/types/OwnerDocument";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import { match } from "ts-pattern";
+import type { JobOwnership } from "./JobOwnership.js";
+import type { PeerCall } from "./PeerCall.js";
+import type { TrainerCall } from "./TrainerCall.js";
+
+const ownerTimeoutMs = 45_000;
+const retryAfterMs = 1_000;
+
+interface TrainerDeskDeps {
+    manifest: () => Manifest | undefined;
+    jobs: JobOwnership;
+    /** Where the job's owner is, as last heard. */
+    findOwner: (job: JobId) => OwnerDocument | undefined;
+    selfAddress: string;
+    callPeer: PeerCall;
+}
+
+/**
+ * Acceptances carry the owner's number as pages do. An older owner that is cut off from the object API alone still
+ * delivers and does not know weights published through a newer one; a trainer that has seen the newer number drops
+ * its pages.
+ */
+function callOwner(owner: Owner, call: TrainerCall): Promise<unknown> {
+    const accepted = (): unknown => ({ fencing: owner.status().fencing });
+    return match(call)
+        .returnType<Promise<unknown>>()
+        .with({ kind: "openStep" }, ({ spec }) => owner.openStep(spec).then(accepted))
+        .with({ kind: "publishWeights" }, ({ weights }) => owner.publishWeights(weights).then(accepted))
+        .with({ kind: "readGroups" }, ({ step, cursor, waitMs }) => owner.readGroups(step, cursor, waitMs))
+        .with({ kind: "status" }, async () => owner.status())
+        .exhaustive();
+}
+
+/** Takes trainers' calls: proves that the job is the team's, then runs the call here or at the job's owner. */
+export function createTrainerDesk(
+    deps: TrainerDeskDeps,
+): (team: TeamId, call: TrainerCall, forwarded: boolean) => Promise<unknown> {
+    function demandOwnJob(team: TeamId, job: JobId): void {
+        const found = deps.manifest()?.jobs.find(each => each.job === job);
+        if (found === undefined) {
+            throw new ResultError(resultCodes.unknownJob, job);
+        }
+        if (found.team !== team) {
+            throw new ResultError(resultCodes.forbidden, job);
+        }
+    }
+
+    return async (team, call, forwarded) => {
+        demandOwnJob(team, call.job);
+        const owned = deps.jobs.get(call.job);
+        if (owned !== undefined) {
+            return callOwner(owned.owner, call);
+        }
+        const document = deps.findOwner(call.job);
+        if (forwarded || document === undefined || document.address === deps.selfAddress) {
+            // Passing it on again could go round between two entries that each believe the other to be the owner.
+            throw new ResultError(resultCodes.notOwner, call.job, retryAfterMs);
+        }
+        return deps.callPeer(document.address, "train", { team, call }, ownerTimeoutMs);
+    };
+}
--- /dev/null
+++ b/packages/entry/src/isRepeatable.ts
@@ -0,0 +1,17 @@
+import type { ServiceManifest } from "@auburnarch/types/ServiceManifest";
+
+/**
+ * Whether a call may be repeated: generations of a rollout service always may, a plain service's calls only where
+ * `repeatable` lists their method and a prefix of their path that ends at a whole segment.
+ */
+export function isRepeatable(service: ServiceManifest, method: string, path: string): boolean {
+    if (service.kind === "rollout") {
+        return true;
+    }
+    const bare = path.split("?", 1)[0]!;
+    return service.repeatable.some(each => {
+        const [listedMethod, prefix = "/"] = each.split(" ");
+        const whole = prefix.endsWith("/") ? prefix : `${prefix}/`;
+        return listedMethod === method && (bare === prefix || bare.startsWith(whole));
+    });
+}
--- /dev/null
+++ b/packages/entry/src/parseJson.ts
@@ -0,0 +1,12 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+
+/** Parses a JSON body; rejects with code `badRequest`, naming where the text stops being JSON. */
+export function parseJson(body: Uint8Array): unknown {
+    try {
+        return JSON.parse(new TextDecoder("utf-8", { fatal: true }).decode(body));
+    }
+    catch (error) {
+        throw new ResultError(resultCodes.badRequest, `body is not JSON: ${(error as Error).message}`);
+    }
+}
--- /dev/null
+++ b/packages/entry/src/parseTrainerBody.ts
@@ -0,0 +1,60 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { StepNumber } from "@auburnarch/types/StepNumber";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import { z } from "zod";
+import type { EntryRoute } from "./EntryRoute.js";
+import type { TrainerCall } from "./TrainerCall.js";
+
+const maxPrompts = 65_536;
+const maxTokens = 1_000_000;
+
+const wholeNumber = z.number().int().nonnegative();
+const stepBody = z.strictObject({
+    step: wholeNumber,
+    prompts: z.array(z.strictObject({
+        prompt: z.string().min(1),
+        maxTokens: wholeNumber.min(1).max(maxTokens),
+    })).min(1).max(maxPrompts),
+    needAtMs: wholeNumber.optional(),
+});
+const weightsBody = z.strictObject({
+    policy: z.string().min(1),
+    version: wholeNumber,
+    location: z.string().min(1),
+});
+
+function parse<T>(schema: z.ZodType<T>, body: unknown): T {
+    const parsed = schema.safeParse(body);
+    if (parsed.success) {
+        return parsed.data;
+    }
+    const faults = parsed.error.issues.map(issue => `${issue.path.join(".") || "body"}: ${issue.message}`);
+    throw new ResultError(resultCodes.badRequest, faults.join("; "));
+}
+
+/** Turns a trainer's route and JSON body into a call; rejects with code `badRequest`, naming each fault. */
+export function parseTrainerBody(route: EntryRoute, body: unknown): TrainerCall {
+    if (route.kind === "openStep") {
+        const spec = parse(stepBody, body);
+        return {
+            kind: "openStep",
+            job: route.job,
+            spec: { step: spec.step as StepNumber, prompts: spec.prompts, needAtMs: spec.needAtMs },
+        };
+    }
+    if (route.kind === "publishWeights") {
+        const weights = parse(weightsBody, body);
+        return {
+            kind: "publishWeights",
+            job: route.job,
+            weights: {
+                policy: weights.policy as PolicyId,
+                version: weights.version as WeightVersion,
+                location: weights.location,
+            },
+        };
+    }
+    throw new ResultError(resultCodes.notFound);
+}
--- /dev/null
+++ b/packages/entry/src/readCallerRequest.ts
@@ -0,0 +1,81 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { ServiceId } from "@auburnarch/types/ServiceId";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import type { IncomingMessage } from "node:http";
+import type { CallerRequest } from "./CallerRequest.js";
+
+/** Headers of one connection, which end here, and those that this system reads itself. */
+const notPassedOn = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "expect",
+    "authorization",
+    "idempotency-key",
+]);
+const ownPrefix = "x-auburnarch-";
+const maxBudgetMs = 3_600_000;
+
+function passedOn(headers: IncomingMessage["headers"]): Record<string, string> {
+    const named = new Set((headers.connection ?? "").split(",").map(name => name.trim().toLowerCase()));
+    const kept: Record<string, string> = {};
+    for (const [name, value] of Object.entries(headers)) {
+        const text = Array.isArray(value) ? value.join(", ") : value;
+        if (text !== undefined && !notPassedOn.has(name) && !named.has(name) && !name.startsWith(ownPrefix)) {
+            kept[name] = text;
+        }
+    }
+    return kept;
+}
+
+function readBudget(text: string | undefined): number | undefined {
+    if (text === undefined) {
+        return undefined;
+    }
+    const budgetMs = Number(text);
+    if (!Number.isFinite(budgetMs) || budgetMs <= 0 || budgetMs > maxBudgetMs) {
+        throw new ResultError(resultCodes.badRequest, `x-auburnarch-deadline-ms: 1 to ${maxBudgetMs}`);
+    }
+    return budgetMs;
+}
+
+function readIdempotent(text: string | undefined): boolean | undefined {
+    if (text === undefined || text === "true" || text === "false") {
+        return text === undefined ? undefined : text === "true";
+    }
+    throw new ResultError(resultCodes.badRequest, "x-auburnarch-idempotent: true or false");
+}
+
+const single = (value: string | string[] | undefined): string | undefined =>
+    Array.isArray(value) ? value[0] : value;
+
+/** Reads what a caller's headers say: deadline, key, idempotent mark. Rejects with code `badRequest`. */
+export function readCallerRequest(
+    request: IncomingMessage,
+    team: TeamId,
+    service: ServiceId,
+    path: string,
+    body: Uint8Array,
+): CallerRequest {
+    const { headers } = request;
+    return {
+        team,
+        service,
+        method: request.method ?? "GET",
+        path,
+        headers: passedOn(headers),
+        body,
+        budgetMs: readBudget(single(headers["x-auburnarch-deadline-ms"])),
+        idempotencyKey: single(headers["idempotency-key"]),
+        idempotent: readIdempotent(single(headers["x-auburnarch-idempotent"])),
+        forwarded: false,
+    };
+}
--- /dev/null
+++ b/packages/entry/src/sendFailure.ts
@@ -0,0 +1,47 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { ServerResponse } from "node:http";
+import { ManifestFaults } from "./ManifestFaults.js";
+import { ManifestRaced } from "./ManifestRaced.js";
+import { outcomeOfCode } from "./outcomeOfCode.js";
+
+const millisecondsPerSecond = 1_000;
+
+function describeStanding({ current }: ManifestRaced): unknown {
+    return current === undefined ? undefined : { version: current.version, manifest: current.value };
+}
+
+/**
+ * Sends a refusal or a fault as JSON with its numbered code, what to do next, and whether the request ran.
+ * An answer that has begun cannot be turned into an error any more: the connection is cut instead, so that a
+ * part never passes for the whole.
+ */
+export function sendFailure(response: ServerResponse, error: unknown): void {
+    if (response.headersSent) {
+        response.destroy();
+        return;
+    }
+    const code = codeOf(error);
+    const detail = error instanceof ResultError ? error.detail : "";
+    const retryAfterMs = error instanceof ResultError ? error.retryAfterMs : undefined;
+    const body = Buffer.from(JSON.stringify({
+        code: code.number,
+        name: code.name,
+        message: detail === "" ? code.meaning : `${code.meaning} (${detail})`,
+        action: code.action,
+        outcome: outcomeOfCode(code),
+        retryAfterMs,
+        faults: error instanceof ManifestFaults ? error.faults : undefined,
+        current: error instanceof ManifestRaced ? describeStanding(error) : undefined,
+    }));
+    const headers: Record<string, string | number> = {
+        "content-type": "application/json",
+        "content-length": body.byteLength,
+        "x-auburnarch-outcome": outcomeOfCode(code),
+    };
+    if (retryAfterMs !== undefined) {
+        headers["retry-after"] = Math.max(1, Math.ceil(retryAfterMs / millisecondsPerSecond));
+    }
+    response.writeHead(code.httpStatus, headers);
+    response.end(body);
+}
--- /dev/null
+++ b/packages/entry/src/serveEntry.ts
@@ -0,0 +1,211 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import { JSONRPCErrorException, JSONRPCServer } from "json-rpc-2.0";
+import type { JSONRPCRequest } from "json-rpc-2.0";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { match } from "ts-pattern";
+import type { Entry } from "./Entry.js";
+import type { EntryRoute } from "./EntryRoute.js";
+import { forwardHeaders } from "./forwardHeaders.js";
+import { matchesDigest } from "./matchesDigest.js";
+import { matchRoute } from "./matchRoute.js";
+import { parseJson } from "./parseJson.js";
+import { parseTrainerBody } from "./parseTrainerBody.js";
+import { readBody } from "./readBody.js";
+import { readCallerRequest } from "./readCallerRequest.js";
+import { sendFailure } from "./sendFailure.js";
+import { sendJson } from "./sendJson.js";
+import type { ServeEntryOptions } from "./ServeEntryOptions.js";
+import { writeAnswer } from "./writeAnswer.js";
+
+const bearer = "Bearer ";
+const maxPeerBodyBytes = 64 * 1024 * 1024;
+const maxOperatorBodyBytes = 1024 * 1024;
+const headersTimeoutMs = 10_000;
+
+interface Served {
+    port: number;
+    entry: Entry;
+    /** Stops listening and resolves once every connection is closed. */
+    close(): Promise<void>;
+}
+
+const tokenOf = (request: IncomingMessage): string | undefined => {
+    const header = request.headers.authorization;
+    return header?.startsWith(bearer) ? header.slice(bearer.length) : undefined;
+};
+
+/** Aborted once the caller has gone away before its answer was complete. */
+function goneSignal(response: ServerResponse): AbortSignal {
+    const gone = new AbortController();
+    response.once("close", () => {
+        if (!response.writableFinished) {
+            gone.abort();
+        }
+    });
+    return gone.signal;
+}
+
+function demand(request: IncomingMessage, digest: string): void {
+    if (!matchesDigest(tokenOf(request), digest)) {
+        throw new ResultError(resultCodes.unauthenticated);
+    }
+}
+
+async function listen(options: ServeEntryOptions): Promise<Server> {
+    const server = createServer({
+        requestTimeout: options.requestTimeoutMs,
+        headersTimeout: headersTimeoutMs,
+    });
+    server.maxConnections = options.maxConnections;
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(options.port, options.host, resolve);
+    });
+    return server;
+}
+
+/**
+ * Serves an entry over HTTP/1.1: callers, trainers, operators, peers, metrics and health on one port. The entry is
+ * made once the port is known, since it tells its address to others.
+ */
+export async function serveEntry(
+    makeEntry: (port: number) => Entry,
+    options: ServeEntryOptions,
+): Promise<Served> {
+    const { logger } = options;
+    const server = await listen(options);
+    const { port } = server.address() as AddressInfo;
+    const entry = makeEntry(port);
+
+    const peers = new JSONRPCServer({ errorListener: () => undefined });
+    peers.applyMiddleware(async (next, request) => {
+        try {
+            return {
+                jsonrpc: "2.0",
+                id: request.id ?? 0,
+                result: await entry.receive(request.method, request.params),
+            };
+        }
+        catch (error) {
+            const code = codeOf(error);
+            const detail = error instanceof ResultError ? error.detail : "";
+            const retryAfterMs = error instanceof ResultError ? error.retryAfterMs : undefined;
+            throw new JSONRPCErrorException(code.name, code.number, { detail, retryAfterMs });
+        }
+    });
+    peers.mapErrorToJSONRPCErrorResponse = (id, error) => ({
+        jsonrpc: "2.0",
+        id,
+        error: { code: error.code ?? resultCodes.internal.number, message: error.message, data: error.data },
+    });
+
+    /** Only an entry may speak for a team without the team's token. */
+    function forwardedTeam(request: IncomingMessage): TeamId {
+        demand(request, options.clusterTokenDigest);
+        return String(request.headers[forwardHeaders.team]) as TeamId;
+    }
+
+    async function callService(
+        route: EntryRoute & { kind: "service"; },
+        request: IncomingMessage,
+        response: ServerResponse,
+    ): Promise<void> {
+        const forwarded = request.headers[forwardHeaders.forwarded] === "1";
+        const team = forwarded ? forwardedTeam(request) : entry.authenticate(tokenOf(request));
+        const body = await readBody(request, entry.maxBodyBytes());
+        const call = { ...readCallerRequest(request, team, route.service, route.path, body), forwarded };
+        await writeAnswer(response, await entry.call(call, goneSignal(response)));
+    }
+
+    async function train(
+        route: EntryRoute,
+        request: IncomingMessage,
+        response: ServerResponse,
+    ): Promise<void> {
+        const team = entry.authenticate(tokenOf(request));
+        if (route.kind === "readGroups") {
+            sendJson(response, 200, await entry.train(team, route, false));
+            return;
+        }
+        if (route.kind === "jobStatus") {
+            sendJson(response, 200, await entry.train(team, { kind: "status", job: route.job }, false));
+            return;
+        }
+        const body = parseJson(await readBody(request, maxPeerBodyBytes));
+        sendJson(response, 200, await entry.train(team, parseTrainerBody(route, body), false) ?? {});
+    }
+
+    async function operate(
+        route: EntryRoute & { kind: "operator"; },
+        request: IncomingMessage,
+        response: ServerResponse,
+    ): Promise<void> {
+        demand(request, options.operatorTokenDigest);
+        const body = request.method === "POST"
+            ? parseJson(await readBody(request, maxOperatorBodyBytes))
+            : undefined;
+        sendJson(response, 200, await entry.operate(route.action, route.query, body) ?? {});
+    }
+
+    async function receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        demand(request, options.clusterTokenDigest);
+        const body = parseJson(await readBody(request, maxPeerBodyBytes));
+        sendJson(response, 200, await peers.receive(body as JSONRPCRequest) ?? {});
+    }
+
+    const handle = (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+        const route = matchRoute(request.method ?? "GET", request.url ?? "/");
+        return match(route)
+            .with({ kind: "service" }, found => callService(found, request, response))
+            .with({ kind: "openStep" }, { kind: "publishWeights" }, found => train(found, request, response))
+            .with({ kind: "readGroups" }, { kind: "jobStatus" }, found => train(found, request, response))
+            .with({ kind: "operator" }, found => operate(found, request, response))
+            .with({ kind: "rpc" }, () => receive(request, response))
+            .with({ kind: "teamUsage" }, async () => {
+                sendJson(response, 200, await entry.teamUsage(entry.authenticate(tokenOf(request))));
+            })
+            .with({ kind: "health" }, async () => sendJson(response, 200, { healthy: true }))
+            .with({ kind: "ready" }, async () => {
+                if (!entry.isReady()) {
+                    throw new ResultError(resultCodes.notReady, "", 1_000);
+                }
+                sendJson(response, 200, { ready: true });
+            })
+            .with({ kind: "metrics" }, async () => {
+                response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+                response.end(await entry.renderMetrics());
+            })
+            .with({ kind: "none" }, async () => {
+                throw new ResultError(
+                    resultCodes.notFound,
+                    `${request.method} ${request.url?.slice(0, 200)}`,
+                );
+            })
+            .exhaustive();
+    };
+
+    server.on("request", (request, response) => {
+        handle(request, response).catch(error => {
+            const code = codeOf(error);
+            if (code === resultCodes.internal) {
+                logger.error("requestFault", { code: code.number, fault: String(error) });
+            }
+            request.resume();
+            sendFailure(response, error);
+        });
+    });
+    return {
+        port,
+        entry,
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                server.closeIdleConnections();
+            }),
+    };
+}
--- /dev/null
+++ b/packages/entry/src/shutdownEntry.ts
@@ -0,0 +1,41 @@
+import type { LeaseKeeper } from "@auburnarch/lease/LeaseKeeper";
+import type { Membership } from "@auburnarch/membership/Membership";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { JobOwnership } from "./JobOwnership.js";
+import type { trackCalls } from "./trackCalls.js";
+import type { UsageCollector } from "./UsageCollector.js";
+
+const pollMs = 20;
+
+interface ShutdownParts {
+    calls: ReturnType<typeof trackCalls>;
+    membership: Membership;
+    jobs: JobOwnership;
+    leases: LeaseKeeper;
+    usage: UsageCollector;
+    parts: { stop(): void; }[];
+    clock: Clock;
+    logger: Logger;
+}
+
+/**
+ * Shuts an entry down: peers hear that it is leaving, new calls are refused, calls in flight get their answers up
+ * to the deadline, owners checkpoint and hand their leases over, what was counted is made durable.
+ */
+export async function shutdownEntry(entry: ShutdownParts, deadlineMs: number): Promise<void> {
+    const { calls, clock, logger } = entry;
+    const endAtMs = clock.monotonicMs() + deadlineMs;
+    calls.close();
+    entry.membership.beginLeaving();
+    logger.info("shutdownBegun", { running: calls.running(), deadlineMs });
+    await entry.jobs.release();
+    while (calls.running() > 0 && clock.monotonicMs() < endAtMs) {
+        await clock.sleep(pollMs);
+    }
+    await entry.usage.collect();
+    await entry.usage.flush().catch(error => logger.warn("usageNotKept", { fault: String(error) }));
+    await entry.leases.releaseAll();
+    entry.parts.forEach(part => part.stop());
+    logger.info("shutdownEnded", { cutOff: calls.running() });
+}
--- /dev/null
+++ b/packages/fakes/src/Generation.ts
@@ -0,0 +1,19 @@
+import type { EngineChunk } from "@auburnarch/types/EngineChunk";
+import type { EngineFinish } from "@auburnarch/types/EngineFinish";
+import type { EngineRequest } from "@auburnarch/types/EngineRequest";
+import type { BatchItem } from "./BatchItem.js";
+
+/** One generation inside a fake engine. `item` is undefined while it waits. */
+export interface Generation {
+    request: EngineRequest;
+    onChunk: (chunk: EngineChunk) => void;
+    resolve: (finish: EngineFinish) => void;
+    item: BatchItem | undefined;
+    prefillMs: number;
+    /** Tokens of the whole text at the end, resumed ones included. */
+    targetTokens: number;
+    reason: "stop" | "length";
+    emittedTokens: number;
+    cachedPromptTokens: number;
+    settled: boolean;
+}
--- /dev/null
+++ b/packages/fakes/src/HttpServerHandle.ts
@@ -0,0 +1,5 @@
+/** A listening server. `close` ends it with its connections. */
+export interface HttpServerHandle {
+    port: number;
+    close(): Promise<void>;
+}
--- /dev/null
+++ b/packages/fakes/src/createBatch.ts
@@ -0,0 +1,108 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import type { BatchItem } from "./BatchItem.js";
+
+interface BatchOptions {
+    clock: Clock;
+    /** Each further item slows all by this part: speed is 1 / (1 + slowdown × (items − 1)). */
+    slowdown: number;
+    /** Interval of progress calls. */
+    progressMs: number;
+}
+
+interface Batch {
+    add(item: BatchItem): void;
+    remove(item: BatchItem): void;
+    /** Brings `doneMs` and `engineMs` up to now. */
+    settle(): void;
+    setPaused(paused: boolean): void;
+    items(): BatchItem[];
+    busyMs(): number;
+}
+
+const toleranceMs = 1e-6;
+
+/**
+ * Shares one processor among items without a timer a token: between two changes of the set all run at one
+ * speed, so that one timer to the next end or progress call suffices.
+ */
+export function createBatch(options: BatchOptions): Batch {
+    const { clock, slowdown, progressMs } = options;
+    const items = new Set<BatchItem>();
+    let settledAtMs = clock.monotonicMs();
+    let progressAtMs = Number.POSITIVE_INFINITY;
+    let busyMs = 0;
+    let paused = false;
+    let cancelTimer = (): void => {};
+
+    const speed = (): number => 1 / (1 + slowdown * (items.size - 1));
+
+    function settle(): void {
+        const nowMs = clock.monotonicMs();
+        const elapsedMs = nowMs - settledAtMs;
+        settledAtMs = nowMs;
+        if (paused || items.size === 0 || elapsedMs <= 0) {
+            return;
+        }
+        busyMs += elapsedMs;
+        for (const item of items) {
+            item.doneMs = Math.min(item.totalMs, item.doneMs + elapsedMs * speed());
+            item.engineMs += elapsedMs / items.size;
+        }
+    }
+
+    function schedule(): void {
+        cancelTimer();
+        cancelTimer = () => {};
+        if (paused || items.size === 0) {
+            return;
+        }
+        const nowMs = clock.monotonicMs();
+        let leastMs = Number.POSITIVE_INFINITY;
+        for (const item of items) {
+            leastMs = Math.min(leastMs, item.totalMs - item.doneMs);
+        }
+        const untilEndMs = Math.max(0, leastMs) / speed();
+        const untilProgressMs = Math.max(0, progressAtMs - nowMs);
+        cancelTimer = clock.startTimer(Math.min(untilEndMs, untilProgressMs), tick);
+    }
+
+    function tick(): void {
+        settle();
+        const nowMs = clock.monotonicMs();
+        if (nowMs >= progressAtMs) {
+            progressAtMs = nowMs + progressMs;
+            [...items].forEach(item => item.onProgress());
+        }
+        const done = [...items].filter(item => item.doneMs + toleranceMs >= item.totalMs);
+        done.forEach(item => items.delete(item));
+        done.forEach(item => item.onDone());
+        schedule();
+    }
+
+    return {
+        add: item => {
+            settle();
+            if (items.size === 0) {
+                progressAtMs = clock.monotonicMs() + progressMs;
+            }
+            items.add(item);
+            schedule();
+        },
+        remove: item => {
+            settle();
+            items.delete(item);
+            schedule();
+        },
+        settle,
+        setPaused: isPaused => {
+            settle();
+            paused = isPaused;
+            schedule();
+        },
+        items: () => [...items],
+        busyMs: () => {
+            settle();
+            return busyMs;
+        },
+    };
+}
--- /dev/null
+++ b/packages/fakes/src/createEngineOrders.ts
@@ -0,0 +1,109 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { EngineOrder } from "@auburnarch/types/EngineOrder";
+import type { EngineOrderResult } from "@auburnarch/types/EngineOrderResult";
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import type { createGenerations } from "./createGenerations.js";
+import type { FakeEngineControl } from "./FakeEngineControl.js";
+import type { FakeEngineOptions } from "./FakeEngineOptions.js";
+
+type Served = { policy: PolicyId; version: WeightVersion; }[];
+type LoadOrder = Extract<EngineOrder, { kind: "load"; }>;
+
+interface EngineOrders {
+    take(order: EngineOrder, boot: string): Promise<EngineOrderResult>;
+    served(): Served;
+    serve(policy: PolicyId, version: WeightVersion): void;
+    failNextLoad: FakeEngineControl["failNextLoad"];
+    loads: FakeEngineControl["loads"];
+    /** A restart: numbers seen are forgotten and no order runs. */
+    reset(served: Served): void;
+}
+
+interface EngineOrdersDeps {
+    options: FakeEngineOptions;
+    generations: ReturnType<typeof createGenerations>;
+    /** Whether the engine is up and still in the boot given. */
+    isBoot: (boot: string) => boolean;
+}
+
+const defaultSwapMs = 2_000;
+
+/** The order side of a fake engine. Fencing numbers are compared by policy, where it honours them at all. */
+export function createEngineOrders(deps: EngineOrdersDeps): EngineOrders {
+    const { options, generations } = deps;
+    const { swapMs = defaultSwapMs, honoursFencing = true } = options;
+    const highest = new Map<string, number>();
+    const loads: { policy: PolicyId; version: WeightVersion; fencing: number; }[] = [];
+    let served = structuredClone(options.served);
+    let loading = false;
+    let failure: "old" | "new" | WeightVersion | undefined;
+
+    function serve(policy: PolicyId, version: WeightVersion): void {
+        generations.flush();
+        served = [...served.filter(entry => entry.policy !== policy), { policy, version }];
+        generations.clearCache();
+    }
+
+    function unload(policy: PolicyId): void {
+        generations.all()
+            .filter(generation => generation.request.policy === policy)
+            .forEach(generation => generations.finish(generation, "cancelled"));
+        served = served.filter(entry => entry.policy !== policy);
+    }
+
+    async function load(order: LoadOrder, boot: string): Promise<EngineOrderResult> {
+        if (loading) {
+            return { kind: "failed", detail: "another load is running" };
+        }
+        loading = true;
+        generations.flush();
+        generations.setPaused(true);
+        await options.clock.sleep(swapMs);
+        if (!deps.isBoot(boot)) {
+            throw new ResultError(resultCodes.engineUnreachable);
+        }
+        const failed = failure;
+        failure = undefined;
+        const left = failed === undefined || failed === "new" ? order.version : failed;
+        if (left !== "old") {
+            serve(order.policy, left);
+            loads.push({ policy: order.policy, version: left, fencing: order.fencing });
+        }
+        loading = false;
+        generations.setPaused(false);
+        return failed === undefined ? { kind: "done" } : { kind: "failed", detail: "load broke off" };
+    }
+
+    async function take(order: EngineOrder, boot: string): Promise<EngineOrderResult> {
+        const scope = order.kind === "setRole" ? "role" : order.policy;
+        const seen = highest.get(scope) ?? 0;
+        if (honoursFencing && order.fencing < seen) {
+            return { kind: "fenced", highestFencing: seen };
+        }
+        highest.set(scope, Math.max(seen, order.fencing));
+        if (order.kind === "load") {
+            return load(order, boot);
+        }
+        if (order.kind === "unload") {
+            unload(order.policy);
+        }
+        return { kind: "done" };
+    }
+
+    return {
+        take,
+        served: () => served,
+        serve,
+        failNextLoad: leaves => {
+            failure = leaves;
+        },
+        loads: () => [...loads],
+        reset: next => {
+            served = structuredClone(next);
+            loading = false;
+            highest.clear();
+        },
+    };
+}
--- /dev/null
+++ b/packages/fakes/src/createFakePlainService.ts
@@ -0,0 +1,113 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
+import type { PlainBackend } from "@auburnarch/types/PlainBackend";
+import type { PlainRequest } from "@auburnarch/types/PlainRequest";
+import type { FakePlainServiceControl } from "./FakePlainServiceControl.js";
+import { hashText } from "./hashText.js";
+
+interface FakePlainServiceOptions {
+    clock: Clock;
+    latencyMs?: number;
+    /** Body of the answer; by default JSON that names the method, the path and a hash of the request's body. */
+    answer?: (request: PlainRequest) => Uint8Array;
+}
+
+const keyHeader = "idempotency-key";
+const increase = (counts: Map<string, number>, key: string): void => {
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+};
+
+function describeRequest(request: PlainRequest): Uint8Array {
+    const bodyHash = hashText(Buffer.from(request.body).toString("latin1"));
+    return Buffer.from(JSON.stringify({ method: request.method, path: request.path, bodyHash }));
+}
+
+async function* streamBody(body: Uint8Array, cut: boolean): AsyncGenerator<Uint8Array> {
+    const half = Math.ceil(body.length / 2);
+    yield body.subarray(0, half);
+    if (cut) {
+        throw new ResultError(resultCodes.connectionBroken, "body cut short");
+    }
+    yield body.subarray(half);
+}
+
+/** A plain service in memory that records which keys and attempts truly ran, and how often. */
+export function createFakePlainService(
+    options: FakePlainServiceOptions,
+): { backend: PlainBackend; control: FakePlainServiceControl; } {
+    const { clock, answer = describeRequest } = options;
+    const byKey = new Map<string, number>();
+    const byAttempt = new Map<string, number>();
+    let latencyMs = options.latencyMs ?? 0;
+    let toBreak = 0;
+    let toRefuse = 0;
+    let toCut = 0;
+    let up = true;
+    let kills: (request: PlainRequest) => boolean = () => false;
+
+    function run(request: PlainRequest): void {
+        increase(byAttempt, request.attempt);
+        const key = request.headers[keyHeader];
+        if (key !== undefined) {
+            increase(byKey, key);
+        }
+        if (kills(request)) {
+            up = false;
+        }
+    }
+
+    function makeAnswer(request: PlainRequest): PlainAnswer {
+        const cut = toCut > 0;
+        toCut -= cut ? 1 : 0;
+        return {
+            status: 200,
+            headers: { "content-type": "application/json" },
+            body: streamBody(answer(request), cut),
+        };
+    }
+
+    const backend: PlainBackend = async (request, signal) => {
+        if (!up || toRefuse > 0) {
+            toRefuse -= up ? 1 : 0;
+            return { kind: "notRun", code: resultCodes.connectFailed, retryAfterMs: undefined };
+        }
+        run(request);
+        if (latencyMs > 0) {
+            await clock.sleep(latencyMs, signal);
+        }
+        if (signal.aborted) {
+            return { kind: "unknown", code: resultCodes.cancelled };
+        }
+        if (!up || toBreak > 0) {
+            toBreak -= up ? 1 : 0;
+            return { kind: "unknown", code: resultCodes.connectionBroken };
+        }
+        return { kind: "ran", answer: makeAnswer(request) };
+    };
+
+    const control: FakePlainServiceControl = {
+        runsByKey: () => new Map(byKey),
+        runsByAttempt: () => new Map(byAttempt),
+        breakAfterRun: count => {
+            toBreak = count;
+        },
+        refuseNext: count => {
+            toRefuse = count;
+        },
+        cutBody: count => {
+            toCut = count;
+        },
+        setLatency: ms => {
+            latencyMs = ms;
+        },
+        killOn: predicate => {
+            kills = predicate;
+        },
+        restart: () => {
+            up = true;
+        },
+    };
+    return { backend, control };
+}
--- /dev/null
+++ b/packages/fakes/src/createLaggingLoad.ts
@@ -0,0 +1,33 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import type { EngineLoad } from "@auburnarch/types/EngineLoad";
+
+type Load = Omit<EngineLoad, "ageMs">;
+
+interface LaggingLoad {
+    record(load: Load): void;
+    read(): EngineLoad;
+}
+
+/** Keeps just enough of the past loads to show the one of `lagMs` ago. */
+export function createLaggingLoad(clock: Clock, lagMs: number): LaggingLoad {
+    let past: { atMs: number; load: Load; }[] = [
+        { atMs: Number.NEGATIVE_INFINITY, load: { running: 0, waiting: 0, cachedTokens: 0 } },
+    ];
+
+    function dropHidden(): void {
+        const limitMs = clock.monotonicMs() - lagMs;
+        const visible = past.findLastIndex(entry => entry.atMs <= limitMs);
+        past = past.slice(Math.max(0, visible));
+    }
+
+    return {
+        record: load => {
+            dropHidden();
+            past.push({ atMs: clock.monotonicMs(), load });
+        },
+        read: () => {
+            dropHidden();
+            return { ...past[0]!.load, ageMs: lagMs };
+        },
+    };
+}
--- /dev/null
+++ b/packages/fakes/src/createPausableProcess.ts
@@ -0,0 +1,65 @@
+import { createSleep } from "@auburnarch/clock/createSleep";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+
+interface PausableProcess {
+    /** Fires no timer while paused; its time goes on, as a machine's does. */
+    clock: Clock;
+    /** Answers reach the process only once it runs again. */
+    store: ObjectStore;
+    pause(): void;
+    resume(): void;
+}
+
+/** The clock and store of a process that can be paused, as a VM is by its host. */
+export function createPausableProcess(clock: Clock, store: ObjectStore): PausableProcess {
+    let paused = false;
+    let waiting: (() => void)[] = [];
+
+    function whenRunning(run: () => void): void {
+        if (paused) {
+            waiting.push(run);
+        }
+        else {
+            run();
+        }
+    }
+
+    function startTimer(delayMs: number, run: () => void): () => void {
+        let cancelled = false;
+        const cancel = clock.startTimer(delayMs, () => whenRunning(() => cancelled || run()));
+        return () => {
+            cancelled = true;
+            cancel();
+        };
+    }
+
+    function delivered<T>(answer: Promise<T>): Promise<T> {
+        return new Promise((resolve, reject) => {
+            answer.then(
+                value => whenRunning(() => resolve(value)),
+                (error: unknown) => whenRunning(() => reject(error as Error)),
+            );
+        });
+    }
+
+    return {
+        clock: { ...clock, startTimer, sleep: createSleep(startTimer) },
+        store: {
+            read: key => delivered(store.read(key)),
+            list: prefix => delivered(store.list(prefix)),
+            write: (key, value, expected) => delivered(store.write(key, value, expected)),
+            remove: (key, expected) => delivered(store.remove(key, expected)),
+            watch: (prefix, revision, waitMs) => delivered(store.watch(prefix, revision, waitMs)),
+        },
+        pause: () => {
+            paused = true;
+        },
+        resume: () => {
+            paused = false;
+            const due = waiting;
+            waiting = [];
+            due.forEach(run => run());
+        },
+    };
+}
--- /dev/null
+++ b/packages/fakes/src/createStepReader.ts
@@ -0,0 +1,101 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import type { GroupsPage } from "@auburnarch/types/GroupsPage";
+import type { StepSpec } from "@auburnarch/types/StepSpec";
+import type { createPersist } from "./createPersist.js";
+import type { createReceipts } from "./createReceipts.js";
+import type { FakeTrainerOptions } from "./FakeTrainerOptions.js";
+import type { TrainerReport } from "./TrainerReport.js";
+
+interface StepReaderDeps {
+    options: FakeTrainerOptions;
+    report: TrainerReport;
+    receipts: ReturnType<typeof createReceipts>;
+    persist: ReturnType<typeof createPersist>;
+    retryMs: number;
+}
+
+interface StepReader {
+    /** Reads a step until it is whole; resolves with the last cursor. */
+    readWhole(spec: StepSpec, signal: AbortSignal): Promise<string | undefined>;
+    /** Sends the last cursor, so that the owner learns that its last page arrived. */
+    acknowledge(spec: StepSpec, cursor: string | undefined, signal: AbortSignal): Promise<void>;
+}
+
+/** The reading side of a fake trainer, with lost answers and repeated reads where its options ask for them. */
+export function createStepReader(deps: StepReaderDeps): StepReader {
+    const { options, report, receipts, persist } = deps;
+    const { clock, random, port, readWaitMs = 1_000, loseAnswerChance = 0, rereadChance = 0 } = options;
+    let highestFencing = 0;
+
+    function compare(first: GroupsPage, second: GroupsPage): void {
+        const groups = new Map(second.groups.map(group => [group.group, group]));
+        const differing = first.groups.filter(group =>
+            !receipts.isStale(group) && JSON.stringify(groups.get(group.group)) !== JSON.stringify(group)
+        );
+        report.rereadMismatches += differing.length;
+    }
+
+    async function readOnce(
+        spec: StepSpec,
+        cursor: string | undefined,
+        signal: AbortSignal,
+    ): Promise<GroupsPage | undefined> {
+        const read = (): Promise<GroupsPage> => port.readGroups(spec.step, cursor, readWaitMs);
+        const page = await persist(read, signal);
+        const isLost = random.nextUnit() < loseAnswerChance;
+        const isRepeated = random.nextUnit() < rereadChance;
+        if (page === undefined || (!isLost && !isRepeated)) {
+            return page;
+        }
+        const again = await persist(read, signal);
+        if (again !== undefined && isRepeated && again.fencing === page.fencing) {
+            compare(page, again);
+        }
+        return again;
+    }
+
+    async function acknowledge(
+        spec: StepSpec,
+        cursor: string | undefined,
+        signal: AbortSignal,
+    ): Promise<void> {
+        const page = await persist(async () => {
+            try {
+                return await port.readGroups(spec.step, cursor, 0);
+            }
+            catch (error) {
+                // An owner that has closed the step has nothing left to learn.
+                if (codeOf(error).name === "unknownStep") {
+                    return undefined;
+                }
+                throw error;
+            }
+        }, signal);
+        if (page !== undefined && page.fencing >= highestFencing) {
+            receipts.take(spec, page);
+        }
+    }
+
+    async function readWhole(spec: StepSpec, signal: AbortSignal): Promise<string | undefined> {
+        let cursor: string | undefined;
+        let done = false;
+        while (!done && !signal.aborted) {
+            const page = await readOnce(spec, cursor, signal);
+            if (page === undefined) {
+                return cursor;
+            }
+            if (page.fencing < highestFencing) {
+                report.fencedPages++;
+                await clock.sleep(deps.retryMs, signal);
+                continue;
+            }
+            highestFencing = page.fencing;
+            receipts.take(spec, page);
+            cursor = page.cursor;
+            done = page.done;
+        }
+        return cursor;
+    }
+
+    return { readWhole, acknowledge };
+}
--- /dev/null
+++ b/packages/gate/src/GateContext.ts
@@ -0,0 +1,39 @@
+import type { UsageCounters } from "@auburnarch/account/UsageCounters";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { LimitsManifest } from "@auburnarch/types/LimitsManifest";
+import type { AdaptiveLimit } from "./AdaptiveLimit.js";
+import type { AttemptTable } from "./AttemptTable.js";
+import type { FencingTable } from "./FencingTable.js";
+import type { GateDeps } from "./GateDeps.js";
+import type { GateFlags } from "./GateFlags.js";
+import type { GateGuards } from "./GateGuards.js";
+import type { PlainHealth } from "./PlainHealth.js";
+import type { Quarantine } from "./Quarantine.js";
+import type { RunningGeneration } from "./RunningGeneration.js";
+import type { ServedWeights } from "./ServedWeights.js";
+import type { Slots } from "./Slots.js";
+import type { Suspects } from "./Suspects.js";
+import type { WorkAbort } from "./WorkAbort.js";
+
+/** What the parts of one gate share. */
+export interface GateContext {
+    deps: GateDeps;
+    guards: GateGuards;
+    incarnation: IncarnationId;
+    flags: GateFlags;
+    limits: () => Pick<LimitsManifest, "maxQueuedPerTeam" | "interactiveWaitMs">;
+    attempts: AttemptTable;
+    fencing: FencingTable;
+    quarantine: Quarantine;
+    suspects: Suspects;
+    limit: AdaptiveLimit;
+    slots: Slots;
+    usage: UsageCounters;
+    /** Undefined for a plain sampler. */
+    weights: ServedWeights | undefined;
+    plainHealth: PlainHealth;
+    /** All work taken and not yet ended. */
+    inFlight: Set<WorkAbort>;
+    /** Generations running at the engine. */
+    generations: Set<RunningGeneration>;
+}
--- /dev/null
+++ b/packages/gate/src/GenerationEnd.ts
@@ -0,0 +1,18 @@
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+
+/**
+ * How a generation at the engine ended. `lost` means that its result must not be used: the engine died, or the
+ * version that made it cannot be named.
+ */
+export type GenerationEnd =
+    | {
+        kind: "ended";
+        spans: TokenSpan[];
+        complete: boolean;
+        tokens: number;
+        engineMs: number;
+        cachedPromptTokens: number;
+    }
+    | { kind: "rejected"; code: ResultCode; }
+    | { kind: "lost"; code: ResultCode; tokens: number; engineMs: number; };
--- /dev/null
+++ b/packages/gate/src/OrderOutcome.ts
@@ -0,0 +1,7 @@
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+
+/** How an order ended, before the sidecar's report is added to it. */
+export type OrderOutcome =
+    | { kind: "done"; }
+    | { kind: "refused"; code: ResultCode; }
+    | { kind: "unknown"; code: ResultCode; };
--- /dev/null
+++ b/packages/gate/src/Quarantine.ts
@@ -0,0 +1,11 @@
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+
+/** The quarantine list as one process holds it. */
+export interface Quarantine {
+    /** Takes the list if its version is higher; true if taken. */
+    offer(version: number, records: QuarantineRecord[]): boolean;
+    /** Different VMs whose death counts against the digest now. */
+    deadVms(digest: ContentDigest): number;
+    version(): number;
+}
--- /dev/null
+++ b/packages/gate/src/ServedGate.ts
@@ -0,0 +1,9 @@
+/** A gate that listens. */
+export interface ServedGate {
+    port: number;
+    /**
+     * Stops listening. Graceful waits until every answer has been written; otherwise connections are destroyed,
+     * which senders see as broken.
+     */
+    close(graceful: boolean): Promise<void>;
+}
--- /dev/null
+++ b/packages/gate/src/Suspects.ts
@@ -0,0 +1,15 @@
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { SamplerReport } from "@auburnarch/types/SamplerReport";
+
+/** Digests that were in flight when an engine of this sampler died. */
+export interface Suspects {
+    /** Notes the digest as in flight; the returned function ends that. */
+    enter(digest: ContentDigest): () => void;
+    /** Everything in flight becomes suspect of the death of this engine incarnation. */
+    noteDeath(bootId: string): void;
+    /** One digest becomes suspect of a death. */
+    accuse(digest: ContentDigest, bootId: string): void;
+    /** A clean finish clears the digest. */
+    clear(digest: ContentDigest): void;
+    list(): SamplerReport["suspects"];
+}
--- /dev/null
+++ b/packages/gate/src/admitOrder.ts
@@ -0,0 +1,24 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import type { SamplerOrder } from "@auburnarch/types/SamplerOrder";
+import type { GateContext } from "./GateContext.js";
+import { refuseOrderNumber } from "./refuseOrderNumber.js";
+
+/** The checks before an order is begun: shutdown, fencing number learned, not lower. Undefined lets it pass. */
+export async function admitOrder(context: GateContext, order: SamplerOrder): Promise<ResultCode | undefined> {
+    const { flags, guards, fencing } = context;
+    if (flags.killed || !guards.shuttingDown(flags.shuttingDown)) {
+        return resultCodes.shuttingDown;
+    }
+    try {
+        await fencing.learn(order.scope);
+    }
+    catch (error) {
+        context.deps.logger.warn("fencingUnknown", { job: order.scope, code: codeOf(error).number });
+    }
+    if (!guards.fencingLearned(fencing.isLearned(order.scope))) {
+        return resultCodes.storeUnavailable;
+    }
+    return refuseOrderNumber(context, order);
+}
--- /dev/null
+++ b/packages/gate/src/checkStart.ts
@@ -0,0 +1,15 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { GateContext } from "./GateContext.js";
+
+/** Asserts, where work is taken, that the attempt is new here and the sampler not leaving. */
+export function checkStart(context: GateContext, attempt: AttemptId): void {
+    const { invariants } = context.deps;
+    const standing = context.attempts.standing(attempt);
+    if (standing !== undefined) {
+        const refused = standing === "tombstone" || standing === "refused";
+        invariants.check(resultCodes.notRunButRan, !refused, { attempt, standing });
+        invariants.check(resultCodes.ranTwice, refused, { attempt, standing });
+    }
+    invariants.check(resultCodes.workAfterLeave, !context.flags.leaving, { attempt });
+}
--- /dev/null
+++ b/packages/gate/src/concludeSample.ts
@@ -0,0 +1,57 @@
+import { countTokens } from "@auburnarch/collect/countTokens";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { SampleAnswer } from "@auburnarch/types/SampleAnswer";
+import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import type { GateContext } from "./GateContext.js";
+import type { GenerationEnd } from "./GenerationEnd.js";
+
+type Ran = Exclude<GenerationEnd, { kind: "rejected"; }>;
+
+/** Counts and logs a sample that ran, and makes its outcome. */
+export function concludeSample(
+    context: GateContext,
+    attempt: SampleAttempt,
+    end: Ran,
+): AttemptOutcome<SampleAnswer> {
+    const { logger, metrics } = context.deps;
+    const { team, job } = attempt;
+    context.usage.add({ team, job, engineMs: end.engineMs, tokens: end.tokens });
+    const outcome = end.kind === "lost" ? "lost" : end.complete ? "complete" : "partial";
+    metrics.count("gate_attempts_total", { kind: "sample", outcome });
+    logger.info("sampleEnded", {
+        attempt: attempt.attempt,
+        sample: attempt.sample,
+        outcome,
+        code: end.kind === "lost" ? end.code.number : undefined,
+        tokens: end.tokens,
+        engineMs: Math.round(end.engineMs),
+        versions: end.kind === "lost" ? undefined : end.spans.map(span => span.version).join(","),
+    });
+    return end.kind === "lost" ? { kind: "unknown", code: end.code } : answer(context, attempt, end);
+}
+
+function answer(
+    context: GateContext,
+    attempt: SampleAttempt,
+    end: Extract<GenerationEnd, { kind: "ended"; }>,
+): AttemptOutcome<SampleAnswer> {
+    const { invariants, identity } = context.deps;
+    const named = end.spans.every(span => Number.isInteger(span.version) && span.version >= 0);
+    const whole = countTokens(end.spans) === countTokens(attempt.resume) + end.tokens;
+    const fields = { attempt: attempt.attempt, spans: end.spans.length };
+    if (!invariants.check(resultCodes.provenanceMissing, named && whole, fields)) {
+        return { kind: "unknown", code: resultCodes.provenanceMissing };
+    }
+    return {
+        kind: "ran",
+        answer: {
+            attempt: attempt.attempt,
+            sampler: identity.sampler,
+            spans: end.spans,
+            complete: end.complete,
+            engineMs: end.engineMs,
+            cachedPromptTokens: end.cachedPromptTokens,
+        },
+    };
+}
--- /dev/null
+++ b/packages/gate/src/createGate.test.ts
@@ -0,0 +1,197 @@
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import type { SampleAnswer } from "@auburnarch/types/SampleAnswer";
+import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import { expect, test } from "vitest";
+import { createTestGate } from "./testing/createTestGate.js";
+
+type Outcome = AttemptOutcome<SampleAnswer>;
+type TestGate = ReturnType<typeof createTestGate>;
+
+const never = new AbortController().signal;
+
+const describeOutcome = (outcome: Outcome): string =>
+    outcome.kind === "ran"
+        ? `ran ${outcome.answer.complete ? "whole" : "part"} ${
+            outcome.answer.spans.map(span => `${span.tokens}@${span.version}`).join(" ")
+        }`
+        : `${outcome.kind} ${outcome.code.name}`;
+
+function start(setup: TestGate, attempt: SampleAttempt, signal = never): { outcome: Outcome | undefined; } {
+    const held: { outcome: Outcome | undefined; } = { outcome: undefined };
+    void setup.gate.runSample(attempt, () => {}, signal).then(outcome => {
+        held.outcome = outcome;
+    });
+    return held;
+}
+
+async function run(setup: TestGate, attempt: SampleAttempt): Promise<string> {
+    const held = start(setup, attempt);
+    await setup.clock.runUntil(() => held.outcome !== undefined, 120_000);
+    return describeOutcome(held.outcome!);
+}
+
+async function ready(options: Parameters<typeof createTestGate>[0] = {}): Promise<TestGate> {
+    const setup = createTestGate(options);
+    await setup.clock.advance(1);
+    return setup;
+}
+
+test("a sample is run, stamped and accounted, and its spans stream in order", async () => {
+    const setup = await ready();
+    const texts: string[] = [];
+    let outcome: Outcome | undefined;
+    void setup.gate.runSample(setup.attempt("a"), span => texts.push(span.text), never).then(ended => {
+        outcome = ended;
+    });
+    await setup.clock.runUntil(() => outcome !== undefined, 10_000);
+    expect(describeOutcome(outcome!)).toBe("ran whole 64@1");
+    expect(outcome).toMatchObject({ answer: { spans: [{ text: texts.join("") }] } });
+    const [counter] = await setup.gate.readUsage();
+    expect(counter).toMatchObject({ team: "team", job: "job", tokens: 64, requests: 1 });
+    expect(counter!.engineMs).toBeCloseTo(setup.control.busyMs(), 3);
+});
+
+test("each check refuses with its own code, and what is refused does not run", async () => {
+    const setup = await ready();
+    const { gate, attempt } = setup;
+    const record: QuarantineRecord = {
+        digest: attempt("poison").digest,
+        deaths: ["vm-1", "vm-2"].map(vm => ({ vm: vm as never, bootId: "b", atMs: 1 })),
+        expiresAtMs: setup.clock.wallMs() + 1_000_000,
+        liftedAtMs: undefined,
+    };
+    gate.offerQuarantine(1, [record]);
+    await gate.queryAttempt("late" as AttemptId);
+    const results: Record<string, string> = {
+        late: await run(setup, attempt("late")),
+        quarantined: await run(setup, attempt("poison")),
+        stale: await run(setup, attempt("stale", { minVersion: 2 })),
+        policy: await run(setup, attempt("policy", { policy: "other" })),
+        deadline: await run(setup, attempt("deadline", { budgetMs: 0 })),
+        first: await run(setup, attempt("twice", { fencing: 6 })),
+        fenced: await run(setup, attempt("fenced", { fencing: 5 })),
+        twice: await run(setup, attempt("twice", { fencing: 6 })),
+    };
+    gate.beginLeaving();
+    results["leaving"] = await run(setup, attempt("leaving"));
+    expect(results).toMatchInlineSnapshot(`
+      {
+        "deadline": "notRun deadlinePassed",
+        "fenced": "notRun fenced",
+        "first": "ran whole 64@1",
+        "late": "notRun tombstoned",
+        "leaving": "notRun leaving",
+        "policy": "notRun wrongPolicy",
+        "quarantined": "notRun quarantined",
+        "stale": "notRun staleWeights",
+        "twice": "unknown connectionBroken",
+      }
+    `);
+    expect([...setup.control.starts().keys()]).toEqual(["twice"]);
+    expect(setup.invariants.violations()).toBe(0);
+});
+
+test("a tombstone stops a late arrival", async () => {
+    // Symptom: a fetch goes out twice (19 March). Sequence: the connection breaks before the sidecar has read the
+    // request; the sender asks, hears "never seen", and runs it elsewhere; then the first message arrives.
+    // Cause: nothing remembers the answer that was given.
+    const setup = await ready();
+    const asked = await setup.gate.queryAttempt("a" as AttemptId);
+    expect(asked.state).toBe("neverSeen");
+    expect(await run(setup, setup.attempt("a"))).toBe("notRun tombstoned");
+    expect((await setup.gate.queryAttempt("a" as AttemptId)).state).toBe("neverSeen");
+    expect(setup.control.starts().size).toBe(0);
+});
+
+test("a sidecar that restarted does not vouch for its predecessor", async () => {
+    // Symptom: "not run" is said of something that ran. Sequence: the sidecar takes an attempt and dies; the new
+    // one knows nothing of it. Cause: its ignorance is taken for knowledge. The incarnation tells them apart.
+    const setup = await ready();
+    const held = start(setup, setup.attempt("a"));
+    await setup.clock.advance(100);
+    const { incarnation } = await setup.gate.queryAttempt("a" as AttemptId);
+    setup.gate.kill();
+    await setup.clock.advance(100);
+    expect(describeOutcome(held.outcome!)).toBe("unknown connectionBroken");
+    await expect(setup.gate.queryAttempt("a" as AttemptId)).rejects.toThrow("sidecarUnreachable");
+    expect(await run(setup, setup.attempt("b"))).toBe("notRun connectFailed");
+    const next = await ready({ sampler: "s1b" });
+    expect((await next.gate.queryAttempt("a" as AttemptId)).incarnation).toBeTypeOf("string");
+    expect(incarnation).toHaveLength(32);
+});
+
+test("an engine crash leaves its attempts unknown and their contents suspect", async () => {
+    // Symptom: one content kills engine after engine. Sequence: it is sent again under a new id each time.
+    // Cause: nobody connects the deaths. The gate names what was in flight, keyed by VM and engine incarnation.
+    const setup = await ready();
+    setup.control.killOn(request => request.attempt === "poison");
+    const poison = start(setup, setup.attempt("poison"));
+    const neighbour = start(setup, setup.attempt("neighbour"));
+    await setup.clock.advance(200);
+    expect([poison, neighbour].map(held => describeOutcome(held.outcome!))).toEqual([
+        "unknown engineCrashed",
+        "unknown engineCrashed",
+    ]);
+    const { state, suspects } = setup.gate.report();
+    expect(state).toBe("engineDown");
+    expect(suspects.map(suspect => [suspect.digest, suspect.deaths.length])).toEqual([
+        ["digest-poison", 1],
+        ["digest-neighbour", 1],
+    ]);
+    expect(await run(setup, setup.attempt("c"))).toBe("notRun engineDown");
+    // The neighbour is cleared by its next clean finish and is not punished.
+    setup.control.restart();
+    await setup.clock.advance(2_000);
+    expect(await run(setup, setup.attempt("again", { digest: "digest-neighbour" }))).toBe("ran whole 64@1");
+    expect(setup.gate.report().suspects.map(suspect => suspect.digest)).toEqual(["digest-poison"]);
+});
+
+test("a leaving sampler finishes what it has; a shutdown ends the rest truthfully at its deadline", async () => {
+    const setup = await ready({ engine: { maxBatch: 1, lengthOf: () => 400 } });
+    const short = start(setup, setup.attempt("short", { maxTokens: 32 }));
+    const waiting = start(setup, setup.attempt("waiting"));
+    await setup.clock.advance(10);
+    let stopped = false;
+    void setup.gate.shutdown(1_000).then(() => {
+        stopped = true;
+    });
+    await setup.clock.advance(600);
+    expect(describeOutcome(short.outcome!)).toBe("ran whole 32@1");
+    expect(describeOutcome(waiting.outcome!)).toBe("notRun shuttingDown");
+    expect(stopped).toBe(true);
+
+    const slow = await ready({ engine: { lengthOf: () => 400 } });
+    const long = start(slow, slow.attempt("long", { maxTokens: 400 }));
+    await slow.clock.advance(10);
+    void slow.gate.shutdown(1_000);
+    await slow.clock.advance(1_500);
+    expect(describeOutcome(long.outcome!)).toMatch(/^ran part \d+@1$/);
+    expect(setup.invariants.violations() + slow.invariants.violations()).toBe(0);
+});
+
+test("an older manifest or quarantine list never replaces a newer one", async () => {
+    const setup = await ready();
+    const manifest = { name: "m", teams: [], services: [], samplers: [], jobs: [], limits: {} } as never;
+    expect(setup.gate.offerManifest({ version: 4 as never, manifest })).toBe(true);
+    expect(setup.gate.offerManifest({ version: 3 as never, manifest })).toBe(false);
+    expect(setup.gate.offerManifest({ version: 4 as never, manifest })).toBe(false);
+    expect(setup.gate.report().configVersion).toBe(4);
+    expect(setup.gate.offerQuarantine(2, [])).toBe(true);
+    expect(setup.gate.offerQuarantine(1, [])).toBe(false);
+});
+
+test("a cancelled sample gives what was made, and resumes behind it elsewhere", async () => {
+    const setup = await ready();
+    const abort = new AbortController();
+    const held = start(setup, setup.attempt("a"), abort.signal);
+    await setup.clock.advance(300);
+    abort.abort();
+    await setup.clock.advance(10);
+    const outcome = held.outcome!;
+    expect(describeOutcome(outcome)).toMatch(/^ran part \d+@1$/);
+    const resume = outcome.kind === "ran" ? outcome.answer.spans : [];
+    const other = await ready();
+    expect(await run(other, other.attempt("b", { resume }))).toBe("ran whole 64@1");
+});
