--- /dev/null
+++ b/packages/gate/src/createOrderRunner.test.ts
@@ -0,0 +1,139 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { SampleAnswer } from "@auburnarch/types/SampleAnswer";
+import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import type { SamplerOrder } from "@auburnarch/types/SamplerOrder";
+import type { SamplerOrderResult } from "@auburnarch/types/SamplerOrderResult";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import { expect, test } from "vitest";
+import { createTestGate } from "./testing/createTestGate.js";
+
+type TestGate = ReturnType<typeof createTestGate>;
+
+const never = new AbortController().signal;
+
+async function ready(options: Parameters<typeof createTestGate>[0] = {}): Promise<TestGate> {
+    const setup = createTestGate(options);
+    await setup.clock.advance(1);
+    return setup;
+}
+
+async function finished<T>(setup: TestGate, promise: Promise<T>): Promise<T> {
+    let done = false;
+    void promise.finally(() => {
+        done = true;
+    });
+    await setup.clock.runUntil(() => done, 200_000);
+    return promise;
+}
+
+async function order(setup: TestGate, given: SamplerOrder): Promise<string> {
+    const result: SamplerOrderResult = await finished(setup, setup.gate.order(given));
+    return result.kind === "done" ? "done" : `${result.kind} ${result.code.name}`;
+}
+
+const run = (setup: TestGate, attempt: SampleAttempt): Promise<AttemptOutcome<SampleAnswer>> =>
+    setup.gate.runSample(attempt, () => {}, never);
+
+const versions = (outcome: AttemptOutcome<SampleAnswer>): string =>
+    outcome.kind === "ran"
+        ? outcome.answer.spans.map(span => span.version).join(",")
+        : `${outcome.kind} ${outcome.code.name}`;
+
+test("a sample that spans a swap names both versions", async () => {
+    const setup = await ready();
+    const first = await finished(setup, run(setup, setup.attempt("warm", { maxTokens: 8 })));
+    expect(versions(first)).toBe("1");
+    const sample = run(setup, setup.attempt("a"));
+    await setup.clock.advance(300);
+    const swap = order(setup, setup.load(2, 5));
+    expect(versions(await finished(setup, sample))).toBe("1,2");
+    expect(await swap).toBe("done");
+    expect(setup.gate.report().served).toEqual([{ policy: "plume", version: 2 }]);
+});
+
+test("an engine that stamps nothing is drained before its swap", async () => {
+    // Symptom: tokens of two versions under one name. Sequence: weights are swapped while a sample runs at an
+    // engine that does not say what made its chunks. Cause: nobody can tell later where the swap fell.
+    const setup = await ready({ engine: { statesFingerprint: false } });
+    const sample = run(setup, setup.attempt("a"));
+    await setup.clock.advance(200);
+    const swap = order(setup, setup.load(2, 5));
+    await setup.clock.advance(100);
+    const held = run(setup, setup.attempt("b"));
+    expect(versions(await finished(setup, sample))).toBe("1");
+    expect(await swap).toBe("done");
+    expect(versions(await finished(setup, held))).toBe("2");
+});
+
+test("a swap that fails half way stops new samples until the engine has said what it serves", async () => {
+    // Symptom: samples of weights that nobody ordered. Sequence: the load breaks off and leaves a third version.
+    // Cause: the sidecar goes on with the version it ordered, or with the old one.
+    const setup = await ready();
+    setup.control.failNextLoad(7 as WeightVersion);
+    expect(await order(setup, setup.load(2, 5))).toBe("unknown engineUnreachable");
+    await setup.clock.advance(1_500);
+    expect(setup.gate.report()).toMatchObject({ state: "ready", served: [{ version: 7 }] });
+    expect(setup.lines.some(line => line.includes("to=unknownVersion reason=swapUncertain"))).toBe(true);
+    expect(versions(await finished(setup, run(setup, setup.attempt("a"))))).toBe("7");
+});
+
+test("a sampler that restarts with old weights is fenced off within one heartbeat", async () => {
+    // Symptom: a trainer learns from stale policy versions for weeks (2 April). Sequence: the engine restarts from
+    // an old image, or a hand swaps weights at the machine, with no order of ours. Cause: nobody compares.
+    const setup = await ready();
+    expect(await order(setup, setup.load(3, 5))).toBe("done");
+    setup.control.crash();
+    setup.control.restart([{ policy: "plume" as PolicyId, version: 1 as WeightVersion }]);
+    await setup.clock.advance(1_000);
+    expect(setup.gate.report().served).toEqual([{ policy: "plume", version: 1 }]);
+    expect(setup.lines.filter(line => line.includes("servedVersionCorrected"))).toHaveLength(1);
+    const refused = await finished(setup, run(setup, setup.attempt("a", { minVersion: 2 })));
+    expect(versions(refused)).toBe("notRun staleWeights");
+});
+
+test.each([true, false])(
+    "weights swapped by hand never pass under another name (stamped %s)",
+    async stamped => {
+        const setup = await ready({ engine: { statesFingerprint: stamped } });
+        const sample = run(setup, setup.attempt("a"));
+        await setup.clock.advance(250);
+        setup.control.serveSilently("plume" as PolicyId, 9 as WeightVersion);
+        const outcome = versions(await finished(setup, sample));
+        expect(outcome).toBe(stamped ? "1,9" : "unknown incarnationChanged");
+        expect(setup.gate.report().served).toEqual([{ policy: "plume", version: 9 }]);
+    },
+);
+
+test("an owner that was replaced cannot order", async () => {
+    // Symptom: a sampler goes back to old weights. Sequence: an owner wakes from a pause and orders; the engine
+    // ignores fencing numbers. Cause: only the holder checks its lease. The gate refuses at the effect.
+    const setup = await ready({ engine: { honoursFencing: false } });
+    expect(await order(setup, setup.load(2, 6))).toBe("done");
+    expect(await order(setup, setup.load(3, 5))).toBe("refused fenced");
+    expect(await order(setup, setup.load(1, 6))).toBe("refused staleWeights");
+    expect(setup.control.loads().map(load => load.version)).toEqual([2]);
+});
+
+test("a sidecar just started refuses orders until it has read the job's number", async () => {
+    // Symptom: an old owner's order is carried out by a new sidecar. Sequence: the sidecar restarts and knows no
+    // number, the first order it gets is an old one. Cause: the first number seen is taken for the highest.
+    let storeUp = false;
+    const setup = await ready({
+        readFencing: async () => {
+            if (!storeUp) {
+                throw new ResultError(resultCodes.storeUnavailable);
+            }
+            return 6;
+        },
+    });
+    expect(await order(setup, setup.load(2, 5))).toBe("refused storeUnavailable");
+    storeUp = true;
+    expect(await order(setup, setup.load(2, 5))).toBe("refused fenced");
+    expect(await order(setup, setup.load(2, 6))).toBe("done");
+    // The gate learns the number once; the outage that follows stops nothing.
+    storeUp = false;
+    expect(await order(setup, setup.load(3, 6))).toBe("done");
+});
--- /dev/null
+++ b/packages/gate/src/createOrderRunner.ts
@@ -0,0 +1,135 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { EngineOrder } from "@auburnarch/types/EngineOrder";
+import type { EnginePort } from "@auburnarch/types/EnginePort";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import type { SamplerOrder } from "@auburnarch/types/SamplerOrder";
+import type { SamplerOrderResult } from "@auburnarch/types/SamplerOrderResult";
+import type { SamplerReport } from "@auburnarch/types/SamplerReport";
+import { match } from "ts-pattern";
+import { admitOrder } from "./admitOrder.js";
+import { beginOrder } from "./beginOrder.js";
+import { drainPolicy } from "./drainPolicy.js";
+import type { GateContext } from "./GateContext.js";
+import type { OrderOutcome } from "./OrderOutcome.js";
+import { refuseOrderNumber } from "./refuseOrderNumber.js";
+import type { ServedWeights } from "./ServedWeights.js";
+import { tellEngine } from "./tellEngine.js";
+
+type LoadOrder = Extract<EngineOrder, { kind: "load"; }>;
+
+const refused = (code: ResultCode): OrderOutcome => ({ kind: "refused", code });
+
+/** Makes `order` of a gate. Orders are carried out one after the other. */
+export function createOrderRunner(
+    context: GateContext,
+    engine: EnginePort,
+    weights: ServedWeights,
+    report: () => SamplerReport,
+): (order: SamplerOrder) => Promise<SamplerOrderResult> {
+    const { logger } = context.deps;
+    let last: Promise<unknown> = Promise.resolve();
+
+    async function refuseEngine(): Promise<ResultCode | undefined> {
+        if (weights.state() !== "ready") {
+            await weights.describe();
+        }
+        if (weights.state() === "ready") {
+            return undefined;
+        }
+        return weights.state() === "engineDown" ? resultCodes.engineDown : resultCodes.notReady;
+    }
+
+    async function carryOut(order: SamplerOrder): Promise<OrderOutcome> {
+        const refusal = await admitOrder(context, order) ?? await refuseEngine();
+        if (refusal !== undefined) {
+            return refused(refusal);
+        }
+        return match(order.order)
+            .with({ kind: "load" }, load => runLoad(order, load))
+            .with({ kind: "unload" }, { kind: "setRole" }, () => runSimple(order))
+            .exhaustive();
+    }
+
+    async function runSimple(order: SamplerOrder): Promise<OrderOutcome> {
+        const refusal = beginOrder(context, order);
+        if (refusal !== undefined) {
+            return refused(refusal);
+        }
+        const result = await tellEngine(context.deps, engine, order.order);
+        if (result.kind !== "refused") {
+            // What it serves has changed, or may have.
+            weights.doubt(order.order.kind);
+            await weights.describe();
+        }
+        return result;
+    }
+
+    async function runLoad(order: SamplerOrder, load: LoadOrder): Promise<OrderOutcome> {
+        const served = weights.versionOf(load.policy);
+        if (!context.guards.orderForward(served, load.version)) {
+            return refused(resultCodes.staleWeights);
+        }
+        if (served === load.version) {
+            context.fencing.raise(order.scope, load.fencing);
+            return { kind: "done" };
+        }
+        try {
+            await context.deps.weightStore(load.policy, load.version, load.location);
+        }
+        catch (error) {
+            return refused(codeOf(error));
+        }
+        // The download may have taken long; owner and engine may be others by now.
+        const late = refuseOrderNumber(context, order) ?? await refuseEngine();
+        return late === undefined ? swap(order, load) : refused(late);
+    }
+
+    async function swap(order: SamplerOrder, load: LoadOrder): Promise<OrderOutcome> {
+        weights.beginSwap(load.policy, load.version);
+        if (weights.stampsChunks() !== true) {
+            context.slots.hold(load.policy);
+            await drainPolicy(context, load.policy);
+        }
+        const refusal = beginOrder(context, order);
+        const result = refusal === undefined
+            ? await tellEngine(context.deps, engine, order.order)
+            : refused(refusal);
+        await settle(result);
+        context.slots.resume(load.policy);
+        return result;
+    }
+
+    async function settle(result: OrderOutcome): Promise<void> {
+        // The engine may have died or contradicted itself meanwhile; that verdict stands.
+        if (weights.state() === "swapping") {
+            if (result.kind === "unknown") {
+                weights.doubt("swapUncertain");
+            }
+            else {
+                weights.endSwap(result.kind === "done");
+            }
+        }
+        await weights.describe();
+    }
+
+    async function runLogged(order: SamplerOrder): Promise<SamplerOrderResult> {
+        const result = await carryOut(order);
+        logger.info("orderEnded", {
+            job: order.scope,
+            order: order.order.kind,
+            version: order.order.kind === "load" ? order.order.version : undefined,
+            fencing: order.order.fencing,
+            result: result.kind,
+            code: result.kind === "done" ? undefined : result.code.number,
+            state: weights.state(),
+        });
+        return result.kind === "unknown" ? result : { ...result, report: report() };
+    }
+
+    return order => {
+        const run = last.then(() => runLogged(order));
+        last = run.catch(() => undefined);
+        return run;
+    };
+}
--- /dev/null
+++ b/packages/gate/src/createPlainHandler.ts
@@ -0,0 +1,142 @@
+import { pipeBody } from "@auburnarch/collect/pipeBody";
+import { readRequest } from "@auburnarch/collect/readRequest";
+import { responseSink } from "@auburnarch/collect/responseSink";
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { passHeaders } from "@auburnarch/send/passHeaders";
+import { sidecarHeaders } from "@auburnarch/send/sidecarHeaders";
+import { writeHeaders } from "@auburnarch/send/writeHeaders";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
+import type { PlainRequest } from "@auburnarch/types/PlainRequest";
+import type { ServiceId } from "@auburnarch/types/ServiceId";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Gate } from "./Gate.js";
+import { writeFault } from "./writeFault.js";
+
+interface PlainHandlerDeps {
+    gate: Gate;
+    clock: Clock;
+    incarnation: IncarnationId;
+    maxBodyBytes: number;
+}
+
+/** Tokens are joined for this long; a reader sees no difference, and an entry handles a fraction of the frames. */
+const eventHoldMs = 40;
+const prefix = "/plain";
+const maxBudgetMs = 3_600_000;
+const maxNameChars = 512;
+
+/** Makes the handler of interactive and plain requests: headers in, headers out, bodies as they are. */
+export function createPlainHandler(
+    deps: PlainHandlerDeps,
+): (request: IncomingMessage, response: ServerResponse) => void {
+    const { gate, clock, incarnation } = deps;
+
+    async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const plain = readHead(request);
+        if (typeof plain === "string") {
+            writeFault(response, incarnation, resultCodes.badRequest, plain);
+            return;
+        }
+        try {
+            plain.body = await readRequest(request, deps.maxBodyBytes);
+        }
+        catch (error) {
+            writeFault(response, incarnation, codeOf(error), "body");
+            return;
+        }
+        const abort = new AbortController();
+        response.once("close", () => {
+            // An abort costs an exception with its stack; most connections close after a whole answer.
+            if (!response.writableFinished) {
+                abort.abort();
+            }
+        });
+        const outcome = await gate.callPlain(plain, abort.signal);
+        if (response.destroyed) {
+            return;
+        }
+        if (outcome.kind === "ran") {
+            await writeAnswer(response, outcome.answer);
+        }
+        else {
+            writeRefusal(response, outcome);
+        }
+    }
+
+    async function writeAnswer(response: ServerResponse, answer: PlainAnswer): Promise<void> {
+        const streamed = answer.headers["content-type"]?.startsWith("text/event-stream") ?? false;
+        const sink = responseSink(response, answer.status, {
+            ...writeHeaders(answer.headers),
+            [sidecarHeaders.outcome]: "ran",
+            [sidecarHeaders.incarnation]: incarnation,
+        });
+        try {
+            await pipeBody(clock, answer.body, sink, streamed ? eventHoldMs : undefined);
+        }
+        catch {
+            // The sender must see a broken connection, never a whole answer.
+            response.destroy();
+        }
+    }
+
+    function writeRefusal(
+        response: ServerResponse,
+        outcome: Exclude<AttemptOutcome<PlainAnswer>, { kind: "ran"; }>,
+    ): void {
+        const headers: Record<string, string> = {
+            "content-length": "0",
+            [sidecarHeaders.outcome]: outcome.kind,
+            [sidecarHeaders.code]: String(outcome.code.number),
+            [sidecarHeaders.incarnation]: incarnation,
+        };
+        if (outcome.kind === "notRun" && outcome.retryAfterMs !== undefined) {
+            headers[sidecarHeaders.retryAfterMs] = String(outcome.retryAfterMs);
+        }
+        response.writeHead(outcome.code.httpStatus, headers);
+        response.end();
+    }
+
+    return (request, response) => {
+        handle(request, response).catch(() => response.destroy());
+    };
+}
+
+/** A plain request without its body, or a sentence naming the fault. */
+function readHead(request: IncomingMessage): PlainRequest | string {
+    const { headers } = request;
+    const attempt = nameOf(headers[sidecarHeaders.attempt]);
+    const service = nameOf(headers[sidecarHeaders.service]);
+    const team = nameOf(headers[sidecarHeaders.team]);
+    const digest = nameOf(headers[sidecarHeaders.digest]);
+    const budgetMs = Number(headers[sidecarHeaders.budgetMs]);
+    if (attempt === undefined || service === undefined || team === undefined || digest === undefined) {
+        return `headers ${sidecarHeaders.attempt}, -service, -team and -digest are needed`;
+    }
+    if (!Number.isFinite(budgetMs) || budgetMs > maxBudgetMs) {
+        return `header ${sidecarHeaders.budgetMs} is not a number of milliseconds up to ${maxBudgetMs}`;
+    }
+    return {
+        attempt: attempt as AttemptId,
+        service: service as ServiceId,
+        team: team as TeamId,
+        digest: digest as ContentDigest,
+        budgetMs,
+        idempotent: headers[sidecarHeaders.idempotent] === "1",
+        method: request.method ?? "GET",
+        path: (request.url ?? "").slice(prefix.length),
+        headers: passHeaders(headers),
+        body: new Uint8Array(0),
+    };
+}
+
+function nameOf(value: string | string[] | undefined): string | undefined {
+    const known = typeof value === "string" && value.length > 0 && value.length <= maxNameChars;
+    return known ? value : undefined;
+}
--- /dev/null
+++ b/packages/gate/src/createRpcHandler.ts
@@ -0,0 +1,85 @@
+import { readRequest } from "@auburnarch/collect/readRequest";
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import { samplerOrderSchema } from "@auburnarch/send/samplerOrderSchema";
+import { sidecarHeaders } from "@auburnarch/send/sidecarHeaders";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import { createJSONRPCErrorResponse, type JSONRPCID, JSONRPCServer } from "json-rpc-2.0";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { z } from "zod";
+import { describeFault } from "./describeFault.js";
+import type { Gate } from "./Gate.js";
+import { writeFault } from "./writeFault.js";
+
+interface RpcHandlerDeps {
+    gate: Gate;
+    incarnation: IncarnationId;
+    cancelSample: (attempt: AttemptId) => boolean;
+}
+
+const maxRpcBytes = 262_144;
+const maxBatchedCalls = 1;
+const attemptParams = z.strictObject({ attempt: z.string().min(1).max(512) });
+
+/** Makes the handler of JSON-RPC calls: `queryAttempt`, `cancelSample`, `order`, `readReport`, `readUsage`. */
+export function createRpcHandler(
+    deps: RpcHandlerDeps,
+): (request: IncomingMessage, response: ServerResponse) => void {
+    const { incarnation } = deps;
+    const server = createServerOf(deps);
+
+    async function answer(request: IncomingMessage): Promise<string> {
+        const body = await readRequest(request, maxRpcBytes);
+        const message: unknown = JSON.parse(Buffer.from(body).toString("utf8"));
+        if (Array.isArray(message) && message.length > maxBatchedCalls) {
+            throw new ResultError(resultCodes.badRequest, "one call a message");
+        }
+        const answered = await server.receive(message as Parameters<typeof server.receive>[0]);
+        return JSON.stringify(answered ?? {});
+    }
+
+    async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        try {
+            const body = Buffer.from(await answer(request));
+            response.writeHead(200, {
+                "content-type": "application/json",
+                "content-length": body.length,
+                [sidecarHeaders.incarnation]: incarnation,
+            });
+            response.end(body);
+        }
+        catch (error) {
+            const code = codeOf(error);
+            const known = code === resultCodes.internal ? resultCodes.badRequest : code;
+            writeFault(response, incarnation, known, describeFault(error));
+        }
+    }
+
+    return (request, response) => {
+        handle(request, response).catch(() => response.destroy());
+    };
+}
+
+function createServerOf(deps: RpcHandlerDeps): JSONRPCServer {
+    const { gate } = deps;
+    const server = new JSONRPCServer({ errorListener: () => {} });
+    server.mapErrorToJSONRPCErrorResponse = (id: JSONRPCID, error: unknown) => {
+        const code = error instanceof z.ZodError ? resultCodes.badRequest : codeOf(error);
+        return createJSONRPCErrorResponse(id, code.number, `${code.name}: ${describeFault(error)}`);
+    };
+    server.addMethod("queryAttempt", params => gate.queryAttempt(attemptOf(params)));
+    server.addMethod("cancelSample", params => ({ cancelled: deps.cancelSample(attemptOf(params)) }));
+    server.addMethod("readReport", () => gate.readReport());
+    server.addMethod("readUsage", () => gate.readUsage());
+    server.addMethod("order", async params => {
+        const result = await gate.order(samplerOrderSchema.parse(params));
+        return result.kind === "done" ? result : { ...result, code: result.code.number };
+    });
+    return server;
+}
+
+function attemptOf(params: unknown): AttemptId {
+    return attemptParams.parse(params).attempt as AttemptId;
+}
--- /dev/null
+++ b/packages/gate/src/createSampleHandler.ts
@@ -0,0 +1,151 @@
+import { readRequest } from "@auburnarch/collect/readRequest";
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { sampleAttemptSchema } from "@auburnarch/send/sampleAttemptSchema";
+import { sidecarHeaders } from "@auburnarch/send/sidecarHeaders";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { SampleAnswer } from "@auburnarch/types/SampleAnswer";
+import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { describeFault } from "./describeFault.js";
+import type { Gate } from "./Gate.js";
+import { writeFault } from "./writeFault.js";
+
+interface SampleHandlerDeps {
+    gate: Gate;
+    clock: Clock;
+    incarnation: IncarnationId;
+    maxBodyBytes: number;
+}
+
+interface SampleHandler {
+    handle(request: IncomingMessage, response: ServerResponse): void;
+    /** Ends a running attempt; its stream goes on to the outcome with what was made. */
+    cancel(attempt: AttemptId): boolean;
+}
+
+/** Spans of this long are written together; nobody reads a rollout token by token. */
+const flushIntervalMs = 20;
+
+/** Makes the handler of samples: a line of JSON for each span, neighbours of one version joined, and the outcome. */
+export function createSampleHandler(deps: SampleHandlerDeps): SampleHandler {
+    const { gate, incarnation } = deps;
+    const aborts = new Map<AttemptId, AbortController>();
+
+    async function readAttempt(request: IncomingMessage): Promise<SampleAttempt> {
+        const body = await readRequest(request, deps.maxBodyBytes);
+        return sampleAttemptSchema.parse(JSON.parse(Buffer.from(body).toString("utf8")));
+    }
+
+    async function run(attempt: SampleAttempt, response: ServerResponse): Promise<void> {
+        const abort = new AbortController();
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                abort.abort();
+            }
+        });
+        // A repeated id is refused by the gate and must not take the first one's place here.
+        const isFirst = !aborts.has(attempt.attempt);
+        if (isFirst) {
+            aborts.set(attempt.attempt, abort);
+        }
+        response.writeHead(200, {
+            "content-type": "application/x-ndjson",
+            [sidecarHeaders.incarnation]: incarnation,
+        });
+        const writer = createSpanWriter(deps.clock, response);
+        const outcome = await gate.runSample(attempt, writer.add, abort.signal);
+        if (isFirst) {
+            aborts.delete(attempt.attempt);
+        }
+        if (!response.destroyed) {
+            writer.flush();
+            response.end(`${JSON.stringify(outcomeLine(outcome, writer))}\n`);
+        }
+    }
+
+    async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        let attempt: SampleAttempt;
+        try {
+            attempt = await readAttempt(request);
+        }
+        catch (error) {
+            const code = codeOf(error);
+            const known = code === resultCodes.internal ? resultCodes.badRequest : code;
+            writeFault(response, incarnation, known, describeFault(error));
+            return;
+        }
+        await run(attempt, response);
+    }
+
+    return {
+        handle: (request, response) => {
+            handle(request, response).catch(() => response.destroy());
+        },
+        cancel: attempt => {
+            const abort = aborts.get(attempt);
+            abort?.abort();
+            return abort !== undefined;
+        },
+    };
+}
+
+interface SpanWriter {
+    add(span: TokenSpan): void;
+    flush(): void;
+    spans(): number;
+    tokens(): number;
+}
+
+function createSpanWriter(clock: Clock, response: ServerResponse): SpanWriter {
+    let held: TokenSpan | undefined;
+    let cancelTimer: (() => void) | undefined;
+    let spans = 0;
+    let tokens = 0;
+
+    function flush(): void {
+        cancelTimer?.();
+        cancelTimer = undefined;
+        if (held !== undefined && !response.destroyed) {
+            spans++;
+            tokens += held.tokens;
+            response.write(`${JSON.stringify({ kind: "span", ...held })}\n`);
+            held = undefined;
+        }
+    }
+
+    return {
+        add: span => {
+            if (held !== undefined && held.version !== span.version) {
+                flush();
+            }
+            held = held === undefined
+                ? { ...span }
+                : { ...held, tokens: held.tokens + span.tokens, text: held.text + span.text };
+            cancelTimer ??= clock.startTimer(flushIntervalMs, flush);
+        },
+        flush,
+        spans: () => spans,
+        tokens: () => tokens,
+    };
+}
+
+function outcomeLine(outcome: AttemptOutcome<SampleAnswer>, writer: SpanWriter): Record<string, unknown> {
+    if (outcome.kind !== "ran") {
+        return { ...outcome, code: outcome.code.number };
+    }
+    const { sampler, complete, engineMs, cachedPromptTokens } = outcome.answer;
+    return {
+        kind: "ran",
+        sampler,
+        complete,
+        engineMs,
+        cachedPromptTokens,
+        streamedSpans: writer.spans(),
+        streamedTokens: writer.tokens(),
+    };
+}
--- /dev/null
+++ b/packages/gate/src/createSampleRunner.ts
@@ -0,0 +1,163 @@
+import { countTokens } from "@auburnarch/collect/countTokens";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { EnginePort } from "@auburnarch/types/EnginePort";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import type { SampleAnswer } from "@auburnarch/types/SampleAnswer";
+import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import { checkStart } from "./checkStart.js";
+import { concludeSample } from "./concludeSample.js";
+import { createWorkAbort } from "./createWorkAbort.js";
+import { expectedEngineMs } from "./expectedEngineMs.js";
+import type { GateContext } from "./GateContext.js";
+import type { GenerationEnd } from "./GenerationEnd.js";
+import { refusalOutcome } from "./refusalOutcome.js";
+import { refuseCommon } from "./refuseCommon.js";
+import { refuseQueue } from "./refuseQueue.js";
+import { refuseSample } from "./refuseSample.js";
+import { runGeneration } from "./runGeneration.js";
+import type { ServedWeights } from "./ServedWeights.js";
+import type { Slot } from "./Slot.js";
+import type { WorkAbort } from "./WorkAbort.js";
+
+type Outcome = AttemptOutcome<SampleAnswer>;
+
+/** Makes `runSample` of a gate: checks, queue, engine, stamped answer. */
+export function createSampleRunner(
+    context: GateContext,
+    engine: EnginePort | undefined,
+    weights: ServedWeights | undefined,
+): SidecarPort["runSample"] {
+    const { clock, logger, metrics, invariants } = context.deps;
+
+    function refuse(attempt: SampleAttempt, code: ResultCode): Outcome {
+        const fields = {
+            attempt: attempt.attempt,
+            sample: attempt.sample,
+            code: code.number,
+            reason: code.name,
+        };
+        logger.info("sampleRefused", { ...fields, job: attempt.job, waiting: context.slots.waiting() });
+        metrics.count("gate_attempts_total", { kind: "sample", outcome: code.name });
+        return refusalOutcome(code);
+    }
+
+    /** Ends an attempt that was taken but did not start. */
+    function refuseStarted(attempt: SampleAttempt, code: ResultCode): Outcome {
+        context.attempts.refuse(attempt.attempt);
+        return refuse(attempt, code);
+    }
+
+    async function runSample(
+        attempt: SampleAttempt,
+        onSpan: (span: TokenSpan) => void,
+        signal: AbortSignal,
+    ): Promise<Outcome> {
+        const refusal = refuseCommon(context, attempt) ?? refuseSample(context, attempt)
+            ?? refuseQueue(context, attempt);
+        if (refusal !== undefined) {
+            if (context.attempts.standing(attempt.attempt) === undefined) {
+                context.attempts.refuse(attempt.attempt);
+            }
+            return refuse(attempt, refusal);
+        }
+        checkStart(context, attempt.attempt);
+        const highest = context.fencing.highest(attempt.job);
+        const forward = highest === undefined || attempt.fencing >= highest;
+        const fields = { attempt: attempt.attempt, fencing: attempt.fencing, highest };
+        invariants.check(resultCodes.fencingWentBack, forward, fields);
+        context.fencing.raise(attempt.job, attempt.fencing);
+        context.attempts.start(attempt.attempt);
+        const work = createWorkAbort({ clock, caller: signal, inFlight: context.inFlight });
+        try {
+            return await waitAndRun(attempt, onSpan, work);
+        }
+        finally {
+            work.dispose();
+        }
+    }
+
+    async function waitAndRun(
+        attempt: SampleAttempt,
+        onSpan: (span: TokenSpan) => void,
+        work: WorkAbort,
+    ): Promise<Outcome> {
+        const grant = await context.slots.acquire({
+            team: attempt.team,
+            priority: attempt.priority,
+            costMs: expectedEngineMs(context, attempt),
+            budgetMs: attempt.budgetMs,
+            policy: attempt.policy,
+            preempt: work.abort,
+            signal: work.signal,
+        });
+        if (grant.kind === "refused") {
+            return refuseStarted(attempt, grant.code);
+        }
+        // While it waited the weights, the owner or the quarantine list may have changed.
+        const late = refuseSample(context, attempt) ?? refuseQuarantined(attempt);
+        if (late !== undefined) {
+            grant.slot.release(0);
+            return refuseStarted(attempt, late);
+        }
+        work.expireAfter(attempt.budgetMs - grant.slot.waitedMs, () => {});
+        return runAtEngine(attempt, onSpan, work.signal, grant.slot);
+    }
+
+    function refuseQuarantined(attempt: SampleAttempt): ResultCode | undefined {
+        const passes = context.guards.quarantine(context.quarantine.deadVms(attempt.digest));
+        return passes ? undefined : resultCodes.quarantined;
+    }
+
+    async function runAtEngine(
+        attempt: SampleAttempt,
+        onSpan: (span: TokenSpan) => void,
+        signal: AbortSignal,
+        slot: Slot,
+    ): Promise<Outcome> {
+        logger.info("sampleStarted", {
+            attempt: attempt.attempt,
+            sample: attempt.sample,
+            team: attempt.team,
+            priority: attempt.priority,
+            waitedMs: Math.round(slot.waitedMs),
+            running: slot.runningBeside + 1,
+            limit: context.limit.current(),
+            waiting: context.slots.waiting(),
+            version: weights!.versionOf(attempt.policy),
+        });
+        const end = await runGeneration(context, {
+            engine: engine!,
+            weights: weights!,
+            request: {
+                attempt: attempt.attempt,
+                policy: attempt.policy,
+                prompt: attempt.prompt,
+                resumeText: attempt.resume.map(span => span.text).join(""),
+                resumeTokens: countTokens(attempt.resume),
+                maxTokens: attempt.maxTokens,
+                priority: attempt.priority,
+                seed: attempt.seed,
+            },
+            digest: attempt.digest,
+            resume: attempt.resume,
+            onSpan,
+            signal,
+        });
+        return conclude(attempt, end, slot);
+    }
+
+    function conclude(attempt: SampleAttempt, end: GenerationEnd, slot: Slot): Outcome {
+        if (end.kind === "rejected") {
+            slot.release(0);
+            return refuseStarted(attempt, end.code);
+        }
+        slot.release(end.engineMs);
+        context.attempts.finish(attempt.attempt);
+        return concludeSample(context, attempt, end);
+    }
+
+    return runSample;
+}
--- /dev/null
+++ b/packages/gate/src/createSuspects.ts
@@ -0,0 +1,83 @@
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { VmId } from "@auburnarch/types/VmId";
+import type { Suspects } from "./Suspects.js";
+
+interface SuspectsDeps {
+    vm: VmId;
+    nowMs: () => number;
+}
+
+interface Suspicion {
+    bootIds: Set<string>;
+    lastMs: number;
+}
+
+/** Long enough for every entry to hear of it in reports; then the quarantine list remembers. */
+const suspicionMemoryMs = 3_600_000;
+const maxSuspects = 1_000;
+
+/**
+ * Makes the list. A death is keyed by VM and engine incarnation, so that several broken attempts of one death
+ * count as one; conviction needs deaths on two VMs and is not decided here.
+ */
+export function createSuspects(deps: SuspectsDeps): Suspects {
+    const inFlight = new Map<ContentDigest, number>();
+    const suspicions = new Map<ContentDigest, Suspicion>();
+
+    function leave(digest: ContentDigest): void {
+        const count = (inFlight.get(digest) ?? 1) - 1;
+        if (count <= 0) {
+            inFlight.delete(digest);
+        }
+        else {
+            inFlight.set(digest, count);
+        }
+    }
+
+    function dropExpired(): void {
+        for (const [digest, suspicion] of suspicions) {
+            if (suspicion.lastMs + suspicionMemoryMs < deps.nowMs() || suspicions.size > maxSuspects) {
+                suspicions.delete(digest);
+            }
+        }
+    }
+
+    function suspect(digest: ContentDigest, bootId: string): void {
+        const suspicion = suspicions.get(digest) ?? { bootIds: new Set(), lastMs: 0 };
+        suspicion.bootIds.add(bootId);
+        suspicion.lastMs = deps.nowMs();
+        suspicions.delete(digest);
+        suspicions.set(digest, suspicion);
+    }
+
+    return {
+        enter: digest => {
+            inFlight.set(digest, (inFlight.get(digest) ?? 0) + 1);
+            let left = false;
+            return () => {
+                if (!left) {
+                    left = true;
+                    leave(digest);
+                }
+            };
+        },
+        noteDeath: bootId => {
+            for (const digest of inFlight.keys()) {
+                suspect(digest, bootId);
+            }
+            dropExpired();
+        },
+        accuse: (digest, bootId) => {
+            suspect(digest, bootId);
+            dropExpired();
+        },
+        clear: digest => void suspicions.delete(digest),
+        list: () => {
+            dropExpired();
+            return [...suspicions].map(([digest, suspicion]) => ({
+                digest,
+                deaths: [...suspicion.bootIds].map(bootId => ({ vm: deps.vm, bootId })),
+            }));
+        },
+    };
+}
--- /dev/null
+++ b/packages/gate/src/createWorkAbort.ts
@@ -0,0 +1,38 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import type { WorkAbort } from "./WorkAbort.js";
+
+interface WorkAbortDeps {
+    clock: Clock;
+    /** The caller's signal. */
+    caller: AbortSignal;
+    /** All work in flight at the gate, ended together by a kill or at a shutdown's deadline. */
+    inFlight: Set<WorkAbort>;
+}
+
+/** Makes the signal of one piece of work and enters it as in flight until it is disposed of. */
+export function createWorkAbort(deps: WorkAbortDeps): WorkAbort {
+    const controller = new AbortController();
+    const abort = (): void => controller.abort();
+    let cancelTimer = (): void => {};
+    const work: WorkAbort = {
+        signal: controller.signal,
+        abort,
+        expireAfter: (leftMs, onExpired) => {
+            cancelTimer = deps.clock.startTimer(leftMs, () => {
+                onExpired();
+                abort();
+            });
+        },
+        dispose: () => {
+            cancelTimer();
+            deps.caller.removeEventListener("abort", abort);
+            deps.inFlight.delete(work);
+        },
+    };
+    if (deps.caller.aborted) {
+        abort();
+    }
+    deps.caller.addEventListener("abort", abort, { once: true });
+    deps.inFlight.add(work);
+    return work;
+}
--- /dev/null
+++ b/packages/gate/src/defaultGateGuards.ts
@@ -0,0 +1,23 @@
+import type { GateGuards } from "./GateGuards.js";
+
+/** Deaths on this many different VMs put a content under quarantine. */
+const quarantineVms = 2;
+
+/** The guards in force outside the fault bench. */
+export const defaultGateGuards: GateGuards = {
+    tombstone: standing => standing !== "tombstone" && standing !== "refused",
+    duplicate: standing => standing !== "running" && standing !== "finished",
+    leaving: isLeaving => !isLeaving,
+    shuttingDown: isShuttingDown => !isShuttingDown,
+    quarantine: deadVms => deadVms < quarantineVms,
+    fencing: (highest, given) => highest === undefined || given >= highest,
+    fencingLearned: isLearned => isLearned,
+    versionKnown: isKnown => isKnown,
+    minVersion: (served, least) => served >= least,
+    deadline: leftMs => leftMs > 0,
+    queueBound: (waiting, bound) => waiting < bound,
+    provenance: isExpected => isExpected,
+    swapDrained: running => running === 0,
+    orderForward: (served, ordered) => served === undefined || ordered >= served,
+    configForward: (present, offered) => offered > present,
+};
--- /dev/null
+++ b/packages/gate/src/drainPolicy.ts
@@ -0,0 +1,34 @@
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { GateContext } from "./GateContext.js";
+
+/** Running unstamped samples get this long to finish before a swap cancels them; what they made is kept. */
+const drainTimeoutMs = 20_000;
+
+/**
+ * Resolves once nothing of the policy runs; the caller holds back new work. An engine that does not stamp its
+ * chunks would otherwise swap in the middle of a sample, and nobody could say later which tokens came before.
+ */
+export async function drainPolicy(context: GateContext, policy: PolicyId): Promise<void> {
+    if (context.guards.swapDrained(context.slots.runningOf(policy))) {
+        return;
+    }
+    await new Promise<void>(resolve => {
+        const cancelTimer = context.deps.clock.startTimer(
+            drainTimeoutMs,
+            () => cancelRunning(context, policy),
+        );
+        context.slots.onDrained(policy, () => {
+            cancelTimer();
+            resolve();
+        });
+    });
+}
+
+function cancelRunning(context: GateContext, policy: PolicyId): void {
+    context.deps.logger.warn("swapDrainTimeout", { policy, running: context.slots.runningOf(policy) });
+    for (const generation of context.generations) {
+        if (generation.policy === policy) {
+            generation.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/packages/gate/src/expectedEngineMs.ts
@@ -0,0 +1,17 @@
+import { countTokens } from "@auburnarch/collect/countTokens";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import type { GateContext } from "./GateContext.js";
+
+/** Most requests end long before their token limit; the true cost replaces this guess afterwards. */
+const mostExpectedTokens = 512;
+
+/** Engine time that a generation is charged in advance: its tokens at the engine's speed, shared by the batch. */
+export function expectedEngineMs(
+    context: GateContext,
+    work: { maxTokens: number; resume: TokenSpan[]; },
+): number {
+    const left = Math.max(1, work.maxTokens - countTokens(work.resume));
+    const tokensPerSecond = Math.max(1, context.weights?.description()?.tokensPerSecond ?? 1);
+    const beside = Math.max(1, context.slots.running());
+    return Math.min(left, mostExpectedTokens) * 1_000 / tokensPerSecond / beside;
+}
--- /dev/null
+++ b/packages/gate/src/refuseQueue.ts
@@ -0,0 +1,17 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import type { GateContext } from "./GateContext.js";
+
+/** The last checks before work is queued: deadline, then the bound of the team's queue. */
+export function refuseQueue(
+    context: GateContext,
+    work: { team: TeamId; budgetMs: number; },
+): ResultCode | undefined {
+    const { guards, slots } = context;
+    if (!guards.deadline(work.budgetMs)) {
+        return resultCodes.deadlinePassed;
+    }
+    const bound = context.limits().maxQueuedPerTeam;
+    return guards.queueBound(slots.waitingOf(work.team), bound) ? undefined : resultCodes.queueFull;
+}
--- /dev/null
+++ b/packages/gate/src/refuseSample.ts
@@ -0,0 +1,26 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import type { GateContext } from "./GateContext.js";
+
+/** The checks of a sample that may change while it waits: fencing, served policy, least version. */
+export function refuseSample(context: GateContext, attempt: SampleAttempt): ResultCode | undefined {
+    const { guards, weights } = context;
+    if (!guards.fencing(context.fencing.highest(attempt.job), attempt.fencing)) {
+        return resultCodes.fenced;
+    }
+    if (weights === undefined) {
+        return resultCodes.wrongPolicy;
+    }
+    if (weights.state() === "engineDown") {
+        return resultCodes.engineDown;
+    }
+    if (!guards.versionKnown(weights.state() !== "unknownVersion")) {
+        return resultCodes.notReady;
+    }
+    const served = weights.versionOf(attempt.policy);
+    if (served === undefined) {
+        return resultCodes.wrongPolicy;
+    }
+    return guards.minVersion(served, attempt.minVersion) ? undefined : resultCodes.staleWeights;
+}
--- /dev/null
+++ b/packages/gate/src/serveGate.test.ts
@@ -0,0 +1,303 @@
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createSystemClock } from "@auburnarch/clock/createSystemClock";
+import { createFakeEngine } from "@auburnarch/fakes/createFakeEngine";
+import { createFakePlainService } from "@auburnarch/fakes/createFakePlainService";
+import { createInvariants } from "@auburnarch/invariants/createInvariants";
+import { createLogger } from "@auburnarch/log/createLogger";
+import { createMetrics } from "@auburnarch/metrics/createMetrics";
+import { createHttpSidecar } from "@auburnarch/send/createHttpSidecar";
+import type { HttpSidecar } from "@auburnarch/send/HttpSidecar";
+import { readWhole } from "@auburnarch/send/readWhole";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { EnginePort } from "@auburnarch/types/EnginePort";
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import type { PlainBackend } from "@auburnarch/types/PlainBackend";
+import type { PlainRequest } from "@auburnarch/types/PlainRequest";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import fc from "fast-check";
+import { connect, createServer, type Socket } from "node:net";
+import { afterEach, expect, test } from "vitest";
+import { createGate } from "./createGate.js";
+import type { Gate } from "./Gate.js";
+import { serveGate } from "./serveGate.js";
+import { createTestGate } from "./testing/createTestGate.js";
+
+const never = new AbortController().signal;
+const clock = createSystemClock();
+const cleanups: (() => Promise<void> | void)[] = [];
+
+afterEach(async () => {
+    for (const cleanup of cleanups.splice(0).reverse()) {
+        await cleanup();
+    }
+});
+
+interface Setup {
+    gate: Gate;
+    port: number;
+    sidecar: HttpSidecar;
+    close: (graceful: boolean) => Promise<void>;
+}
+
+async function serve(engine: EnginePort | undefined, backend: PlainBackend | undefined): Promise<Setup> {
+    const logger = createLogger(clock, () => {});
+    const identity = createTestGate().gate.report();
+    const gate = createGate({
+        identity,
+        clock,
+        random: createRandom(3),
+        logger,
+        metrics: createMetrics(),
+        invariants: createInvariants(logger, () => {}),
+        engine,
+        backend,
+        weightStore: async () => {},
+        readFencing: async () => 5 as FencingNumber,
+    });
+    const served = await serveGate(gate, { port: 0, host: "127.0.0.1", clock, logger, maxBodyBytes: 65_536 });
+    const sidecar = createHttpSidecar({ address: `http://127.0.0.1:${served.port}`, clock });
+    cleanups.push(() => gate.kill(), () => served.close(false), () => sidecar.close());
+    return { gate, port: served.port, sidecar, close: served.close };
+}
+
+function fastEngine(): ReturnType<typeof createFakeEngine> {
+    return createFakeEngine({
+        clock,
+        random: createRandom(4),
+        served: [{ policy: "plume" as never, version: 1 as never }],
+        tokensPerSecond: 2_000,
+        chunkMs: 5,
+        swapMs: 5,
+        lengthOf: () => 64,
+    });
+}
+
+let requests = 0;
+const plainRequest = (overrides: Partial<PlainRequest> = {}): PlainRequest => ({
+    attempt: `request-${requests++}` as AttemptId,
+    service: "tiles" as PlainRequest["service"],
+    team: "team" as PlainRequest["team"],
+    method: "POST",
+    path: "/tile?x=1",
+    headers: { "content-type": "text/plain" },
+    body: Buffer.from("body"),
+    idempotent: true,
+    digest: "d" as PlainRequest["digest"],
+    budgetMs: 10_000,
+    ...overrides,
+});
+
+test("a sample over HTTP is the same as in process: spans stream, outcome, usage and report follow", async () => {
+    const { gate, sidecar } = await serve(fastEngine().engine, undefined);
+    const { attempt, load } = createTestGate();
+    const streamed: TokenSpan[] = [];
+    const outcome = await sidecar.runSample(attempt("a"), span => streamed.push(span), never);
+    expect(outcome).toMatchObject({
+        kind: "ran",
+        answer: { complete: true, spans: [{ version: 1, tokens: 64 }] },
+    });
+    const text = streamed.map(span => span.text).join("");
+    expect(outcome).toMatchObject({ answer: { spans: [{ text }] } });
+    expect(await sidecar.order(load(2, 5))).toMatchObject({ kind: "done" });
+    expect(await sidecar.order(load(3, 4))).toMatchObject({ kind: "refused", code: { name: "fenced" } });
+    expect(await sidecar.runSample(attempt("b", { minVersion: 9 }), () => {}, never))
+        .toMatchObject({ kind: "notRun", code: { name: "staleWeights" } });
+    expect(await sidecar.readUsage()).toEqual(await gate.readUsage());
+    expect(await sidecar.readReport()).toMatchObject({ state: "ready", served: [{ version: 2 }] });
+    expect(await sidecar.queryAttempt("a" as AttemptId)).toMatchObject({ state: "finished" });
+});
+
+test("a cancelled sample answers over HTTP with what was made", async () => {
+    const { sidecar } = await serve(fastEngine().engine, undefined);
+    const abort = new AbortController();
+    const attempt = createTestGate().attempt("a");
+    const outcome = await sidecar.runSample(attempt, () => abort.abort(), abort.signal);
+    expect(outcome).toMatchObject({ kind: "ran", answer: { complete: false } });
+});
+
+test("plain bodies pass both ways, and completions stream with the versions that made them", async () => {
+    const plain = await serve(undefined, createFakePlainService({ clock }).backend);
+    const outcome = await plain.sidecar.callPlain(plainRequest(), never);
+    const body = outcome.kind === "ran" ? (await readWhole(outcome.answer.body, 1_000)).toString() : "";
+    expect(JSON.parse(body)).toMatchObject({ method: "POST", path: "/tile?x=1" });
+
+    const model = await serve(fastEngine().engine, undefined);
+    const ask = async (json: unknown): Promise<string> => {
+        const request = plainRequest({ path: "/v1/completions", body: Buffer.from(JSON.stringify(json)) });
+        const answered = await model.sidecar.callPlain(request, never);
+        return answered.kind === "ran"
+            ? (await readWhole(answered.answer.body, 100_000)).toString()
+            : answered.kind;
+    };
+    expect(JSON.parse(await ask({ model: "plume", prompt: "p" }))).toMatchObject({
+        system_fingerprint: "plume@1",
+        choices: [{ finish_reason: "stop" }],
+        usage: { completion_tokens: 64 },
+    });
+    const events = (await ask({ model: "plume", prompt: "p", stream: true })).trim().split("\n\n");
+    expect(events.at(-1)).toBe("data: [DONE]");
+    expect(JSON.parse(events[0]!.slice("data: ".length))).toMatchObject({ system_fingerprint: "plume@1" });
+    expect(JSON.parse(await ask({ model: "plume" }))).toMatchObject({ code: 1000, name: "badRequest" });
+});
+
+test.each([10, 600_000])(
+    "an answer of %i bytes cut half way is broken for the caller, never whole",
+    async bytes => {
+        const { backend, control } = createFakePlainService({ clock, answer: () => new Uint8Array(bytes) });
+        const { sidecar } = await serve(undefined, backend);
+        const read = async (): Promise<string> => {
+            const outcome = await sidecar.callPlain(plainRequest(), never);
+            if (outcome.kind !== "ran") {
+                return outcome.kind;
+            }
+            return readWhole(outcome.answer.body, 1_000_000).then(
+                body => `${body.length} bytes`,
+                error => error.name,
+            );
+        };
+        control.cutBody(1);
+        // A short part may not even have left the sidecar: then the outcome itself is unknown.
+        expect(["unknown", "ResultError"]).toContain(await read());
+        expect(await read()).toBe(`${bytes} bytes`);
+    },
+);
+
+/** A relay before a sidecar that can swallow what clients send, or break connections once it has arrived. */
+async function relay(
+    port: number,
+): Promise<{ port: number; setMode: (mode: "pass" | "breakBefore" | "breakAfter") => void; }> {
+    let mode: "pass" | "breakBefore" | "breakAfter" = "pass";
+    const sockets = new Set<Socket>();
+    const server = createServer(client => {
+        const upstream = connect(port, "127.0.0.1");
+        sockets.add(client).add(upstream);
+        client.on("error", () => {});
+        upstream.on("error", () => {});
+        client.on("data", data => {
+            // Only requests of work are hit; the question about them passes.
+            const isWork = !data.subarray(0, 200).includes("POST /rpc");
+            if (mode === "pass" || !isWork) {
+                upstream.write(data);
+                return;
+            }
+            if (mode === "breakAfter") {
+                upstream.write(data, () => client.destroy());
+                return;
+            }
+            client.destroy();
+        });
+        upstream.on("data", data => client.write(data));
+        client.on("close", () => setImmediate(() => upstream.end()));
+        upstream.on("close", () => client.destroy());
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    cleanups.push(() => {
+        sockets.forEach(socket => socket.destroy());
+        server.close();
+    });
+    return {
+        port: (server.address() as { port: number; }).port,
+        setMode: next => {
+            mode = next;
+        },
+    };
+}
+
+test("a request lost on the way is not run and stays so; one that arrived is unknown", async () => {
+    // Symptom: a grid-tile fetch goes out twice (19 March). Sequence: the connection breaks; the sender cannot
+    // tell whether the request arrived, and sends it again. Cause: a broken connection is taken for "not run".
+    const { backend, control } = createFakePlainService({ clock });
+    const { port, sidecar: direct } = await serve(undefined, backend);
+    const middle = await relay(port);
+    const sidecar = createHttpSidecar({ address: `http://127.0.0.1:${middle.port}`, clock });
+    cleanups.push(() => sidecar.close());
+    await sidecar.readReport();
+    middle.setMode("breakBefore");
+    const lost = plainRequest({ idempotent: false });
+    expect(await sidecar.callPlain(lost, never)).toMatchObject({ kind: "notRun" });
+    middle.setMode("breakAfter");
+    control.setLatency(5);
+    const arrived = plainRequest({ idempotent: false });
+    expect(await sidecar.callPlain(arrived, never)).toMatchObject({ kind: "unknown" });
+    // The lost message turns up after all.
+    expect(await direct.callPlain(lost, never)).toMatchObject({
+        kind: "notRun",
+        code: { name: "tombstoned" },
+    });
+    expect([...control.runsByAttempt()]).toEqual([[arrived.attempt, 1]]);
+});
+
+test("nobody listening is not run; a sidecar that died under the request is unknown", async () => {
+    const gone = createHttpSidecar({ address: "http://127.0.0.1:1", clock });
+    expect(await gone.callPlain(plainRequest(), never)).toMatchObject({
+        kind: "notRun",
+        code: { name: "connectFailed" },
+    });
+    await expect(gone.readReport()).rejects.toThrow("sidecarUnreachable");
+    gone.close();
+
+    const { backend, control } = createFakePlainService({ clock, latencyMs: 60_000 });
+    const { sidecar, gate, close } = await serve(undefined, backend);
+    const calling = sidecar.callPlain(plainRequest(), never);
+    while (control.runsByAttempt().size === 0) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    gate.kill();
+    await close(false);
+    expect(await calling).toMatchObject({ kind: "unknown" });
+});
+
+test("a graceful close lets the answer under way be written to its end", async () => {
+    const { backend, control } = createFakePlainService({ clock, latencyMs: 30 });
+    const { sidecar, close } = await serve(undefined, backend);
+    const calling = sidecar.callPlain(plainRequest(), never);
+    while (control.runsByAttempt().size === 0) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    const closing = close(true);
+    expect(await calling).toMatchObject({ kind: "ran", answer: { status: 200 } });
+    await closing;
+});
+
+const post = async (
+    port: number,
+    path: string,
+    body: string | Uint8Array,
+): Promise<{ status: number; text: string; }> => {
+    const answer = await fetch(`http://127.0.0.1:${port}${path}`, {
+        method: "POST",
+        body: Buffer.from(body),
+    });
+    return { status: answer.status, text: await answer.text() };
+};
+
+test("hostile messages get numbered codes, run nothing and stop nothing", async () => {
+    const { engine, control } = fastEngine();
+    const { port, sidecar } = await serve(engine, undefined);
+    const rpc = fc.oneof(
+        fc.json(),
+        fc.string(),
+        fc.record({
+            jsonrpc: fc.constantFrom("2.0", "1.0"),
+            id: fc.oneof(fc.nat(), fc.string()),
+            method: fc.constantFrom("order", "queryAttempt", "cancelSample", "toString", "__proto__"),
+            params: fc.jsonValue(),
+        }).map(message => JSON.stringify(message)),
+    );
+    await fc.assert(
+        fc.asyncProperty(
+            fc.constantFrom("/rpc", "/samples", "/plain/v1/completions", "/other"),
+            rpc,
+            async (path, body) => {
+                const { status, text } = await post(port, path, body);
+                expect([200, 400, 404]).toContain(status);
+                expect(text.length).toBeLessThan(2_000);
+            },
+        ),
+        { seed: 5, numRuns: 200 },
+    );
+    expect(JSON.parse((await post(port, "/samples", "x".repeat(70_000))).text)).toMatchObject({ code: 1006 });
+    expect(JSON.parse((await post(port, "/rpc", "[".repeat(1_000))).text)).toMatchObject({ code: 1000 });
+    expect(control.starts().size).toBe(0);
+    expect(await sidecar.readReport()).toMatchObject({ state: "ready" });
+});
--- /dev/null
+++ b/packages/gate/src/serveGate.ts
@@ -0,0 +1,94 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createPlainHandler } from "./createPlainHandler.js";
+import { createRpcHandler } from "./createRpcHandler.js";
+import { createSampleHandler } from "./createSampleHandler.js";
+import type { Gate } from "./Gate.js";
+import type { ServedGate } from "./ServedGate.js";
+import type { ServeGateOptions } from "./ServeGateOptions.js";
+import { writeFault } from "./writeFault.js";
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+const defaultMaxBodyBytes = 8_388_608;
+const defaultMaxConnections = 4_096;
+const defaultRequestTimeoutMs = 60_000;
+const defaultHeadersTimeoutMs = 10_000;
+const keepAliveTimeoutMs = 75_000;
+const timeoutCheckMs = 1_000;
+const closeSweepMs = 25;
+const maxHeaderBytes = 16_384;
+
+/**
+ * Serves a gate: `/plain/…` requests, `POST /samples` (an answer of JSON lines), `POST /rpc` (JSON-RPC). Bodies,
+ * headers, connections and the time a request may take to arrive are bounded.
+ */
+export async function serveGate(gate: Gate, options: ServeGateOptions): Promise<ServedGate> {
+    const maxBodyBytes = options.maxBodyBytes ?? defaultMaxBodyBytes;
+    const incarnation = gate.report().incarnation;
+    const { clock, logger } = options;
+    const samples = createSampleHandler({ gate, clock, incarnation, maxBodyBytes });
+    const plain = createPlainHandler({ gate, clock, incarnation, maxBodyBytes });
+    const rpc = createRpcHandler({ gate, incarnation, cancelSample: samples.cancel });
+
+    function handlerOf(request: IncomingMessage): Handler | undefined {
+        const url = request.url ?? "";
+        if (url.startsWith("/plain/")) {
+            return plain;
+        }
+        if (request.method === "POST" && url === "/samples") {
+            return samples.handle;
+        }
+        return request.method === "POST" && url === "/rpc" ? rpc : undefined;
+    }
+
+    const server = createServer(
+        {
+            connectionsCheckingInterval: timeoutCheckMs,
+            headersTimeout: options.headersTimeoutMs ?? defaultHeadersTimeoutMs,
+            requestTimeout: options.requestTimeoutMs ?? defaultRequestTimeoutMs,
+            keepAliveTimeout: keepAliveTimeoutMs,
+            maxHeaderSize: maxHeaderBytes,
+            noDelay: true,
+        },
+        (request, response) => {
+            const handler = handlerOf(request);
+            if (handler === undefined) {
+                writeFault(response, incarnation, resultCodes.notFound, `${request.method} ${request.url}`);
+                return;
+            }
+            handler(request, response);
+        },
+    );
+    server.maxConnections = options.maxConnections ?? defaultMaxConnections;
+    server.listen(options.port, options.host);
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    logger.info("gateServed", { host: options.host, port });
+
+    function sweepIdle(): () => void {
+        server.closeIdleConnections();
+        let cancel = clock.startTimer(closeSweepMs, function sweep() {
+            server.closeIdleConnections();
+            cancel = clock.startTimer(closeSweepMs, sweep);
+        });
+        return () => cancel();
+    }
+
+    return {
+        port,
+        close: async graceful => {
+            const closed = once(server, "close");
+            server.close();
+            if (!graceful) {
+                server.closeAllConnections();
+            }
+            // A connection kept alive after its last answer would hold the server open for its whole idle time.
+            const stopSweeping = sweepIdle();
+            await closed;
+            stopSweeping();
+        },
+    };
+}
--- /dev/null
+++ b/packages/gate/src/shutdownGate.ts
@@ -0,0 +1,34 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { GateContext } from "./GateContext.js";
+
+const idlePollMs = 20;
+/** After the deadline the engine gets this long to confirm the cancelling. */
+const cancelGraceMs = 2_000;
+
+/** Lets everything in flight finish for up to `deadlineMs`, then cancels the rest; resolves when nothing is left. */
+export async function shutdownGate(context: GateContext, deadlineMs: number): Promise<void> {
+    const { flags, slots, inFlight } = context;
+    const { clock, invariants, logger } = context.deps;
+
+    async function waitIdle(untilMs: number): Promise<void> {
+        while (inFlight.size > 0 && clock.monotonicMs() < untilMs && !flags.killed) {
+            await clock.sleep(idlePollMs);
+        }
+    }
+
+    flags.shuttingDown = true;
+    // Waiting rollouts have not run; another sampler starts them sooner than this one would.
+    slots.refuseWaiting(place => place.preempt !== undefined, resultCodes.shuttingDown);
+    const startedAtMs = clock.monotonicMs();
+    await waitIdle(startedAtMs + deadlineMs);
+    const cancelled = inFlight.size;
+    if (cancelled > 0) {
+        slots.refuseWaiting(() => true, resultCodes.shuttingDown);
+        inFlight.forEach(work => work.abort());
+        await waitIdle(clock.monotonicMs() + cancelGraceMs);
+    }
+    const left = inFlight.size;
+    invariants.check(resultCodes.shutdownCutOff, left === 0 || flags.killed, { left });
+    logger.info("gateShutDown", { cancelled, tookMs: Math.round(clock.monotonicMs() - startedAtMs) });
+    context.weights?.stop();
+}
--- /dev/null
+++ b/packages/keep/src/createFileGroupKeep.ts
@@ -0,0 +1,125 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { GroupKeep } from "@auburnarch/types/GroupKeep";
+import { join } from "node:path";
+import { createStepFile } from "./createStepFile.js";
+import type { GroupKeepOptions } from "./GroupKeepOptions.js";
+import { nodeFileOperations } from "./nodeFileOperations.js";
+
+type StepFile = Awaited<ReturnType<typeof createStepFile>>;
+
+const defaultMaxBytes = 1_000_000_000;
+const defaultMaxAgeMs = 24 * 3_600_000;
+const fileEnd = ".groups";
+/** Errors of the system that mean that the disk takes no more. */
+const fullDiskCodes = new Set<unknown>(["ENOSPC", "EDQUOT", "EROFS"]);
+
+const isFull = (error: unknown): boolean =>
+    fullDiskCodes.has((error as NodeJS.ErrnoException).code) || codeOf(error) === resultCodes.diskFull;
+
+/** A job's name as one path component; encoded and prefixed, so that no name leads out of the folder. */
+const fileNameOf = (job: string, step: number): string => `job-${encodeURIComponent(job)}-${step}${fileEnd}`;
+
+/**
+ * Keeps groups in a data folder, one append-only file for each step. Appends are not synced one by one: a machine
+ * that loses power may lose the last groups, which costs making them again and no promise. A full disk does not
+ * reject either; it is logged with code `diskFull`, and the group lives in its owner's memory only.
+ */
+export async function createFileGroupKeep(folder: string, options: GroupKeepOptions): Promise<GroupKeep> {
+    const { clock, logger, files = nodeFileOperations } = options;
+    const { maxBytes = defaultMaxBytes, maxAgeMs = defaultMaxAgeMs } = options;
+    const steps = new Map<string, StepFile>();
+    let queue: Promise<unknown> = Promise.resolve();
+    /** Bytes of files left by earlier runs and not opened by this one. */
+    const unopenedBytes = new Map<string, number>();
+    let full = false;
+
+    /** One call after the other: two appends at once could mix their lines, and a drop could race a save. */
+    function inTurn<T>(run: () => Promise<T>): Promise<T> {
+        const turn = queue.then(run, run);
+        queue = turn.catch(() => undefined);
+        return turn;
+    }
+
+    async function removeOld(): Promise<void> {
+        const present = (await files.list(folder)).filter(file => file.path.endsWith(fileEnd));
+        for (const file of present) {
+            if (clock.wallMs() - file.modifiedAtMs > maxAgeMs) {
+                await files.remove(file.path);
+                logger.info("keptStepExpired", { file: file.path, bytes: file.bytes });
+            }
+            else {
+                unopenedBytes.set(file.path, file.bytes);
+            }
+        }
+    }
+
+    async function stepFile(job: string, step: number): Promise<StepFile> {
+        const name = fileNameOf(job, step);
+        const present = steps.get(name);
+        if (present !== undefined) {
+            return present;
+        }
+        const path = join(folder, name);
+        const opened = await createStepFile(files, path, lines => {
+            const { number } = resultCodes.recordTorn;
+            logger.warn("recordTorn", { code: number, name: "recordTorn", job, step, lines });
+        });
+        unopenedBytes.delete(path);
+        steps.set(name, opened);
+        return opened;
+    }
+
+    function usedBytes(): number {
+        const opened = [...steps.values()].reduce((sum, file) => sum + file.bytes(), 0);
+        return [...unopenedBytes.values()].reduce((sum, bytes) => sum + bytes, opened);
+    }
+
+    function noteFull(isNowFull: boolean, error: unknown): void {
+        if (isNowFull && !full) {
+            const { number, name } = resultCodes.diskFull;
+            logger.error("dataFolderFull", {
+                code: number,
+                name,
+                detail: String(error),
+                usedBytes: usedBytes(),
+            });
+        }
+        if (!isNowFull && full) {
+            logger.info("dataFolderHasRoom", { usedBytes: usedBytes() });
+        }
+        full = isNowFull;
+    }
+
+    async function save({ job, step, ...group }: Parameters<GroupKeep["save"]>[0]): Promise<void> {
+        try {
+            if (usedBytes() + group.body.length > maxBytes) {
+                throw new ResultError(resultCodes.diskFull, `limit of ${maxBytes} bytes`);
+            }
+            await (await stepFile(job, step)).save(group);
+            noteFull(false, undefined);
+        }
+        catch (error) {
+            if (!isFull(error)) {
+                throw error;
+            }
+            noteFull(true, error);
+        }
+    }
+
+    async function drop(job: string, step: number, groups: number[]): Promise<void> {
+        const isGone = await (await stepFile(job, step)).drop(groups);
+        if (isGone) {
+            steps.delete(fileNameOf(job, step));
+        }
+    }
+
+    await files.makeFolder(folder);
+    await removeOld();
+    return {
+        save: record => inTurn(() => save(record)),
+        load: (job, step) => inTurn(async () => (await stepFile(job, step)).load()),
+        drop: (job, step, groups) => inTurn(() => drop(job, step, groups)),
+    };
+}
--- /dev/null
+++ b/packages/keep/src/createSnapshotFile.ts
@@ -0,0 +1,98 @@
+import type { Logger } from "@auburnarch/types/Logger";
+import { join } from "node:path";
+import { z, type ZodType } from "zod";
+import { checksumOf } from "./checksumOf.js";
+import type { FileOperations } from "./FileOperations.js";
+import { nodeFileOperations } from "./nodeFileOperations.js";
+
+interface SnapshotOptions<T> {
+    /** Raised when the shape changes; a file of another format is left unread. */
+    format: number;
+    schema: ZodType<T>;
+    logger: Logger;
+    files?: FileOperations;
+}
+
+interface SnapshotFile<T> {
+    /** The last whole snapshot; undefined where there is none, or it is damaged, or of another format. */
+    read(): Promise<T | undefined>;
+    /** Resolves once this or a later value is on disk, or could not be written, which is logged. */
+    write(value: T): Promise<void>;
+}
+
+const envelope = z.object({ format: z.number(), checksum: z.string(), json: z.string() });
+
+/**
+ * A snapshot for a quick start: replaced whole and checksummed. What it says is old by nature; a reader must take
+ * anything newer over it. Writes that come while one is under way are joined to the last of them.
+ */
+export function createSnapshotFile<T>(
+    folder: string,
+    name: string,
+    options: SnapshotOptions<T>,
+): SnapshotFile<T> {
+    const { format, schema, logger, files = nodeFileOperations } = options;
+    const path = join(folder, `${name}.json`);
+    let next: T | undefined;
+    let writing: Promise<void> | undefined;
+
+    function leaveOut(reason: string): undefined {
+        logger.warn("snapshotLeftOut", { name, reason });
+        return undefined;
+    }
+
+    function decode(text: string): T | undefined {
+        const outer = envelope.safeParse(JSON.parse(text));
+        if (!outer.success || outer.data.checksum !== checksumOf(outer.data.json)) {
+            return leaveOut("damaged");
+        }
+        if (outer.data.format !== format) {
+            return leaveOut("otherFormat");
+        }
+        const inner = schema.safeParse(JSON.parse(outer.data.json));
+        return inner.success ? inner.data : leaveOut("otherShape");
+    }
+
+    async function read(): Promise<T | undefined> {
+        const bytes = await files.read(path).catch(() => undefined);
+        if (bytes === undefined) {
+            return undefined;
+        }
+        try {
+            return decode(bytes.toString("utf8"));
+        }
+        catch {
+            return leaveOut("damaged");
+        }
+    }
+
+    async function writeOnce(value: T): Promise<void> {
+        const json = JSON.stringify(value);
+        try {
+            await files.makeFolder(folder);
+            await files.replace(path, JSON.stringify({ format, checksum: checksumOf(json), json }));
+        }
+        catch (error) {
+            // A process without its snapshot starts more slowly; that is no reason to stop.
+            logger.warn("snapshotNotWritten", { name, detail: String(error) });
+        }
+    }
+
+    async function writeAll(): Promise<void> {
+        while (next !== undefined) {
+            const value = next;
+            next = undefined;
+            await writeOnce(value);
+        }
+        writing = undefined;
+    }
+
+    return {
+        read,
+        write: value => {
+            next = value;
+            writing ??= writeAll();
+            return writing;
+        },
+    };
+}
--- /dev/null
+++ b/packages/keep/src/nodeFileOperations.ts
@@ -0,0 +1,24 @@
+import { appendFile, mkdir, readdir, readFile, rm, stat, truncate } from "node:fs/promises";
+import { join } from "node:path";
+import type { FileOperations } from "./FileOperations.js";
+import { replaceFile } from "./replaceFile.js";
+
+/** The file system of the machine. */
+export const nodeFileOperations: FileOperations = {
+    append: (path, text) => appendFile(path, text),
+    read: path => readFile(path),
+    replace: replaceFile,
+    truncate,
+    remove: path => rm(path, { force: true }),
+    makeFolder: async path => void await mkdir(path, { recursive: true }),
+    list: async folder => {
+        const entries = await readdir(folder, { withFileTypes: true, recursive: true });
+        const files = entries.filter(entry => entry.isFile()).map(entry =>
+            join(entry.parentPath, entry.name)
+        );
+        return Promise.all(files.map(async path => {
+            const { size, mtimeMs } = await stat(path);
+            return { path, bytes: size, modifiedAtMs: mtimeMs };
+        }));
+    },
+};
--- /dev/null
+++ b/packages/lease/src/createHeldLease.ts
@@ -0,0 +1,150 @@
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import type { Lease } from "@auburnarch/types/Lease";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { StoredObject } from "@auburnarch/types/StoredObject";
+import type { WriteOutcome } from "@auburnarch/types/WriteOutcome";
+import { defaultLeaseGuards } from "./defaultLeaseGuards.js";
+import type { LeaseDeps } from "./LeaseDeps.js";
+import type { LeaseValue } from "./LeaseValue.js";
+import { parseLeaseValue } from "./parseLeaseValue.js";
+
+/** A lease just acquired. */
+interface Acquired {
+    key: string;
+    fencing: FencingNumber;
+    version: ObjectVersion;
+    /** Monotonic time before the acquiring write was sent. */
+    sentAtMs: number;
+    /** Writer of the acquiring write's stamp; renewals go on with the next sequence. */
+    writer: string;
+    ttlMs: number;
+    isFirst: boolean;
+    onEnd: () => void;
+}
+
+const renewalsPerTerm = 3;
+const retriesPerTerm = 6;
+const jitterPart = 0.1;
+const releaseTries = 2;
+
+/** Keeps an acquired lease by renewing it, until it is released or another holder is seen. */
+export function createHeldLease(deps: LeaseDeps, acquired: Acquired): Lease {
+    const { store, clock, random, logger, guards = defaultLeaseGuards } = deps;
+    const { key, fencing, writer, ttlMs } = acquired;
+    const lost = new AbortController();
+    /** When each write not yet known to stand was sent, by sequence. */
+    const sentAtMs = new Map<number, number>();
+    let version = acquired.version;
+    let heldFromMs = acquired.sentAtMs;
+    let sequence = 0;
+    let released = false;
+    let cancelTimer = (): void => {};
+
+    const isEnded = (): boolean => released || lost.signal.aborted;
+
+    function nextValue(holder: string | undefined): LeaseValue {
+        sequence++;
+        sentAtMs.set(sequence, clock.monotonicMs());
+        return { holder, fencing, ttlMs, stamp: { writer, sequence } };
+    }
+
+    function confirm(confirmed: number, at: ObjectVersion): void {
+        version = at;
+        heldFromMs = Math.max(heldFromMs, sentAtMs.get(confirmed) ?? heldFromMs);
+        [...sentAtMs.keys()].filter(known => known <= confirmed).forEach(known => sentAtMs.delete(known));
+    }
+
+    function lose(current: StoredObject | undefined): void {
+        const holder = parseLeaseValue(current?.value)?.holder;
+        logger.warn("leaseLost", { key, fencing, holder, reason: "anotherHolderSeen" });
+        lost.abort();
+        acquired.onEnd();
+    }
+
+    /** True if the write stands. A conflict with our own writer is an earlier write whose answer was lost. */
+    function settle(sent: number, outcome: WriteOutcome): boolean {
+        if (outcome.kind === "written") {
+            confirm(sent, outcome.version);
+            return true;
+        }
+        const stamp = parseLeaseValue(outcome.current?.value)?.stamp;
+        if (stamp?.writer === writer && outcome.current !== undefined) {
+            confirm(stamp.sequence, outcome.current.version);
+            return stamp.sequence === sent;
+        }
+        lose(outcome.current);
+        return false;
+    }
+
+    async function renew(): Promise<boolean> {
+        const value = nextValue(deps.holder);
+        const sent = sequence;
+        try {
+            const outcome = await store.write(key, value, version);
+            return !isEnded() && settle(sent, outcome);
+        }
+        catch {
+            // Whether it took effect is unknown; the next try's conflict tells. Until then the lease ages.
+            return false;
+        }
+    }
+
+    async function renewAndSchedule(): Promise<void> {
+        if (isEnded()) {
+            return;
+        }
+        const wasHeld = isHeld();
+        const renewed = await renew();
+        if (isEnded()) {
+            return;
+        }
+        if (wasHeld && !isHeld()) {
+            logger.warn("leaseLapsed", { key, fencing, ageMs: Math.round(clock.monotonicMs() - heldFromMs) });
+        }
+        schedule(renewed ? ttlMs / renewalsPerTerm : ttlMs / retriesPerTerm);
+    }
+
+    function schedule(delayMs: number): void {
+        const jitter = 1 + jitterPart * (2 * random.nextUnit() - 1);
+        cancelTimer = clock.startTimer(delayMs * jitter, () => void renewAndSchedule());
+    }
+
+    function isHeld(): boolean {
+        return !isEnded() && guards.isWithinLease(clock.monotonicMs() - heldFromMs, ttlMs);
+    }
+
+    async function release(): Promise<void> {
+        if (isEnded()) {
+            return;
+        }
+        released = true;
+        cancelTimer();
+        acquired.onEnd();
+        // If no try is answered, the lease ends by its term: slower for the next holder, never wrong.
+        for (let tries = 0; tries < releaseTries; tries++) {
+            const value = nextValue(undefined);
+            const sent = sequence;
+            const outcome = await store.write(key, value, version).catch(() => undefined);
+            if (outcome !== undefined && settleRelease(sent, outcome)) {
+                logger.info("leaseReleased", { key, fencing });
+                return;
+            }
+        }
+    }
+
+    /** True if nothing is left to release. */
+    function settleRelease(sent: number, outcome: WriteOutcome): boolean {
+        if (outcome.kind === "written") {
+            return true;
+        }
+        const stamp = parseLeaseValue(outcome.current?.value)?.stamp;
+        if (stamp?.writer !== writer || outcome.current === undefined) {
+            return true;
+        }
+        version = outcome.current.version;
+        return stamp.sequence === sent;
+    }
+
+    schedule(ttlMs / renewalsPerTerm);
+    return { key, fencing, isFirst: acquired.isFirst, isHeld, release, lost: lost.signal };
+}
--- /dev/null
+++ b/packages/lease/src/createLeaseWaiter.ts
@@ -0,0 +1,71 @@
+import type { Lease } from "@auburnarch/types/Lease";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { StoredChange } from "@auburnarch/types/StoredChange";
+import type { createLeaseObserver } from "./createLeaseObserver.js";
+import type { LeaseDeps } from "./LeaseDeps.js";
+
+interface LeaseWaiterDeps extends Pick<LeaseDeps, "store" | "clock" | "random"> {
+    observer: ReturnType<typeof createLeaseObserver>;
+    ttlMs: number;
+    tryAcquire: (key: string) => Promise<Lease | undefined>;
+}
+
+/** Tries until the lease is acquired; undefined once the signal is aborted. */
+type AcquireLease = (key: string, signal: AbortSignal) => Promise<Lease | undefined>;
+
+const retriesPerTerm = 3;
+/** Waiters draw a delay of up to this fraction of the term, so that few race for a lease that lapsed. */
+const jitterParts = 20;
+const start = 0 as ObjectVersion;
+
+/** Waits for a lease with one watch a change, and reads only when it may be free. */
+export function createLeaseWaiter(deps: LeaseWaiterDeps): AcquireLease {
+    const { store, clock, random, observer, ttlMs, tryAcquire } = deps;
+
+    function noteChange(change: StoredChange): void {
+        const knownVersion = observer.seen(change.key)?.object?.version ?? start;
+        if (change.value !== undefined) {
+            observer.note(change.key, change);
+        }
+        else if (change.version > knownVersion) {
+            observer.replace(change.key, undefined);
+        }
+    }
+
+    /** Waits until the lease may be free: a change is told by the watch, a lapse by the time. */
+    async function waitForFree(
+        key: string,
+        since: ObjectVersion,
+        signal: AbortSignal,
+    ): Promise<ObjectVersion> {
+        const known = observer.seen(key);
+        const jitterMs = (ttlMs / jitterParts) * random.nextUnit();
+        const delayMs = known === undefined ? ttlMs / retriesPerTerm : observer.freeInMs(known) + jitterMs;
+        const startedAtMs = clock.monotonicMs();
+        try {
+            const found = await store.watch(key, since, delayMs);
+            found.changes.filter(change => change.key === key).forEach(noteChange);
+            return found.revision;
+        }
+        catch {
+            const leftMs = Math.min(delayMs, ttlMs / retriesPerTerm) - (clock.monotonicMs() - startedAtMs);
+            await clock.sleep(Math.max(0, leftMs), signal);
+            return since;
+        }
+    }
+
+    return async (key, signal) => {
+        let revision = start;
+        while (!signal.aborted) {
+            const known = observer.seen(key);
+            const mayBeFree = known === undefined || observer.freeInMs(known) === 0;
+            const lease = mayBeFree ? await tryAcquire(key).catch(() => undefined) : undefined;
+            if (lease !== undefined) {
+                return lease;
+            }
+            // Watching on from the last revision, a change is told once and the loop cannot spin on it.
+            revision = await waitForFree(key, revision, signal);
+        }
+        return undefined;
+    };
+}
--- /dev/null
+++ b/packages/lease/src/leaseCost.test.ts
@@ -0,0 +1,77 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
+import { createPausableProcess } from "@auburnarch/fakes/createPausableProcess";
+import { createInvariants } from "@auburnarch/invariants/createInvariants";
+import type { Logger } from "@auburnarch/types/Logger";
+import { expect, test } from "vitest";
+import { createLeaseKeeper } from "./createLeaseKeeper.js";
+
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
+const key = "leases/job/plume";
+const never = new AbortController().signal;
+
+function createFixture(seed: number) {
+    const clock = createFakeClock();
+    const fake = createFakeObjectStore({ clock, random: createRandom(seed), latencyMs: 3 });
+    const keeperOf = (n: number, process: ReturnType<typeof createPausableProcess>) =>
+        createLeaseKeeper({
+            store: process.store,
+            clock: process.clock,
+            random: createRandom(seed * 100 + n),
+            logger: silent,
+            invariants: createInvariants(silent, () => {}),
+            holder: `entry-${n}`,
+        });
+    const startProcess = () => createPausableProcess(clock, fake.store);
+    return { clock, ...fake, keeperOf, startProcess };
+}
+
+async function takeOver(seed: number, graceful: boolean): Promise<number> {
+    const { clock, keeperOf, startProcess } = createFixture(seed);
+    const process = startProcess();
+    let second = false;
+    const first = keeperOf(1, process).acquire(key, never);
+    await clock.advance(100);
+    void keeperOf(2, startProcess()).acquire(key, never).then(() => (second = true));
+    await clock.advance(7_000 + seed * 37);
+    const endedAtMs = clock.monotonicMs();
+    if (graceful) {
+        void (await first)!.release();
+    }
+    else {
+        process.pause();
+    }
+    await clock.runUntil(() => second, 60_000);
+    return clock.monotonicMs() - endedAtMs;
+}
+
+const summary = (values: number[]) => {
+    const sorted = [...values].sort((a, b) => a - b);
+    const at = (part: number): number => Math.round(sorted[Math.floor((sorted.length - 1) * part)]!);
+    return { min: at(0), p50: at(0.5), max: at(1) };
+};
+
+test("how long a job is without a holder, and what a lease costs the object API", async () => {
+    const seeds = Array.from({ length: 100 }, (_, n) => n + 1);
+    const afterDeathMs = [];
+    const afterReleaseMs = [];
+    for (const seed of seeds) {
+        afterDeathMs.push(await takeOver(seed, false));
+        afterReleaseMs.push(await takeOver(seed, true));
+    }
+    const { clock, control, keeperOf, startProcess } = createFixture(1);
+    void keeperOf(1, startProcess()).acquire(key, never);
+    await clock.advance(100);
+    void keeperOf(2, startProcess()).acquire(key, never);
+    const before = control.calls();
+    await clock.advance(3_600_000);
+    const after = control.calls();
+    const perHour = {
+        writes: after.write - before.write,
+        watches: after.watch - before.watch,
+        reads: after.read - before.read,
+    };
+    expect({ afterDeathMs: summary(afterDeathMs), afterReleaseMs: summary(afterReleaseMs), perHour })
+        .toMatchSnapshot();
+});
--- /dev/null
+++ b/packages/lease/src/leases.test.ts
@@ -0,0 +1,292 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
+import { createPausableProcess } from "@auburnarch/fakes/createPausableProcess";
+import { createInvariants } from "@auburnarch/invariants/createInvariants";
+import type { Lease } from "@auburnarch/types/Lease";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { createLeaseKeeper } from "./createLeaseKeeper.js";
+import { defaultLeaseGuards } from "./defaultLeaseGuards.js";
+import { fencingOf } from "./fencingOf.js";
+import type { LeaseGuards } from "./LeaseGuards.js";
+
+const key = "leases/job/plume";
+const ttlMs = 10_000;
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
+const fail = (): never => {
+    throw new Error("promise broken");
+};
+
+function createFixture(latencyMs = 2) {
+    const clock = createFakeClock();
+    const fake = createFakeObjectStore({ clock, random: createRandom(3), latencyMs });
+    let seed = 10;
+    const keeperOn = (
+        store: ObjectStore,
+        ownClock: Parameters<typeof createLeaseKeeper>[0]["clock"],
+        guards?: LeaseGuards,
+    ) => {
+        seed++;
+        const invariants = createInvariants(silent, fail);
+        const holder = `entry-${seed}`;
+        return createLeaseKeeper({
+            store,
+            clock: ownClock,
+            random: createRandom(seed),
+            logger: silent,
+            invariants,
+            holder,
+            guards,
+        });
+    };
+    return { clock, ...fake, keeperOn, keeper: () => keeperOn(fake.store, clock) };
+}
+
+async function settle<T>(clock: ReturnType<typeof createFakeClock>, ended: Promise<T>): Promise<T> {
+    let done = false;
+    void ended.finally(() => (done = true)).catch(() => undefined);
+    await clock.runUntil(() => done, 120_000);
+    return ended;
+}
+
+const never = new AbortController().signal;
+
+test("a holder paused past its term wakes without the lease, and its renewal is refused", async () => {
+    // Symptom: two owners order swaps. Sequence: the holder is paused, another takes the lease over, the first
+    // wakes in the middle of its work. Cause: it believes in what it knew before the pause.
+    const { clock, store, keeper, keeperOn } = createFixture();
+    const process = createPausableProcess(clock, store);
+    const first = await settle(clock, keeperOn(process.store, process.clock).acquire(key, never));
+    process.pause();
+    const second = await settle(clock, keeper().acquire(key, never));
+    expect(second!.fencing).toBeGreaterThan(first!.fencing);
+    expect(first!.isHeld()).toBe(false);
+    expect(first!.lost.aborted).toBe(false);
+    process.resume();
+    await clock.advance(ttlMs);
+    expect(first!.isHeld()).toBe(false);
+    expect(first!.lost.aborted).toBe(true);
+    expect(second!.isHeld()).toBe(true);
+});
+
+test("an acquisition whose answer was lost is found by reading back, with the same number", async () => {
+    // Symptom: a job without an owner for a whole term. Sequence: the write takes effect, its answer is lost, its
+    // sender takes it for failed and waits for "the other holder". Cause: not looking for its own stamp.
+    const { clock, control, keeper } = createFixture();
+    control.loseAnswers(1);
+    const lease = await settle(clock, keeper().acquire(key, never));
+    expect(clock.monotonicMs()).toBeLessThan(1_000);
+    expect(lease!.isHeld()).toBe(true);
+    expect(lease!.fencing).toBe(control.revision());
+});
+
+test("an acquisition that only the watch shows, after an outage, is adopted", async () => {
+    const { clock, control, keeper } = createFixture();
+    control.loseAnswers(1);
+    const waiting = keeper().acquire(key, never);
+    await clock.runUntil(() => control.revision() > 0, 1_000);
+    control.setOutage(true);
+    await clock.advance(3_000);
+    control.setOutage(false);
+    const lease = await settle(clock, waiting);
+    expect(lease!.fencing).toBe(1);
+    await clock.advance(ttlMs);
+    expect(lease!.isHeld()).toBe(true);
+});
+
+test("a renewal whose answer was lost does not cost the lease", async () => {
+    const { clock, control, keeper } = createFixture();
+    const lease = await settle(clock, keeper().acquire(key, never));
+    for (let renewal = 0; renewal < 10; renewal++) {
+        control.loseAnswers(1);
+        await clock.advance(ttlMs / 3);
+        expect(lease!.isHeld()).toBe(true);
+    }
+    expect(fencingOf(await settle(clock, createReader(control)))).toBe(lease!.fencing);
+});
+
+const createReader = async (control: { peek(key: string): unknown; }) => ({
+    key,
+    version: 999 as never,
+    value: control.peek(key),
+});
+
+test("of two that race for a free lease, one holds it", async () => {
+    const { clock, keeper } = createFixture();
+    const [first, second] = await settle(
+        clock,
+        Promise.all([keeper().tryAcquire(key), keeper().tryAcquire(key)]),
+    );
+    expect([first, second].filter(lease => lease?.isHeld()).length).toBe(1);
+});
+
+test("an outage lapses the lease without losing it; it is held again once the store is back", async () => {
+    // Symptom: after an outage every job changed its owner. Sequence: renewals fail, the holder gives up for good.
+    // Cause: taking "cannot renew" for "another holds it".
+    const { clock, control, keeper } = createFixture();
+    const lease = await settle(clock, keeper().acquire(key, never));
+    control.setOutage(true);
+    await clock.advance(ttlMs + 1);
+    expect(lease!.isHeld()).toBe(false);
+    await clock.advance(600_000);
+    expect(lease!.lost.aborted).toBe(false);
+    control.setOutage(false);
+    await clock.advance(ttlMs / 3);
+    expect(lease!.isHeld()).toBe(true);
+});
+
+test("a released lease is taken at once, by a waiter too", async () => {
+    const { clock, keeper } = createFixture();
+    const lease = await settle(clock, keeper().acquire(key, never));
+    const waiting = keeper().acquire(key, never);
+    await clock.advance(4_000);
+    const releasedAtMs = clock.monotonicMs();
+    await settle(clock, lease!.release());
+    const next = await settle(clock, waiting);
+    expect(next!.fencing).toBeGreaterThan(lease!.fencing);
+    expect(clock.monotonicMs() - releasedAtMs).toBeLessThan(50);
+});
+
+test("a holder that dies is replaced within its term, the drift margin and the jitter", async () => {
+    const tookMs: number[] = [];
+    for (let run = 0; run < 20; run++) {
+        const { clock, store, keeper, keeperOn } = createFixture();
+        const process = createPausableProcess(clock, store);
+        await settle(clock, keeperOn(process.store, process.clock).acquire(key, never));
+        const waiting = keeper().acquire(key, never);
+        await clock.advance(5_000 + run * 250);
+        process.pause();
+        const diedAtMs = clock.monotonicMs();
+        await settle(clock, waiting);
+        tookMs.push(clock.monotonicMs() - diedAtMs);
+    }
+    expect(Math.max(...tookMs)).toBeLessThan(ttlMs * 1.05 + ttlMs / 20 + 20);
+    expect(Math.min(...tookMs)).toBeGreaterThan(ttlMs * 0.6);
+});
+
+test("a waiter costs one watch for each renewal and no write", async () => {
+    const { clock, control, keeper } = createFixture();
+    await settle(clock, keeper().acquire(key, never));
+    void keeper().acquire(key, never);
+    await clock.advance(ttlMs);
+    const before = control.calls();
+    await clock.advance(100 * ttlMs);
+    const after = control.calls();
+    const spent = {
+        write: after.write - before.write,
+        watch: after.watch - before.watch,
+        read: after.read - before.read,
+    };
+    expect(spent.write).toBeLessThanOrEqual(310);
+    expect(spent.watch).toBeLessThanOrEqual(spent.write + 1);
+    expect(spent.read).toBe(0);
+});
+
+test("a stale replica cannot hand the lease to a second holder", async () => {
+    const { clock, control, keeper } = createFixture();
+    const first = await settle(clock, keeper().acquire(key, never));
+    control.setStaleReads(2);
+    const others = [keeper(), keeper()].map(other => other.acquire(key, never));
+    await clock.advance(20 * ttlMs);
+    expect(first!.isHeld()).toBe(true);
+    expect(await Promise.race([...others, Promise.resolve("none")])).toBe("none");
+});
+
+test("a lease object that someone removed does not stop the next holder", async () => {
+    const { clock, store, keeper } = createFixture();
+    const first = await settle(clock, keeper().acquire(key, never));
+    const waiting = keeper().acquire(key, never);
+    await clock.advance(1_000);
+    const object = await settle(clock, store.read(key));
+    await settle(clock, store.remove(key, object!.version));
+    const next = await settle(clock, waiting);
+    expect(next!.fencing).toBeGreaterThan(first!.fencing);
+});
+
+type Action = {
+    kind: "pause" | "resume" | "loseAnswers" | "outage" | "back" | "release" | "slow";
+    who: number;
+    afterMs: number;
+};
+
+const action: fc.Arbitrary<Action> = fc.record({
+    kind: fc.constantFrom("pause", "resume", "loseAnswers", "outage", "back", "release", "slow"),
+    who: fc.integer({ min: 0, max: 2 }),
+    afterMs: fc.integer({ min: 1, max: 15_000 }),
+});
+
+/** Runs three processes through the actions; returns the largest number of holders at one time and all numbers. */
+async function interleave(actions: Action[], guards: LeaseGuards) {
+    const { clock, store, control, keeperOn } = createFixture(20);
+    const processes = [0, 1, 2].map(() => createPausableProcess(clock, store));
+    const leases: Lease[] = [];
+    const fencings: number[] = [];
+    let maxHolders = 0;
+    const abort = new AbortController();
+    const keepers = processes.map(process => keeperOn(process.store, process.clock, guards));
+    const compete = async (keeper: (typeof keepers)[number]): Promise<void> => {
+        while (!abort.signal.aborted) {
+            const lease = await keeper.acquire(key, abort.signal);
+            if (lease !== undefined && !leases.includes(lease)) {
+                leases.push(lease);
+                fencings.push(lease.fencing);
+            }
+            await clock.sleep(500, abort.signal);
+        }
+    };
+    keepers.forEach(keeper => void compete(keeper));
+    const look = (): void => {
+        maxHolders = Math.max(maxHolders, leases.filter(lease => lease.isHeld()).length);
+        clock.startTimer(100, look);
+    };
+    look();
+    for (const { kind, who, afterMs } of actions) {
+        await clock.advance(afterMs);
+        const process = processes[who]!;
+        const act = {
+            pause: () => process.pause(),
+            resume: () => process.resume(),
+            loseAnswers: () => control.loseAnswers(1),
+            outage: () => control.setOutage(true),
+            back: () => control.setOutage(false),
+            release: () => void leases.at(-1)?.release(),
+            slow: () => control.setSlow(afterMs % 5_000),
+        };
+        act[kind]();
+    }
+    await clock.advance(30_000);
+    abort.abort();
+    return { maxHolders, fencings };
+}
+
+test("over random interleavings there is never more than one holder, and numbers only grow", async () => {
+    let takeovers = 0;
+    await fc.assert(
+        fc.asyncProperty(fc.array(action, { minLength: 4, maxLength: 16 }), async actions => {
+            const { maxHolders, fencings } = await interleave(actions, defaultLeaseGuards);
+            takeovers += Math.max(0, fencings.length - 1);
+            expect(maxHolders).toBeLessThanOrEqual(1);
+            expect(fencings).toEqual([...new Set(fencings)].sort((a, b) => a - b));
+        }),
+        { numRuns: 60, seed: 5 },
+    );
+    expect(takeovers).toBeGreaterThan(20);
+});
+
+test("without either judgement of time the same interleavings show two holders", async () => {
+    const careless: LeaseGuards[] = [
+        { ...defaultLeaseGuards, isWithinLease: () => true },
+        { ...defaultLeaseGuards, takeOverAfterMs: () => 0 },
+    ];
+    const cases = fc.sample(fc.array(action, { minLength: 4, maxLength: 16 }), { numRuns: 20, seed: 5 });
+    for (const guards of careless) {
+        let worst = 0;
+        for (const actions of cases) {
+            worst = Math.max(worst, (await interleave(actions, guards)).maxHolders);
+        }
+        expect(worst).toBeGreaterThan(1);
+    }
+});
--- /dev/null
+++ b/packages/lease/src/parseLeaseValue.ts
@@ -0,0 +1,15 @@
+import { z } from "zod";
+import type { LeaseValue } from "./LeaseValue.js";
+
+const leaseValue = z.object({
+    holder: z.string().optional(),
+    fencing: z.number().int().positive().optional(),
+    ttlMs: z.number().positive(),
+    stamp: z.object({ writer: z.string(), sequence: z.number().int() }),
+});
+
+/** Reads a lease's value; undefined where the object holds something else. */
+export function parseLeaseValue(value: unknown): LeaseValue | undefined {
+    const parsed = leaseValue.safeParse(value);
+    return parsed.success ? { holder: undefined, fencing: undefined, ...parsed.data } : undefined;
+}
--- /dev/null
+++ b/packages/membership/src/createFailureDetector.test.ts
@@ -0,0 +1,78 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { expect, test } from "vitest";
+import { createAwakeTime } from "./createAwakeTime.js";
+import { createFailureDetector } from "./createFailureDetector.js";
+import { defaultMembershipTiming } from "./defaultMembershipTiming.js";
+
+const subjects = Array.from({ length: 10 }, (_, at) => `sampler-${at}`);
+
+async function build() {
+    const clock = createFakeClock();
+    const awake = createAwakeTime(clock, 1_000);
+    const detector = createFailureDetector(awake.nowMs, defaultMembershipTiming);
+    const hear = async (seconds: number, from: readonly string[]): Promise<void> => {
+        for (let second = 0; second < seconds; second++) {
+            awake.tick();
+            from.forEach(detector.heard);
+            await clock.advance(1_000);
+        }
+    };
+    const suspected = (): string[] =>
+        [...detector.judge()].filter(([, v]) => v.suspected).map(([name]) => name);
+    await hear(30, subjects);
+    return { clock, detector, hear, suspected };
+}
+
+test("a subject that falls silent while the others go on is suspected within seconds, and trusted on return", async () => {
+    const { hear, suspected } = await build();
+    await hear(4, subjects.slice(1));
+    expect(suspected()).toEqual([]);
+    await hear(3, subjects.slice(1));
+    expect(suspected()).toEqual(["sampler-0"]);
+    await hear(1, subjects);
+    expect(suspected()).toEqual([]);
+});
+
+test("a process that was paused suspects nobody", async () => {
+    // Symptom: after a pause of minutes all samplers are ejected at once and every request is refused.
+    // Sequence: reports flow; this VM stands still for five minutes; it wakes and looks at the ages.
+    // Cause: ages counted over time in which this process could not have heard anybody.
+    const { clock, suspected, hear } = await build();
+    await clock.advance(300_000);
+    expect(suspected()).toEqual([]);
+    await hear(2, subjects);
+    expect(suspected()).toEqual([]);
+});
+
+test("when most fall silent at once, silence suspects nobody", async () => {
+    // Symptom: a failed switch port of this entry makes it eject the whole fleet.
+    // Sequence: all but two subjects go silent at the same time. Cause: each silence judged alone.
+    const { hear, suspected } = await build();
+    await hear(60, subjects.slice(0, 2));
+    expect(suspected()).toEqual([]);
+});
+
+test("failed connections suspect at most half, the longest silent first", async () => {
+    const { hear, detector, suspected } = await build();
+    await hear(2, subjects.slice(0, 7));
+    subjects.forEach(name => [1, 2].forEach(() => detector.unreachable(name)));
+    expect(suspected()).toHaveLength(5);
+    expect(suspected()).toEqual(expect.arrayContaining(subjects.slice(7)));
+});
+
+test("a slow link that always answers late is not suspected", async () => {
+    const { hear, detector, suspected, clock } = await build();
+    for (let round = 0; round < 12; round++) {
+        await hear(6, subjects.slice(1));
+        detector.heard("sampler-0");
+        await clock.advance(0);
+    }
+    await hear(6, subjects.slice(1));
+    expect(suspected()).toEqual([]);
+});
+
+test("a rack with two of ten subjects is suspected whole", async () => {
+    const { hear, suspected } = await build();
+    await hear(10, subjects.slice(2));
+    expect(suspected()).toEqual(["sampler-0", "sampler-1"]);
+});
--- /dev/null
+++ b/packages/membership/src/createFailureDetector.ts
@@ -0,0 +1,92 @@
+import type { FailureDetector } from "./FailureDetector.js";
+import type { MembershipTiming } from "./MembershipTiming.js";
+
+interface Subject {
+    lastHeardMs: number;
+    /** Mean gap between two signs of life, and mean deviation from it. */
+    meanGapMs: number;
+    deviationMs: number;
+    failedConnections: number;
+}
+
+/** Weight of a new gap in the running means. */
+const gapWeight = 0.2;
+/** Deviations above the mean after which a silence is no longer ordinary. */
+const deviationsAllowed = 4;
+const gapsAllowed = 3;
+/** Failed connections since the last sign of life that count as proof without waiting for the silence. */
+const connectionsAllowed = 2;
+
+type Verdict = ReturnType<FailureDetector["judge"]> extends ReadonlyMap<string, infer V> ? V : never;
+
+/**
+ * Makes a failure detector that learns each subject's usual gaps.
+ *
+ * If more than `maxSuspectedRatio` of the subjects fell silent, it is far likelier that this process is cut off
+ * than that they all died; suspecting them would leave nobody to work with. Then silence alone suspects nobody,
+ * and failed connections suspect only up to that ratio, the longest silent first.
+ */
+export function createFailureDetector(nowMs: () => number, timing: MembershipTiming): FailureDetector {
+    const subjects = new Map<string, Subject>();
+
+    function heard(name: string): void {
+        const subject = subjects.get(name);
+        if (subject === undefined) {
+            const meanGapMs = timing.minSuspectMs / gapsAllowed;
+            subjects.set(name, { lastHeardMs: nowMs(), meanGapMs, deviationMs: 0, failedConnections: 0 });
+            return;
+        }
+        const gapMs = nowMs() - subject.lastHeardMs;
+        const offMs = Math.abs(gapMs - subject.meanGapMs);
+        subject.meanGapMs += gapWeight * (gapMs - subject.meanGapMs);
+        subject.deviationMs += gapWeight * (offMs - subject.deviationMs);
+        subject.lastHeardMs = nowMs();
+        subject.failedConnections = 0;
+    }
+
+    function allowedMs(subject: Subject): number {
+        const usualMs = gapsAllowed * subject.meanGapMs + deviationsAllowed * subject.deviationMs;
+        return Math.min(timing.maxSuspectMs, Math.max(timing.minSuspectMs, usualMs));
+    }
+
+    function firstVerdict(subject: Subject): Verdict {
+        const ageMs = nowMs() - subject.lastHeardMs;
+        if (subject.failedConnections >= connectionsAllowed) {
+            return { ageMs, suspected: true, reason: "unreachable" };
+        }
+        const silent = ageMs > allowedMs(subject);
+        return { ageMs, suspected: silent, reason: silent ? "silent" : "heard" };
+    }
+
+    function spare(verdict: Verdict): void {
+        verdict.suspected = false;
+        verdict.reason = "spared";
+    }
+
+    function applyFloor(verdicts: Verdict[]): void {
+        const allowed = Math.floor(verdicts.length * timing.maxSuspectedRatio);
+        let suspected = verdicts.filter(verdict => verdict.suspected);
+        if (suspected.length <= allowed) {
+            return;
+        }
+        suspected.filter(verdict => verdict.reason === "silent").forEach(spare);
+        suspected = suspected.filter(verdict => verdict.suspected).sort((a, b) => b.ageMs - a.ageMs);
+        suspected.slice(allowed).forEach(spare);
+    }
+
+    return {
+        heard,
+        unreachable: name => {
+            const subject = subjects.get(name);
+            if (subject !== undefined) {
+                subject.failedConnections++;
+            }
+        },
+        forget: name => void subjects.delete(name),
+        judge: () => {
+            const verdicts = new Map([...subjects].map(([name, subject]) => [name, firstVerdict(subject)]));
+            applyFloor([...verdicts.values()]);
+            return verdicts;
+        },
+    };
+}
--- /dev/null
+++ b/packages/membership/src/createMembership.test.ts
@@ -0,0 +1,224 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import type { EntryId } from "@auburnarch/types/EntryId";
+import type { EntryRecord } from "@auburnarch/types/EntryRecord";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { Region } from "@auburnarch/types/Region";
+import type { SamplerReport } from "@auburnarch/types/SamplerReport";
+import type { VmId } from "@auburnarch/types/VmId";
+import type { VmRecord } from "@auburnarch/types/VmRecord";
+import { expect, test } from "vitest";
+import { createMembership } from "./createMembership.js";
+import type { Membership } from "./Membership.js";
+import type { ReportMessage } from "./ReportMessage.js";
+
+const silent: Logger = {
+    info: () => undefined,
+    warn: () => undefined,
+    error: () => undefined,
+    child: () => silent,
+};
+
+const recordOf = (at: number, regions: number): EntryRecord => ({
+    entry: `entry-${at}` as EntryId,
+    vm: `vm-${at}` as VmId,
+    address: `http://10.0.0.${at}:1`,
+    failureDomain: `place-${at % (3 * regions)}` as FailureDomain,
+    region: `region-${at % regions}` as Region,
+});
+
+const toVm = (record: EntryRecord): VmRecord => ({
+    ...record,
+    role: "entry",
+    sampler: undefined,
+    state: "live",
+});
+
+function build(count: number, regions = 1) {
+    const clock = createFakeClock();
+    const random = createRandom(5);
+    const nodes = new Map<string, Membership>();
+    const net = { connected: (_from: number, _to: string): boolean => true };
+    const vms = { list: Array.from({ length: count }, (_, at) => toVm(recordOf(at, regions))) };
+    const start = (at: number, wallShiftMs = 0): Membership => {
+        const self = recordOf(at, regions);
+        const node = createMembership({
+            self,
+            clock: { ...clock, wallMs: () => clock.wallMs() + wallShiftMs },
+            random: random.fork(),
+            logger: silent,
+            vmList: () => Promise.resolve(vms.list),
+            seeds: [],
+            exchange: async (address, message) => {
+                const wire = JSON.stringify(message);
+                await clock.sleep(1);
+                const target = nodes.get(address);
+                if (target === undefined || !net.connected(at, address)) {
+                    throw new Error("unreachable");
+                }
+                return JSON.parse(JSON.stringify(target.receiveGossip(JSON.parse(wire)))) as unknown;
+            },
+            newerDocuments: () => [],
+        });
+        nodes.set(self.address, node);
+        node.start();
+        return node;
+    };
+    const all = Array.from({ length: count }, (_, at) => start(at));
+    const kill = (at: number): void => {
+        const { address } = recordOf(at, regions);
+        nodes.get(address)?.stop();
+        nodes.delete(address);
+    };
+    const everybodyKnows = (known: number) => (): boolean =>
+        [...nodes.values()].every(node => node.listPeers().length === known - 1);
+    return { clock, nodes, net, vms, start, all, kill, everybodyKnows };
+}
+
+test("entries find each other from the VM list and choose the same relays, in different failure domains", async () => {
+    const fleet = build(24);
+    expect(await fleet.clock.runUntil(fleet.everybodyKnows(24), 30_000)).toBe(true);
+    const relays = fleet.all.flatMap((node, at) => node.isRelay() ? [recordOf(at, 1).failureDomain] : []);
+    expect(relays).toHaveLength(3);
+    expect(new Set(relays).size).toBe(3);
+});
+
+test("each region has relays of its own", async () => {
+    const fleet = build(24, 2);
+    expect(await fleet.clock.runUntil(fleet.everybodyKnows(24), 30_000)).toBe(true);
+    const regions = fleet.all.flatMap((node, at) => node.isRelay() ? [recordOf(at, 2).region] : []);
+    expect(regions.sort()).toEqual(["region-0", "region-0", "region-1", "region-1"]);
+});
+
+test("dead entries are suspected everywhere although the VM list still calls them live", async () => {
+    const fleet = build(12);
+    await fleet.clock.advance(30_000);
+    fleet.kill(3);
+    fleet.kill(4);
+    expect(await fleet.clock.runUntil(fleet.everybodyKnows(10), 60_000)).toBe(true);
+});
+
+test("an entry that is alive stays known although the VM list has lost it", async () => {
+    // Symptom: a working entry gets no reports and no documents. Sequence: the VM list answers without it.
+    // Cause: the list lags or errs, and was believed against live evidence.
+    const fleet = build(6);
+    await fleet.clock.advance(20_000);
+    fleet.vms.list = fleet.vms.list.slice(1);
+    await fleet.clock.advance(180_000);
+    expect(fleet.everybodyKnows(6)()).toBe(true);
+});
+
+test("a one-way link suspects nobody for long", async () => {
+    // Symptom: entry 0 is ejected by some and trusted by others, in turns.
+    // Sequence: messages from 0 to 1 are lost; all other links work. Cause: a failed connection taken for death
+    // although heartbeats still arrive through others.
+    const fleet = build(12);
+    await fleet.clock.advance(20_000);
+    fleet.net.connected = (from, to) => !(from === 0 && to === recordOf(1, 1).address);
+    await fleet.clock.advance(300_000);
+    const suspectedBy = fleet.all.filter(node => node.listEntries().some(view => view.suspected));
+    expect(suspectedBy).toEqual([]);
+});
+
+test("two regions cut off from each other go on, and know each other again after the cut", async () => {
+    const fleet = build(12, 2);
+    await fleet.clock.advance(30_000);
+    fleet.net.connected = (from, to) => from % 2 === Number(to.split(".")[3]!.split(":")[0]) % 2;
+    await fleet.clock.advance(300_000);
+    const nearPeers = fleet.all.map(node => node.listPeers().length);
+    expect(Math.min(...nearPeers)).toBeGreaterThanOrEqual(5);
+    expect(fleet.all.filter(node => node.isRelay())).toHaveLength(4);
+    fleet.net.connected = () => true;
+    expect(await fleet.clock.runUntil(fleet.everybodyKnows(12), 120_000)).toBe(true);
+});
+
+test("an entry restarted with its wall clock set back is known again", async () => {
+    // Symptom: a restarted entry is taken for dead although it answers. Sequence: the VM is replaced under the same
+    // name, with a clock an hour behind. Cause: its heartbeats look older than those of its earlier run.
+    const fleet = build(6);
+    await fleet.clock.advance(20_000);
+    fleet.kill(2);
+    await fleet.clock.advance(30_000);
+    fleet.start(2, -3_600_000);
+    expect(await fleet.clock.runUntil(fleet.everybodyKnows(6), 60_000)).toBe(true);
+});
+
+const reportOf = (
+    sampler: string,
+    sequence: number,
+    fields: Partial<Record<string, unknown>> = {},
+): ReportMessage => ({
+    report: {
+        sampler,
+        vm: `vm-of-${sampler}`,
+        incarnation: "run-1",
+        sequence,
+        address: "http://10.1.0.1:1",
+        failureDomain: "Lugo",
+        region: "norte",
+        service: "rollouts",
+        state: "ready",
+        served: [],
+        running: 0,
+        waiting: 0,
+        limit: 8,
+        tokensPerSecond: 50,
+        maxBatch: 8,
+        configVersion: 1,
+        suspects: [],
+        ...fields,
+    } as unknown as SamplerReport,
+    digest: { manifest: 0 },
+    knownEntries: 1,
+});
+
+test("reports that were overtaken, or of a dead incarnation, do not replace newer ones", async () => {
+    const [node] = build(1).all as [Membership];
+    const running = (): number | undefined => node.listReports()[0]?.report.running;
+    node.receiveReport(reportOf("s1", 2, { running: 2 }));
+    node.receiveReport(reportOf("s1", 1, { running: 1 }));
+    expect(running()).toBe(2);
+    node.receiveReport(reportOf("s1", 1, { running: 7, incarnation: "run-2" }));
+    expect(running()).toBe(7);
+    node.receiveReport(reportOf("s1", 2, { running: 2 }));
+    expect(running()).toBe(7);
+});
+
+test("a VM that the list calls leaving is excluded at once, and its sidecar is told", async () => {
+    const fleet = build(2);
+    const [node] = fleet.all as [Membership, Membership];
+    await fleet.clock.advance(1_000);
+    node.receiveReport(reportOf("s1", 1));
+    const record = {
+        ...fleet.vms.list[0]!,
+        vm: "vm-of-s1" as VmId,
+        role: "sidecar" as const,
+        state: "leaving" as const,
+    };
+    fleet.vms.list = [...fleet.vms.list, record];
+    await fleet.clock.advance(6_000);
+    expect(node.listReports()[0]!.report.state).toBe("leaving");
+    expect(node.receiveReport(reportOf("s1", 2)).leaving).toBe(true);
+});
+
+test("the interval between reports grows with their number", () => {
+    const [node] = build(1).all as [Membership];
+    const intervals = [1, 10, 30, 200].map(count => {
+        for (let at = 0; at < count; at++) {
+            node.receiveReport(reportOf(`s${at}`, count));
+        }
+        return Math.round(node.receiveReport(reportOf("s0", 10_000 + count)).nextReportMs);
+    });
+    expect(intervals[0]).toBe(1_000);
+    expect(intervals[2]).toBeGreaterThan(intervals[1]!);
+    expect(intervals[3]).toBe(10_000);
+});
+
+test("malformed messages are refused with badRequest and change nothing", () => {
+    const [node] = build(1).all as [Membership];
+    expect(() => node.receiveReport({ report: {} })).toThrow("badRequest");
+    expect(() => node.receiveReport(reportOf("s1", -1))).toThrow("badRequest");
+    expect(() => node.receiveGossip({ from: 3 })).toThrow("badRequest");
+    expect(node.listReports()).toEqual([]);
+});
--- /dev/null
+++ b/packages/membership/src/createReportBook.ts
@@ -0,0 +1,110 @@
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+import type { SamplerReport } from "@auburnarch/types/SamplerReport";
+import { createFailureDetector } from "./createFailureDetector.js";
+import type { MembershipTiming } from "./MembershipTiming.js";
+import type { ReportView } from "./ReportView.js";
+
+/** Newest report of each sampler. */
+interface ReportBook {
+    take(report: SamplerReport): boolean;
+    note(sampler: SamplerId, reached: boolean): void;
+    list(): ReportView[];
+    /** Drops samplers that are silent for long and that `isListed` does not know. */
+    prune(isListed: (report: SamplerReport) => boolean): void;
+    size(): number;
+}
+
+interface Row {
+    report: SamplerReport;
+    /** Highest sequence of this and the last few incarnations. */
+    sequences: Map<IncarnationId, number>;
+    suspected: boolean;
+}
+
+const keptIncarnations = 4;
+
+/**
+ * Makes the book of reports. A report counts only if its sequence is the highest seen of its incarnation: one that
+ * was overtaken on the way, or that a dead incarnation sent, would otherwise replace newer knowledge.
+ */
+export function createReportBook(
+    nowMs: () => number,
+    timing: MembershipTiming,
+    logger: Logger,
+): ReportBook {
+    const rows = new Map<SamplerId, Row>();
+    const detector = createFailureDetector(nowMs, timing);
+
+    function take(report: SamplerReport): boolean {
+        const row = rows.get(report.sampler);
+        const sequences = row?.sequences ?? new Map<IncarnationId, number>();
+        if (report.sequence <= (sequences.get(report.incarnation) ?? -1)) {
+            return false;
+        }
+        if (row === undefined || row.report.incarnation !== report.incarnation) {
+            logger.info("samplerSeen", {
+                sampler: report.sampler,
+                incarnation: report.incarnation,
+                before: row?.report.incarnation,
+                vm: report.vm,
+            });
+        }
+        sequences.delete(report.incarnation);
+        sequences.set(report.incarnation, report.sequence);
+        if (sequences.size > keptIncarnations) {
+            sequences.delete(sequences.keys().next().value!);
+        }
+        rows.set(report.sampler, { report, sequences, suspected: row?.suspected ?? false });
+        detector.heard(report.sampler);
+        return true;
+    }
+
+    function logChange(row: Row, suspected: boolean, reason: string, ageMs: number): void {
+        if (row.suspected !== suspected) {
+            row.suspected = suspected;
+            const fields = {
+                sampler: row.report.sampler,
+                reason,
+                ageMs: Math.round(ageMs),
+                known: rows.size,
+            };
+            logger.info(suspected ? "samplerSuspected" : "samplerTrusted", fields);
+        }
+    }
+
+    function list(): ReportView[] {
+        const verdicts = detector.judge();
+        return [...rows.values()].map(row => {
+            const { ageMs, suspected, reason } = verdicts.get(row.report.sampler)!;
+            logChange(row, suspected, reason, ageMs);
+            return { report: row.report, ageMs, suspected };
+        });
+    }
+
+    function prune(isListed: (report: SamplerReport) => boolean): void {
+        for (const { report, ageMs } of list()) {
+            if (ageMs > timing.forgetMs && !isListed(report)) {
+                rows.delete(report.sampler);
+                detector.forget(report.sampler);
+                logger.info("samplerForgotten", { sampler: report.sampler, ageMs: Math.round(ageMs) });
+            }
+        }
+    }
+
+    return {
+        take,
+        note: (sampler, reached) => {
+            if (!reached) {
+                detector.unreachable(sampler);
+            }
+            else if (rows.has(sampler)) {
+                detector.heard(sampler);
+            }
+        },
+        list,
+        prune,
+        size: () => rows.size,
+    };
+}
--- /dev/null
+++ b/packages/membership/src/createReporter.test.ts
@@ -0,0 +1,120 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { Region } from "@auburnarch/types/Region";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+import type { SamplerReport } from "@auburnarch/types/SamplerReport";
+import type { VmId } from "@auburnarch/types/VmId";
+import type { VmRecord } from "@auburnarch/types/VmRecord";
+import { expect, test } from "vitest";
+import { createReporter } from "./createReporter.js";
+import type { ReportMessage } from "./ReportMessage.js";
+
+const places = ["Pamplona", "Lugo", "Burgos"] as FailureDomain[];
+
+const entryVms: VmRecord[] = [0, 1, 2, 3, 4, 5].map(at => ({
+    vm: `vm-${at}` as VmId,
+    address: `http://10.0.0.${at}:1`,
+    failureDomain: places[at % places.length]!,
+    region: "norte" as Region,
+    role: "entry",
+    sampler: undefined,
+    state: "live",
+}));
+
+const silent: Logger = {
+    info: () => undefined,
+    warn: () => undefined,
+    error: () => undefined,
+    child: () => silent,
+};
+
+function build(answers: (address: string, message: ReportMessage) => Promise<unknown>) {
+    const clock = createFakeClock();
+    const state = { leaving: 0, sent: [] as { address: string; atMs: number; state: string; }[] };
+    let sequence = 0;
+    const reported = { state: "ready" as SamplerReport["state"] };
+    const reporter = createReporter({
+        sampler: "rollout-1" as SamplerId,
+        clock,
+        random: createRandom(7),
+        logger: silent,
+        report:
+            () => ({ sampler: "rollout-1", sequence: ++sequence, state: reported.state } as SamplerReport),
+        digest: () => ({ manifest: 0 }),
+        onDocuments: () => undefined,
+        onLeaving: () => {
+            state.leaving++;
+        },
+        vmList: () => Promise.resolve(entryVms),
+        seeds: [],
+        exchange: (address, message) => {
+            state.sent.push({ address, atMs: clock.monotonicMs(), state: message.report.state });
+            return answers(address, message);
+        },
+    });
+    return { clock, reporter, state, reported };
+}
+
+const fine = { documents: [], nextReportMs: 1_000, entries: [], leaving: false };
+
+test("reports go to three entries in three failure domains, about once a second", async () => {
+    const { clock, reporter, state } = build(() => Promise.resolve(fine));
+    reporter.start();
+    await clock.advance(10_000);
+    reporter.stop();
+    const targets = reporter.targets();
+    const domains = targets.map(address => entryVms.find(vm => vm.address === address)!.failureDomain);
+    expect(new Set(domains).size).toBe(3);
+    expect(new Set(state.sent.map(sent => sent.address))).toEqual(new Set(targets));
+    expect(state.sent.length).toBeGreaterThanOrEqual(27);
+    expect(state.sent.length).toBeLessThanOrEqual(34);
+});
+
+test("an entry that fails is replaced by the next in order at once", async () => {
+    // Symptom: an entry's VM is gone and the sampler is known to two entries only.
+    // Sequence: reports run; one target stops answering. Cause: targets kept whatever became of them.
+    const down = new Set<string>();
+    const { clock, reporter } = build(address =>
+        down.has(address) ? Promise.reject(new Error("refused")) : Promise.resolve(fine)
+    );
+    reporter.start();
+    await clock.advance(3_000);
+    const first = reporter.targets();
+    down.add(first[0]!);
+    await clock.advance(3_000);
+    const second = reporter.targets();
+    reporter.stop();
+    expect(second).toHaveLength(3);
+    expect(second).not.toContain(first[0]);
+    expect(second).toEqual(expect.arrayContaining(first.slice(1)));
+});
+
+test("a change of state while a report is under way is reported right after it", async () => {
+    // Symptom: entries send work to a sampler that began to swap, until its next regular report.
+    // Sequence: report sent with `ready`; state changes; the answer comes. Cause: the answer alone set the next
+    // report's time, although it answers the older state.
+    let answer: ((value: unknown) => void) | undefined;
+    const { clock, reporter, state, reported } = build(() => new Promise(resolve => answer = resolve));
+    reporter.start();
+    await clock.advance(100);
+    const before = state.sent.length;
+    reported.state = "swapping";
+    reporter.reportNow();
+    expect(state.sent.length).toBe(before);
+    answer!({ ...fine, nextReportMs: 10_000 });
+    await clock.advance(0);
+    expect(state.sent.slice(before).map(sent => sent.state)).toEqual(["swapping"]);
+    reporter.stop();
+});
+
+test("a malformed answer counts as a failure and a leaving VM is noticed through the answer", async () => {
+    const { clock, reporter, state } = build(address =>
+        Promise.resolve(address.endsWith("1:1") ? { nonsense: true } : { ...fine, leaving: true })
+    );
+    reporter.start();
+    await clock.advance(1_500);
+    reporter.stop();
+    expect(state.leaving).toBeGreaterThan(0);
+});
--- /dev/null
+++ b/packages/membership/src/createReporter.ts
@@ -0,0 +1,144 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { callInTime } from "./callInTime.js";
+import { chooseOverDomains } from "./chooseOverDomains.js";
+import { createEntryDirectory } from "./createEntryDirectory.js";
+import { defaultMembershipTiming } from "./defaultMembershipTiming.js";
+import type { EntryTarget } from "./EntryTarget.js";
+import type { MembershipTiming } from "./MembershipTiming.js";
+import { parseWith } from "./parseWith.js";
+import type { ReportAnswer } from "./ReportAnswer.js";
+import { reportAnswerSchema } from "./reportAnswerSchema.js";
+import type { Reporter } from "./Reporter.js";
+import type { ReporterDeps } from "./ReporterDeps.js";
+
+const minSleepMs = 50;
+const maxSleepMs = 1_000;
+/** How long a choice of targets stands while nothing fails; hashing all entries each time would cost more. */
+const choiceMs = 5_000;
+
+/**
+ * Makes the reporting of a sidecar to a few entries, chosen by rendezvous hash over failure domains. Each entry's
+ * answer says when it wants the next report; a failing entry is replaced at once by the next in order.
+ */
+export function createReporter(deps: ReporterDeps): Reporter {
+    const timing: MembershipTiming = { ...defaultMembershipTiming, ...deps.timing };
+    const { clock } = deps;
+    const stopped = new AbortController();
+    const directory = createEntryDirectory(() => clock.monotonicMs(), deps.seeds);
+    const dueAtMs = new Map<string, number>();
+    const inFlight = new Set<string>();
+    let vmListDueMs = 0;
+    /** Counts the calls of `reportNow`. */
+    let changes = 0;
+    let chosen: { targets: EntryTarget[]; untilMs: number; } | undefined;
+
+    async function readVmList(): Promise<void> {
+        try {
+            const listed = await deps.vmList();
+            learn(
+                listed
+                    .filter(record => record.role === "entry" && record.state === "live")
+                    .map(({ address, failureDomain }) => ({ address, failureDomain })),
+            );
+        }
+        catch (error) {
+            deps.logger.warn("vmListFailed", { code: codeOf(error).name });
+        }
+    }
+
+    function learn(entries: EntryTarget[]): void {
+        if (entries.length > 0) {
+            directory.learn(entries);
+            chosen = undefined;
+        }
+    }
+
+    function chooseTargets(): EntryTarget[] {
+        const nowMs = clock.monotonicMs();
+        if (chosen === undefined || nowMs >= chosen.untilMs) {
+            const targets = chooseOverDomains(deps.sampler, directory.listUsable(), timing.reportTargets);
+            chosen = { targets, untilMs: nowMs + choiceMs };
+        }
+        return chosen.targets;
+    }
+
+    function takeAnswer(address: string, answer: ReportAnswer, changesSent: number): void {
+        directory.noteAnswered(address);
+        learn(answer.entries);
+        const jitter = 0.9 + 0.2 * deps.random.nextUnit();
+        if (changesSent === changes) {
+            dueAtMs.set(address, clock.monotonicMs() + answer.nextReportMs * jitter);
+        }
+        else {
+            // A change came while the report was under way: the answer is to an older state.
+            void reportTo(address);
+        }
+        if (answer.documents.length > 0) {
+            deps.onDocuments(answer.documents);
+        }
+        if (answer.leaving) {
+            deps.onLeaving();
+        }
+    }
+
+    async function reportTo(address: string): Promise<void> {
+        inFlight.add(address);
+        const changesSent = changes;
+        const message = {
+            report: deps.report(),
+            digest: deps.digest(),
+            knownEntries: directory.countUsable(),
+        };
+        const call = (): Promise<ReportAnswer> =>
+            deps.exchange(address, message).then(answer =>
+                parseWith<ReportAnswer>(reportAnswerSchema, answer)
+            );
+        const outcome = await callInTime(clock, timing.reportTimeoutMs, call);
+        inFlight.delete(address);
+        if (outcome !== undefined) {
+            takeAnswer(address, outcome.answer as ReportAnswer, changesSent);
+            return;
+        }
+        directory.noteFailed(address);
+        dueAtMs.delete(address);
+        chosen = undefined;
+        deps.logger.warn("reportFailed", { sampler: deps.sampler, entry: address });
+    }
+
+    function reportWhereDue(): void {
+        const nowMs = clock.monotonicMs();
+        for (const { address } of chooseTargets()) {
+            if (!inFlight.has(address) && nowMs >= (dueAtMs.get(address) ?? 0)) {
+                void reportTo(address);
+            }
+        }
+    }
+
+    function nextSleepMs(): number {
+        const dueMs = chooseTargets().map(({ address }) => dueAtMs.get(address) ?? 0);
+        const leftMs = Math.min(...dueMs) - clock.monotonicMs();
+        return Math.min(maxSleepMs, Math.max(minSleepMs, leftMs));
+    }
+
+    async function run(): Promise<void> {
+        while (!stopped.signal.aborted) {
+            if (directory.countUsable() < timing.reportTargets && clock.monotonicMs() >= vmListDueMs) {
+                vmListDueMs = clock.monotonicMs() + timing.vmListIntervalMs;
+                await callInTime(clock, timing.reportTimeoutMs, readVmList);
+            }
+            reportWhereDue();
+            await clock.sleep(nextSleepMs(), stopped.signal);
+        }
+    }
+
+    return {
+        start: () => void run(),
+        stop: () => stopped.abort(),
+        reportNow: () => {
+            changes++;
+            dueAtMs.clear();
+            reportWhereDue();
+        },
+        targets: () => chooseTargets().map(target => target.address),
+    };
+}
--- /dev/null
+++ b/packages/membership/src/defaultMembershipTiming.ts
@@ -0,0 +1,20 @@
+import type { MembershipTiming } from "./MembershipTiming.js";
+
+/** Times and sizes in use unless a test says otherwise. */
+export const defaultMembershipTiming: MembershipTiming = {
+    gossipIntervalMs: 1_000,
+    gossipTimeoutMs: 3_000,
+    beatsPerMessage: 8,
+    recordsPerMessage: 4,
+    minSuspectMs: 5_000,
+    maxSuspectMs: 60_000,
+    maxSuspectedRatio: 0.5,
+    forgetMs: 60_000,
+    vmListIntervalMs: 5_000,
+    reportTargets: 3,
+    minReportIntervalMs: 1_000,
+    maxReportIntervalMs: 10_000,
+    reportBytesPerSecond: 2_500,
+    reportTimeoutMs: 3_000,
+    relays: 3,
+};
--- /dev/null
+++ b/packages/membership/src/parseWith.ts
@@ -0,0 +1,16 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { z } from "zod";
+
+/** `message` once its shape is checked; names and versions get their branded types. Throws `badRequest`. */
+export function parseWith<T>(schema: z.ZodType, message: unknown): T {
+    const parsed = schema.safeParse(message);
+    if (!parsed.success) {
+        const issue = parsed.error.issues[0];
+        throw new ResultError(
+            resultCodes.badRequest,
+            `${issue?.path.join(".") ?? ""}: ${issue?.message ?? ""}`,
+        );
+    }
+    return parsed.data as T;
+}
--- /dev/null
+++ b/packages/membership/src/reportAnswerSchema.ts
@@ -0,0 +1,15 @@
+import { documentTransferSchema } from "@auburnarch/spread/documentTransferSchema";
+import { z } from "zod";
+
+const maxRows = 256;
+
+/** Shape of a `ReportAnswer` as it comes from an entry. */
+export const reportAnswerSchema = z.strictObject({
+    documents: z.array(documentTransferSchema).max(maxRows),
+    nextReportMs: z.number().min(0),
+    entries: z.array(z.strictObject({
+        address: z.string().min(1).max(256),
+        failureDomain: z.string().min(1).max(64),
+    })).max(maxRows),
+    leaving: z.boolean(),
+});
--- a/packages/own/src/Owner.ts
+++ b/packages/own/src/Owner.ts
@@ -16,6 +16,8 @@
     /** The manifest changed; takes effect for samples not yet running. */
     updateJob(job: JobManifest): void;
     status(): OwnerStatus;
+    /** Aborted once this owner has ended for good, by `stop` or because a newer owner showed itself: drop it then. */
+    ended?: AbortSignal;
     /** Graceful: checkpoints, stops the dispatcher. The lease is released by the caller. */
     stop(): Promise<void>;
 }
--- /dev/null
+++ b/packages/own/src/OwnerParts.ts
@@ -0,0 +1,8 @@
+import type { createDispatcher } from "@auburnarch/dispatch/createDispatcher";
+import type { createSwapRoller } from "@auburnarch/swap/createSwapRoller";
+
+/** The parts of an owner that stand on their own, so that tests and measurements can put others in their place. */
+export interface OwnerParts {
+    createDispatcher: typeof createDispatcher;
+    createSwapRoller: typeof createSwapRoller;
+}
--- a/packages/own/src/OwnerStatus.ts
+++ b/packages/own/src/OwnerStatus.ts
@@ -19,4 +19,7 @@
     deliveredEngineMs: number;
     /** Engine time of samples that the team itself gave up. */
     discardedEngineMs: number;
+    /** Acknowledged samples and their tokens. */
+    deliveredSamples?: number;
+    deliveredTokens?: number;
 }
--- /dev/null
+++ b/packages/own/src/ReaderDeps.ts
@@ -0,0 +1,34 @@
+import type { CursorCodec } from "@auburnarch/deliver/CursorCodec";
+import type { CursorState } from "@auburnarch/deliver/CursorState";
+import type { Invariants } from "@auburnarch/invariants/Invariants";
+import type { Metrics } from "@auburnarch/metrics/Metrics";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { Authority } from "./Authority.js";
+import type { createNotifier } from "./createNotifier.js";
+import type { JobState } from "./JobState.js";
+import type { Maker } from "./Maker.js";
+import type { OpenStep } from "./OpenStep.js";
+import type { OwnerGuards } from "./OwnerGuards.js";
+
+/** What a reader is built from. */
+export interface ReaderDeps {
+    state: JobState;
+    fencing: FencingNumber;
+    codec: CursorCodec;
+    authority: Authority;
+    maker: Maker;
+    guards: OwnerGuards;
+    invariants: Invariants;
+    clock: Clock;
+    logger: Logger;
+    metrics: Metrics;
+    notifier: ReturnType<typeof createNotifier>;
+    /** Looks the step up where it may have been opened by another owner; undefined if there is none. */
+    findStep: (step: number) => Promise<OpenStep | undefined>;
+    /** The trainer has shown that it has these groups, for the first time. */
+    onAcknowledged: (step: OpenStep, cursor: CursorState, groups: number[]) => void;
+    /** Resolves once the end of a step is durable, or after a short while if it cannot be made so now. */
+    whenCompleted: () => Promise<void>;
+}
--- /dev/null
+++ b/packages/own/src/backoffMs.ts
@@ -0,0 +1,7 @@
+import type { Random } from "@auburnarch/types/Random";
+
+/** Delay before the try after `failures` failures: doubling from `firstMs` to `maxMs`, half of it drawn. */
+export function backoffMs(failures: number, firstMs: number, maxMs: number, random: Random): number {
+    const ceilingMs = Math.min(maxMs, firstMs * 2 ** Math.min(failures - 1, 30));
+    return ceilingMs * (0.5 + random.nextUnit() / 2);
+}
--- /dev/null
+++ b/packages/own/src/buildCheckpoint.ts
@@ -0,0 +1,18 @@
+import type { CursorCodec } from "@auburnarch/deliver/CursorCodec";
+import type { Checkpoint } from "./Checkpoint.js";
+import type { JobState } from "./JobState.js";
+
+/** What of a job's state a new owner needs. */
+export function buildCheckpoint(state: JobState, codec: CursorCodec, fencing: number): Checkpoint {
+    return {
+        fencing,
+        completed: [...state.completed].map(([step, digest]) => ({ step, digest })),
+        retiredBelow: state.retiredBelow,
+        deliveredEngineMs: state.completedEngineMs,
+        discardedEngineMs: state.discardedEngineMs,
+        cursors: [...state.steps.values()].map(step => ({
+            step: step.document.step,
+            cursor: codec.encode(step.furthest),
+        })),
+    };
+}
--- /dev/null
+++ b/packages/own/src/checkPage.ts
@@ -0,0 +1,39 @@
+import { hasGroup } from "@auburnarch/deliver/hasGroup";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { Invariants } from "@auburnarch/invariants/Invariants";
+import type { JobId } from "@auburnarch/types/JobId";
+import type { SampleGroup } from "@auburnarch/types/SampleGroup";
+import type { VersionBounds } from "@auburnarch/verify/VersionBounds";
+import { sampleIdOf } from "./sampleIdOf.js";
+
+interface PageToCheck {
+    job: JobId;
+    step: number;
+    groupSize: number;
+    /** Bitmap of the reader's cursor. */
+    delivered: Uint8Array;
+    groups: SampleGroup[];
+    bounds: VersionBounds;
+}
+
+/** Asserts the promises on a page about to be delivered; false if one would break. Uses none of the guards. */
+export function checkPage(invariants: Invariants, page: PageToCheck): boolean {
+    const { job, step, groupSize, bounds } = page;
+    return page.groups.every(group => {
+        const fields = { job, step, group: group.group };
+        const spans = group.samples.flatMap(sample => sample.spans);
+        const isNamed = group.samples.every(sample => sample.spans.length > 0)
+            && spans.every(span => Number.isSafeInteger(span.version));
+        const isOwn = group.samples.length === groupSize
+            && group.samples.every((sample, index) =>
+                sample.sample === sampleIdOf(job, step, group.group, index)
+            );
+        const isRecent = spans.every(span => span.version >= bounds.minVersion);
+        return [
+            invariants.check(resultCodes.provenanceMissing, isNamed, fields),
+            invariants.check(resultCodes.answerMixed, isOwn, fields),
+            invariants.check(resultCodes.staleDelivered, isRecent, fields),
+            invariants.check(resultCodes.deliveredTwice, !hasGroup(page.delivered, group.group), fields),
+        ].every(holds => holds);
+    });
+}
--- /dev/null
+++ b/packages/own/src/createGroupKeeper.ts
@@ -0,0 +1,83 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import type { GroupKeep } from "@auburnarch/types/GroupKeep";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { GroupKeeper } from "./GroupKeeper.js";
+import type { JobState } from "./JobState.js";
+import type { OpenStep } from "./OpenStep.js";
+import { parseKeptGroup } from "./parseKeptGroup.js";
+
+/** A takeover does not wait longer than this for kept groups; making them again is slower, but sure. */
+const restoreWaitMs = 5_000;
+
+interface GroupKeeperDeps {
+    keep: GroupKeep | undefined;
+    state: JobState;
+    fencing: FencingNumber;
+    clock: Clock;
+    logger: Logger;
+}
+
+/** Makes the keeper over a `GroupKeep`; without one it keeps nothing. */
+export function createGroupKeeper(deps: GroupKeeperDeps): GroupKeeper {
+    const { keep, state, fencing, clock, logger } = deps;
+    const { job } = state.job;
+
+    function logFailure(action: string, step: number): (error: unknown) => void {
+        return error => {
+            const code = codeOf(error);
+            logger.warn("keepFailed", { action, step, code: code.number, name: code.name });
+        };
+    }
+
+    async function load(step: number): Promise<{ group: number; fencing: number; body: string; }[]> {
+        if (keep === undefined) {
+            return [];
+        }
+        const timeout = clock.sleep(restoreWaitMs).then(() => []);
+        const loaded = keep.load(job, step).catch((error: unknown) => {
+            logFailure("load", step)(error);
+            return [];
+        });
+        return await Promise.race([loaded, timeout]);
+    }
+
+    async function restore(step: OpenStep): Promise<number> {
+        const records = await load(step.document.step);
+        // A record of a newer owner is left to it: this one is about to learn that it is fenced off.
+        const usable = records
+            .filter(record => record.fencing <= fencing)
+            .sort((a, b) => b.fencing - a.fencing);
+        const groups = usable
+            .flatMap(record => parseKeptGroup(job, step.document, record.body, state.bounds()) ?? []);
+        groups.flatMap(group => group.samples).forEach(sample => step.ledger.commit(sample));
+        logger.info("groupsRestored", {
+            step: step.document.step,
+            records: records.length,
+            usable: groups.length,
+        });
+        return groups.length;
+    }
+
+    return {
+        save: (step, group) => {
+            const record = {
+                job,
+                step: step.document.step,
+                group: group.group,
+                fencing,
+                body: JSON.stringify(group),
+            };
+            void keep?.save(record).catch(logFailure("save", record.step));
+        },
+        drop: (step, groups) => {
+            if (groups.length > 0) {
+                void keep?.drop(job, step.document.step, [...groups]).catch(
+                    logFailure("drop", step.document.step),
+                );
+            }
+        },
+        restore,
+    };
+}
--- /dev/null
+++ b/packages/own/src/createMaker.ts
@@ -0,0 +1,150 @@
+import type { MadeSample } from "@auburnarch/types/MadeSample";
+import type { Sample } from "@auburnarch/types/Sample";
+import type { SampleTask } from "@auburnarch/types/SampleTask";
+import { backoffMs } from "./backoffMs.js";
+import type { Maker } from "./Maker.js";
+import type { MakerDeps } from "./MakerDeps.js";
+import { makeTask } from "./makeTask.js";
+import type { OpenStep } from "./OpenStep.js";
+import { sampleIdOf } from "./sampleIdOf.js";
+
+const firstBackoffMs = 100;
+const maxBackoffMs = 10_000;
+
+/**
+ * Makes the maker: dispatch → verify → score → commit. Nothing unverified or unscored is committed; what fails
+ * verification is made again after a backoff, and a scoring service that is down is asked until it answers.
+ */
+export function createMaker(deps: MakerDeps): Maker {
+    const { state, guards, clock, random, logger, metrics } = deps;
+    const failures = new Map<string, number>();
+    let submissions = 0;
+
+    const isOpen = (step: OpenStep): boolean =>
+        !deps.isStopped() && state.steps.get(step.document.step) === step;
+
+    function missingTasks(step: OpenStep, group: number): SampleTask[] {
+        const { minVersion } = state.bounds();
+        return step.ledger.missing(group)
+            .map(index => makeTask(state.job, step.document, group, index, minVersion, clock))
+            .filter(task => !step.outstanding.has(task.sample));
+    }
+
+    function want(step: OpenStep, groups: readonly number[]): void {
+        const tasks = groups.flatMap(group => missingTasks(step, group));
+        if (tasks.length === 0 || !isOpen(step)) {
+            return;
+        }
+        tasks.forEach(task => step.outstanding.set(task.sample, ++submissions));
+        deps.dispatcher.submit(tasks);
+    }
+
+    function withdraw(step: OpenStep, groups: readonly number[]): void {
+        const { job } = state.job;
+        const samples = groups
+            .flatMap(group =>
+                step.ledger.missing(group).map(index => sampleIdOf(job, step.document.step, group, index))
+            )
+            .filter(sample => step.outstanding.delete(sample));
+        if (samples.length > 0) {
+            deps.dispatcher.withdraw(samples);
+        }
+    }
+
+    function remakeStale(step: OpenStep, group: number): boolean {
+        const { minVersion } = state.bounds();
+        const stale = step.ledger.present(group).filter(sample => !guards.isFresh(sample.spans, minVersion));
+        if (stale.length === 0) {
+            return false;
+        }
+        logger.info("groupStale", { step: step.document.step, group, samples: stale.length, minVersion });
+        metrics.count("samples_remade_total", { reason: "staleVersion" }, stale.length);
+        step.ledger.reopen(group, stale.map(sample => sample.index));
+        want(step, [group]);
+        return true;
+    }
+
+    async function makeAgain(
+        step: OpenStep,
+        task: SampleTask,
+        submission: number,
+        reason: string,
+    ): Promise<void> {
+        const count = (failures.get(task.sample) ?? 0) + 1;
+        failures.set(task.sample, count);
+        logger.warn("sampleRejected", { sample: task.sample, reason, failures: count });
+        metrics.count("samples_remade_total", { reason });
+        await clock.sleep(backoffMs(count, firstBackoffMs, maxBackoffMs, random));
+        if (step.outstanding.get(task.sample) === submission) {
+            step.outstanding.delete(task.sample);
+            want(step, [task.group]);
+        }
+    }
+
+    /** Undefined if the sample is no longer wanted before the service has answered. */
+    async function score(step: OpenStep, made: MadeSample, submission: number): Promise<number | undefined> {
+        const text = made.answer.spans.map(span => span.text).join("");
+        const isWanted = (): boolean => isOpen(step) && step.outstanding.get(made.task.sample) === submission;
+        for (let tries = 1; isWanted(); tries++) {
+            try {
+                const points = await deps.scoring(state.job.scoring, made.task.prompt, text);
+                return isWanted() ? points : undefined;
+            }
+            catch {
+                metrics.count("scoring_failures_total", { service: state.job.scoring });
+                await clock.sleep(backoffMs(tries, firstBackoffMs, maxBackoffMs, random));
+            }
+        }
+        return undefined;
+    }
+
+    function toSample(made: MadeSample, score: number): Sample {
+        const { task, answer } = made;
+        return {
+            sample: task.sample,
+            group: task.group,
+            index: task.index,
+            spans: answer.spans,
+            tokens: answer.spans.reduce((sum, span) => sum + span.tokens, 0),
+            score,
+            sampler: answer.sampler,
+            engineMs: answer.engineMs,
+        };
+    }
+
+    function commit(step: OpenStep, sample: Sample): void {
+        step.outstanding.delete(sample.sample);
+        failures.delete(sample.sample);
+        const result = step.ledger.commit(sample);
+        metrics.count("samples_committed_total", { result });
+        const whole = result === "groupWhole" ? step.ledger.wholeGroup(sample.group) : undefined;
+        if (whole !== undefined) {
+            deps.onWhole(step, whole);
+        }
+    }
+
+    async function takeMade(made: MadeSample): Promise<void> {
+        const step = state.steps.get(made.task.step);
+        const submission = step?.outstanding.get(made.task.sample);
+        if (step === undefined || submission === undefined) {
+            return;
+        }
+        const problem = guards.findSampleProblem(state.job.job, made, state.bounds());
+        if (problem !== undefined) {
+            await makeAgain(step, made.task, submission, problem);
+            return;
+        }
+        const points = await score(step, made, submission);
+        if (points === undefined) {
+            return;
+        }
+        // Weights may have been published while the score was awaited.
+        if (!guards.isFresh(made.answer.spans, state.bounds().minVersion)) {
+            await makeAgain(step, made.task, submission, "staleVersion");
+            return;
+        }
+        commit(step, toSample(made, points));
+    }
+
+    return { want, withdraw, remakeStale, takeMade };
+}
--- /dev/null
+++ b/packages/own/src/createNotifier.ts
@@ -0,0 +1,21 @@
+import type { Clock } from "@auburnarch/types/Clock";
+
+/** Wakes those who wait for a change. */
+interface Notifier {
+    notify(): void;
+    /** Resolves at the next `notify` or after `waitMs`. */
+    wait(waitMs: number): Promise<void>;
+}
+
+/** Makes a notifier. */
+export function createNotifier(clock: Clock): Notifier {
+    let changed = new AbortController();
+    return {
+        notify: () => {
+            const last = changed;
+            changed = new AbortController();
+            last.abort();
+        },
+        wait: waitMs => clock.sleep(waitMs, changed.signal),
+    };
+}
--- /dev/null
+++ b/packages/own/src/createPageIssuer.ts
@@ -0,0 +1,104 @@
+import { advanceCursor } from "@auburnarch/deliver/advanceCursor";
+import { countGroups } from "@auburnarch/deliver/countGroups";
+import type { CursorState } from "@auburnarch/deliver/CursorState";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { GroupsPage } from "@auburnarch/types/GroupsPage";
+import type { SampleGroup } from "@auburnarch/types/SampleGroup";
+import type { StepNumber } from "@auburnarch/types/StepNumber";
+import { checkPage } from "./checkPage.js";
+import type { OpenStep } from "./OpenStep.js";
+import { pageKey } from "./pageKey.js";
+import type { ReaderDeps } from "./ReaderDeps.js";
+
+const maxPageGroups = 64;
+
+/** Gives the page that is due for a cursor now; undefined while no group is ready. */
+type PageIssuer = (step: OpenStep, cursor: CursorState) => GroupsPage | undefined;
+
+const allGroups = (step: OpenStep): number[] => step.document.prompts.map((_, group) => group);
+
+/**
+ * Makes the issuer of pages. A page issued for a cursor is issued again for the same cursor, unless one of its
+ * samples has gone over the staleness bound since: the old cursor proves that the trainer does not have them, so
+ * they are made again.
+ */
+export function createPageIssuer(deps: ReaderDeps): PageIssuer {
+    const { state, codec, maker, guards, logger, metrics } = deps;
+    const { job } = state.job;
+
+    function holdsPromises(step: OpenStep, cursor: CursorState, groups: SampleGroup[]): boolean {
+        const { step: number, groupSize } = step.document;
+        const { delivered } = cursor;
+        return checkPage(deps.invariants, {
+            job,
+            step: number,
+            groupSize,
+            delivered,
+            groups,
+            bounds: state.bounds(),
+        });
+    }
+
+    function readyGroups(step: OpenStep, cursor: CursorState): SampleGroup[] {
+        const ready: SampleGroup[] = [];
+        for (const group of allGroups(step)) {
+            if (ready.length === maxPageGroups) {
+                break;
+            }
+            if (!guards.isUndelivered(cursor.delivered, group) || maker.remakeStale(step, group)) {
+                continue;
+            }
+            const whole = step.ledger.wholeGroup(group);
+            if (whole !== undefined) {
+                ready.push(whole);
+            }
+        }
+        return ready;
+    }
+
+    function issuePage(step: OpenStep, cursor: CursorState, groups: SampleGroup[]): GroupsPage {
+        const number = step.document.step;
+        if (!holdsPromises(step, cursor, groups)) {
+            throw new ResultError(resultCodes.internal, "a promise would break; the page is withheld");
+        }
+        const next = advanceCursor(cursor, groups, deps.fencing);
+        logger.info("groupsOffered", { step: number, groups: groups.length, delivered: countGroups(cursor) });
+        metrics.count("groups_offered_total", {}, groups.length);
+        const page: GroupsPage = {
+            job,
+            step: number as StepNumber,
+            fencing: deps.fencing,
+            groups,
+            cursor: codec.encode(next),
+            done: false,
+        };
+        step.pages.set(pageKey(cursor), page);
+        return page;
+    }
+
+    /** The page issued for this cursor before, if all of it may still be delivered. */
+    function repeatPage(step: OpenStep, cursor: CursorState): GroupsPage | undefined {
+        const issued = step.pages.get(pageKey(cursor));
+        if (issued === undefined || !guards.repeatsPage()) {
+            return undefined;
+        }
+        const { minVersion } = state.bounds();
+        const isFresh = issued.groups
+            .every(group => group.samples.every(sample => guards.isFresh(sample.spans, minVersion)));
+        if (!isFresh) {
+            step.pages.delete(pageKey(cursor));
+            return undefined;
+        }
+        return holdsPromises(step, cursor, issued.groups) ? issued : undefined;
+    }
+
+    return (step, cursor) => {
+        const repeated = repeatPage(step, cursor);
+        if (repeated !== undefined) {
+            return repeated;
+        }
+        const groups = readyGroups(step, cursor);
+        return groups.length === 0 ? undefined : issuePage(step, cursor, groups);
+    };
+}
--- /dev/null
+++ b/packages/own/src/createPipe.ts
@@ -0,0 +1,87 @@
+import type { Dispatcher } from "@auburnarch/dispatch/Dispatcher";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { SwapRoller } from "@auburnarch/swap/SwapRoller";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { SampleGroup } from "@auburnarch/types/SampleGroup";
+import type { SampleId } from "@auburnarch/types/SampleId";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+import type { Authority } from "./Authority.js";
+import { createMaker } from "./createMaker.js";
+import type { JobState } from "./JobState.js";
+import type { Maker } from "./Maker.js";
+import type { OpenStep } from "./OpenStep.js";
+import type { OwnerDeps } from "./OwnerDeps.js";
+import type { OwnerGuards } from "./OwnerGuards.js";
+import type { OwnerParts } from "./OwnerParts.js";
+import { watchFencing } from "./watchFencing.js";
+
+interface PipeDeps {
+    deps: OwnerDeps;
+    parts: OwnerParts;
+    guards: OwnerGuards;
+    state: JobState;
+    authority: Authority;
+    logger: Logger;
+    onRunning: (sample: SampleId, change: 1 | -1) => void;
+    onWhole: (step: OpenStep, group: SampleGroup) => void;
+}
+
+/** The parts of an owner that samples and weights go through. */
+interface Pipe {
+    maker: Maker;
+    dispatcher: Dispatcher;
+    roller: SwapRoller;
+}
+
+/** Joins dispatcher, swap roller and maker. All of them act only while `authority` lets the owner run. */
+export function createPipe(pipe: PipeDeps): Pipe {
+    const { deps, parts, guards, state, authority, logger } = pipe;
+    const { clock, random, metrics, limits, listSamplers } = deps;
+    const sidecar = (sampler: SamplerId): SidecarPort =>
+        watchFencing(deps.sidecar(sampler), {
+            onFenced: () => authority.stopForGood(resultCodes.fenced, "sidecar"),
+            onRunning: pipe.onRunning,
+        });
+    const roller = parts.createSwapRoller({
+        job: state.job.job,
+        policy: state.job.policy,
+        fencing: deps.lease.fencing,
+        mayAct: authority.mayRun,
+        limits,
+        listSamplers,
+        sidecar,
+        clock,
+        random: random.fork(),
+        logger,
+        metrics,
+        minVersion: () => state.bounds().minVersion,
+    });
+    const dispatcher: Dispatcher = parts.createDispatcher({
+        job: () => state.job,
+        limits,
+        fencing: deps.lease.fencing,
+        clock,
+        random: random.fork(),
+        logger,
+        metrics,
+        listSamplers,
+        sidecar,
+        mayAct: authority.mayRun,
+        isAboutToSwap: roller.isAboutToSwap,
+        onMade: made => void maker.takeMade(made),
+    });
+    const maker = createMaker({
+        state,
+        guards,
+        clock,
+        random: random.fork(),
+        logger,
+        metrics,
+        scoring: deps.scoring,
+        dispatcher,
+        isStopped: () => authority.stoppedBy() !== undefined,
+        onWhole: pipe.onWhole,
+    });
+    return { maker, dispatcher, roller };
+}
--- /dev/null
+++ b/packages/own/src/createStepBook.ts
@@ -0,0 +1,124 @@
+import { countGroups } from "@auburnarch/deliver/countGroups";
+import type { CursorState } from "@auburnarch/deliver/CursorState";
+import { emptyCursor } from "@auburnarch/deliver/emptyCursor";
+import { hasGroup } from "@auburnarch/deliver/hasGroup";
+import { codeOf } from "@auburnarch/errors/codeOf";
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { Checkpointer } from "./Checkpointer.js";
+import { createOpenStep } from "./createOpenStep.js";
+import type { GroupKeeper } from "./GroupKeeper.js";
+import type { JobState } from "./JobState.js";
+import type { JobStore } from "./JobStore.js";
+import type { Maker } from "./Maker.js";
+import type { OpenStep } from "./OpenStep.js";
+import type { OwnerGuards } from "./OwnerGuards.js";
+import type { StepBook } from "./StepBook.js";
+import type { StepDocument } from "./StepDocument.js";
+
+const maxCompletedRemembered = 256;
+
+interface StepBookDeps {
+    state: JobState;
+    fencing: FencingNumber;
+    guards: OwnerGuards;
+    jobStore: JobStore;
+    keeper: GroupKeeper;
+    maker: Maker;
+    checkpointer: Checkpointer;
+    logger: Logger;
+    /** Completed steps that have no objects any more. */
+    alreadyRemoved: Iterable<number>;
+}
+
+const groupsOf = (step: OpenStep): number[] => step.document.prompts.map((_, group) => group);
+
+/** Makes the book of a job's steps over its shared state. */
+export function createStepBook(deps: StepBookDeps): StepBook {
+    const { state, keeper, maker, logger } = deps;
+    const removed = new Set(deps.alreadyRemoved);
+    const opening = new Map<number, Promise<OpenStep>>();
+
+    const isOver = (step: number): boolean => state.completed.has(step) || step < state.retiredBelow;
+
+    async function takeIn(document: StepDocument, furthest: CursorState | undefined): Promise<OpenStep> {
+        const nothing = emptyCursor(state.job.job, document.step, document.prompts.length, deps.fencing);
+        const step = createOpenStep(document, furthest ?? nothing, deps.guards);
+        await keeper.restore(step);
+        state.steps.set(document.step, step);
+        const wanted = groupsOf(step).filter(group => !hasGroup(step.furthest.delivered, group));
+        logger.info("stepOpened", {
+            step: document.step,
+            groups: document.prompts.length,
+            wanted: wanted.length,
+            made: step.ledger.size(),
+        });
+        maker.want(step, wanted);
+        return step;
+    }
+
+    function open(document: StepDocument, furthest?: CursorState): Promise<OpenStep> {
+        const known = state.steps.get(document.step);
+        if (known !== undefined) {
+            return Promise.resolve(known);
+        }
+        const started = opening.get(document.step)
+            ?? takeIn(document, furthest).finally(() => opening.delete(document.step));
+        opening.set(document.step, started);
+        return started;
+    }
+
+    async function find(number: number): Promise<OpenStep | undefined> {
+        const known = state.steps.get(number) ?? await opening.get(number);
+        if (known !== undefined || isOver(number)) {
+            return known;
+        }
+        const document = await deps.jobStore.readStep(number);
+        return document === undefined || isOver(number) ? undefined : open(document);
+    }
+
+    function forgetOldest(): void {
+        if (state.completed.size <= maxCompletedRemembered) {
+            return;
+        }
+        const oldest = Math.min(...state.completed.keys());
+        state.completed.delete(oldest);
+        removed.delete(oldest);
+        state.retiredBelow = Math.max(state.retiredBelow, oldest + 1);
+    }
+
+    function complete(step: OpenStep, cursor: CursorState): void {
+        const { step: number, digest } = step.document;
+        state.steps.delete(number);
+        state.completed.set(number, digest);
+        state.completedEngineMs += cursor.engineMs;
+        forgetOldest();
+        logger.info("stepCompleted", { step: number, samples: cursor.samples, engineMs: cursor.engineMs });
+        keeper.drop(step, groupsOf(step));
+        void deps.checkpointer.flush();
+    }
+
+    function acknowledge(step: OpenStep, cursor: CursorState, groups: number[]): void {
+        deps.checkpointer.note();
+        keeper.drop(step, groups);
+        if (countGroups(cursor) === cursor.groups) {
+            complete(step, cursor);
+        }
+    }
+
+    async function removeOver(steps: readonly number[]): Promise<void> {
+        const todo = steps.filter(step => isOver(step) && !removed.has(step));
+        todo.forEach(step => removed.add(step));
+        for (const step of todo) {
+            try {
+                await deps.jobStore.removeStep(step);
+            }
+            catch (error) {
+                // Left for the next owner, which finds it in its list.
+                logger.warn("stepRemovalFailed", { step, code: codeOf(error).number });
+            }
+        }
+    }
+
+    return { open, find, acknowledge, removeOver };
+}
--- /dev/null
+++ b/packages/own/src/createStepRecords.ts
@@ -0,0 +1,127 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { JobId } from "@auburnarch/types/JobId";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { StoredObject } from "@auburnarch/types/StoredObject";
+import type { WriteOutcome } from "@auburnarch/types/WriteOutcome";
+import { promptsSchema } from "./promptsSchema.js";
+import { splitPrompts } from "./splitPrompts.js";
+import type { StepDocument } from "./StepDocument.js";
+import type { StepRecords } from "./StepRecords.js";
+import { stepRecordSchema } from "./stepRecordSchema.js";
+
+const absent = 0 as ObjectVersion;
+const maxTries = 3;
+const retryAfterMs = 1_000;
+
+/**
+ * Makes the stored steps of a job: `jobs/<job>/steps/<step>` commits a step, `…/<step>/<digest>/<chunk>` hold its
+ * prompts. A step exists once its commit object does.
+ */
+export function createStepRecords(store: ObjectStore, job: JobId): StepRecords {
+    const stepsPrefix = `jobs/${job}/steps/`;
+    const stepKey = (step: number): string => `${stepsPrefix}${step}`;
+    // Content in the name, so that two owners opening one step with different prompts cannot mix their chunks.
+    const chunkKey = (step: number, digest: string, chunk: number): string =>
+        `${stepKey(step)}/${digest}/${chunk}`;
+
+    function assemble(record: StoredObject, chunkOf: (key: string) => unknown): StepDocument | undefined {
+        const parsed = stepRecordSchema.safeParse(record.value).data;
+        if (parsed === undefined) {
+            return undefined;
+        }
+        const { chunks, ...rest } = parsed;
+        const keys = Array.from({ length: chunks }, (_, chunk) => chunkKey(rest.step, rest.digest, chunk));
+        const lists = keys.map(key => promptsSchema.safeParse(chunkOf(key)).data);
+        const prompts = lists.flatMap(list => list ?? []);
+        return lists.includes(undefined) ? undefined : { ...rest, prompts };
+    }
+
+    const stepOfKey = (key: string): number => Number.parseInt(key.slice(stepsPrefix.length), 10);
+
+    async function list(
+        writtenVersion: number,
+    ): Promise<{ steps: StepDocument[]; storedSteps: number[]; }> {
+        const { objects, revision } = await store.list(stepsPrefix);
+        // A lagging replica lists the steps of a while ago; one left out would wait until its trainer asks for it.
+        if (revision < writtenVersion) {
+            throw new ResultError(resultCodes.storeUnavailable, "the list is older than our claim");
+        }
+        const byKey = new Map(objects.map(object => [object.key, object]));
+        const steps = objects
+            .filter(object => !object.key.slice(stepsPrefix.length).includes("/"))
+            .flatMap(object => assemble(object, key => byKey.get(key)?.value) ?? []);
+        return { steps, storedSteps: [...new Set(objects.map(object => stepOfKey(object.key)))] };
+    }
+
+    async function read(step: number): Promise<StepDocument | undefined> {
+        const record = await store.read(stepKey(step));
+        if (record === undefined) {
+            return undefined;
+        }
+        const { objects } = await store.list(`${stepKey(step)}/`);
+        const byKey = new Map(objects.map(object => [object.key, object.value]));
+        return assemble(record, key => byKey.get(key));
+    }
+
+    /** Everything before the commit object: if it fails, no step has come about. */
+    async function prepareStep(document: StepDocument): Promise<number> {
+        const chunks = splitPrompts(document.prompts);
+        try {
+            for (const [index, chunk] of chunks.entries()) {
+                // A conflict means that the same content is there already.
+                await store.write(chunkKey(document.step, document.digest, index), chunk, absent);
+            }
+        }
+        catch (error) {
+            throw new ResultError(resultCodes.intentRefused, codeOf(error).name, retryAfterMs);
+        }
+        return chunks.length;
+    }
+
+    async function writeStepRecord(key: string, record: unknown): Promise<WriteOutcome> {
+        for (let tries = 1;; tries++) {
+            try {
+                return await store.write(key, record, absent);
+            }
+            catch (error) {
+                if (codeOf(error).number === resultCodes.storeThrottled.number) {
+                    throw new ResultError(resultCodes.intentRefused, "storeThrottled", retryAfterMs);
+                }
+                // The lost answer may have been a "written"; then the next try is a conflict with our own content.
+                if (tries === maxTries) {
+                    throw error;
+                }
+            }
+        }
+    }
+
+    async function create(document: StepDocument): Promise<StepDocument> {
+        const { prompts: _, ...rest } = document;
+        const chunks = await prepareStep(document);
+        const outcome = await writeStepRecord(stepKey(rest.step), { ...rest, chunks });
+        if (outcome.kind === "written") {
+            return document;
+        }
+        const standing = stepRecordSchema.safeParse(outcome.current?.value).data;
+        if (standing?.digest !== rest.digest) {
+            throw new ResultError(resultCodes.stepConflict, `step ${rest.step}`);
+        }
+        return { ...document, groupSize: standing.groupSize, needAtMs: standing.needAtMs };
+    }
+
+    async function remove(step: number): Promise<void> {
+        const record = await store.read(stepKey(step));
+        if (record !== undefined) {
+            await store.remove(record.key, record.version);
+        }
+        const { objects } = await store.list(`${stepKey(step)}/`);
+        for (const object of objects) {
+            await store.remove(object.key, object.version);
+        }
+    }
+
+    return { list, create, read, remove };
+}
--- /dev/null
+++ b/packages/own/src/defaultOwnerParts.ts
@@ -0,0 +1,6 @@
+import { createDispatcher } from "@auburnarch/dispatch/createDispatcher";
+import { createSwapRoller } from "@auburnarch/swap/createSwapRoller";
+import type { OwnerParts } from "./OwnerParts.js";
+
+/** The parts as they run in production. */
+export const defaultOwnerParts: OwnerParts = { createDispatcher, createSwapRoller };
--- /dev/null
+++ b/packages/own/src/describeOwner.ts
@@ -0,0 +1,21 @@
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import { describeStep } from "./describeStep.js";
+import type { JobState } from "./JobState.js";
+import type { OwnerStatus } from "./OwnerStatus.js";
+
+/** An owner's status; delivered engine time is that of the furthest cursors and of completed steps. */
+export function describeOwner(
+    state: JobState,
+    fencing: FencingNumber,
+    runningOfStep: (step: number) => number,
+): OwnerStatus {
+    const steps = [...state.steps.values()];
+    return {
+        job: state.job.job,
+        fencing,
+        publishedVersion: state.publishedVersion,
+        steps: steps.map(step => describeStep(step, runningOfStep(step.document.step))),
+        deliveredEngineMs: steps.reduce((sum, step) => sum + step.furthest.engineMs, state.completedEngineMs),
+        discardedEngineMs: state.discardedEngineMs,
+    };
+}
--- /dev/null
+++ b/packages/own/src/describeStep.ts
@@ -0,0 +1,20 @@
+import { countGroups } from "@auburnarch/deliver/countGroups";
+import { hasGroup } from "@auburnarch/deliver/hasGroup";
+import type { OpenStep } from "./OpenStep.js";
+import type { OwnerStatus } from "./OwnerStatus.js";
+
+/** One step's row of the status; `running` counts attempts, `waiting` samples under way that no attempt runs for. */
+export function describeStep(step: OpenStep, running: number): OwnerStatus["steps"][number] {
+    const groups = step.document.prompts.map((_, group) => group);
+    const ready = groups.filter(group =>
+        !hasGroup(step.furthest.delivered, group) && step.ledger.wholeGroup(group) !== undefined
+    );
+    return {
+        step: step.document.step,
+        groups: groups.length,
+        ready: ready.length,
+        delivered: countGroups(step.furthest),
+        waiting: Math.max(0, step.outstanding.size - running),
+        running,
+    };
+}
--- /dev/null
+++ b/packages/own/src/makeTask.ts
@@ -0,0 +1,40 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import type { JobManifest } from "@auburnarch/types/JobManifest";
+import type { SampleTask } from "@auburnarch/types/SampleTask";
+import type { StepNumber } from "@auburnarch/types/StepNumber";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import { digestOf } from "./digestOf.js";
+import { sampleIdOf } from "./sampleIdOf.js";
+import type { StepDocument } from "./StepDocument.js";
+
+const seedDigits = 8;
+const largestSeed = 0x7fffffff;
+
+/**
+ * Makes the task of one sample. Its seed follows from its identity, so that a sample made again by another owner
+ * asks for the same thing. Its digest leaves the seed out: a prompt that kills samplers does so under any seed.
+ */
+export function makeTask(
+    job: JobManifest,
+    document: StepDocument,
+    group: number,
+    index: number,
+    minVersion: WeightVersion,
+    clock: Clock,
+): SampleTask {
+    const { prompt, maxTokens } = document.prompts[group]!;
+    const sample = sampleIdOf(job.job, document.step, group, index);
+    const seedHex = digestOf([sample, document.digest]).slice(0, seedDigits);
+    return {
+        sample,
+        step: document.step as StepNumber,
+        group,
+        index,
+        prompt,
+        maxTokens,
+        seed: Number.parseInt(seedHex, 16) & largestSeed,
+        digest: digestOf([job.policy, prompt, maxTokens]),
+        needAtMs: clock.monotonicMs() + (document.needAtMs - clock.wallMs()),
+        minVersion,
+    };
+}
--- /dev/null
+++ b/packages/own/src/mayRun.ts
@@ -0,0 +1,22 @@
+import type { ActingState } from "./ActingState.js";
+
+/** A probe without answer speaks for this long; the next is sent every second. */
+const silenceValidMs = 3_000;
+
+/**
+ * Whether an owner may start and deliver samples, the effects that their destinations fence: sidecars and trainers
+ * refuse a lower number. Within the lease it may. Past it, it may only while the object API is known to be silent
+ * right now: then nobody can take the lease over either, or if somebody did, the destinations refuse us.
+ *
+ * What goes wrong otherwise: an owner that wakes from a pause acts on a lease that another holds. It finds its
+ * last proof of silence too old, so it does nothing before a fresh probe has told it which of the two it is.
+ */
+export function mayRun(state: ActingState): boolean {
+    if (state.isLeaseLost || state.isFencedOff) {
+        return false;
+    }
+    if (state.isLeaseHeld) {
+        return true;
+    }
+    return state.storeSilentAgeMs !== undefined && state.storeSilentAgeMs <= silenceValidMs;
+}
--- /dev/null
+++ b/packages/own/src/pageKey.ts
@@ -0,0 +1,6 @@
+import type { CursorState } from "@auburnarch/deliver/CursorState";
+
+/** Two cursors that say the same get the same page, whoever issued them. */
+export function pageKey(cursor: CursorState): string {
+    return `${Buffer.from(cursor.delivered).toString("base64url")}/${cursor.engineMs}`;
+}
--- /dev/null
+++ b/packages/own/src/parseKeptGroup.ts
@@ -0,0 +1,41 @@
+import type { JobId } from "@auburnarch/types/JobId";
+import type { SampleGroup } from "@auburnarch/types/SampleGroup";
+import { findSpanProblem } from "@auburnarch/verify/findSpanProblem";
+import { isWholeGroup } from "@auburnarch/verify/isWholeGroup";
+import type { VersionBounds } from "@auburnarch/verify/VersionBounds";
+import { sampleGroupSchema } from "./sampleGroupSchema.js";
+import { sampleIdOf } from "./sampleIdOf.js";
+import type { StepDocument } from "./StepDocument.js";
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/**
+ * Reads a kept group and verifies it as if it had just been made: what lay on another machine's disk may be torn,
+ * old or another step's. Undefined if it does not count; its samples are then made again.
+ */
+export function parseKeptGroup(
+    job: JobId,
+    document: StepDocument,
+    body: string,
+    bounds: VersionBounds,
+): SampleGroup | undefined {
+    const group = sampleGroupSchema.safeParse(parseJson(body)).data as SampleGroup | undefined;
+    const prompt = group === undefined ? undefined : document.prompts[group.group];
+    if (group === undefined || prompt === undefined || !isWholeGroup(group, document.groupSize)) {
+        return undefined;
+    }
+    const isGood = group.samples.every(sample =>
+        sample.sample === sampleIdOf(job, document.step, group.group, sample.index)
+        && sample.tokens === sample.spans.reduce((sum, span) => sum + span.tokens, 0)
+        && sample.engineMs >= 0
+        && findSpanProblem(sample.spans, prompt.maxTokens, bounds) === undefined
+    );
+    return isGood ? group : undefined;
+}
--- /dev/null
+++ b/packages/own/src/promptsSchema.ts
@@ -0,0 +1,7 @@
+import { z } from "zod";
+
+/** Prompts of a step, one a group. */
+export const promptsSchema = z.array(z.object({
+    prompt: z.string(),
+    maxTokens: z.number().int().positive(),
+}));
--- /dev/null
+++ b/packages/own/src/testing/createTestJudge.ts
@@ -0,0 +1,64 @@
+import type { GroupsPage } from "@auburnarch/types/GroupsPage";
+import type { SampleGroup } from "@auburnarch/types/SampleGroup";
+import type { TestTrainerReport } from "./TestTrainerReport.js";
+
+interface JudgeOptions {
+    job: string;
+    groupSize: number;
+    maxStalenessVersions: number;
+}
+
+/** Judges pages by what a trainer knows for itself. */
+interface TestJudge {
+    /** `publishedAtRead` is the version whose publication was answered before the read was sent. */
+    take(step: number, page: GroupsPage, publishedAtRead: number): void;
+    /** Two answers to one cursor by one owner may differ only where the first went over the bound. */
+    compare(step: number, first: GroupsPage, second: GroupsPage, published: number): void;
+}
+
+/** Makes a judge that writes into `report`. */
+export function createTestJudge(options: JudgeOptions, report: TestTrainerReport): TestJudge {
+    const isStale = (group: SampleGroup, atVersion: number): boolean =>
+        group.samples.some(sample =>
+            sample.spans.some(span => span.version < atVersion - options.maxStalenessVersions)
+        );
+
+    function judgeGroup(step: number, group: SampleGroup, publishedAtRead: number): void {
+        const key = `${step}/${group.group}`;
+        const ids = group.samples.map(sample => sample.sample).join();
+        const expected = Array.from(
+            { length: options.groupSize },
+            (_, index) => `${options.job}/${key}/${index}`,
+        );
+        if (report.taken.has(key)) {
+            report.problems.push(`deliveredTwice ${key}`);
+        }
+        if (ids !== expected.join()) {
+            report.problems.push(`notWhole ${key}`);
+        }
+        if (group.samples.some(sample => sample.spans.length === 0)) {
+            report.problems.push(`provenanceMissing ${key}`);
+        }
+        if (isStale(group, publishedAtRead)) {
+            report.problems.push(`stale ${key}`);
+        }
+    }
+
+    return {
+        take: (step, page, publishedAtRead) => {
+            for (const group of page.groups) {
+                judgeGroup(step, group, publishedAtRead);
+                const engineMs = group.samples.reduce((sum, sample) => sum + sample.engineMs, 0);
+                report.taken.set(`${step}/${group.group}`, { engineMs, samples: group.samples.length });
+                report.engineMs += engineMs;
+            }
+        },
+        compare: (step, first, second, published) => {
+            const isComparable = first.fencing === second.fencing && first.groups.length > 0;
+            const isSame = JSON.stringify(first) === JSON.stringify(second);
+            if (isComparable && !isSame && !first.groups.some(group => isStale(group, published))) {
+                report.problems.push(`otherBytes ${step}`);
+            }
+        },
+    };
+}
--- /dev/null
+++ b/packages/own/src/testing/createTestTrainer.ts
@@ -0,0 +1,166 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import type { GroupsPage } from "@auburnarch/types/GroupsPage";
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { Random } from "@auburnarch/types/Random";
+import type { StepNumber } from "@auburnarch/types/StepNumber";
+import type { StepSpec } from "@auburnarch/types/StepSpec";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import { createTestCaller } from "./createTestCaller.js";
+import { createTestJudge } from "./createTestJudge.js";
+import type { TestTrainerReport } from "./TestTrainerReport.js";
+import type { TrainerRoute } from "./TrainerRoute.js";
+
+interface TestTrainerOptions {
+    clock: Clock;
+    random: Random;
+    job: string;
+    policy: string;
+    groupSize: number;
+    maxStalenessVersions: number;
+    /** Steps trained at least. */
+    steps: number;
+    /** Trains on until this holds; by default at once. */
+    mayEnd?: () => boolean;
+    /** Called with each page taken in. */
+    onPage?: (page: GroupsPage) => void;
+    groupsPerStep: number;
+    maxTokens: number;
+    /** Where a call goes now; undefined if there is no way. */
+    route: () => TrainerRoute | undefined;
+    /** Share of reads that are made twice with one cursor. */
+    rereadChance: () => number;
+    /** Share of calls whose answer is lost on the way back. */
+    loseAnswerChance: () => number;
+    trainMs: number;
+}
+
+interface TestTrainer {
+    run(): Promise<void>;
+    report: TestTrainerReport;
+    isFinished(): boolean;
+    /** Highest fencing number seen in any answer. */
+    highestFencing(): number;
+    /** Last version whose publication was answered. */
+    publishedVersion(): number;
+}
+
+const readWaitMs = 2_000;
+
+/**
+ * Makes a trainer that follows the protocol for trainers and judges everything it receives by its own records: it
+ * takes a page only if its number is not lower than one seen, reads once more after the last groups, and shows the
+ * last cursor of each finished step again to an owner with a higher number.
+ */
+export function createTestTrainer(options: TestTrainerOptions): TestTrainer {
+    const { clock, random } = options;
+    const report: TestTrainerReport = {
+        taken: new Map(),
+        problems: [],
+        stepsDone: 0,
+        engineMs: 0,
+        retries: 0,
+        droppedPages: 0,
+    };
+    const judge = createTestJudge(options, report);
+    const finished = new Map<number, string>();
+    let published = 0;
+    let isFinished = false;
+
+    const specOf = (step: number): StepSpec => ({
+        step: step as StepNumber,
+        prompts: Array.from({ length: options.groupsPerStep }, (_, group) => ({
+            prompt: `prompt ${step}.${group}`,
+            maxTokens: options.maxTokens,
+        })),
+        needAtMs: undefined,
+    });
+
+    const caller = createTestCaller(options, report);
+    const { persist } = caller;
+
+    const open = (step: number): Promise<unknown> => persist(route => route.openStep(specOf(step)));
+
+    async function publish(version: number): Promise<void> {
+        const weights = {
+            policy: options.policy as PolicyId,
+            version: version as WeightVersion,
+            location: `${options.policy}/${version}`,
+        };
+        await persist(route => route.publishWeights(weights));
+        published = version;
+    }
+
+    async function readPage(step: number, cursor: string | undefined): Promise<GroupsPage | undefined> {
+        const page = await persist(
+            route => route.readGroups(step as StepNumber, cursor, readWaitMs),
+            code => {
+                if (code === "cursorInvalid") {
+                    report.problems.push(`ownCursorRefused ${step}`);
+                }
+                return code === "unknownStep" ? "reopen" as const : undefined;
+            },
+        );
+        if (page === "reopen") {
+            await open(step);
+            return undefined;
+        }
+        return page;
+    }
+
+    async function readStep(step: number): Promise<void> {
+        let cursor: string | undefined;
+        for (;;) {
+            const publishedAtRead = published;
+            let page = await readPage(step, cursor);
+            if (page !== undefined && random.nextUnit() < options.rereadChance()) {
+                const again = await readPage(step, cursor);
+                if (again !== undefined) {
+                    judge.compare(step, page, again, published);
+                    page = again;
+                }
+            }
+            if (page !== undefined) {
+                judge.take(step, page, publishedAtRead);
+                options.onPage?.(page);
+                cursor = page.cursor;
+                finished.set(step, cursor);
+            }
+            if (page?.done === true) {
+                return;
+            }
+        }
+    }
+
+    /** Shows what it has to an owner that may not know of it. */
+    async function showFinished(): Promise<void> {
+        for (const [step, cursor] of [...finished]) {
+            await readPage(step, cursor);
+        }
+    }
+
+    async function run(): Promise<void> {
+        await publish(1);
+        let shownTo = caller.highestFencing();
+        const mayEnd = options.mayEnd ?? (() => true);
+        for (let step = 0; step < options.steps || !mayEnd(); step++) {
+            await open(step);
+            await readStep(step);
+            report.stepsDone++;
+            await clock.sleep(options.trainMs);
+            await publish(published + 1);
+            while (shownTo !== caller.highestFencing()) {
+                shownTo = caller.highestFencing();
+                await showFinished();
+            }
+        }
+        isFinished = true;
+    }
+
+    return {
+        run,
+        report,
+        isFinished: () => isFinished,
+        highestFencing: caller.highestFencing,
+        publishedVersion: () => published,
+    };
+}
--- /dev/null
+++ b/packages/pick/src/pickLeastReported.ts
@@ -0,0 +1,22 @@
+import type { Candidate } from "./Candidate.js";
+import type { SamplerPicker } from "./SamplerPicker.js";
+
+const reportedLoad = (candidate: Candidate): number =>
+    candidate.view.report.running + candidate.view.report.waiting;
+
+/** Baseline: the least load as last reported, uncorrected; ties by a draw. */
+export const pickLeastReported: SamplerPicker = (candidates, _request, random) => {
+    const open = candidates.filter(candidate => candidate.room > 0);
+    if (open.length === 0) {
+        return { kind: "none", reason: "noRoom", candidates: candidates.length };
+    }
+    const least = Math.min(...open.map(reportedLoad));
+    const ties = open.filter(candidate => reportedLoad(candidate) === least);
+    return {
+        kind: "picked",
+        sampler: ties[random.nextInt(ties.length)]!.view.report.sampler,
+        reason: "leastReported",
+        candidates: open.length,
+        estimatedFinishMs: undefined,
+    };
+};
--- /dev/null
+++ b/packages/pick/src/pickRoundRobin.ts
@@ -0,0 +1,23 @@
+import type { Candidate } from "./Candidate.js";
+import type { SamplerPicker } from "./SamplerPicker.js";
+
+const comesBefore = (a: Candidate, b: Candidate): boolean =>
+    a.lastSentOrder < b.lastSentOrder
+    || (a.lastSentOrder === b.lastSentOrder && a.view.report.sampler < b.view.report.sampler);
+
+/** Baseline: the candidate that was sent to the longest time ago. */
+export const pickRoundRobin: SamplerPicker = candidates => {
+    const open = candidates.filter(candidate => candidate.room > 0);
+    const first = open[0];
+    if (first === undefined) {
+        return { kind: "none", reason: "noRoom", candidates: candidates.length };
+    }
+    const next = open.reduce((best, candidate) => comesBefore(candidate, best) ? candidate : best, first);
+    return {
+        kind: "picked",
+        sampler: next.view.report.sampler,
+        reason: "roundRobin",
+        candidates: open.length,
+        estimatedFinishMs: undefined,
+    };
+};
--- /dev/null
+++ b/packages/queue/src/createFairQueue.test.ts
@@ -0,0 +1,98 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { createFairQueue } from "./createFairQueue.js";
+
+interface Item {
+    team: string;
+    priority: number;
+    costMs: number;
+    queuedAtMs: number;
+    trueMs: number;
+}
+
+const always = (): boolean => true;
+const item = (team: string, trueMs = 10, priority = 50, queuedAtMs = 0): Item => ({
+    team,
+    priority,
+    costMs: 20,
+    queuedAtMs,
+    trueMs,
+});
+
+/** Runs `count` items one at a time, each team always having one waiting; engine time by team. */
+function serve(
+    shares: Record<string, number>,
+    costs: Record<string, () => number>,
+    count: number,
+): Record<string, number> {
+    const queue = createFairQueue<Item>({ share: team => shares[team] ?? 0, nowMs: () => 0 });
+    const used: Record<string, number> = {};
+    for (const team of Object.keys(costs)) {
+        queue.push(item(team, costs[team]!()));
+    }
+    for (let at = 0; at < count; at++) {
+        const next = queue.pop(always)!;
+        queue.push(item(next.team, costs[next.team]!()));
+        used[next.team] = (used[next.team] ?? 0) + next.trueMs;
+        queue.settle(next, next.trueMs);
+    }
+    return used;
+}
+
+test("engine time follows the shares within 5% whatever the items cost", () => {
+    const cost = fc.integer({ min: 1, max: 200 });
+    fc.assert(
+        fc.property(cost, cost, fc.integer({ min: 1, max: 9 }), (costA, costB, tenths) => {
+            const share = tenths / 10;
+            const used = serve({ a: share, b: 1 - share }, { a: () => costA, b: () => costB }, 4_000);
+            const part = used["a"]! / (used["a"]! + used["b"]!);
+            expect(Math.abs(part - share)).toBeLessThan(0.05);
+        }),
+        { seed: 1, numRuns: 100 },
+    );
+});
+
+test("a team that was idle starts level: nothing is saved up, what was lent is called back at once", () => {
+    const queue = createFairQueue<Item>({ share: () => 0.5, nowMs: () => 0 });
+    for (let at = 0; at < 100; at++) {
+        queue.push(item("busy"));
+    }
+    for (let at = 0; at < 50; at++) {
+        const next = queue.pop(always)!;
+        queue.settle(next, next.trueMs);
+    }
+    for (let at = 0; at < 100; at++) {
+        queue.push(item("back"));
+    }
+    const order = Array.from({ length: 20 }, () => {
+        const next = queue.pop(always)!;
+        queue.settle(next, next.trueMs);
+        return next.team;
+    });
+    expect(order.filter(team => team === "back").length).toBeGreaterThanOrEqual(9);
+    expect(order.filter(team => team === "back").length).toBeLessThanOrEqual(11);
+});
+
+test("interactive work goes first, priority orders a team, and age beats priority in the end", () => {
+    let nowMs = 0;
+    const queue = createFairQueue<Item>({ share: () => 0.5, nowMs: () => nowMs });
+    const low = item("a", 10, 1);
+    const high = item("a", 10, 80);
+    const quote = item("b", 10, 100);
+    [low, high, quote].forEach(queue.push);
+    expect(queue.pop(always)).toBe(quote);
+    nowMs = 61_000;
+    const fresh = item("a", 10, 80, nowMs);
+    queue.push(fresh);
+    expect([queue.pop(always), queue.pop(always), queue.pop(always)]).toEqual([low, high, fresh]);
+});
+
+test("held items are passed over and withdrawn ones are gone", () => {
+    const queue = createFairQueue<Item>({ share: () => 0.5, nowMs: () => 0 });
+    const held = item("a");
+    const other = item("b");
+    [held, other].forEach(queue.push);
+    expect(queue.pop(next => next !== held)).toBe(other);
+    expect(queue.pop(next => next !== held)).toBeUndefined();
+    expect([queue.remove(held), queue.remove(held), queue.size()]).toEqual([true, false, 0]);
+});
--- /dev/null
+++ b/packages/send/src/attemptStateSchema.ts
@@ -0,0 +1,8 @@
+import type { AttemptState } from "@auburnarch/types/AttemptState";
+import { z } from "zod";
+
+/** A sidecar's word on an attempt as it arrives. */
+export const attemptStateSchema = z.object({
+    incarnation: z.string().min(1).max(512),
+    state: z.enum(["neverSeen", "refused", "running", "finished"]),
+}) as unknown as z.ZodType<AttemptState>;
--- /dev/null
+++ b/packages/send/src/createHttpSidecar.ts
@@ -0,0 +1,92 @@
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { SamplerOrderResult } from "@auburnarch/types/SamplerOrderResult";
+import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+import { Agent } from "node:http";
+import { match } from "ts-pattern";
+import { attemptStateSchema } from "./attemptStateSchema.js";
+import { codeByNumber } from "./codeByNumber.js";
+import { createIncarnationMemory } from "./createIncarnationMemory.js";
+import { createPlainCaller } from "./createPlainCaller.js";
+import { createRpcClient } from "./createRpcClient.js";
+import { createSampleCaller } from "./createSampleCaller.js";
+import { defaultSendGuards } from "./defaultSendGuards.js";
+import type { HttpSidecar } from "./HttpSidecar.js";
+import { orderResultSchema } from "./orderResultSchema.js";
+import { parseAddress } from "./parseAddress.js";
+import { samplerReportSchema } from "./samplerReportSchema.js";
+import type { SendGuards } from "./SendGuards.js";
+import { usageCountersSchema } from "./usageCountersSchema.js";
+
+interface HttpSidecarOptions {
+    /** `http://ip:port` of the sidecar. */
+    address: string;
+    clock: Clock;
+    guards?: SendGuards;
+    /** Connections kept open at most while idle. */
+    maxIdleConnections?: number;
+}
+
+const queryTimeoutMs = 1_000;
+const reportTimeoutMs = 2_000;
+/** Longer than a sidecar may take for download, drain and load together. */
+const orderTimeoutMs = 300_000;
+const defaultMaxIdleConnections = 64;
+
+/** Makes the port to a sidecar over HTTP. See `SidecarPort` for outcomes and errors. */
+export function createHttpSidecar(options: HttpSidecarOptions): HttpSidecar {
+    const { clock, guards = defaultSendGuards } = options;
+    const { host, port } = parseAddress(options.address);
+    const agent = new Agent({
+        keepAlive: true,
+        maxFreeSockets: options.maxIdleConnections ?? defaultMaxIdleConnections,
+        scheduling: "lifo",
+    });
+    const incarnations = createIncarnationMemory();
+    let meeting: Promise<unknown> | undefined;
+    const callRpc = createRpcClient({ host, port, agent, clock });
+
+    async function queryAttempt(attempt: AttemptId): ReturnType<SidecarPort["queryAttempt"]> {
+        const state = attemptStateSchema.parse(await callRpc("queryAttempt", { attempt }, queryTimeoutMs));
+        incarnations.note(state.incarnation);
+        return state;
+    }
+
+    async function readReport(): ReturnType<SidecarPort["readReport"]> {
+        const report = samplerReportSchema.parse(await callRpc("readReport", {}, reportTimeoutMs));
+        incarnations.note(report.incarnation);
+        return report;
+    }
+
+    /** Before the first attempt, so that there is an incarnation to hold to its word. */
+    async function meet(): Promise<void> {
+        if (incarnations.known() === undefined) {
+            meeting ??= readReport().catch(() => undefined).finally(() => {
+                meeting = undefined;
+            });
+            await meeting;
+        }
+    }
+
+    const transport = { host, port, agent, clock, guards, incarnations, query: queryAttempt, meet };
+    return {
+        runSample: createSampleCaller({
+            ...transport,
+            cancel: async attempt => void await callRpc("cancelSample", { attempt }, queryTimeoutMs),
+        }),
+        callPlain: createPlainCaller(transport),
+        queryAttempt,
+        readReport,
+        order: async order => {
+            const result = orderResultSchema.parse(await callRpc("order", order, orderTimeoutMs));
+            return match(result)
+                .returnType<SamplerOrderResult>()
+                .with({ kind: "done" }, done => done)
+                .with({ kind: "refused" }, refused => ({ ...refused, code: codeByNumber(refused.code) }))
+                .with({ kind: "unknown" }, unknown => ({ kind: "unknown", code: codeByNumber(unknown.code) }))
+                .exhaustive();
+        },
+        readUsage: async () => usageCountersSchema.parse(await callRpc("readUsage", {}, reportTimeoutMs)),
+        close: () => agent.destroy(),
+    };
+}
