--- /dev/null
+++ b/packages/send/src/createPlainCaller.ts
@@ -0,0 +1,120 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
+import type { PlainRequest } from "@auburnarch/types/PlainRequest";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+import { codeByNumber } from "./codeByNumber.js";
+import { exchangeHttp } from "./exchangeHttp.js";
+import type { HttpExchange } from "./HttpExchange.js";
+import { passHeaders } from "./passHeaders.js";
+import { resolveBroken } from "./resolveBroken.js";
+import { sidecarHeaders } from "./sidecarHeaders.js";
+import type { SidecarTransport } from "./SidecarTransport.js";
+import { writeHeaders } from "./writeHeaders.js";
+
+type Outcome = AttemptOutcome<PlainAnswer>;
+
+/** The sidecar gives up at the budget's end; its answer may take this much longer to arrive. */
+const answerGraceMs = 1_000;
+const plainPrefix = "/plain";
+
+/** Makes `callPlain` over HTTP: bodies stream both ways, everything else travels in headers. */
+export function createPlainCaller(transport: SidecarTransport): SidecarPort["callPlain"] {
+    const { clock } = transport;
+
+    function headersOf(request: PlainRequest): Record<string, string | string[]> {
+        const headers = writeHeaders(request.headers);
+        const own: Record<string, string | string[]> = { ...headers };
+        own[sidecarHeaders.attempt] = request.attempt;
+        own[sidecarHeaders.service] = request.service;
+        own[sidecarHeaders.team] = request.team;
+        own[sidecarHeaders.budgetMs] = String(Math.ceil(request.budgetMs));
+        own[sidecarHeaders.idempotent] = request.idempotent ? "1" : "0";
+        own[sidecarHeaders.digest] = request.digest;
+        own["content-length"] = String(request.body.length);
+        return own;
+    }
+
+    function call(request: PlainRequest, signal: AbortSignal): Promise<HttpExchange> {
+        return exchangeHttp({
+            clock,
+            agent: transport.agent,
+            host: transport.host,
+            port: transport.port,
+            method: request.method,
+            path: plainPrefix + request.path,
+            headers: headersOf(request),
+            body: request.body.length === 0 ? undefined : request.body,
+            signal,
+            timeoutMs: request.budgetMs + answerGraceMs,
+        });
+    }
+
+    return async (request, signal) => {
+        if (transport.incarnations.known() === undefined) {
+            await transport.meet();
+        }
+        const sentTo = transport.incarnations.known();
+        const sentAtMs = clock.monotonicMs();
+        const exchange = await call(request, signal);
+        const outcome = readOutcome(transport, exchange);
+        if (outcome !== undefined) {
+            return outcome;
+        }
+        const code = signal.aborted ? resultCodes.cancelled : codeOfBreak(exchange);
+        const { attempt } = request;
+        const { query, guards } = transport;
+        return resolveBroken({ attempt, sentTo, sentAtMs, clock, query, code, guards });
+    };
+}
+
+function codeOfBreak(exchange: HttpExchange): ResultCode {
+    const timedOut = exchange.kind === "broken" && exchange.timedOut;
+    return timedOut ? resultCodes.deadlineWhileRunning : resultCodes.connectionBroken;
+}
+
+/** Undefined where only the sidecar can say what became of the attempt. */
+function readOutcome(transport: SidecarTransport, exchange: HttpExchange): Outcome | undefined {
+    if (exchange.kind === "broken") {
+        return undefined;
+    }
+    if (exchange.kind === "notWritten") {
+        return { kind: "notRun", code: resultCodes.connectFailed, retryAfterMs: undefined };
+    }
+    const { headers } = exchange;
+    transport.incarnations.note(headers[sidecarHeaders.incarnation]);
+    if (headers[sidecarHeaders.outcome] === "ran") {
+        const { status, body } = exchange;
+        return { kind: "ran", answer: { status, headers: passHeaders(headers), body } };
+    }
+    drop(exchange.body);
+    const code = codeByNumber(Number(headers[sidecarHeaders.code]));
+    switch (headers[sidecarHeaders.outcome]) {
+        case "notRun":
+            return { kind: "notRun", code, retryAfterMs: numberOf(headers[sidecarHeaders.retryAfterMs]) };
+        case "unknown":
+            return { kind: "unknown", code };
+        default:
+            // Answered below the gate, by the HTTP server: it does not say whether the gate saw the attempt.
+            return undefined;
+    }
+}
+
+function numberOf(value: string | string[] | undefined): number | undefined {
+    return typeof value === "string" && value !== "" ? Number(value) : undefined;
+}
+
+/** Reads a short body that nobody wants, so that its connection can be used again. */
+function drop(body: AsyncIterable<Uint8Array>): void {
+    void (async () => {
+        try {
+            for await (const chunk of body) {
+                void chunk;
+            }
+        }
+        catch {
+            // The outcome was in the head.
+        }
+    })();
+}
--- /dev/null
+++ b/packages/send/src/createRpcClient.ts
@@ -0,0 +1,71 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { Clock } from "@auburnarch/types/Clock";
+import { JSONRPCClient, JSONRPCErrorException } from "json-rpc-2.0";
+import { setMaxListeners } from "node:events";
+import type { Agent } from "node:http";
+import { codeByNumber } from "./codeByNumber.js";
+import { exchangeHttp } from "./exchangeHttp.js";
+import { readWhole } from "./readWhole.js";
+
+interface RpcClientOptions {
+    host: string;
+    port: number;
+    agent: Agent;
+    clock: Clock;
+    path?: string;
+}
+
+/** Calls a method of another process of ours; rejects with a `ResultError`. */
+type CallRpc = (method: string, params: unknown, timeoutMs: number) => Promise<unknown>;
+
+const neverAborted = new AbortController().signal;
+setMaxListeners(0, neverAborted);
+const maxAnswerBytes = 4_194_304;
+
+/** Makes JSON-RPC calls over POST. Transport faults reject with code `sidecarUnreachable`. */
+export function createRpcClient(options: RpcClientOptions): CallRpc {
+    const { host, port, agent, clock, path = "/rpc" } = options;
+    const headersOf = (body: Uint8Array): Record<string, string> => ({
+        "content-type": "application/json",
+        "content-length": String(body.length),
+    });
+
+    async function post(payload: unknown, timeoutMs: number): Promise<unknown> {
+        const body = Buffer.from(JSON.stringify(payload));
+        const headers = headersOf(body);
+        const call = { clock, agent, host, port, method: "POST", path, headers, body };
+        const exchange = await exchangeHttp({ ...call, signal: neverAborted, timeoutMs });
+        if (exchange.kind !== "answered") {
+            throw new ResultError(resultCodes.sidecarUnreachable, exchange.detail);
+        }
+        const answer = await readWhole(exchange.body, maxAnswerBytes);
+        if (exchange.status !== 200) {
+            throw new ResultError(resultCodes.sidecarUnreachable, `status ${exchange.status}`);
+        }
+        return JSON.parse(answer.toString("utf8"));
+    }
+
+    return async (method, params, timeoutMs) => {
+        const client = new JSONRPCClient(async payload => {
+            client.receive(await post(payload, timeoutMs) as Parameters<typeof client.receive>[0]);
+        });
+        try {
+            return await client.request(method, params);
+        }
+        catch (error) {
+            throw toResultError(error);
+        }
+    };
+}
+
+function toResultError(error: unknown): ResultError {
+    if (error instanceof ResultError) {
+        return error;
+    }
+    if (error instanceof JSONRPCErrorException && error.code > 0) {
+        return new ResultError(codeByNumber(error.code), error.message);
+    }
+    const detail = error instanceof Error ? error.message : "no answer";
+    return new ResultError(resultCodes.sidecarUnreachable, detail);
+}
--- /dev/null
+++ b/packages/send/src/exchangeHttp.ts
@@ -0,0 +1,101 @@
+import { createByteStream } from "@auburnarch/collect/createByteStream";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { Clock } from "@auburnarch/types/Clock";
+import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
+import type { HttpExchange } from "./HttpExchange.js";
+
+interface HttpCall {
+    clock: Clock;
+    agent: Agent;
+    host: string;
+    port: number;
+    method: string;
+    path: string;
+    headers: Record<string, string | string[]>;
+    body: Uint8Array | undefined;
+    /** Gives the call up: the connection is destroyed, and a body being read rejects. */
+    signal: AbortSignal;
+    /** The same after this time, answer body included. */
+    timeoutMs: number;
+}
+
+/** A VM that is gone answers nothing at all; without this the whole budget would be spent on it. */
+const connectTimeoutMs = 1_000;
+
+/** Sends one request and resolves with the head of its answer. Never rejects; the body of a cut answer does. */
+export function exchangeHttp(call: HttpCall): Promise<HttpExchange> {
+    if (call.signal.aborted) {
+        return Promise.resolve({ kind: "notWritten", detail: "given up before it was sent" });
+    }
+    return new Promise(resolve => {
+        let connected = false;
+        let timedOut = false;
+        const request = startRequest(call);
+        const giveUp = (): void => void request.destroy(new Error("given up"));
+        call.signal.addEventListener("abort", giveUp);
+        const cancelTimer = call.clock.startTimer(call.timeoutMs, () => {
+            timedOut = true;
+            giveUp();
+        });
+        const release = (): void => {
+            cancelTimer();
+            call.signal.removeEventListener("abort", giveUp);
+        };
+        request.once("socket", socket => {
+            connected = !socket.connecting;
+            if (!connected) {
+                const cancelConnectTimer = call.clock.startTimer(connectTimeoutMs, giveUp);
+                socket.once("close", cancelConnectTimer);
+                socket.once("connect", () => {
+                    connected = true;
+                    cancelConnectTimer();
+                });
+            }
+        });
+        request.once("response", message => {
+            const body = readMessage(request, message, release);
+            resolve({ kind: "answered", status: message.statusCode ?? 0, headers: message.headers, body });
+        });
+        request.on("error", error => {
+            release();
+            const detail = error.message;
+            resolve(connected ? { kind: "broken", detail, timedOut } : { kind: "notWritten", detail });
+        });
+        request.end(call.body);
+    });
+}
+
+function startRequest(call: HttpCall): ClientRequest {
+    const { agent, host, port, method, path, headers } = call;
+    return httpRequest({ agent, host, port, method, path, headers });
+}
+
+/** The body of an answer; it rejects if the connection ends before the message does. */
+function readMessage(
+    request: ClientRequest,
+    message: IncomingMessage,
+    release: () => void,
+): AsyncIterable<Uint8Array> {
+    const stream = createByteStream({
+        onRoom: () => void message.resume(),
+        onGivenUp: () => void request.destroy(),
+    });
+    message.on("data", (chunk: Buffer) => {
+        if (!stream.push(chunk)) {
+            message.pause();
+        }
+    });
+    const cutShort = (): void => {
+        release();
+        stream.fail(new ResultError(resultCodes.connectionBroken, "the answer was cut short"));
+    };
+    message.once("end", () => {
+        release();
+        message.removeListener("close", cutShort);
+        stream.end();
+    });
+    message.once("error", cutShort);
+    message.once("close", cutShort);
+    return stream.body;
+}
--- /dev/null
+++ b/packages/send/src/resolveBroken.test.ts
@@ -0,0 +1,54 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { AttemptState } from "@auburnarch/types/AttemptState";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import { expect, test } from "vitest";
+import { resolveBroken } from "./resolveBroken.js";
+
+const sentTo = "one" as IncarnationId;
+
+async function resolve(
+    state: AttemptState["state"] | "silent",
+    incarnation: string,
+    ageMs = 0,
+): Promise<string> {
+    const clock = createFakeClock();
+    const sentAtMs = clock.monotonicMs();
+    await clock.advance(ageMs);
+    let asked = 0;
+    const query = async (): Promise<AttemptState> => {
+        asked++;
+        if (state === "silent") {
+            throw new Error("no answer");
+        }
+        return { incarnation: incarnation as IncarnationId, state };
+    };
+    const resolving = resolveBroken({ attempt: "a" as AttemptId, sentTo, sentAtMs, clock, query });
+    await clock.advance(1_000);
+    const outcome = await resolving;
+    return `${outcome.kind} asked=${asked}`;
+}
+
+test("only never seen and refused, from the same incarnation and in time, prove that nothing ran", async () => {
+    // Symptom: "not run" is said of something that ran. Sequence: the connection breaks; whoever is asked does not
+    // know the attempt, for it has restarted or has forgotten. Cause: not knowing is taken for not having run.
+    expect({
+        neverSeen: await resolve("neverSeen", "one"),
+        refused: await resolve("refused", "one"),
+        running: await resolve("running", "one"),
+        finished: await resolve("finished", "one"),
+        otherIncarnation: await resolve("neverSeen", "two"),
+        afterMemory: await resolve("neverSeen", "one", 120_000),
+        silent: await resolve("silent", "one"),
+    }).toMatchInlineSnapshot(`
+      {
+        "afterMemory": "unknown asked=1",
+        "finished": "unknown asked=1",
+        "neverSeen": "notRun asked=1",
+        "otherIncarnation": "unknown asked=1",
+        "refused": "notRun asked=1",
+        "running": "unknown asked=1",
+        "silent": "unknown asked=3",
+      }
+    `);
+});
--- /dev/null
+++ b/packages/send/src/resolveBroken.ts
@@ -0,0 +1,60 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { AttemptState } from "@auburnarch/types/AttemptState";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import { defaultSendGuards } from "./defaultSendGuards.js";
+import type { SendGuards } from "./SendGuards.js";
+
+interface BrokenAttempt {
+    attempt: AttemptId;
+    /** Incarnation that the attempt was sent to; undefined where it was not known beforehand. */
+    sentTo: IncarnationId | undefined;
+    sentAtMs: number;
+    clock: Clock;
+    /** `queryAttempt` of the same sidecar; may reject. */
+    query: (attempt: AttemptId) => Promise<AttemptState>;
+    /** Code of an outcome that stays unknown. */
+    code?: ResultCode;
+    guards?: SendGuards;
+}
+
+const maxQueries = 3;
+const queryPauseMs = 150;
+
+/**
+ * Finds out what became of an attempt whose connection broke. Only "never seen" (which leaves a tombstone there)
+ * and "refused", from the incarnation it was sent to and within its memory, prove that it did not run.
+ */
+export async function resolveBroken(broken: BrokenAttempt): Promise<AttemptOutcome<never>> {
+    const guards = broken.guards ?? defaultSendGuards;
+    const code = broken.code ?? resultCodes.connectionBroken;
+    const state = await askRepeatedly(broken);
+    if (state === undefined) {
+        return { kind: "unknown", code };
+    }
+    if (!guards.sameIncarnation(broken.sentTo, state.incarnation)) {
+        return { kind: "unknown", code: resultCodes.incarnationChanged };
+    }
+    const ageMs = broken.clock.monotonicMs() - broken.sentAtMs;
+    const proof = state.state === "neverSeen" || state.state === "refused";
+    if (!proof || !guards.withinMemory(ageMs)) {
+        return { kind: "unknown", code };
+    }
+    return { kind: "notRun", code: resultCodes.connectFailed, retryAfterMs: undefined };
+}
+
+async function askRepeatedly(broken: BrokenAttempt): Promise<AttemptState | undefined> {
+    for (let asked = 1; asked <= maxQueries; asked++) {
+        const state = await broken.query(broken.attempt).catch(() => undefined);
+        if (state !== undefined) {
+            return state;
+        }
+        if (asked < maxQueries) {
+            await broken.clock.sleep(queryPauseMs);
+        }
+    }
+    return undefined;
+}
--- /dev/null
+++ b/packages/send/src/sampleAttemptSchema.ts
@@ -0,0 +1,24 @@
+import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import { z } from "zod";
+import { tokenSpanSchema } from "./tokenSpanSchema.js";
+
+const name = z.string().min(1).max(512);
+const whole = z.number().int().nonnegative();
+
+/** A sample attempt as it arrives from another process; unknown keys are refused. */
+export const sampleAttemptSchema = z.strictObject({
+    attempt: name,
+    sample: name,
+    job: name,
+    team: name,
+    policy: name,
+    fencing: whole,
+    minVersion: whole,
+    prompt: z.string(),
+    maxTokens: z.number().int().positive(),
+    priority: z.number().min(0).max(100),
+    seed: z.number().int(),
+    digest: name,
+    budgetMs: z.number(),
+    resume: z.array(tokenSpanSchema),
+}) as unknown as z.ZodType<SampleAttempt>;
--- /dev/null
+++ b/packages/send/src/samplerOrderSchema.ts
@@ -0,0 +1,27 @@
+import type { SamplerOrder } from "@auburnarch/types/SamplerOrder";
+import { z } from "zod";
+
+const name = z.string().min(1).max(512);
+const whole = z.number().int().nonnegative();
+
+const engineOrder = z.discriminatedUnion("kind", [
+    z.strictObject({
+        kind: z.literal("load"),
+        policy: name,
+        version: whole,
+        location: z.string().max(2_048),
+        fencing: whole,
+    }),
+    z.strictObject({ kind: z.literal("unload"), policy: name, fencing: whole }),
+    z.strictObject({
+        kind: z.literal("setRole"),
+        role: z.enum(["prefill", "decode", "both"]),
+        fencing: whole,
+    }),
+]);
+
+/** An order as it arrives from another process. */
+export const samplerOrderSchema = z.strictObject({
+    scope: name,
+    order: engineOrder,
+}) as unknown as z.ZodType<SamplerOrder>;
--- /dev/null
+++ b/packages/send/src/sendPlain.ts
@@ -0,0 +1,108 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
+import type { PlainRequest } from "@auburnarch/types/PlainRequest";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+import { defaultSendGuards } from "./defaultSendGuards.js";
+import type { SendPlainDeps } from "./SendPlainDeps.js";
+import type { SentPlain } from "./SentPlain.js";
+
+type Failure = Exclude<AttemptOutcome<PlainAnswer>, { kind: "ran"; }>;
+
+/** Told to a caller whose request was given up without another time to wait for. */
+const defaultRetryAfterMs = 1_000;
+
+/** Refusals of the request itself: another sampler would say the same. */
+const finalCodes = new Set<ResultCode>([
+    resultCodes.badRequest,
+    resultCodes.bodyTooLarge,
+    resultCodes.quarantined,
+    resultCodes.deadlinePassed,
+    resultCodes.unknownService,
+]);
+
+/**
+ * Sends a plain request; the only layer that retries. What did not run is sent elsewhere, what may have run only if
+ * it is idempotent, both within the retry budget and the deadline. Once an answer has begun nothing is retried.
+ * If an attempt may have run, the final outcome is never "not run", whatever the later ones said.
+ */
+export async function sendPlain(
+    request: Omit<PlainRequest, "attempt">,
+    deps: SendPlainDeps,
+    signal: AbortSignal,
+): Promise<SentPlain> {
+    const { clock } = deps;
+    const guards = deps.guards ?? defaultSendGuards;
+    const deadlineMs = clock.monotonicMs() + request.budgetMs;
+    const tried: SamplerId[] = [];
+    let unknown: Failure | undefined;
+    let last: Failure = notRun(resultCodes.deadlinePassed);
+    deps.retryBudget.noteFirst();
+
+    const giveUp = (reason: string): SentPlain => {
+        const outcome = unknown ?? withRetryAfter(last);
+        deps.logger.info("requestGivenUp", {
+            service: request.service,
+            team: request.team,
+            outcome: outcome.kind,
+            code: outcome.code.number,
+            attempts: tried.length,
+            reason,
+        });
+        return { outcome, tried };
+    };
+
+    for (;;) {
+        const leftMs = deadlineMs - clock.monotonicMs();
+        if (leftMs <= 0) {
+            last = notRun(resultCodes.deadlinePassed);
+            return giveUp("deadline");
+        }
+        const sampler = deps.pick(tried);
+        if (sampler === undefined) {
+            last = tried.length === 0 ? notRun(resultCodes.noSampler) : last;
+            return giveUp("noSampler");
+        }
+        tried.push(sampler);
+        const sent = { ...request, attempt: deps.newAttempt(), budgetMs: leftMs };
+        const outcome = await deps.sidecar(sampler).callPlain(sent, signal);
+        if (outcome.kind === "ran") {
+            return { outcome, tried };
+        }
+        last = outcome;
+        if (outcome.kind === "unknown") {
+            unknown ??= outcome;
+        }
+        const reason = stopReason(outcome);
+        if (reason !== undefined) {
+            return giveUp(reason);
+        }
+    }
+
+    function stopReason(outcome: Failure): string | undefined {
+        if (signal.aborted) {
+            return "callerGone";
+        }
+        if (outcome.kind === "unknown" && !guards.repeatUnknown(request.idempotent)) {
+            return "mayHaveRun";
+        }
+        if (finalCodes.has(outcome.code)) {
+            return "final";
+        }
+        if (tried.length >= deps.maxAttempts) {
+            return "maxAttempts";
+        }
+        return deps.retryBudget.take() ? undefined : "retryBudget";
+    }
+}
+
+function notRun(code: ResultCode): Failure {
+    return { kind: "notRun", code, retryAfterMs: undefined };
+}
+
+function withRetryAfter(failure: Failure): Failure {
+    return failure.kind === "notRun"
+        ? { ...failure, retryAfterMs: failure.retryAfterMs ?? defaultRetryAfterMs }
+        : failure;
+}
--- /dev/null
+++ b/packages/spread/src/Spread.ts
@@ -0,0 +1,22 @@
+import type { DocumentDigest } from "@auburnarch/types/DocumentDigest";
+import type { SharedDocument } from "@auburnarch/types/SharedDocument";
+import type { DocumentTransfer } from "./DocumentTransfer.js";
+import type { SpreadMessage } from "./SpreadMessage.js";
+
+/** Versioned documents that all entries come to share. A version never goes back in a process. */
+export interface Spread {
+    start(): void;
+    stop(): void;
+    /** Takes a document if it is newer and without faults, and sends it on; true if taken. */
+    offer(document: SharedDocument): boolean;
+    get(name: string): SharedDocument | undefined;
+    /** Calls `listener` with each document taken from now on; the returned function ends that. */
+    onChange(listener: (document: SharedDocument) => void): () => void;
+    digest(): DocumentDigest;
+    /** Documents newer here than in `theirs`, of the names in it; for the answer to a sidecar's report. */
+    transfersFor(theirs: DocumentDigest): DocumentTransfer[];
+    /** Answers a peer's message, unchecked as it came. Throws `badRequest` if it is malformed. */
+    receive(message: unknown): SpreadMessage;
+    /** True once a peer or the object API has told what it holds; a process serves nothing before. */
+    isCaughtUp(): boolean;
+}
--- /dev/null
+++ b/packages/spread/src/SpreadTiming.ts
@@ -0,0 +1,12 @@
+/** Times and sizes of spreading. None needs tuning; tests and benches vary them. */
+export interface SpreadTiming {
+    /** Mean time between two exchanges that a process starts. */
+    exchangeIntervalMs: number;
+    exchangeTimeoutMs: number;
+    /** Peers that a fresh change is sent to at once. */
+    pushFanOut: number;
+    /** Length of one long poll at the object API. */
+    watchWaitMs: number;
+    minBackoffMs: number;
+    maxBackoffMs: number;
+}
--- /dev/null
+++ b/packages/spread/src/createRelay.ts
@@ -0,0 +1,109 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { SharedDocument } from "@auburnarch/types/SharedDocument";
+import type { StoredChange } from "@auburnarch/types/StoredChange";
+import type { SpreadDeps } from "./SpreadDeps.js";
+import type { SpreadTiming } from "./SpreadTiming.js";
+
+/** How long a watch may overstay before it is given up. */
+const watchGraceMs = 5_000;
+const idleMs = 1_000;
+
+interface WatchedPrefix {
+    prefix: string;
+    /** Object key → name of the document; other keys are passed over. */
+    names: ReadonlyMap<string, string>;
+}
+
+const watched: WatchedPrefix[] = [
+    { prefix: "config/", names: new Map([["config/manifest", "manifest"]]) },
+    { prefix: "quarantine", names: new Map([["quarantine", "quarantine"]]) },
+];
+
+/**
+ * Makes the loops that follow the object API while this process is a relay. After any failure a prefix is listed
+ * anew, since changes in between may be missing; answers of a stale replica are sorted out by version.
+ */
+export function createRelay(
+    deps: Pick<SpreadDeps, "clock" | "random" | "logger" | "store" | "isRelay">,
+    timing: SpreadTiming,
+    offer: (document: SharedDocument) => void,
+    onListed: () => void,
+): { start(): void; stop(): void; } {
+    const stopped = new AbortController();
+
+    function offerAll(names: WatchedPrefix["names"], changes: StoredChange[]): void {
+        for (const { key, version, value } of changes) {
+            const name = names.get(key);
+            if (name === undefined) {
+                continue;
+            }
+            if (value === undefined) {
+                // A removed object is not an intent: the last good one stays in force.
+                deps.logger.warn("watchedObjectRemoved", { key, version });
+                continue;
+            }
+            offer({ name, version, value });
+        }
+    }
+
+    async function inTime<T>(call: Promise<T>, limitMs: number): Promise<T> {
+        const done = new AbortController();
+        const expired = deps.clock.sleep(limitMs, done.signal).then(() => {
+            throw new Error("The object API overstayed.");
+        });
+        // Its rejection is of no interest once the call has won.
+        expired.catch(() => undefined);
+        try {
+            return await Promise.race([call, expired]);
+        }
+        finally {
+            done.abort();
+        }
+    }
+
+    async function list({ prefix, names }: WatchedPrefix): Promise<ObjectVersion> {
+        const listed = await inTime(deps.store.list(prefix), watchGraceMs);
+        offerAll(names, listed.objects);
+        onListed();
+        return listed.revision;
+    }
+
+    async function watch({ prefix, names }: WatchedPrefix, revision: ObjectVersion): Promise<ObjectVersion> {
+        const limitMs = timing.watchWaitMs + watchGraceMs;
+        const answer = await inTime(deps.store.watch(prefix, revision, timing.watchWaitMs), limitMs);
+        offerAll(names, answer.changes);
+        return answer.revision;
+    }
+
+    async function follow(target: WatchedPrefix): Promise<void> {
+        let revision: ObjectVersion | undefined;
+        let backoffMs = timing.minBackoffMs;
+        while (!stopped.signal.aborted) {
+            if (!deps.isRelay()) {
+                revision = undefined;
+                await deps.clock.sleep(idleMs, stopped.signal);
+                continue;
+            }
+            try {
+                revision = revision === undefined ? await list(target) : await watch(target, revision);
+                backoffMs = timing.minBackoffMs;
+            }
+            catch (error) {
+                revision = undefined;
+                deps.logger.warn("relayFailed", {
+                    prefix: target.prefix,
+                    code: codeOf(error).name,
+                    backoffMs,
+                });
+                await deps.clock.sleep(backoffMs * (0.5 + deps.random.nextUnit()), stopped.signal);
+                backoffMs = Math.min(timing.maxBackoffMs, backoffMs * 2);
+            }
+        }
+    }
+
+    return {
+        start: () => watched.forEach(target => void follow(target)),
+        stop: () => stopped.abort(),
+    };
+}
--- /dev/null
+++ b/packages/spread/src/createSpread.test.ts
@@ -0,0 +1,167 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
+import { createInvariants } from "@auburnarch/invariants/createInvariants";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import { expect, test } from "vitest";
+import { createSpread } from "./createSpread.js";
+import type { Spread } from "./Spread.js";
+
+const silent: Logger = {
+    info: () => undefined,
+    warn: () => undefined,
+    error: () => undefined,
+    child: () => silent,
+};
+
+interface Net {
+    /** Part of the messages that are lost. */
+    loss: number;
+    /** True if a message between the two gets through. */
+    connected: (from: number, to: number) => boolean;
+}
+
+function build(count: number, relays: number[]) {
+    const clock = createFakeClock();
+    const random = createRandom(11);
+    const { store, control } = createFakeObjectStore({ clock, random: random.fork(), latencyMs: 4 });
+    const net: Net = { loss: 0, connected: () => true };
+    const broken: string[] = [];
+    const invariants = createInvariants(silent, code => broken.push(code.name));
+    const nodes = new Map<number, Spread>();
+    const addressOf = (at: number): string => `entry-${at}`;
+    const start = (at: number): Spread => {
+        const peers = Array.from({ length: count }, (_, peer) => peer).filter(peer => peer !== at);
+        const node = createSpread({
+            clock,
+            random: random.fork(),
+            logger: silent,
+            invariants,
+            store,
+            listPeers: () =>
+                peers.map(peer => ({ address: addressOf(peer), failureDomain: "Lugo" as FailureDomain })),
+            isRelay: () => relays.includes(at),
+            exchange: async (address, message) => {
+                const to = Number(address.slice("entry-".length));
+                const wire = JSON.stringify(message);
+                await clock.sleep(1);
+                const target = nodes.get(to);
+                if (target === undefined || random.nextUnit() < net.loss || !net.connected(at, to)) {
+                    throw new Error("unreachable");
+                }
+                return JSON.parse(JSON.stringify(target.receive(JSON.parse(wire)))) as unknown;
+            },
+            faultsOf: ({ value }) => value === "bad" ? [{ path: "", message: "bad" }] : [],
+        });
+        nodes.set(at, node);
+        node.start();
+        return node;
+    };
+    Array.from({ length: count }, (_, at) => start(at));
+    const versions = (): Set<number> =>
+        new Set([...nodes.values()].map(node => node.get("manifest")?.version ?? 0));
+    let published = 0 as ObjectVersion;
+    const publish = async (value: unknown): Promise<number> => {
+        const writing = store.write("config/manifest", value, published);
+        await clock.advance(20);
+        const outcome = await writing;
+        published = outcome.kind === "written" ? outcome.version : published;
+        return published;
+    };
+    const inForce = (version: number) => (): boolean => versions().size === 1 && versions().has(version);
+    const stop = (): void => nodes.forEach(node => node.stop());
+    return { clock, control, net, nodes, start, publish, inForce, versions, broken, stop };
+}
+
+test("a published manifest is in force on 40 entries within seconds although a third of the messages is lost", async () => {
+    const fleet = build(40, [0, 1, 2]);
+    fleet.net.loss = 0.33;
+    await fleet.clock.advance(2_000);
+    const version = await fleet.publish({ a: 1 });
+    expect(await fleet.clock.runUntil(fleet.inForce(version), 14_000)).toBe(true);
+    expect([...fleet.nodes.values()].every(node => node.isCaughtUp())).toBe(true);
+    fleet.stop();
+});
+
+test("only relays call the object API, and rarely", async () => {
+    const fleet = build(12, [4, 7, 9]);
+    await fleet.clock.advance(300_000);
+    const counts = fleet.control.calls();
+    const calls = Object.values(counts).reduce((sum, count) => sum + count, 0);
+    // Three relays, two prefixes, one list each and a long poll every 30 s.
+    expect(calls).toBeLessThanOrEqual(3 * 2 * 12);
+    fleet.stop();
+});
+
+test("a change passes two dead relays, and a stale store takes nobody back", async () => {
+    // Symptom: some entries fall back to an older manifest after a failover of the store.
+    // Sequence: version B is in force; the store answers from a replica that only has A; relays list anew.
+    // Cause: whatever the store answered last was taken for the truth.
+    const fleet = build(12, [0, 1, 2]);
+    await fleet.publish("A");
+    const version = await fleet.publish("B");
+    expect(await fleet.clock.runUntil(fleet.inForce(version), 14_000)).toBe(true);
+    fleet.control.setStaleReads(1);
+    fleet.control.setOutage(true);
+    await fleet.clock.advance(15_000);
+    fleet.control.setOutage(false);
+    await fleet.clock.advance(60_000);
+    expect(fleet.versions()).toEqual(new Set([version]));
+    fleet.control.setStaleReads(0);
+    fleet.nodes.get(0)!.stop();
+    fleet.nodes.get(1)!.stop();
+    fleet.nodes.delete(0);
+    fleet.nodes.delete(1);
+    const next = await fleet.publish("C");
+    expect(await fleet.clock.runUntil(fleet.inForce(next), 14_000)).toBe(true);
+    expect(fleet.broken).toEqual([]);
+    fleet.stop();
+});
+
+test("a part cut off for minutes goes on with what it has and takes the newest once it is back", async () => {
+    const fleet = build(12, [0, 1, 2]);
+    const first = await fleet.publish("A");
+    await fleet.clock.runUntil(fleet.inForce(first), 14_000);
+    fleet.net.connected = (from, to) => (from < 6) === (to < 6);
+    const second = await fleet.publish("B");
+    await fleet.clock.advance(180_000);
+    expect(fleet.versions()).toEqual(new Set([first, second]));
+    fleet.net.connected = () => true;
+    expect(await fleet.clock.runUntil(fleet.inForce(second), 14_000)).toBe(true);
+    expect(fleet.broken).toEqual([]);
+    fleet.stop();
+});
+
+test("an entry that restarts while the store is down learns from its peers before it is caught up", async () => {
+    const fleet = build(4, [0]);
+    const version = await fleet.publish("A");
+    await fleet.clock.runUntil(fleet.inForce(version), 14_000);
+    fleet.control.setOutage(true);
+    fleet.nodes.get(0)!.stop();
+    const reborn = fleet.start(0);
+    expect(reborn.isCaughtUp()).toBe(false);
+    await fleet.clock.runUntil(() => reborn.isCaughtUp(), 14_000);
+    expect(reborn.get("manifest")?.version).toBe(version);
+    fleet.stop();
+});
+
+test("a bad manifest in the store is in force nowhere", async () => {
+    const fleet = build(6, [0, 1, 2]);
+    const good = await fleet.publish("A");
+    await fleet.clock.runUntil(fleet.inForce(good), 14_000);
+    await fleet.publish("bad");
+    await fleet.clock.advance(20_000);
+    expect(fleet.versions()).toEqual(new Set([good]));
+    fleet.stop();
+});
+
+test("a malformed message is refused with badRequest", () => {
+    const fleet = build(1, []);
+    expect(() => fleet.nodes.get(0)!.receive({ checksum: 3 })).toThrow("badRequest");
+    expect(() => fleet.nodes.get(0)!.receive({ checksum: "a", documents: [{ kind: "whole" }] })).toThrow(
+        "badRequest",
+    );
+    fleet.stop();
+});
--- /dev/null
+++ b/packages/spread/src/createSpread.ts
@@ -0,0 +1,105 @@
+import type { SharedDocument } from "@auburnarch/types/SharedDocument";
+import { answerMessage } from "./answerMessage.js";
+import { createDocumentSet } from "./createDocumentSet.js";
+import { createExchanger } from "./createExchanger.js";
+import { createRelay } from "./createRelay.js";
+import { defaultSpreadGuards } from "./defaultSpreadGuards.js";
+import { defaultSpreadTiming } from "./defaultSpreadTiming.js";
+import { parseMessage } from "./parseMessage.js";
+import type { Spread } from "./Spread.js";
+import type { SpreadDeps } from "./SpreadDeps.js";
+import type { SpreadTiming } from "./SpreadTiming.js";
+
+/** Draws up to `count` different elements. */
+function drawSome<T>(from: readonly T[], count: number, nextInt: (bound: number) => number): T[] {
+    const left = [...from];
+    const drawn: T[] = [];
+    while (drawn.length < count && left.length > 0) {
+        drawn.push(...left.splice(nextInt(left.length), 1));
+    }
+    return drawn;
+}
+
+/**
+ * Makes the spreading of documents in one entry: a fresh change goes at once to a few peers, and an exchange with
+ * a random peer every second or so brings what was lost. A few relays watch the object API for all.
+ */
+export function createSpread(deps: SpreadDeps): Spread {
+    const timing: SpreadTiming = { ...defaultSpreadTiming, ...deps.timing };
+    const listeners = new Set<(document: SharedDocument) => void>();
+    const stopped = new AbortController();
+    const documents = createDocumentSet(deps, deps.guards ?? defaultSpreadGuards, onTaken);
+    const exchangeWith = createExchanger(deps, documents, timing);
+    const previousVersions = new Map<string, number>();
+    let caughtUp = false;
+    const relay = createRelay(deps, timing, offer, () => {
+        caughtUp = true;
+    });
+
+    function onTaken(document: SharedDocument): void {
+        listeners.forEach(listener => listener(document));
+        // What a starting process catches up with is no news to its peers.
+        if (caughtUp) {
+            push(document);
+        }
+        previousVersions.set(document.name, document.version);
+    }
+
+    function push({ name }: SharedDocument): void {
+        const transfer = documents.transfer(name, previousVersions.get(name) ?? 0);
+        const peers = drawSome(deps.listPeers(), timing.pushFanOut, deps.random.nextInt);
+        if (transfer === undefined) {
+            return;
+        }
+        for (const peer of peers) {
+            void exchangeWith(peer.address, { checksum: documents.checksum(), documents: [transfer] });
+        }
+    }
+
+    function offer(document: SharedDocument): boolean {
+        return documents.take(document) === "taken";
+    }
+
+    async function exchangeOnce(): Promise<void> {
+        const [peer] = drawSome(deps.listPeers(), 1, deps.random.nextInt);
+        if (peer === undefined) {
+            return;
+        }
+        if (await exchangeWith(peer.address, { checksum: documents.checksum(), documents: [] })) {
+            caughtUp = true;
+        }
+    }
+
+    async function run(): Promise<void> {
+        while (!stopped.signal.aborted) {
+            // Not awaited: a slow peer does not delay the exchange with the next one.
+            void exchangeOnce();
+            const spread = 0.8 + 0.4 * deps.random.nextUnit();
+            await deps.clock.sleep(timing.exchangeIntervalMs * spread, stopped.signal);
+        }
+    }
+
+    return {
+        start: () => {
+            relay.start();
+            void run();
+        },
+        stop: () => {
+            relay.stop();
+            stopped.abort();
+        },
+        offer,
+        get: documents.get,
+        onChange: listener => {
+            listeners.add(listener);
+            return () => void listeners.delete(listener);
+        },
+        digest: documents.digest,
+        transfersFor: theirs =>
+            Object.entries(theirs)
+                .filter(([name, version]) => (documents.get(name)?.version ?? 0) > version)
+                .map(([name, version]) => documents.transfer(name, version)!),
+        receive: message => answerMessage(documents, parseMessage(message)),
+        isCaughtUp: () => caughtUp,
+    };
+}
--- /dev/null
+++ b/packages/spread/src/defaultSpreadTiming.ts
@@ -0,0 +1,11 @@
+import type { SpreadTiming } from "./SpreadTiming.js";
+
+/** Times and sizes in use unless a test says otherwise. */
+export const defaultSpreadTiming: SpreadTiming = {
+    exchangeIntervalMs: 1_000,
+    exchangeTimeoutMs: 3_000,
+    pushFanOut: 3,
+    watchWaitMs: 30_000,
+    minBackoffMs: 500,
+    maxBackoffMs: 10_000,
+};
--- /dev/null
+++ b/packages/store/src/createBudgetedStore.ts
@@ -0,0 +1,117 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { StoredObject } from "@auburnarch/types/StoredObject";
+import type { BudgetedStoreOptions } from "./BudgetedStoreOptions.js";
+import { createCircuit } from "./createCircuit.js";
+import { createRateGate } from "./createRateGate.js";
+import { createReadSharing } from "./createReadSharing.js";
+
+const failuresToOpen = 3;
+const firstProbeMs = 250;
+const maxProbeMs = 5_000;
+
+/**
+ * The object API within this process's budget: a token bucket for reads and one for writes, bounds on calls under
+ * way and waiting, and a circuit that leaves a failing API alone and comes back slowly. It never repeats a call
+ * itself; what it refuses rejects with `storeThrottled`, and then nothing was sent.
+ */
+export function createBudgetedStore(store: ObjectStore, options: BudgetedStoreOptions): ObjectStore {
+    const { clock, random, callTimeoutMs = 5_000 } = options;
+    const { maxWaiting = 256, maxWaitMs = 2_000, maxInFlight = 64 } = options;
+    const bounds = { clock, maxWaiting, maxWaitMs, maxInFlight };
+    const reads = createRateGate({ ...bounds, perSecond: options.readsPerSecond });
+    const writes = createRateGate({ ...bounds, perSecond: options.writesPerSecond });
+    const watches = createRateGate({
+        ...bounds,
+        perSecond: options.readsPerSecond,
+        maxInFlight: Number.POSITIVE_INFINITY,
+    });
+    const circuit = createCircuit({
+        clock,
+        random,
+        failuresToOpen,
+        firstWaitMs: firstProbeMs,
+        maxWaitMs: maxProbeMs,
+    });
+    const shareRead = createReadSharing<StoredObject | undefined>();
+
+    function slowDown(): void {
+        reads.slowDown();
+        writes.slowDown();
+        watches.slowDown();
+    }
+
+    function noteSuccess(): void {
+        if (circuit.succeeded()) {
+            // Every process finds the API back within seconds; all at full rate would strike it down again.
+            slowDown();
+        }
+    }
+
+    function noteFailure(error: unknown): void {
+        const code = codeOf(error);
+        if (code === resultCodes.storeUnavailable) {
+            circuit.failed();
+        }
+        if (code === resultCodes.storeThrottled) {
+            slowDown();
+        }
+    }
+
+    function withTimeout<T>(answer: Promise<T>, limitMs: number): Promise<T> {
+        return new Promise((resolve, reject) => {
+            const cancel = clock.startTimer(limitMs, () => {
+                reject(new ResultError(resultCodes.storeUnavailable, `no answer within ${limitMs} ms`));
+            });
+            answer.then(resolve, reject).finally(cancel);
+        });
+    }
+
+    function demandCircuit(): void {
+        if (!circuit.mayCall()) {
+            const retryAfterMs = circuit.retryAfterMs();
+            throw new ResultError(resultCodes.storeThrottled, "the object API is down", retryAfterMs);
+        }
+    }
+
+    async function send<T>(run: () => Promise<T>, limitMs: number): Promise<T> {
+        demandCircuit();
+        try {
+            const answer = await withTimeout(run(), limitMs);
+            noteSuccess();
+            return answer;
+        }
+        catch (error) {
+            noteFailure(error);
+            throw error;
+        }
+    }
+
+    async function call<T>(
+        gate: ReturnType<typeof createRateGate>,
+        run: () => Promise<T>,
+        limitMs = callTimeoutMs,
+    ): Promise<T> {
+        if (circuit.retryAfterMs() > 0) {
+            demandCircuit();
+        }
+        const leave = await gate.enter();
+        try {
+            return await send(run, limitMs);
+        }
+        finally {
+            leave();
+        }
+    }
+
+    return {
+        read: key => shareRead(key, () => call(reads, () => store.read(key))),
+        list: prefix => call(reads, () => store.list(prefix)),
+        write: (key, value, expected) => call(writes, () => store.write(key, value, expected)),
+        remove: (key, expected) => call(writes, () => store.remove(key, expected)),
+        watch: (prefix, revision, waitMs) =>
+            call(watches, () => store.watch(prefix, revision, waitMs), callTimeoutMs + waitMs),
+    };
+}
--- /dev/null
+++ b/packages/store/src/createHttpPlainBackend.ts
@@ -0,0 +1,115 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
+import type { PlainBackend } from "@auburnarch/types/PlainBackend";
+import type { PlainRequest } from "@auburnarch/types/PlainRequest";
+import { Agent, type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
+import type { Socket } from "node:net";
+import type { HttpClientOptions } from "./HttpClientOptions.js";
+
+const defaultMaxConnections = 256;
+/** Headers that belong to one connection and are not passed on. */
+const connectionHeaders = new Set([
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "upgrade",
+    "te",
+    "trailer",
+    "host",
+    "content-length",
+    "proxy-authorization",
+    "proxy-authenticate",
+]);
+const attemptHeader = "x-auburnarch-attempt";
+
+const passedOn = (headers: Record<string, unknown>): Record<string, string> =>
+    Object.fromEntries(
+        Object.entries(headers)
+            .filter(([name, value]) => !connectionHeaders.has(name.toLowerCase()) && value !== undefined)
+            .map(([name, value]) => [name, Array.isArray(value) ? value.join(", ") : String(value)]),
+    );
+
+/**
+ * Tells whether any byte of a request may have reached the server. Only a connection that never came about
+ * proves that none did: on a reused one the bytes may have left although the server had closed it.
+ */
+function watchBytes(request: ClientRequest): () => boolean {
+    let mayHaveSent = false;
+    request.on("socket", (socket: Socket) => {
+        if (socket.connecting) {
+            socket.once("connect", () => {
+                mayHaveSent = true;
+            });
+        }
+        else {
+            mayHaveSent = true;
+        }
+    });
+    return () => mayHaveSent;
+}
+
+async function* readAnswerBody(response: IncomingMessage): AsyncGenerator<Uint8Array> {
+    try {
+        for await (const part of response) {
+            yield part as Buffer;
+        }
+    }
+    catch (error) {
+        throw new ResultError(resultCodes.connectionBroken, String(error));
+    }
+    if (!response.complete) {
+        throw new ResultError(resultCodes.connectionBroken, "answer cut short");
+    }
+}
+
+/** A plain service over HTTP. A request is `notRun` only if no connection to the server came about. */
+export function createHttpPlainBackend(baseUrl: string, options: HttpClientOptions = {}): PlainBackend {
+    const agent = new Agent({ keepAlive: true, maxSockets: options.maxConnections ?? defaultMaxConnections });
+    const { hostname, port } = new URL(baseUrl);
+
+    function send(request: PlainRequest, signal: AbortSignal): ClientRequest {
+        const headers = {
+            ...passedOn(request.headers),
+            [attemptHeader]: request.attempt,
+            "content-length": request.body.length,
+        };
+        const { method, path } = request;
+        const timeout = options.timeoutMs;
+        // The path stays apart from the host: joined as a URL, `//other/…` would name another server.
+        return startRequest({ hostname, port, path, method, agent, headers, signal, timeout });
+    }
+
+    const forward: PlainBackend = (request, signal) =>
+        new Promise<AttemptOutcome<PlainAnswer>>(resolve => {
+            const sent = send(request, signal);
+            const mayHaveSent = watchBytes(sent);
+            sent.on("timeout", () => sent.destroy(new Error("timeout")));
+            sent.on("error", () => {
+                if (mayHaveSent()) {
+                    const code = signal.aborted ? resultCodes.cancelled : resultCodes.connectionBroken;
+                    resolve({ kind: "unknown", code });
+                }
+                else {
+                    resolve({ kind: "notRun", code: resultCodes.connectFailed, retryAfterMs: undefined });
+                }
+            });
+            sent.on("response", response => {
+                const headers = passedOn(response.headers);
+                const status = response.statusCode ?? 502;
+                resolve({ kind: "ran", answer: { status, headers, body: readAnswerBody(response) } });
+            });
+            sent.end(request.body);
+        });
+
+    return async (request, signal) => {
+        try {
+            return await forward(request, signal);
+        }
+        catch {
+            // Node refuses a path or header with illegal characters before it opens a connection.
+            return { kind: "notRun", code: resultCodes.badRequest, retryAfterMs: undefined };
+        }
+    };
+}
--- /dev/null
+++ b/packages/store/src/createReadSharing.ts
@@ -0,0 +1,43 @@
+/** Runs `read` for `key`, or joins one of the same key that has not been sent yet. */
+type ShareRead<T> = (key: string, read: () => Promise<T>) => Promise<T>;
+
+interface Reads<T> {
+    sent: Promise<unknown>;
+    next: Promise<T> | undefined;
+}
+
+/**
+ * At most one read under way and one waiting behind it per key, however many ask. A read never joins one that
+ * was already sent: that one may have seen the store before a write of this process took effect, and a lost
+ * answer would be judged by it as "not written".
+ */
+export function createReadSharing<T>(): ShareRead<T> {
+    const reads = new Map<string, Reads<T>>();
+
+    function start(key: string, read: () => Promise<T>): Promise<T> {
+        const answer = read();
+        const entry: Reads<T> = { sent: answer, next: undefined };
+        reads.set(key, entry);
+        const forget = (): void => {
+            if (reads.get(key) === entry && entry.next === undefined) {
+                reads.delete(key);
+            }
+        };
+        answer.then(forget, forget);
+        return answer;
+    }
+
+    async function startAfter(entry: Reads<T>, key: string, read: () => Promise<T>): Promise<T> {
+        await entry.sent.catch(() => undefined);
+        return start(key, read);
+    }
+
+    return (key, read) => {
+        const entry = reads.get(key);
+        if (entry === undefined) {
+            return start(key, read);
+        }
+        entry.next ??= startAfter(entry, key, read);
+        return entry.next;
+    };
+}
--- /dev/null
+++ b/packages/store/src/httpAdapters.test.ts
@@ -0,0 +1,211 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createSystemClock } from "@auburnarch/clock/createSystemClock";
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { createFakeEngine } from "@auburnarch/fakes/createFakeEngine";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
+import { createFakePlainService } from "@auburnarch/fakes/createFakePlainService";
+import { createFakeScoring } from "@auburnarch/fakes/createFakeScoring";
+import { createFakeVmList } from "@auburnarch/fakes/createFakeVmList";
+import { createFakeWeightStore } from "@auburnarch/fakes/createFakeWeightStore";
+import { fakeText } from "@auburnarch/fakes/fakeText";
+import type { HttpServerHandle } from "@auburnarch/fakes/HttpServerHandle";
+import { serveEngine } from "@auburnarch/fakes/serveEngine";
+import { serveObjectStore } from "@auburnarch/fakes/serveObjectStore";
+import { servePlainService } from "@auburnarch/fakes/servePlainService";
+import { serveScoring } from "@auburnarch/fakes/serveScoring";
+import { serveVmList } from "@auburnarch/fakes/serveVmList";
+import { serveWeightStore } from "@auburnarch/fakes/serveWeightStore";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { EngineRequest } from "@auburnarch/types/EngineRequest";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { PlainRequest } from "@auburnarch/types/PlainRequest";
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { Region } from "@auburnarch/types/Region";
+import type { ServiceId } from "@auburnarch/types/ServiceId";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import type { VmId } from "@auburnarch/types/VmId";
+import type { VmRecord } from "@auburnarch/types/VmRecord";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import { afterEach, expect, test } from "vitest";
+import { createHttpEngine } from "./createHttpEngine.js";
+import { createHttpObjectStore } from "./createHttpObjectStore.js";
+import { createHttpPlainBackend } from "./createHttpPlainBackend.js";
+import { createHttpScoring } from "./createHttpScoring.js";
+import { createHttpVmList } from "./createHttpVmList.js";
+import { createHttpWeightStore } from "./createHttpWeightStore.js";
+
+const none = 0 as ObjectVersion;
+const policy = "plume" as PolicyId;
+const never = new AbortController().signal;
+const servers: HttpServerHandle[] = [];
+
+async function listen(started: Promise<HttpServerHandle>): Promise<string> {
+    const server = await started;
+    servers.push(server);
+    return `http://127.0.0.1:${server.port}`;
+}
+
+const codeName = (call: Promise<unknown>): Promise<string> =>
+    call.then(() => "ok", error => codeOf(error).name);
+
+afterEach(async () => {
+    await Promise.all(servers.splice(0).map(server => server.close()));
+});
+
+const plainRequest = (change: Partial<PlainRequest> = {}): PlainRequest => ({
+    attempt: "p1" as AttemptId,
+    service: "tiles" as ServiceId,
+    team: "lugo" as TeamId,
+    method: "POST",
+    path: "/tile?z=1",
+    headers: { "idempotency-key": "k1" },
+    body: Buffer.from("body"),
+    idempotent: false,
+    digest: "d" as ContentDigest,
+    budgetMs: 1_000,
+    ...change,
+});
+
+async function textOf(body: AsyncIterable<Uint8Array>): Promise<string> {
+    const parts: Uint8Array[] = [];
+    for await (const part of body) {
+        parts.push(part);
+    }
+    return Buffer.concat(parts).toString("utf8");
+}
+
+test("the object API over HTTP behaves like the one in memory", async () => {
+    const clock = createSystemClock();
+    const { store, control } = createFakeObjectStore({ clock, random: createRandom(1) });
+    const http = createHttpObjectStore(await listen(serveObjectStore(store)));
+    const key = "jobs/a b/steps/1";
+    const written = await http.write(key, { n: 1 }, none);
+    const raced = await http.write(key, { n: 2 }, none);
+    const listed = await http.list("jobs/");
+    const watched = http.watch("jobs/", listed.revision, 5_000);
+    await http.remove(key, 1 as ObjectVersion);
+    const changes = await watched;
+    const absent = await http.read(key);
+    control.loseAnswers(1);
+    const lost = await codeName(http.write("b", 1, none));
+    control.setOutage(true);
+    const down = await codeName(http.read(key));
+    http.close();
+    expect({ written, raced, listed, changes, absent, lost, down }).toMatchSnapshot();
+});
+
+test("an object API that is not there, or talks nonsense, reads as unavailable", async () => {
+    const nobody = createHttpObjectStore("http://127.0.0.1:9", { timeoutMs: 1_000 });
+    expect(await codeName(nobody.read("a"))).toBe("storeUnavailable");
+    const { backend } = createFakePlainService({ clock: createSystemClock() });
+    const nonsense = createHttpObjectStore(await listen(servePlainService(backend)));
+    expect(await codeName(nonsense.list("a"))).toBe("storeUnavailable");
+});
+
+test("VM list, weight store and scoring cross HTTP with their codes", async () => {
+    const clock = createFakeClock();
+    const record: VmRecord = {
+        vm: "vm-1" as VmId,
+        address: "http://127.0.0.1:1",
+        failureDomain: "Lugo" as FailureDomain,
+        region: "norte" as Region,
+        role: "entry",
+        sampler: undefined,
+        state: "live",
+    };
+    const vms = createFakeVmList({ clock, lagMs: 0, records: [record] });
+    const vmList = createHttpVmList(await listen(serveVmList(vms.vmList)));
+    expect(await vmList()).toEqual([record]);
+    vms.control.setOutage(true);
+    expect(await codeName(vmList())).toBe("vmListUnavailable");
+
+    const weights = createFakeWeightStore({ clock, transferMs: 0, maxConcurrent: 0 });
+    const download = createHttpWeightStore(await listen(serveWeightStore(weights.weightStore)));
+    expect(await codeName(download(policy, 1 as WeightVersion, "x"))).toBe("weightStoreThrottled");
+
+    const scores = createFakeScoring({ clock, latencyMs: 0 });
+    const score = createHttpScoring(await listen(serveScoring(scores.scoring)));
+    expect(await score("s", "prompt", "text")).toBe(await scores.scoring("s", "prompt", "text"));
+    scores.control.setOutage(true);
+    expect(await codeName(score("s", "prompt", "text"))).toBe("scoringUnavailable");
+});
+
+test("an engine over HTTP streams whole texts, takes orders, and shows a crash as a crash", async () => {
+    const served = [{ policy, version: 1 as WeightVersion }];
+    const clock = createSystemClock();
+    const options = {
+        clock,
+        random: createRandom(1),
+        served,
+        tokensPerSecond: 10_000,
+        chunkMs: 5,
+        swapMs: 1,
+    };
+    const { engine, control } = createFakeEngine({ ...options, lengthOf: () => 200 });
+    const http = createHttpEngine(await listen(serveEngine(engine)));
+    const request: EngineRequest = {
+        attempt: "a1" as AttemptId,
+        policy,
+        prompt: "ridge",
+        resumeText: "",
+        resumeTokens: 0,
+        maxTokens: 500,
+        priority: 1,
+        seed: 4,
+    };
+    let text = "";
+    const finish = await http.generate(request, chunk => (text += chunk.text), never);
+    expect(finish.reason).toBe("stop");
+    expect(text).toBe(fakeText("ridge", 4, 0, 200));
+
+    const fencing = 3 as FencingNumber;
+    const load = { kind: "load" as const, policy, version: 2 as WeightVersion, location: "", fencing };
+    expect(await http.order(load)).toEqual({ kind: "done" });
+    expect((await http.describe()).served).toEqual([{ policy, version: 2 }]);
+    expect(await http.importCache(request.attempt, "nonsense")).toBe(false);
+
+    control.killOn(() => true, 5);
+    const crashed = await http.generate({ ...request, attempt: "a2" as AttemptId }, () => {}, never);
+    expect(crashed.reason).toBe("crashed");
+    expect(await codeName(http.describe())).toBe("engineUnreachable");
+});
+
+test("a plain request is called not run only if no connection came about", async () => {
+    // Symptom: a fetch that broke off was sent again and ran twice. Sequence: the service runs the request, the
+    // connection breaks before the answer. Cause: a broken connection was taken for a failed one.
+    const { backend, control } = createFakePlainService({ clock: createSystemClock() });
+    const address = await listen(servePlainService(backend));
+    const http = createHttpPlainBackend(address);
+    const ran = await http(plainRequest(), never);
+    expect(ran.kind === "ran" && await textOf(ran.answer.body)).toContain('"path":"/tile?z=1"');
+    control.breakAfterRun(1);
+    expect(await http(plainRequest(), never)).toMatchObject({ kind: "unknown" });
+    expect(control.runsByKey().get("k1")).toBe(2);
+
+    const nobody = createHttpPlainBackend("http://127.0.0.1:9");
+    expect(await nobody(plainRequest(), never)).toMatchObject({ kind: "notRun" });
+    expect(await http(plainRequest({ path: "/a b" }), never)).toMatchObject({ kind: "notRun" });
+});
+
+test("a body cut short rejects, so that a part never passes as the whole", async () => {
+    const { backend, control } = createFakePlainService({ clock: createSystemClock() });
+    const http = createHttpPlainBackend(await listen(servePlainService(backend)));
+    control.cutBody(1);
+    const cut = await http(plainRequest(), never);
+    expect(cut.kind).toBe("ran");
+    expect(await codeName(cut.kind === "ran" ? textOf(cut.answer.body) : Promise.resolve())).toBe(
+        "connectionBroken",
+    );
+});
+
+test("a path that looks like another host stays on the server", async () => {
+    const { backend, control } = createFakePlainService({ clock: createSystemClock() });
+    const http = createHttpPlainBackend(await listen(servePlainService(backend)));
+    const outcome = await http(plainRequest({ path: "//127.0.0.1:9/x" }), never);
+    expect(outcome.kind).toBe("ran");
+    expect(control.runsByAttempt().get("p1")).toBe(1);
+});
--- /dev/null
+++ b/packages/store/src/writeUntilKnown.test.ts
@@ -0,0 +1,75 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { writeUntilKnown } from "./writeUntilKnown.js";
+
+const none = 0 as ObjectVersion;
+
+test("a lost answer is resolved by the stamp: the write is known to stand, and stands once", async () => {
+    // Symptom: a change was published twice. Sequence: the write takes effect, its answer is lost, the writer takes
+    // it for failed. Cause: an error was read as "nothing happened".
+    const clock = createFakeClock();
+    const random = createRandom(1);
+    const { store, control } = createFakeObjectStore({ clock, random });
+    control.loseAnswers(1);
+    const stamp = { writer: "w1", sequence: 4 };
+    const write = { key: "a", value: { n: 1 }, expectedVersion: none, stamp };
+    const outcome = writeUntilKnown({ store, clock, random }, write);
+    await clock.advance(1_000);
+    expect(await outcome).toEqual({ kind: "written", version: 1 });
+    expect(control.revision()).toBe(1);
+    expect(control.peek("a")).toEqual({ n: 1, stamp });
+});
+
+test("after a lost answer overwritten by another, the conflict says that ours may have stood", async () => {
+    const clock = createFakeClock();
+    const random = createRandom(1);
+    const { store, control } = createFakeObjectStore({ clock, random });
+    control.loseAnswers(1);
+    const write = { key: "a", value: {}, expectedVersion: none, stamp: { writer: "w1", sequence: 1 } };
+    const outcome = writeUntilKnown({ store, clock, random }, write);
+    clock.startTimer(20, () => void store.write("a", { other: true }, 1 as ObjectVersion));
+    await clock.advance(1_000);
+    expect(await outcome).toMatchObject({ kind: "conflict", mayHaveStood: true });
+});
+
+test("whatever is lost before or after the effect, 'written' means that it stands or stood", async () => {
+    const fault = fc.constantFrom("none", "before", "after");
+    await fc.assert(
+        fc.asyncProperty(fc.array(fault, { maxLength: 5 }), fc.boolean(), async (faults, raced) => {
+            const clock = createFakeClock();
+            const random = createRandom(1);
+            const { store, control } = createFakeObjectStore({ clock, random });
+            const left = [...faults];
+            const faulty: ObjectStore = {
+                ...store,
+                write: async (...call) => {
+                    const kind = left.shift() ?? "none";
+                    control.setOutage(kind === "before");
+                    control.loseAnswers(kind === "after" ? 1 : 0);
+                    return store.write(...call).finally(() => control.setOutage(false));
+                },
+            };
+            if (raced) {
+                await store.write("a", { other: true }, none);
+            }
+            const stamp = { writer: "w1", sequence: 1 };
+            const write = { key: "a", value: {}, expectedVersion: none, stamp };
+            const ended = writeUntilKnown({ store: faulty, clock, random }, write).then(
+                o => o.kind,
+                () => "error",
+            );
+            await clock.advance(60_000);
+            const kind = await ended;
+            const stands = JSON.stringify(control.peek("a")) === JSON.stringify({ stamp });
+            if (kind !== "error") {
+                expect(kind === "written").toBe(stands);
+            }
+            expect(control.revision()).toBeLessThanOrEqual(1);
+        }),
+    );
+});
--- /dev/null
+++ b/packages/store/src/writeUntilKnown.ts
@@ -0,0 +1,64 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { Random } from "@auburnarch/types/Random";
+import type { StoredObject } from "@auburnarch/types/StoredObject";
+import type { KnownOutcome } from "./KnownOutcome.js";
+import type { StampedWrite } from "./StampedWrite.js";
+import { stampIn } from "./stampIn.js";
+
+interface WriterDeps {
+    store: ObjectStore;
+    clock: Clock;
+    random: Random;
+    /** Tries in all; each may lose its answer. */
+    maxTries?: number;
+}
+
+const firstPauseMs = 100;
+const maxPauseMs = 3_000;
+
+const isOwn = (object: StoredObject | undefined, write: StampedWrite): object is StoredObject => {
+    const stamp = stampIn(object?.value);
+    return stamp?.writer === write.stamp.writer && stamp.sequence === write.stamp.sequence;
+};
+
+/**
+ * Writes until it is known whether the write stands. A lost answer looks like a failure, and trusting it would
+ * repeat or give up something that took effect; so the same conditional write is sent again, which cannot take
+ * effect twice, and a conflict with our own stamp means that an earlier try did. Rejects with the last error once
+ * `maxTries` are spent or `signal` is aborted: then it is still unknown.
+ */
+export async function writeUntilKnown(
+    deps: WriterDeps,
+    write: StampedWrite,
+    signal?: AbortSignal,
+): Promise<KnownOutcome> {
+    const { store, clock, random, maxTries = 5 } = deps;
+    const value = { ...write.value, stamp: write.stamp };
+    let mayHaveStood = false;
+    let pauseMs = firstPauseMs;
+    for (let tries = 1;; tries++) {
+        try {
+            const outcome = await store.write(write.key, value, write.expectedVersion);
+            if (outcome.kind === "written") {
+                return outcome;
+            }
+            if (isOwn(outcome.current, write)) {
+                return { kind: "written", version: outcome.current.version };
+            }
+            return { ...outcome, mayHaveStood };
+        }
+        catch (error) {
+            const code = codeOf(error);
+            const isTransient = code === resultCodes.storeUnavailable || code === resultCodes.storeThrottled;
+            if (!isTransient || tries >= maxTries || signal?.aborted === true) {
+                throw error;
+            }
+            mayHaveStood ||= code === resultCodes.storeUnavailable;
+        }
+        await clock.sleep(pauseMs * (0.5 + random.nextUnit()), signal);
+        pauseMs = Math.min(maxPauseMs, pauseMs * 2);
+    }
+}
--- /dev/null
+++ b/packages/swap/src/SwapRoller.ts
@@ -0,0 +1,16 @@
+import type { PublishedWeights } from "@auburnarch/types/PublishedWeights";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+
+/** Rolls published weights over the samplers of a policy. */
+export interface SwapRoller {
+    /** Takes a version if it is higher than the last; rolls it as samplers become free for it. */
+    publish(weights: PublishedWeights): void;
+    /** Plans at once instead of at the next tick; for a sampler that has just joined or become free. */
+    poke(): void;
+    /** Samplers that do not serve the last published version yet, as far as is known. */
+    pending(): SamplerId[];
+    /** True if the sampler is ordered or next in turn to be ordered to swap. */
+    isAboutToSwap(sampler: SamplerId): boolean;
+    /** Orders nothing more; orders under way end by themselves. */
+    stop(): void;
+}
--- /dev/null
+++ b/packages/swap/src/createSwapBackoff.ts
@@ -0,0 +1,33 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Random } from "@auburnarch/types/Random";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+
+/** Samplers whose last order failed, each with a doubling pause before the next one. */
+interface SwapBackoff {
+    noteFailed(sampler: SamplerId): void;
+    noteDone(sampler: SamplerId): void;
+    /** Samplers that are still in their pause. */
+    current(): Set<SamplerId>;
+}
+
+const firstPauseMs = 200;
+const maxPauseMs = 5_000;
+
+/** Makes an empty record of failures. Pauses are jittered, so that failures at one moment are not repeated at one. */
+export function createSwapBackoff(clock: Clock, random: Random): SwapBackoff {
+    const failed = new Map<SamplerId, { failures: number; untilMs: number; }>();
+    return {
+        noteFailed: sampler => {
+            const failures = (failed.get(sampler)?.failures ?? 0) + 1;
+            const ceilingMs = Math.min(maxPauseMs, firstPauseMs * 2 ** (failures - 1));
+            const pauseMs = ceilingMs * (0.5 + random.nextUnit() / 2);
+            failed.set(sampler, { failures, untilMs: clock.monotonicMs() + pauseMs });
+        },
+        noteDone: sampler => void failed.delete(sampler),
+        current: () => {
+            const nowMs = clock.monotonicMs();
+            const paused = [...failed].filter(([, failure]) => failure.untilMs > nowMs);
+            return new Set(paused.map(([sampler]) => sampler));
+        },
+    };
+}
--- /dev/null
+++ b/packages/swap/src/createSwapRoller.test.ts
@@ -0,0 +1,136 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { createLogger } from "@auburnarch/log/createLogger";
+import { createMetrics } from "@auburnarch/metrics/createMetrics";
+import type { LimitsManifest } from "@auburnarch/types/LimitsManifest";
+import type { PublishedWeights } from "@auburnarch/types/PublishedWeights";
+import type { SamplerOrder } from "@auburnarch/types/SamplerOrder";
+import type { SamplerOrderResult } from "@auburnarch/types/SamplerOrderResult";
+import type { SamplerReport } from "@auburnarch/types/SamplerReport";
+import type { SamplerView } from "@auburnarch/types/SamplerView";
+import { expect, test } from "vitest";
+import { createSwapRoller } from "./createSwapRoller.js";
+import type { SwapRollerDeps } from "./SwapRollerDeps.js";
+
+const swapMs = 1_000;
+const weightsOf = (
+    version: number,
+): PublishedWeights => ({ policy: "plume", version, location: `w/${version}` } as PublishedWeights);
+
+/** Samplers that take a second to swap; `decide` may make an order fail. */
+function start(
+    names: string[],
+    decide: (sampler: string) => "done" | "throttled" | "unknown" = () => "done",
+) {
+    const clock = createFakeClock();
+    const reports = new Map<string, SamplerReport>();
+    const ordered: string[] = [];
+    let most = 0;
+    const join = (sampler: string, version: number): void =>
+        void reports.set(sampler, {
+            sampler,
+            incarnation: "i1",
+            sequence: 1,
+            state: "ready",
+            served: [{ policy: "plume", version }],
+            running: 1,
+            waiting: 0,
+        } as unknown as SamplerReport);
+    names.forEach(name => join(name, 1));
+    const update = (sampler: string, change: Partial<SamplerReport>): SamplerReport => {
+        const before = reports.get(sampler)!;
+        const report = { ...before, ...change, sequence: before.sequence + 1 };
+        reports.set(sampler, report);
+        return report;
+    };
+    async function order(sampler: string, { order }: SamplerOrder): Promise<SamplerOrderResult> {
+        if (order.kind !== "load") {
+            throw new Error("only loads are ordered");
+        }
+        ordered.push(`${clock.monotonicMs()} ${sampler}@${order.version} fencing=${order.fencing}`);
+        const end = decide(sampler);
+        if (end !== "done") {
+            return end === "unknown"
+                ? { kind: "unknown", code: resultCodes.connectionBroken }
+                : { kind: "refused", code: resultCodes.weightStoreThrottled, report: reports.get(sampler)! };
+        }
+        update(sampler, { state: "swapping" });
+        most = Math.max(most, [...reports.values()].filter(report => report.state === "swapping").length);
+        await clock.sleep(swapMs);
+        const served = [{ policy: order.policy, version: order.version }];
+        return { kind: "done", report: update(sampler, { state: "ready", served }) };
+    }
+    const deps: SwapRollerDeps = {
+        job: "job" as SwapRollerDeps["job"],
+        policy: "plume" as SwapRollerDeps["policy"],
+        fencing: 7 as SwapRollerDeps["fencing"],
+        mayAct: () => true,
+        limits: () => ({ maxSwappingRatio: 0.34 } as LimitsManifest),
+        listSamplers: () =>
+            [...reports.values()].map((report): SamplerView => ({
+                report,
+                reportAgeMs: 0,
+                sentAttempts: 0,
+                sentTokens: 0,
+                sentSinceReport: 0,
+                suspected: false,
+            })),
+        sidecar: sampler => ({ order: request => order(sampler, request) }),
+        clock,
+        random: createRandom(1),
+        logger: createLogger(clock, () => {}),
+        metrics: createMetrics(),
+    };
+    return { clock, ordered, join, roller: createSwapRoller(deps), most: () => most };
+}
+
+test("samplers swap a share at a time until all serve the version, a late joiner too", async () => {
+    const { clock, ordered, join, roller, most } = start(["a", "b", "c", "d", "e", "f"]);
+    roller.publish(weightsOf(2));
+    expect(roller.pending()).toHaveLength(6);
+    await clock.advance(1_500);
+    join("late", 1);
+    await clock.advance(4_000);
+    expect(roller.pending()).toEqual([]);
+    expect(most()).toBe(2);
+    expect(ordered).toMatchInlineSnapshot(`
+      [
+        "0 a@2 fencing=7",
+        "0 b@2 fencing=7",
+        "1000 c@2 fencing=7",
+        "1000 d@2 fencing=7",
+        "2000 e@2 fencing=7",
+        "2000 f@2 fencing=7",
+        "3000 late@2 fencing=7",
+      ]
+    `);
+    roller.stop();
+});
+
+test("an older version changes nothing", async () => {
+    const { clock, ordered, roller } = start(["a"]);
+    roller.publish(weightsOf(3));
+    await clock.advance(2_000);
+    roller.publish(weightsOf(2));
+    await clock.advance(2_000);
+    expect(ordered).toHaveLength(1);
+    roller.stop();
+});
+
+test("failed orders are repeated with growing pauses and hold up no other sampler", async () => {
+    // Symptom: one sampler serves old weights for weeks (the Lugo case). Sequence: its load order is lost twice and
+    // throttled once. Cause: an order that failed was not repeated, or blocked those behind it.
+    const failures = ["unknown", "throttled", "unknown"] as const;
+    let tries = 0;
+    const { clock, ordered, roller } = start(
+        ["a", "b", "c"],
+        sampler => sampler === "a" ? failures[tries++] ?? "done" : "done",
+    );
+    roller.publish(weightsOf(2));
+    await clock.advance(8_000);
+    expect(roller.pending()).toEqual([]);
+    expect(ordered.filter(line => line.includes("a@"))).toHaveLength(4);
+    roller.stop();
+    expect(clock.pendingTimers()).toBe(0);
+});
--- /dev/null
+++ b/packages/swap/src/planSwaps.ts
@@ -0,0 +1,60 @@
+import { servedVersion } from "@auburnarch/pick/servedVersion";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+import type { SamplerView } from "@auburnarch/types/SamplerView";
+import type { SwapPlan } from "./SwapPlan.js";
+import type { SwapPlanInput } from "./SwapPlanInput.js";
+
+/** Idle, and unable to run anything of the policy under its bound: swapping it takes no capacity away. */
+const losesNoCapacity = (view: SamplerView, input: SwapPlanInput): boolean => {
+    const version = servedVersion(view, input.policy);
+    const isUsable = view.report.state === "ready" && version !== undefined && version >= input.minVersion;
+    return !isUsable && view.report.running === 0;
+};
+
+const workThere = (view: SamplerView): number =>
+    view.report.running + view.report.waiting + view.sentSinceReport;
+
+const isReachable = (view: SamplerView): boolean =>
+    !view.suspected && (view.report.state === "ready" || view.report.state === "unknownVersion");
+
+const needsSwap = (view: SamplerView, input: SwapPlanInput): boolean => {
+    const version = servedVersion(view, input.policy);
+    return view.report.state === "unknownVersion" || version === undefined || version < input.target;
+};
+
+const swapOrder = (a: SamplerView, b: SamplerView): number =>
+    workThere(a) - workThere(b)
+    || a.sentTokens - b.sentTokens
+    || (a.report.sampler < b.report.sampler ? -1 : 1);
+
+/**
+ * Chooses which samplers swap weights now. Samplers that lose no capacity go at once; of the others at most
+ * `maxSwappingRatio` (one at least) are out at a time, those with the least work first, since their swap drains
+ * or pauses the fewest samples. All of them together stay within the downloads the weight store takes.
+ */
+export function planSwaps(input: SwapPlanInput): SwapPlan {
+    const serving = input.views.filter(view => view.report.state !== "leaving");
+    const isOut = (view: SamplerView): boolean =>
+        input.ordered.has(view.report.sampler) || view.report.state === "swapping";
+    const free = serving
+        .filter(view => !isOut(view) && isReachable(view) && needsSwap(view, input))
+        .filter(view => !input.backingOff.has(view.report.sampler))
+        .sort(swapOrder);
+    const out = serving.filter(isOut).length;
+    let slots = Math.max(1, Math.floor(serving.length * input.maxSwappingRatio)) - out;
+    let downloads = input.maxDownloads - input.ordered.size;
+
+    const orders: SwapPlan["orders"] = [];
+    const waiting: SamplerId[] = [];
+    for (const view of free) {
+        const isFree = losesNoCapacity(view, input);
+        if (downloads <= 0 || (!isFree && slots <= 0)) {
+            waiting.push(view.report.sampler);
+            continue;
+        }
+        downloads--;
+        slots -= isFree ? 0 : 1;
+        orders.push({ sampler: view.report.sampler, reason: isFree ? "noCapacityLost" : "leastWork" });
+    }
+    return { orders, waiting };
+}
--- a/packages/types/src/EngineRequest.ts
+++ b/packages/types/src/EngineRequest.ts
@@ -10,6 +10,7 @@
     resumeText: string;
     /** Tokens that `resumeText` holds. */
     resumeTokens: number;
+    /** Bound of the whole text, `resumeTokens` included. */
     maxTokens: number;
     /** Higher runs first. 0 to 100; interactive traffic uses 100. */
     priority: number;
--- a/packages/types/src/Lease.ts
+++ b/packages/types/src/Lease.ts
@@ -4,6 +4,8 @@
 export interface Lease {
     key: string;
     fencing: FencingNumber;
+    /** True if nobody held it before, so that there is no earlier holder whose doings are unknown. */
+    isFirst?: boolean;
     /** True while the holder's own clock, counted from before the last renewal was sent, is within the lease. */
     isHeld(): boolean;
     /** Gives the lease up, so that another may take it at once. */
--- a/packages/types/src/ObjectStore.ts
+++ b/packages/types/src/ObjectStore.ts
@@ -13,10 +13,13 @@
     /** Writes if the stored version equals `expectedVersion`; 0 demands that the object does not exist. */
     write(key: string, value: unknown, expectedVersion: ObjectVersion): Promise<WriteOutcome>;
     remove(key: string, expectedVersion: ObjectVersion): Promise<WriteOutcome>;
-    /** Long poll: changes under `prefix` after `revision`, or none once `waitMs` has passed. */
+    /**
+     * Long poll: changes under `prefix` after `revision`, or none once `waitMs` has passed. A watcher too far
+     * behind gets `relisted`: `changes` then holds every object there is, and what is absent was removed.
+     */
     watch(
         prefix: string,
         revision: ObjectVersion,
         waitMs: number,
-    ): Promise<{ changes: StoredChange[]; revision: ObjectVersion; }>;
+    ): Promise<{ changes: StoredChange[]; revision: ObjectVersion; relisted?: boolean; }>;
 }
--- /dev/null
+++ b/packages/types/src/OperatorDrained.ts
@@ -0,0 +1,7 @@
+import type { SamplerId } from "./SamplerId.js";
+
+/** Answer of `POST /operator/drain`: the sidecar refuses new work from now on; `running` attempts go on. */
+export interface OperatorDrained {
+    sampler: SamplerId;
+    running: number;
+}
--- /dev/null
+++ b/packages/types/src/OperatorTeamUsage.ts
@@ -0,0 +1,16 @@
+import type { TeamId } from "./TeamId.js";
+
+/** Use by one team. Teams are charged for `delivered` and `discarded`, not for `overhead`. */
+export interface OperatorTeamUsage {
+    team: TeamId;
+    samples: number;
+    deliveredEngineMs: number;
+    deliveredTokens: number;
+    discardedEngineMs: number;
+    discardedTokens: number;
+    overheadEngineMs: number;
+    overheadTokens: number;
+    /** Interactive and plain requests. */
+    interactiveEngineMs: number;
+    interactiveRequests: number;
+}
--- /dev/null
+++ b/packages/verify/src/findSampleProblem.ts
@@ -0,0 +1,24 @@
+import type { JobId } from "@auburnarch/types/JobId";
+import type { MadeSample } from "@auburnarch/types/MadeSample";
+import { findSpanProblem } from "./findSpanProblem.js";
+import type { SampleProblem } from "./SampleProblem.js";
+import type { VersionBounds } from "./VersionBounds.js";
+
+/** Checks a made sample against its own task; undefined if it counts. */
+export function findSampleProblem(
+    job: JobId,
+    made: MadeSample,
+    bounds: VersionBounds,
+): SampleProblem | undefined {
+    const { task, answer } = made;
+    if (task.sample !== `${job}/${task.step}/${task.group}/${task.index}`) {
+        return "wrongIdentity";
+    }
+    if (!answer.complete) {
+        return "incomplete";
+    }
+    if (!Number.isFinite(answer.engineMs) || answer.engineMs < 0) {
+        return "badEngineTime";
+    }
+    return findSpanProblem(answer.spans, task.maxTokens, bounds);
+}
