--- a/packages/collect/src/responseSink.ts
+++ b/packages/collect/src/responseSink.ts
@@ -1,6 +1,8 @@
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
 import type { ByteSink } from "./ByteSink.js";
 
+const joinedBytes = 8_192;
+
 /** Makes a sink of a server's answer. A body that is whole from the start is sent with its length, not in chunks. */
 export function responseSink(
     response: ServerResponse,
@@ -15,7 +17,17 @@
             response.writeHead(status, sized);
         },
         write: chunk => response.write(chunk),
-        end: last => void response.end(last),
+        end: last => {
+            if (last !== undefined && last.length <= joinedBytes) {
+                // Node joins a latin1 string with the head into one write; a buffer costs a write of its own.
+                response.end(
+                    Buffer.from(last.buffer, last.byteOffset, last.length).toString("latin1"),
+                    "latin1",
+                );
+                return;
+            }
+            response.end(last);
+        },
         drained: () =>
             new Promise(resolve => {
                 if (response.destroyed || !response.writableNeedDrain) {
--- /dev/null
+++ b/packages/daemon/src/openStartSnapshot.ts
@@ -0,0 +1,27 @@
+import type { StartSnapshot } from "@auburnarch/entry/StartSnapshot";
+import { createSnapshotFile } from "@auburnarch/keep/createSnapshotFile";
+import type { Logger } from "@auburnarch/types/Logger";
+import { z } from "zod";
+
+const format = 1;
+const schema = z.object({
+    documents: z.array(z.object({ name: z.string(), version: z.number(), value: z.unknown() })),
+    peers: z.array(z.string()),
+}) as unknown as z.ZodType<StartSnapshot>;
+
+interface OpenedSnapshot {
+    snapshot: StartSnapshot | undefined;
+    save: ((snapshot: StartSnapshot) => Promise<void>) | undefined;
+}
+
+/** Opens the snapshot for a quick start in a data folder; without a folder there is none. */
+export async function openStartSnapshot(
+    dataFolder: string | undefined,
+    logger: Logger,
+): Promise<OpenedSnapshot> {
+    if (dataFolder === undefined) {
+        return { snapshot: undefined, save: undefined };
+    }
+    const file = createSnapshotFile(dataFolder, "start", { format, schema, logger });
+    return { snapshot: await file.read(), save: file.write };
+}
--- a/packages/daemon/src/startEntry.ts
+++ b/packages/daemon/src/startEntry.ts
@@ -20,6 +20,7 @@
 import { join } from "node:path";
 import { createToolbox } from "./createToolbox.js";
 import { digestToken } from "./digestToken.js";
+import { openStartSnapshot } from "./openStartSnapshot.js";
 import type { ProcessContext } from "./ProcessContext.js";
 import type { RunningProcess } from "./RunningProcess.js";
 
@@ -51,6 +52,7 @@
         writesPerSecond,
     });
     const keep = await openKeep(settings, context, logger);
+    const { snapshot, save } = await openStartSnapshot(settings.dataFolder, logger);
     const addressAt = (port: number): string =>
         settings.publicAddress ?? `http://${settings.listenHost}:${port}`;
     const { manifestPath } = settings;
@@ -73,7 +75,9 @@
         scoring: createHttpScoring(settings.scoringUrl!),
         keep,
         cursorKey: settings.cursorKey!,
-        seeds: settings.seeds,
+        seeds: [...settings.seeds, ...snapshot?.peers ?? []],
+        startSnapshot: snapshot,
+        saveSnapshot: save,
         leaseTtlMs: settings.leaseTtlMs,
         connectSidecar: report => createHttpSidecar({ address: report.address, clock }),
         callPeer: createPeerCall(settings.clusterToken),
--- a/packages/daemon/src/startSidecar.ts
+++ b/packages/daemon/src/startSidecar.ts
@@ -2,7 +2,6 @@
 import type { Settings } from "@auburnarch/config/Settings";
 import { createPeerCall } from "@auburnarch/entry/createPeerCall";
 import { createGate } from "@auburnarch/gate/createGate";
-import type { Gate } from "@auburnarch/gate/Gate";
 import type { GateDeps } from "@auburnarch/gate/GateDeps";
 import { serveGate } from "@auburnarch/gate/serveGate";
 import { createReadFencing } from "@auburnarch/lease/createReadFencing";
@@ -14,19 +13,16 @@
 import { createHttpPlainBackend } from "@auburnarch/store/createHttpPlainBackend";
 import { createHttpVmList } from "@auburnarch/store/createHttpVmList";
 import { createHttpWeightStore } from "@auburnarch/store/createHttpWeightStore";
-import type { ConfigVersion } from "@auburnarch/types/ConfigVersion";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
-import type { Manifest } from "@auburnarch/types/Manifest";
-import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
 import type { Region } from "@auburnarch/types/Region";
 import type { SamplerId } from "@auburnarch/types/SamplerId";
 import type { SamplerIdentity } from "@auburnarch/types/SamplerIdentity";
 import type { ServiceId } from "@auburnarch/types/ServiceId";
-import type { SharedDocument } from "@auburnarch/types/SharedDocument";
 import type { VmId } from "@auburnarch/types/VmId";
 import { createToolbox } from "./createToolbox.js";
 import type { ProcessContext } from "./ProcessContext.js";
 import type { RunningProcess } from "./RunningProcess.js";
+import { takeDocument } from "./takeDocument.js";
 
 /** A sidecar only reads leases it is ordered under for the first time, and never writes. */
 const storeCallsPerSecond = 5;
@@ -43,16 +39,6 @@
     };
 }
 
-/** Hands a shared document to the gate, which takes it only if it is newer. */
-function takeDocument(gate: Gate, { name, version, value }: SharedDocument): void {
-    if (name === "manifest") {
-        gate.offerManifest({ version: version as ConfigVersion, manifest: value as Manifest });
-    }
-    if (name === "quarantine") {
-        gate.offerQuarantine(version, (value as { records: QuarantineRecord[]; }).records);
-    }
-}
-
 function createGateDeps(
     settings: Settings,
     context: ProcessContext,
--- a/packages/daemon/src/startStandalone.ts
+++ b/packages/daemon/src/startStandalone.ts
@@ -6,6 +6,7 @@
 import type { Region } from "@auburnarch/types/Region";
 import type { SamplerManifest } from "@auburnarch/types/SamplerManifest";
 import type { VmId } from "@auburnarch/types/VmId";
+import { join } from "node:path";
 import type { ProcessContext } from "./ProcessContext.js";
 import type { RunningProcess } from "./RunningProcess.js";
 import type { Standalone } from "./Standalone.js";
@@ -91,7 +92,7 @@
                 operatorToken,
                 seeds: entries.map(each => each.address),
                 manifestPath: index === 0 ? options.manifestPath : undefined,
-                dataFolder: options.dataFolder,
+                dataFolder: options.dataFolder === undefined ? undefined : join(options.dataFolder, name),
             }),
             { ...context, random: random.fork() },
         );
--- a/packages/dispatch/src/DispatchPolicy.ts
+++ b/packages/dispatch/src/DispatchPolicy.ts
@@ -1,6 +1,7 @@
 import type { SamplerPicker } from "@auburnarch/pick/SamplerPicker";
 import type { WorkOrder } from "@auburnarch/queue/WorkOrder";
 import type { SamplerView } from "@auburnarch/types/SamplerView";
+import type { LengthModel } from "./LengthModel.js";
 import type { PriorityRule } from "./PriorityRule.js";
 
 /** The rules of a dispatcher. Each is a pure function, so that the bench can replace one at a time. */
@@ -14,6 +15,5 @@
     outstandingLimit: (view: SamplerView) => number;
     /** Priority at the engine, 0 to 99. */
     priority: PriorityRule;
-    /** True if expected lengths come from earlier samples of the job, false if `maxTokens` is taken. */
-    predictsLength: boolean;
+    createLengthModel: () => LengthModel;
 }
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -1,9 +1,10 @@
 import type { createWaitingQueue } from "@auburnarch/queue/createWaitingQueue";
 import type { SampleId } from "@auburnarch/types/SampleId";
-import type { createLengthModel } from "./createLengthModel.js";
 import type { createPrefixHints } from "./createPrefixHints.js";
+import type { createNeedForecast } from "./createNeedForecast.js";
 import type { createSamplerLedger } from "./createSamplerLedger.js";
 import type { DispatchPolicy } from "./DispatchPolicy.js";
+import type { LengthModel } from "./LengthModel.js";
 import type { RunningAttempt } from "./RunningAttempt.js";
 import type { Work } from "./Work.js";
 
@@ -15,7 +16,8 @@
     wanted: Map<SampleId, Work>;
     attempts: Set<RunningAttempt>;
     ledger: ReturnType<typeof createSamplerLedger>;
-    lengths: ReturnType<typeof createLengthModel>;
+    lengths: LengthModel;
+    needs: ReturnType<typeof createNeedForecast>;
     hints: ReturnType<typeof createPrefixHints>;
     attemptsSent: number;
     isStopped: boolean;
--- a/packages/dispatch/src/createBaselinePolicy.ts
+++ b/packages/dispatch/src/createBaselinePolicy.ts
@@ -1,5 +1,6 @@
 import type { SamplerPicker } from "@auburnarch/pick/SamplerPicker";
 import { orderByArrival } from "@auburnarch/queue/orderByArrival";
+import { createMaxLengthModel } from "./createMaxLengthModel.js";
 import type { DispatchPolicy } from "./DispatchPolicy.js";
 import { priorityFixed } from "./priorityFixed.js";
 
@@ -11,6 +12,6 @@
         pick,
         outstandingLimit: () => Infinity,
         priority: priorityFixed,
-        predictsLength: false,
+        createLengthModel: createMaxLengthModel,
     };
 }
--- a/packages/dispatch/src/createDispatcher.test.ts
+++ b/packages/dispatch/src/createDispatcher.test.ts
@@ -31,7 +31,7 @@
     text: "x".repeat(tokens),
 });
 
-const viewOf = (sampler: string, limit: number): SamplerView => ({
+const viewOf = (sampler: string, limit: number, stampsVersions = true): SamplerView => ({
     report: {
         sampler,
         vm: `vm-${sampler}`,
@@ -43,6 +43,7 @@
         service: "rollout",
         state: "ready",
         served: [{ policy: "plume", version: 3 }],
+        stampsVersions,
         running: 0,
         waiting: 0,
         limit,
@@ -150,6 +151,21 @@
     await stop();
 });
 
+test("spans that their engine did not state and no answer proved are not built upon", async () => {
+    // Symptom: a delivered sample names a version that did not make it (2 April again). Sequence: an engine that
+    // states no versions has its weights changed behind its sidecar; a sample streams spans under the old number,
+    // its attempt ends without an answer, and it is continued elsewhere behind those spans. Cause: streamed spans of
+    // such an engine are proven only at the attempt's end.
+    const { clock, calls, dispatcher, stop } = start([viewOf("a", 1, false), viewOf("b", 1, false)]);
+    dispatcher.submit([taskOf(0, 0)]);
+    await clock.advance(10);
+    calls[0]!.onSpan(span(3, 40));
+    calls[0]!.answer({ kind: "unknown", code: resultCodes.incarnationChanged });
+    await clock.advance(10);
+    expect(calls[1]!.attempt.resume).toEqual([]);
+    await stop();
+});
+
 test("a raised minimum ends running samples whose spans fall below it and makes them anew", async () => {
     // Symptom: ridge estimates drift (2 April). Sequence: a sample begins under version 2, versions 3 and 4 are
     // published and the bound passes 2 while it runs. Cause: work under way was not held against the new bound.
--- a/packages/dispatch/src/createDispatcher.ts
+++ b/packages/dispatch/src/createDispatcher.ts
@@ -2,9 +2,8 @@
 import type { SampleTask } from "@auburnarch/types/SampleTask";
 import type { TokenSpan } from "@auburnarch/types/TokenSpan";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
-import { countTokens } from "./countTokens.js";
 import { createAttemptRunner } from "./createAttemptRunner.js";
-import { createLengthModel } from "./createLengthModel.js";
+import { createNeedForecast } from "./createNeedForecast.js";
 import { createOutcomes } from "./createOutcomes.js";
 import { createPlacement } from "./createPlacement.js";
 import { createPrefixHints } from "./createPrefixHints.js";
@@ -14,7 +13,8 @@
 import type { DispatcherDeps } from "./DispatcherDeps.js";
 import type { DispatchPolicy } from "./DispatchPolicy.js";
 import type { DispatchState } from "./DispatchState.js";
-import { expectTokens } from "./expectTokens.js";
+import { estimateWork } from "./estimateWork.js";
+import { oldestStep } from "./oldestStep.js";
 import type { Work } from "./Work.js";
 
 /** Views change without notice, so waiting work is looked at this often even if nothing of ours ended. */
@@ -22,13 +22,14 @@
 /** A stop waits this long for cancelled attempts to end; a frozen VM never says so. */
 const stopGraceMs = 1_000;
 
-const createState = (policy: DispatchPolicy): DispatchState => ({
+const createState = (deps: DispatcherDeps, policy: DispatchPolicy): DispatchState => ({
     policy,
     queue: createWaitingQueue<Work>(policy.order),
     wanted: new Map(),
     attempts: new Set(),
     ledger: createSamplerLedger(),
-    lengths: createLengthModel(),
+    lengths: policy.createLengthModel(),
+    needs: createNeedForecast(() => deps.job().stepNeedMs),
     hints: createPrefixHints(),
     attemptsSent: 0,
     isStopped: false,
@@ -38,6 +39,7 @@
     task,
     arrivalOrder,
     expectedTokens: 0,
+    latestStartMs: 0,
     notBeforeMs: 0,
     minVersion,
     resume: [],
@@ -55,7 +57,7 @@
     policy: DispatchPolicy = defaultDispatchPolicy,
 ): Dispatcher {
     const { clock, logger } = deps;
-    const state = createState(policy);
+    const state = createState(deps, policy);
     const placement = createPlacement(deps, state);
     const outcomes = createOutcomes(deps, state, () => runner, enqueue);
     const runner = createAttemptRunner(deps, state, (attempt, outcome) => {
@@ -68,8 +70,9 @@
     let cancelPump = (): void => {};
 
     function enqueue(work: Work, delayMs: number): void {
-        work.expectedTokens = expectTokens(state, work, countTokens(work.resume));
-        work.notBeforeMs = clock.monotonicMs() + delayMs;
+        const nowMs = clock.monotonicMs();
+        estimateWork(state, work, oldestStep(state), nowMs);
+        work.notBeforeMs = nowMs + delayMs;
         state.queue.add(work);
         requestPump();
     }
@@ -101,9 +104,20 @@
         }
     }
 
+    /** Lengths become known and need dates move while work waits. */
+    function refreshEstimates(): void {
+        const nowMs = clock.monotonicMs();
+        const oldest = oldestStep(state);
+        for (const work of state.queue.all()) {
+            estimateWork(state, work, oldest, nowMs);
+        }
+        state.queue.resort();
+    }
+
     function tick(): void {
         outcomes.giveUpStalled();
         if (state.queue.size() > 0) {
+            refreshEstimates();
             requestPump();
         }
         cancelTick = clock.startTimer(tickMs, tick);
@@ -136,6 +150,7 @@
             for (const task of fresh) {
                 const work = createWork(task, arrivals++, higher(task.minVersion, oldestVersion));
                 state.wanted.set(task.sample, work);
+                state.needs.noteOpened(task.step, clock.monotonicMs());
                 enqueue(work, 0);
             }
         },
--- a/packages/dispatch/src/createOutcomes.ts
+++ b/packages/dispatch/src/createOutcomes.ts
@@ -10,7 +10,7 @@
 import type { DispatcherDeps } from "./DispatcherDeps.js";
 import type { DispatchState } from "./DispatchState.js";
 import { findStalled } from "./findStalled.js";
-import { groupKey } from "./groupKey.js";
+import { isProven } from "./isProven.js";
 import { joinSpans } from "./joinSpans.js";
 import type { RunningAttempt } from "./RunningAttempt.js";
 import type { Work } from "./Work.js";
@@ -65,7 +65,7 @@
         state.queue.remove(work);
         work.running.forEach(other => runner().end(other, "lostRace"));
         const tokens = countTokens(answer.spans);
-        state.lengths.observe(groupKey(work.task), tokens);
+        state.lengths.observe(work.task.prompt, tokens);
         logger.info("sampleMade", {
             sample: work.task.sample,
             attempt: answer.attempt,
@@ -115,7 +115,10 @@
 
     function retry(attempt: RunningAttempt, code: ResultCode): void {
         const { work } = attempt;
-        keepSpans(work, joinSpans(attempt.resumed, attempt.spans));
+        const sampler = deps.listSamplers().find(each => each.report.sampler === attempt.sampler);
+        if (isProven(sampler, code)) {
+            keepSpans(work, joinSpans(attempt.resumed, attempt.spans));
+        }
         work.failures++;
         work.avoid.add(attempt.sampler);
         const isAllowed = takeRetry();
--- /dev/null
+++ b/packages/dispatch/src/createPromptLengthModel.ts
@@ -0,0 +1,69 @@
+import type { LengthModel } from "./LengthModel.js";
+
+const historySize = 512;
+const promptsKept = 8_192;
+/** Weight of the job's mean against the samples of the prompt seen so far. */
+const priorWeight = 2;
+
+/**
+ * Predicts lengths from the job's last 512 samples and from what earlier samples of the same prompt came to, in
+ * this step or in earlier epochs. The prompt's mean is shrunk towards the job's while few are known. A sample
+ * that has outgrown it is expected to have the mean excess of the earlier samples that grew as long, which for
+ * heavy tails rises with the length reached.
+ */
+export function createPromptLengthModel(): LengthModel {
+    const history: number[] = [];
+    const prompts = new Map<string, { sum: number; count: number; }>();
+    let next = 0;
+    let historySum = 0;
+
+    function noteHistory(tokens: number): void {
+        historySum += tokens - (history[next] ?? 0);
+        history[next] = tokens;
+        next = (next + 1) % historySize;
+    }
+
+    function notePrompt(prompt: string, tokens: number): void {
+        const known = prompts.get(prompt) ?? { sum: 0, count: 0 };
+        known.sum += tokens;
+        known.count++;
+        prompts.delete(prompt);
+        prompts.set(prompt, known);
+        if (prompts.size > promptsKept) {
+            prompts.delete(prompts.keys().next().value!);
+        }
+    }
+
+    function expectTotal(prompt: string, maxTokens: number): number {
+        if (history.length === 0) {
+            return maxTokens / 2;
+        }
+        const jobMean = historySum / history.length;
+        const known = prompts.get(prompt) ?? { sum: 0, count: 0 };
+        return (known.sum + priorWeight * jobMean) / (known.count + priorWeight);
+    }
+
+    function meanExcess(produced: number, maxTokens: number): number {
+        let sum = 0;
+        let count = 0;
+        for (const tokens of history) {
+            if (tokens > produced) {
+                sum += tokens - produced;
+                count++;
+            }
+        }
+        return count === 0 ? (maxTokens - produced) / 2 : sum / count;
+    }
+
+    return {
+        observe: (prompt, tokens) => {
+            noteHistory(tokens);
+            notePrompt(prompt, tokens);
+        },
+        expectRemaining: (prompt, produced, maxTokens) => {
+            const fresh = expectTotal(prompt, maxTokens);
+            const remaining = produced === 0 ? fresh : Math.max(fresh - produced, meanExcess(produced, maxTokens));
+            return Math.max(1, Math.min(remaining, maxTokens - produced));
+        },
+    };
+}
--- a/packages/dispatch/src/createSamplerLedger.ts
+++ b/packages/dispatch/src/createSamplerLedger.ts
@@ -21,10 +21,15 @@
     noteRefused(sampler: SamplerId, retryAfterMs: number | undefined, nowMs: number): void;
     /** Attempts sent after the report was made less those of its time that have ended since. */
     sentSinceReport(view: SamplerView, nowMs: number): number;
+    /** Tokens a second of single generations over all samplers lately. */
+    meanTokensPerSecond(): number;
 }
 
 const endsKept = 256;
 const speedSmoothing = 0.2;
+const meanSpeedSmoothing = 0.05;
+/** Speed assumed until the first one is measured. */
+const assumedTokensPerSecond = 50;
 const firstCoolMs = 50;
 const maxCoolMs = 2_000;
 
@@ -41,6 +46,7 @@
 export function createSamplerLedger(): SamplerLedger {
     const records = new Map<SamplerId, SamplerRecord>();
     let sentOrder = 0;
+    let meanSpeed = assumedTokensPerSecond;
 
     function record(sampler: SamplerId): SamplerRecord {
         let known = records.get(sampler);
@@ -68,6 +74,7 @@
         const speed = measuredSpeed(attempt);
         if (speed !== undefined) {
             known.refusals = 0;
+            meanSpeed += meanSpeedSmoothing * (speed - meanSpeed);
             const before = known.tokensPerSecond ?? speed;
             known.tokensPerSecond = before + speedSmoothing * (speed - before);
         }
@@ -104,5 +111,6 @@
         noteEnded,
         noteRefused,
         sentSinceReport,
+        meanTokensPerSecond: () => meanSpeed,
     };
 }
--- a/packages/dispatch/src/defaultDispatchPolicy.ts
+++ b/packages/dispatch/src/defaultDispatchPolicy.ts
@@ -1,14 +1,15 @@
 import { pickLeastFinish } from "@auburnarch/pick/pickLeastFinish";
-import { orderByStepAndLength } from "@auburnarch/queue/orderByStepAndLength";
+import { orderByLatestStart } from "@auburnarch/queue/orderByLatestStart";
+import { createPromptLengthModel } from "./createPromptLengthModel.js";
 import type { DispatchPolicy } from "./DispatchPolicy.js";
 import { priorityByNeed } from "./priorityByNeed.js";
 
 /** Our policy. */
 export const defaultDispatchPolicy: DispatchPolicy = {
     name: "ours",
-    order: orderByStepAndLength,
+    order: orderByLatestStart,
     pick: pickLeastFinish,
     outstandingLimit: view => Math.max(1, view.report.limit),
     priority: priorityByNeed,
-    predictsLength: true,
+    createLengthModel: createPromptLengthModel,
 };
--- a/packages/entry/src/EntryDeps.ts
+++ b/packages/entry/src/EntryDeps.ts
@@ -14,6 +14,7 @@
 import type { EntryGuards } from "./EntryGuards.js";
 import type { ForwardPlain } from "./ForwardPlain.js";
 import type { PeerCall } from "./PeerCall.js";
+import type { StartSnapshot } from "./StartSnapshot.js";
 
 /** What an entry is built from. */
 export interface EntryDeps {
@@ -36,6 +37,9 @@
     forwardPlain: ForwardPlain;
     /** Text of the manifest file to publish whenever it changes; undefined where there is none. */
     readManifestFile: (() => Promise<string>) | undefined;
+    /** What the last run of this entry kept, and where to keep it again; for entries with a data folder. */
+    startSnapshot?: StartSnapshot;
+    saveSnapshot?: (snapshot: StartSnapshot) => Promise<void>;
     guards?: EntryGuards;
     timing?: Partial<MembershipTiming>;
 }
--- /dev/null
+++ b/packages/entry/src/Keeper.ts
@@ -0,0 +1,5 @@
+/** An entry with a data folder that keeps groups for all. */
+export interface Keeper {
+    entry: string;
+    address: string;
+}
--- a/packages/entry/src/createAdmission.ts
+++ b/packages/entry/src/createAdmission.ts
@@ -1,10 +1,9 @@
 import { createQuarantine } from "@auburnarch/admit/createQuarantine";
 import { createTeamLimit } from "@auburnarch/admit/createTeamLimit";
+import type { Quarantine } from "@auburnarch/admit/Quarantine";
 import type { LeaseKeeper } from "@auburnarch/lease/LeaseKeeper";
-import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
-import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
 import type { TeamId } from "@auburnarch/types/TeamId";
 import { createKeyedDesk } from "./createKeyedDesk.js";
 import { createRangeOwnership } from "./createRangeOwnership.js";
@@ -27,11 +26,9 @@
 interface Admission {
     start(): void;
     stop(): void;
-    isQuarantined(digest: ContentDigest): boolean;
+    quarantine: Quarantine;
     takePlace(team: TeamId): () => void;
     runKeyed: ReturnType<typeof createKeyedDesk>;
-    listQuarantine(): QuarantineRecord[];
-    liftQuarantine(digest: ContentDigest): Promise<void>;
     ownedRanges(): number;
 }
 
@@ -91,11 +88,9 @@
             stopped.abort();
             ranges.stop();
         },
-        isQuarantined: quarantine.isRefused,
+        quarantine,
         takePlace: places.enter,
         runKeyed,
-        listQuarantine: quarantine.list,
-        liftQuarantine: quarantine.lift,
         ownedRanges: ranges.owned,
     };
 }
--- a/packages/entry/src/createCountedSidecar.ts
+++ b/packages/entry/src/createCountedSidecar.ts
@@ -1,6 +1,7 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { SidecarPort } from "@auburnarch/types/SidecarPort";
 import type { SendCounter } from "./SendCounter.js";
 
@@ -21,12 +22,14 @@
 
 /**
  * Wraps a sidecar so that its sends are counted. `connect` gives the present connection and throws
- * `sidecarUnreachable` where there is none; `noteReached` hears of each attempt whether the sidecar was reached.
+ * `sidecarUnreachable` where there is none; `noteReached` hears of each attempt whether the sidecar was reached,
+ * `noteCleanFinish` of each sample that ended whole.
  */
 export function createCountedSidecar(
     counter: SendCounter,
     connect: () => SidecarPort,
     noteReached: (reached: boolean) => void,
+    noteCleanFinish: (digest: ContentDigest) => void,
 ): SidecarPort {
     async function counted<Answer>(
         expectedTokens: number,
@@ -49,12 +52,16 @@
 
     return {
         runSample: (attempt, onSpan, signal) =>
-            counted(attempt.maxTokens, (port, progress) => {
+            counted(attempt.maxTokens, async (port, progress) => {
                 const forward: typeof onSpan = span => {
                     progress(span.tokens);
                     onSpan(span);
                 };
-                return port.runSample(attempt, forward, signal);
+                const outcome = await port.runSample(attempt, forward, signal);
+                if (outcome.kind === "ran" && outcome.answer.complete) {
+                    noteCleanFinish(attempt.digest);
+                }
+                return outcome;
             }),
         callPlain: (request, signal) => counted(0, port => port.callPlain(request, signal)),
         queryAttempt: async attempt => connect().queryAttempt(attempt),
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -1,18 +1,16 @@
 import { authenticate } from "@auburnarch/admit/authenticate";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
-import { rankByRendezvous } from "@auburnarch/membership/rankByRendezvous";
 import type { SamplerId } from "@auburnarch/types/SamplerId";
 import { createAdmission } from "./createAdmission.js";
 import { createDecisionBook } from "./createDecisionBook.js";
-import { createDrainer } from "./createDrainer.js";
 import { createFleet } from "./createFleet.js";
-import { createJobReader } from "./createJobReader.js";
 import { createManifestPublisher } from "./createManifestPublisher.js";
-import { createMemberReader } from "./createMemberReader.js";
-import { createOperatorDesk } from "./createOperatorDesk.js";
+import { createOperations } from "./createOperations.js";
 import { createOwnership } from "./createOwnership.js";
 import { createPeerDesk } from "./createPeerDesk.js";
+import { createQuickStart } from "./createQuickStart.js";
+import { createRankCache } from "./createRankCache.js";
 import { createServiceDesk } from "./createServiceDesk.js";
 import { createStoreWatch } from "./createStoreWatch.js";
 import { createTrainerDesk } from "./createTrainerDesk.js";
@@ -31,15 +29,20 @@
     const book = createDecisionBook(deps.logger, clock);
     const { logger } = book;
     const { store, isReachable } = createStoreWatch(deps.store);
-    const fleet = createFleet(deps, logger, store);
+    const fleet = createFleet(
+        deps,
+        logger,
+        store,
+        digest => admission.quarantine.noteCleanFinish(digest),
+    );
     const { views, membership, spread } = fleet;
     const { leases, directory, jobs } = createOwnership(deps, fleet, logger, store);
     const manifest = () => fleet.manifest()?.manifest;
-    const listJobs = () => manifest()?.jobs ?? [];
     const calls = trackCalls();
 
+    const rank = createRankCache();
     const isCollectorOf = (sampler: SamplerId): boolean =>
-        rankByRendezvous(sampler, fleet.listLiveEntries(), id => id)[0] === self.entry;
+        rank(sampler, fleet.listLiveEntries())[0] === self.entry;
     const usage = createUsageCollector({
         self: self.entry,
         clock,
@@ -71,43 +74,43 @@
         metrics,
         manifest,
         views,
-        isQuarantined: admission.isQuarantined,
+        quarantine: admission.quarantine,
         takePlace: admission.takePlace,
         runKeyed: admission.runKeyed,
         guards: deps.guards?.send,
     });
-    const isReady = () => !calls.isClosed() && spread.isCaughtUp() && manifest() !== undefined;
-    const members = createMemberReader({
-        self,
-        manifest: fleet.manifest,
-        listEntries: membership.listEntries,
-        listSamplers: views.listAll,
-        callPeer,
+    const quickStart = createQuickStart({
+        fleet,
+        clock,
+        logger,
+        snapshot: deps.startSnapshot,
+        save: deps.saveSnapshot,
     });
-    const operate = createOperatorDesk({
-        self,
-        manifest: fleet.manifest,
-        isReady,
-        isStoreReachable: isReachable,
-        readMembers: members.readAll,
-        views,
-        drain: createDrainer(views, callPeer, logger),
-        publish: publisher.publish,
-        readJobs: createJobReader({
-            self: self.entry,
-            listJobs,
-            jobs,
-            findOwner: directory.findJob,
-            callPeer,
-        }),
+    const isSettled = () => spread.isCaughtUp() || quickStart.maySettle();
+    const isReady = () => !calls.isClosed() && isSettled() && manifest() !== undefined;
+    const operations = createOperations({
+        deps,
+        fleet,
+        jobs,
+        directory,
         usage,
-        listQuarantine: admission.listQuarantine,
-        liftQuarantine: admission.liftQuarantine,
-        explain: book.explain,
+        publish: publisher.publish,
+        quarantine: admission.quarantine,
+        ownedRanges: admission.ownedRanges,
+        callsInFlight: calls.running,
+        isStoreReachable: isReachable,
+        isReady,
+        book,
+    });
+    const receive = createPeerDesk({
+        fleet,
+        jobs,
+        train,
+        describeHere: operations.describeHere,
+        keep: deps.keep,
     });
-    const receive = createPeerDesk({ fleet, jobs, train, describeHere: members.describeHere });
 
-    const parts = [fleet, usage, publisher, admission];
+    const parts = [quickStart, fleet, usage, publisher, admission];
     parts.forEach(part => part.start());
     jobs.start();
     logger.info("entryStarted", { entry: self.entry, address: self.address });
@@ -125,11 +128,11 @@
         maxBodyBytes: () => manifest()?.limits.maxBodyBytes ?? defaultMaxBodyBytes,
         call: (request, signal) => calls.track(() => call(request, signal)),
         train: (team, trainerCall, forwarded) => calls.track(() => train(team, trainerCall, forwarded)),
-        teamUsage: team => calls.track(() => operate.readTeamUsage(team)),
-        operate: operate.run,
+        teamUsage: team => calls.track(() => operations.readTeamUsage(team)),
+        operate: operations.operate,
         receive,
         isReady,
-        renderMetrics: () => metrics.render(),
+        renderMetrics: operations.renderMetrics,
         shutdown: deadlineMs =>
             shutdownEntry({ calls, membership, jobs, leases, usage, parts, clock, logger }, deadlineMs),
     };
--- a/packages/entry/src/createFleet.ts
+++ b/packages/entry/src/createFleet.ts
@@ -1,6 +1,7 @@
 import { faultsOfDocument } from "@auburnarch/config/faultsOfDocument";
 import { createMembership } from "@auburnarch/membership/createMembership";
 import { createSpread } from "@auburnarch/spread/createSpread";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
 import { createManifestView } from "./createManifestView.js";
@@ -11,7 +12,12 @@
 const exchangeTimeoutMs = 1_500;
 
 /** Makes an entry's knowledge of the fleet; nothing runs before `start`. */
-export function createFleet(deps: EntryDeps, logger: Logger, store: ObjectStore): Fleet {
+export function createFleet(
+    deps: EntryDeps,
+    logger: Logger,
+    store: ObjectStore,
+    noteCleanFinish: (digest: ContentDigest) => void,
+): Fleet {
     const { self, clock, random, callPeer } = deps;
     const membership = createMembership({
         self,
@@ -45,6 +51,7 @@
             listReports: membership.listReports,
             connect: deps.connectSidecar,
             noteSampler: membership.noteSampler,
+            noteCleanFinish,
         }),
         listLiveEntries: () => {
             const others = membership.listEntries().filter(each => !each.suspected && !each.leaving);
--- /dev/null
+++ b/packages/entry/src/createKeepDesk.ts
@@ -0,0 +1,39 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { GroupKeep } from "@auburnarch/types/GroupKeep";
+import { z } from "zod";
+
+const place = { job: z.string().min(1).max(512), step: z.int().nonnegative() };
+const saveParams = z.object({
+    ...place,
+    group: z.int().nonnegative(),
+    fencing: z.int().nonnegative(),
+    body: z.string(),
+});
+const loadParams = z.object(place);
+const dropParams = z.object({ ...place, groups: z.array(z.int().nonnegative()).max(65_536) });
+
+/** Methods by which other entries use this entry's data folder; none where it has no folder. */
+export function createKeepDesk(local: GroupKeep | undefined): Record<string, (params: unknown) => unknown> {
+    if (local === undefined) {
+        return {};
+    }
+    function parse<T>(schema: z.ZodType<T>, params: unknown): T {
+        const parsed = schema.safeParse(params);
+        if (!parsed.success) {
+            throw new ResultError(resultCodes.badRequest, parsed.error.issues[0]?.message ?? "");
+        }
+        return parsed.data;
+    }
+    return {
+        keepSave: params => local.save(parse(saveParams, params)),
+        keepLoad: params => {
+            const { job, step } = parse(loadParams, params);
+            return local.load(job, step);
+        },
+        keepDrop: params => {
+            const { job, step, groups } = parse(dropParams, params);
+            return local.drop(job, step, groups);
+        },
+    };
+}
--- a/packages/entry/src/createOwnership.ts
+++ b/packages/entry/src/createOwnership.ts
@@ -7,7 +7,9 @@
 import type { Logger } from "@auburnarch/types/Logger";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
 import { createJobOwnership } from "./createJobOwnership.js";
+import { createKeeperDirectory } from "./createKeeperDirectory.js";
 import { createOwnerDirectory } from "./createOwnerDirectory.js";
+import { createSharedKeep } from "./createSharedKeep.js";
 import type { EntryDeps } from "./EntryDeps.js";
 import type { Fleet } from "./Fleet.js";
 import type { JobOwnership } from "./JobOwnership.js";
@@ -38,6 +40,17 @@
         ttlMs: deps.leaseTtlMs,
         guards: guards?.lease,
     });
+    const keepers = createKeeperDirectory(self, fleet, clock);
+    const keep = createSharedKeep({
+        self: self.entry,
+        local: deps.keep,
+        listKeepers: keepers.list,
+        callPeer: deps.callPeer,
+        logger,
+    });
+    if (deps.keep !== undefined) {
+        keepers.announce();
+    }
     const directory = createOwnerDirectory({ self, get: spread.get, offer: spread.offer });
 
     function startOwner(job: JobManifest, lease: Lease): Promise<Owner> {
@@ -54,7 +67,7 @@
             listSamplers: () => views.list(job.service),
             sidecar: views.sidecar,
             scoring: deps.scoring,
-            keep: deps.keep,
+            keep,
             cursorKey: deps.cursorKey,
         };
         return createOwner(ownerDeps, guards?.owner, guards?.ownerParts);
--- a/packages/entry/src/createPeerDesk.ts
+++ b/packages/entry/src/createPeerDesk.ts
@@ -1,9 +1,11 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import type { GroupKeep } from "@auburnarch/types/GroupKeep";
 import type { JobId } from "@auburnarch/types/JobId";
 import type { OperatorMember } from "@auburnarch/types/OperatorMember";
 import type { TeamId } from "@auburnarch/types/TeamId";
 import { z } from "zod";
+import { createKeepDesk } from "./createKeepDesk.js";
 import type { Fleet } from "./Fleet.js";
 import type { JobOwnership } from "./JobOwnership.js";
 import type { TrainerCall } from "./TrainerCall.js";
@@ -19,6 +21,7 @@
     jobs: JobOwnership;
     train: (team: TeamId, call: TrainerCall, forwarded: boolean) => Promise<unknown>;
     describeHere: () => OperatorMember[];
+    keep: GroupKeep | undefined;
 }
 
 function parse<T>(schema: z.ZodType<T>, params: unknown): T {
@@ -29,7 +32,7 @@
     return parsed.data;
 }
 
-/** Answers calls of other processes: `gossip`, `spread`, `report`, `train`, `jobStatus`, `describe`. */
+/** Answers calls of other processes: `gossip`, `spread`, `report`, `train`, `jobStatus`, `describe`, and those of its data folder. */
 export function createPeerDesk(deps: PeerDeskDeps): (method: string, params: unknown) => Promise<unknown> {
     const { fleet, jobs } = deps;
 
@@ -53,6 +56,7 @@
         train,
         jobStatus,
         describe: deps.describeHere,
+        ...createKeepDesk(deps.keep),
     };
 
     return async (method, params) => {
--- a/packages/entry/src/createRangeOwnership.ts
+++ b/packages/entry/src/createRangeOwnership.ts
@@ -57,7 +57,7 @@
             createKeyRange({
                 range,
                 lease,
-                takenOverAtMs: clock.wallMs(),
+                takenOverAtMs: lease.isFirst ? undefined : clock.wallMs(),
                 clock,
                 logger,
                 invariants,
--- a/packages/entry/src/createSamplerViews.ts
+++ b/packages/entry/src/createSamplerViews.ts
@@ -1,6 +1,7 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import type { Clock } from "@auburnarch/types/Clock";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { SamplerId } from "@auburnarch/types/SamplerId";
 import type { SamplerReport } from "@auburnarch/types/SamplerReport";
 import type { SamplerView } from "@auburnarch/types/SamplerView";
@@ -18,6 +19,8 @@
     connect: (report: SamplerReport) => SidecarPort;
     /** Evidence of an attempt: whether the sidecar was reached. */
     noteSampler: (sampler: SamplerId, reached: boolean) => void;
+    /** A sample of this content ended cleanly. */
+    noteCleanFinish: (digest: ContentDigest) => void;
 }
 
 interface Connected {
@@ -53,7 +56,12 @@
         }
         const counter = createSendCounter(clock);
         const noteReached = (reached: boolean): void => deps.noteSampler(sampler, reached);
-        const port = createCountedSidecar(counter, () => connect(sampler, entry), noteReached);
+        const port = createCountedSidecar(
+            counter,
+            () => connect(sampler, entry),
+            noteReached,
+            deps.noteCleanFinish,
+        );
         const entry: Connected = { counter, port, address: undefined, raw: undefined };
         connected.set(sampler, entry);
         return entry;
--- a/packages/entry/src/createServiceDesk.ts
+++ b/packages/entry/src/createServiceDesk.ts
@@ -1,3 +1,4 @@
+import type { Quarantine } from "@auburnarch/admit/Quarantine";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import type { Metrics } from "@auburnarch/metrics/Metrics";
@@ -21,6 +22,7 @@
 import { choosePlainSampler } from "./choosePlainSampler.js";
 import { digestRequest } from "./digestRequest.js";
 import { isRepeatable } from "./isRepeatable.js";
+import { noteCleanEnd } from "./noteCleanEnd.js";
 import type { SamplerViews } from "./SamplerViews.js";
 
 /** First attempt and two more; each further one finds the same trouble at growing cost. */
@@ -38,7 +40,7 @@
     metrics: Metrics;
     manifest: () => Manifest | undefined;
     views: SamplerViews;
-    isQuarantined: (digest: ContentDigest) => boolean;
+    quarantine: Pick<Quarantine, "isRefused" | "isSuspect" | "noteCleanFinish">;
     /** Takes a place for a team's request, rejecting with `queueFull`; the function given back frees it. */
     takePlace: (team: TeamId) => () => void;
     guards?: SendGuards;
@@ -133,10 +135,18 @@
         return async signal => (await sendPlain(plain, plainDeps, signal)).outcome;
     }
 
+    /** Content that was in flight at a death and ends cleanly this time was a bystander. */
+    function clearSuspect(answer: PlainAnswer, digest: ContentDigest): PlainAnswer {
+        if (!deps.quarantine.isSuspect(digest)) {
+            return answer;
+        }
+        return { ...answer, body: noteCleanEnd(answer.body, () => deps.quarantine.noteCleanFinish(digest)) };
+    }
+
     return async (request, signal) => {
         const service = demandService(request);
         const digest = digestRequest(request);
-        if (deps.isQuarantined(digest)) {
+        if (deps.quarantine.isRefused(digest)) {
             throw new ResultError(resultCodes.quarantined);
         }
         const budgetMs = request.budgetMs ?? deps.manifest()!.limits.defaultDeadlineMs;
@@ -150,7 +160,7 @@
                 ? await deps.runKeyed(request, digest, budgetMs, execute, signal)
                 : await execute(signal);
             metrics.count("requests_total", { service: request.service, outcome: outcome.kind });
-            return toAnswer(outcome);
+            return clearSuspect(toAnswer(outcome), digest);
         }
         finally {
             leave();
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -47,6 +47,7 @@
             sequence,
             state: stateNow(),
             served: weights?.served() ?? [],
+            stampsVersions: weights?.stampsChunks() === true,
             running: slots.running(),
             waiting: slots.waiting(),
             limit: context.limit.current(),
--- a/packages/gate/src/createSlots.ts
+++ b/packages/gate/src/createSlots.ts
@@ -92,7 +92,7 @@
 
     /** Not reentrant: a release while it pumps is seen by its own loop. */
     function pump(): void {
-        if (pumping) {
+        if (pumping || queue.size() === 0) {
             return;
         }
         pumping = true;
--- a/packages/gate/src/watchBody.ts
+++ b/packages/gate/src/watchBody.ts
@@ -19,28 +19,25 @@
     }
     signal.addEventListener("abort", finish, { once: true });
 
-    async function next(inner: AsyncIterator<Uint8Array>): Promise<IteratorResult<Uint8Array>> {
-        try {
-            const result = await inner.next();
-            if (signal.aborted) {
-                throw new ResultError(resultCodes.connectionBroken, "the work was ended");
-            }
-            if (result.done) {
-                finish();
-            }
-            return result;
+    const pass = (result: IteratorResult<Uint8Array>): IteratorResult<Uint8Array> => {
+        if (signal.aborted) {
+            throw new ResultError(resultCodes.connectionBroken, "the work was ended");
         }
-        catch (error) {
+        if (result.done) {
             finish();
-            throw error;
         }
-    }
+        return result;
+    };
+    const fail = (error: unknown): never => {
+        finish();
+        throw error;
+    };
 
     return {
         [Symbol.asyncIterator]: () => {
             const inner = body[Symbol.asyncIterator]();
             return {
-                next: () => next(inner),
+                next: () => inner.next().then(pass, fail),
                 return: async () => {
                     finish();
                     await inner.return?.();
--- a/packages/membership/src/FailureDetector.ts
+++ b/packages/membership/src/FailureDetector.ts
@@ -8,8 +8,8 @@
 
 /** Judges who of a set of subjects is down, from when each was last heard. */
 export interface FailureDetector {
-    /** Fresh evidence that a subject lives. */
-    heard(subject: string): void;
+    /** Fresh evidence that a subject lives; it promised the next sign within about `expectedGapMs`. */
+    heard(subject: string, expectedGapMs?: number): void;
     /** A connection to it failed just now. */
     unreachable(subject: string): void;
     forget(subject: string): void;
--- a/packages/membership/src/GossipMessage.ts
+++ b/packages/membership/src/GossipMessage.ts
@@ -1,12 +1,19 @@
 import type { EntryId } from "@auburnarch/types/EntryId";
-import type { EntryRecord } from "@auburnarch/types/EntryRecord";
 import type { Heartbeat } from "./Heartbeat.js";
+import type { RecordRow } from "./RecordRow.js";
 
-/** Heartbeats between entries, the same in both directions; of bounded size whatever the number of entries. */
+/**
+ * One message between entries, the same in both directions. Every exchange is a probe of the receiver; what it
+ * carries beside are changes, so that its size does not depend on the number of entries.
+ */
 export interface GossipMessage {
-    from: EntryRecord;
+    from: EntryId;
     beats: Heartbeat[];
-    records: EntryRecord[];
+    records: RecordRow[];
     /** Entries whose record the sender lacks. */
     wanted: EntryId[];
+    /** Asks the receiver to probe this address for the sender, who got no answer from there. */
+    probe?: string;
+    /** Answer to `probe`. */
+    reached?: boolean;
 }
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -12,8 +12,8 @@
     stop(): void;
     /** Tells peers that this entry takes no new work. */
     beginLeaving(): void;
-    /** Answers a peer's message, unchecked as it came. Throws `badRequest` if it is malformed. */
-    receiveGossip(message: unknown): GossipMessage;
+    /** Answers a peer's message, unchecked as it came. Rejects with `badRequest` if it is malformed. */
+    receiveGossip(message: unknown): Promise<GossipMessage>;
     /** Takes a sidecar's report, unchecked as it came. Throws `badRequest` if it is malformed. */
     receiveReport(message: unknown): ReportAnswer;
     /** Takes a report that came beside an answer. */
--- a/packages/membership/src/MembershipTiming.ts
+++ b/packages/membership/src/MembershipTiming.ts
@@ -1,9 +1,9 @@
 /** Times and sizes of membership. None needs tuning; tests and benches vary them. */
 export interface MembershipTiming {
-    /** Time between two exchanges of heartbeats that an entry starts. */
+    /** Time between two probes that an entry starts. */
     gossipIntervalMs: number;
     gossipTimeoutMs: number;
-    /** Heartbeats in one message. */
+    /** Changes in one message, beside the sender's and the receiver's own heartbeat. */
     beatsPerMessage: number;
     /** Full records in one message. */
     recordsPerMessage: number;
--- a/packages/membership/src/createEntryBook.ts
+++ b/packages/membership/src/createEntryBook.ts
@@ -1,125 +1,187 @@
 import type { EntryId } from "@auburnarch/types/EntryId";
 import type { EntryRecord } from "@auburnarch/types/EntryRecord";
 import type { Logger } from "@auburnarch/types/Logger";
-import { createFailureDetector } from "./createFailureDetector.js";
+import { createForgottenEntries } from "./createForgottenEntries.js";
+import { createNews } from "./createNews.js";
+import type { EntryBook } from "./EntryBook.js";
 import type { EntryView } from "./EntryView.js";
 import type { Heartbeat } from "./Heartbeat.js";
 import type { MembershipTiming } from "./MembershipTiming.js";
+import type { RecordRow } from "./RecordRow.js";
+import { spareLastHeard } from "./spareLastHeard.js";
 
-/** Other entries, with the newest heartbeat of each. */
-interface EntryBook {
-    /** Takes a heartbeat if it is newer; true if taken. */
-    takeBeat(beat: Heartbeat): boolean;
-    takeRecord(record: EntryRecord): void;
-    beat(entry: EntryId): Heartbeat | undefined;
-    beats(): Heartbeat[];
-    record(entry: EntryId): EntryRecord | undefined;
-    /** Entries that heartbeats name and whose record is not known. */
-    withoutRecord(): EntryId[];
-    unreachable(entry: EntryId): void;
-    list(): EntryView[];
-    prune(isListed: (record: EntryRecord) => boolean): void;
+interface Row {
+    beat: Heartbeat;
+    record: EntryRecord | undefined;
+    heardMs: number;
+    suspectedMs: number;
 }
 
+/** Evidence younger than this outweighs a suspicion with a lower counter: that one was on its way meanwhile. */
+const freshEvidenceMs = 3_000;
+
 const isNewer = (beat: Heartbeat, known: Heartbeat): boolean =>
     beat.generation > known.generation
     || (beat.generation === known.generation && beat.counter > known.counter);
 
+const toView = (record: EntryRecord, { beat, heardMs }: Row, nowMs: number): EntryView => ({
+    record,
+    ageMs: nowMs - heardMs,
+    suspected: beat.suspected === true,
+    leaving: beat.leaving === true,
+});
+
+const differs = (a: Heartbeat, b: Heartbeat): boolean =>
+    a.generation !== b.generation || a.leaving !== b.leaving || a.suspected !== b.suspected;
+
+function logTrust(logger: Logger, { entry, counter, suspected }: Heartbeat, silentMs: number): void {
+    logger.info(suspected === true ? "entrySuspected" : "entryTrusted", {
+        entry,
+        counter,
+        silentMs: Math.round(silentMs),
+    });
+}
+
 /** Makes the book of entries. */
 export function createEntryBook(
     nowMs: () => number,
     timing: MembershipTiming,
     logger: Logger,
 ): EntryBook {
-    const beats = new Map<EntryId, Heartbeat>();
-    const records = new Map<EntryId, EntryRecord>();
-    const suspectedBefore = new Set<EntryId>();
-    /** Last beats of entries that were forgotten, so that old gossip does not bring them back. */
-    const forgotten = new Map<EntryId, { beat: Heartbeat; atMs: number; }>();
-    const detector = createFailureDetector(nowMs, timing);
-
-    function takeBeat(beat: Heartbeat): boolean {
-        const known = beats.get(beat.entry) ?? forgotten.get(beat.entry)?.beat;
-        if (known !== undefined && !isNewer(beat, known)) {
-            return false;
+    const rows = new Map<EntryId, Row>();
+    const recordMissing = new Set<EntryId>();
+    const forgotten = createForgottenEntries(nowMs, timing.forgetMs);
+    const news = createNews();
+    let revision = 0;
+
+    function announce(row: Row): void {
+        news.announce(row.beat.entry, rows.size);
+        revision++;
+    }
+
+    function setBeat(row: Row, beat: Heartbeat): void {
+        const before = row.beat;
+        row.beat = beat;
+        if (beat.suspected !== true) {
+            row.heardMs = nowMs();
+        }
+        if (!differs(before, beat)) {
+            return;
+        }
+        announce(row);
+        if (before.generation !== beat.generation) {
+            recordMissing.add(beat.entry);
+        }
+        if ((before.suspected === true) !== (beat.suspected === true)) {
+            row.suspectedMs = nowMs();
+            logTrust(logger, beat, nowMs() - row.heardMs);
         }
-        forgotten.delete(beat.entry);
-        beats.set(beat.entry, beat);
-        detector.heard(beat.entry);
-        return true;
     }
 
-    function takeRecord(record: EntryRecord): void {
-        const known = records.get(record.entry);
-        if (known?.address !== record.address || known.vm !== record.vm) {
-            records.set(record.entry, record);
-            logger.info("entrySeen", {
-                entry: record.entry,
-                address: record.address,
-                failureDomain: record.failureDomain,
-                known: records.size,
-            });
+    function addRow(beat: Heartbeat): void {
+        const old = forgotten.lastBeat(beat.entry);
+        if (old !== undefined && !isNewer(beat, old)) {
+            return;
         }
+        forgotten.forget(beat.entry);
+        const row: Row = { beat, record: undefined, heardMs: nowMs(), suspectedMs: nowMs() };
+        rows.set(beat.entry, row);
+        recordMissing.add(beat.entry);
+        announce(row);
     }
 
-    function logChange(entry: EntryId, suspected: boolean, reason: string, ageMs: number): void {
-        if (suspectedBefore.has(entry) === suspected) {
+    function takeBeat(beat: Heartbeat): void {
+        const row = rows.get(beat.entry);
+        if (row === undefined) {
+            addRow(beat);
+        }
+        else if (isNewer(beat, row.beat)) {
+            setBeat(row, beat);
+        }
+        else if (beat.suspected === true && row.beat.suspected !== true) {
+            takeSuspicion(row, beat);
+        }
+    }
+
+    function takeSuspicion(row: Row, beat: Heartbeat): void {
+        if (beat.generation !== row.beat.generation) {
             return;
         }
-        const fields = { entry, reason, ageMs: Math.round(ageMs), known: records.size };
-        if (suspected) {
-            suspectedBefore.add(entry);
-            logger.info("entrySuspected", fields);
+        const isSameEvidence = beat.counter === row.beat.counter;
+        if (isSameEvidence || nowMs() - row.heardMs > freshEvidenceMs) {
+            setBeat(row, { ...row.beat, suspected: true });
         }
         else {
-            suspectedBefore.delete(entry);
-            logger.info("entryTrusted", fields);
+            // It has shown life since: tell so, before the suspicion goes round.
+            announce(row);
+        }
+    }
+
+    function takeRecord({ record, generation }: RecordRow): void {
+        const row = rows.get(record.entry);
+        if (row === undefined || generation < row.beat.generation || !recordMissing.has(record.entry)) {
+            return;
         }
+        row.record = record;
+        recordMissing.delete(record.entry);
+        revision++;
+        logger.info("entrySeen", { ...record, known: rows.size });
+    }
+
+    function getRecord(entry: EntryId): RecordRow | undefined {
+        const row = rows.get(entry);
+        return row?.record === undefined || recordMissing.has(entry)
+            ? undefined
+            : { record: row.record, generation: row.beat.generation };
     }
 
     function list(): EntryView[] {
-        const verdicts = detector.judge();
         const views: EntryView[] = [];
-        for (const [entry, record] of records) {
-            const verdict = verdicts.get(entry);
-            const beat = beats.get(entry);
-            if (verdict !== undefined && beat !== undefined) {
-                const { ageMs, suspected, reason } = verdict;
-                logChange(entry, suspected, reason, ageMs);
-                views.push({ record, ageMs, suspected, leaving: beat.leaving });
+        for (const row of rows.values()) {
+            if (row.record !== undefined) {
+                views.push(toView(row.record, row, nowMs()));
             }
         }
-        return views;
+        return spareLastHeard(views, timing.maxSuspectedRatio);
+    }
+
+    function forget(entry: EntryId, row: Row): void {
+        forgotten.note(row.beat);
+        rows.delete(entry);
+        recordMissing.delete(entry);
+        revision++;
+        const silentMs = Math.round(nowMs() - row.heardMs);
+        logger.info("entryForgotten", { entry, silentMs, known: rows.size });
     }
 
     function prune(isListed: (record: EntryRecord) => boolean): void {
-        for (const { record, ageMs } of list()) {
-            if (ageMs <= timing.forgetMs || isListed(record)) {
-                continue;
-            }
-            forgotten.set(record.entry, { beat: beats.get(record.entry)!, atMs: nowMs() });
-            beats.delete(record.entry);
-            records.delete(record.entry);
-            suspectedBefore.delete(record.entry);
-            detector.forget(record.entry);
-            logger.info("entryForgotten", { entry: record.entry, ageMs: Math.round(ageMs) });
-        }
-        for (const [entry, { atMs }] of forgotten) {
-            if (nowMs() - atMs > timing.forgetMs) {
-                forgotten.delete(entry);
+        for (const [entry, row] of rows) {
+            const isGone = row.beat.suspected === true || row.record === undefined;
+            const isOld = nowMs() - row.suspectedMs > timing.forgetMs;
+            if (isGone && isOld && (row.record === undefined || !isListed(row.record))) {
+                forget(entry, row);
             }
         }
+        forgotten.prune();
     }
 
     return {
         takeBeat,
         takeRecord,
-        beat: entry => beats.get(entry),
-        beats: () => [...beats.values()],
-        record: entry => records.get(entry),
-        withoutRecord: () => [...beats.keys()].filter(entry => !records.has(entry)),
-        unreachable: entry => detector.unreachable(entry),
+        suspect: entry => {
+            const row = rows.get(entry);
+            if (row !== undefined) {
+                setBeat(row, { ...row.beat, suspected: true });
+            }
+        },
+        beat: entry => rows.get(entry)?.beat,
+        drawNews: count =>
+            news.draw(count).map(entry => rows.get(entry)?.beat).filter(beat => beat !== undefined),
+        beats: () => [...rows.values()].map(row => row.beat),
+        record: getRecord,
+        withoutRecord: count => [...recordMissing].slice(0, count),
         list,
         prune,
+        revision: () => revision,
     };
 }
--- a/packages/membership/src/createFailureDetector.ts
+++ b/packages/membership/src/createFailureDetector.ts
@@ -6,6 +6,7 @@
     /** Mean gap between two signs of life, and mean deviation from it. */
     meanGapMs: number;
     deviationMs: number;
+    expectedGapMs: number;
     failedConnections: number;
 }
 
@@ -29,13 +30,21 @@
 export function createFailureDetector(nowMs: () => number, timing: MembershipTiming): FailureDetector {
     const subjects = new Map<string, Subject>();
 
-    function heard(name: string): void {
+    function heard(name: string, expectedGapMs = 0): void {
         const subject = subjects.get(name);
         if (subject === undefined) {
             const meanGapMs = timing.minSuspectMs / gapsAllowed;
-            subjects.set(name, { lastHeardMs: nowMs(), meanGapMs, deviationMs: 0, failedConnections: 0 });
+            const first = {
+                lastHeardMs: nowMs(),
+                meanGapMs,
+                deviationMs: 0,
+                expectedGapMs,
+                failedConnections: 0,
+            };
+            subjects.set(name, first);
             return;
         }
+        subject.expectedGapMs = expectedGapMs;
         const gapMs = nowMs() - subject.lastHeardMs;
         const offMs = Math.abs(gapMs - subject.meanGapMs);
         subject.meanGapMs += gapWeight * (gapMs - subject.meanGapMs);
@@ -45,7 +54,8 @@
     }
 
     function allowedMs(subject: Subject): number {
-        const usualMs = gapsAllowed * subject.meanGapMs + deviationsAllowed * subject.deviationMs;
+        const gapMs = Math.max(subject.meanGapMs, subject.expectedGapMs);
+        const usualMs = gapsAllowed * gapMs + deviationsAllowed * subject.deviationMs;
         return Math.min(timing.maxSuspectMs, Math.max(timing.minSuspectMs, usualMs));
     }
 
@@ -64,7 +74,7 @@
     }
 
     function applyFloor(verdicts: Verdict[]): void {
-        const allowed = Math.floor(verdicts.length * timing.maxSuspectedRatio);
+        const allowed = Math.max(1, Math.floor(verdicts.length * timing.maxSuspectedRatio));
         let suspected = verdicts.filter(verdict => verdict.suspected);
         if (suspected.length <= allowed) {
             return;
--- a/packages/membership/src/createGossip.ts
+++ b/packages/membership/src/createGossip.ts
@@ -1,140 +1,140 @@
+import { callInTime } from "@auburnarch/spread/callInTime";
+import { drawOne } from "@auburnarch/spread/drawOne";
+import { drawSome } from "@auburnarch/spread/drawSome";
+import { parseWith } from "@auburnarch/spread/parseWith";
 import type { EntryId } from "@auburnarch/types/EntryId";
-import type { EntryRecord } from "@auburnarch/types/EntryRecord";
-import { callInTime } from "./callInTime.js";
-import type { createEntryBook } from "./createEntryBook.js";
-import { drawOne } from "./drawOne.js";
-import { drawSome } from "./drawSome.js";
+import type { createAwakeTime } from "./createAwakeTime.js";
+import { createGossipMessages } from "./createGossipMessages.js";
+import { createProbeHealth } from "./createProbeHealth.js";
+import type { EntryBook } from "./EntryBook.js";
+import type { Gossip } from "./Gossip.js";
 import type { GossipMessage } from "./GossipMessage.js";
 import { gossipMessageSchema } from "./gossipMessageSchema.js";
 import type { Heartbeat } from "./Heartbeat.js";
 import type { MembershipDeps } from "./MembershipDeps.js";
 import type { MembershipTiming } from "./MembershipTiming.js";
-import { parseWith } from "./parseWith.js";
 
-/** Exchange of heartbeats between entries. */
-interface Gossip {
-    /** Holds one exchange with a peer drawn at random. */
-    exchangeOnce(listedAddresses: string[]): Promise<void>;
-    receive(message: unknown): GossipMessage;
-    beginLeaving(): void;
-}
-
-/** Part of the exchanges that try a suspected entry, so that two halves find each other again after a cut. */
+/** Part of the probes that go to a suspected entry, so that two halves find each other again after a cut. */
 const suspectedRatio = 0.1;
-/** Part of the exchanges that try an address of the VM list or the seeds whose entry is not known yet. */
+/** Part of the probes that go to an address of the VM list or the seeds whose entry is not known yet. */
 const unknownRatio = 0.5;
+/** Entries asked to probe one that did not answer: a broken link between two must not look like a death. */
+const helpers = 2;
+/** A helper needs its own timeout on top of the way there and back. */
+const helperTimeoutFactor = 2.5;
+/** With fewer peers than these, failing probes say nothing about which side is at fault. */
+const minPeersForHealth = 4;
 
-/** Makes the exchange of heartbeats. Messages are of bounded size whatever the number of entries. */
+/** Where a probe goes; the entry is not known for an address that only the VM list names. */
+interface Target {
+    address: string;
+    entry: EntryId | undefined;
+}
+
+/** Makes the probing of entries. Messages are of bounded size whatever the number of entries. */
 export function createGossip(
     deps: Pick<MembershipDeps, "self" | "clock" | "random" | "logger" | "exchange">,
-    book: ReturnType<typeof createEntryBook>,
+    book: EntryBook,
+    awake: ReturnType<typeof createAwakeTime>,
     timing: MembershipTiming,
 ): Gossip {
     const { self, random } = deps;
-    const own: Heartbeat = {
-        entry: self.entry,
-        generation: deps.clock.wallMs(),
-        counter: 0,
-        leaving: false,
-    };
+    const own: Heartbeat = { entry: self.entry, generation: deps.clock.wallMs(), counter: 0 };
+    const { take, build, recordsFor } = createGossipMessages(deps, own, book, timing);
+    const health = createProbeHealth();
 
-    /**
-     * Another run of this entry is known with a higher generation: the wall clock went back between the two.
-     * Peers would drop all our heartbeats as old and take us for dead.
-     */
-    function overtake(beat: Heartbeat): void {
-        const isAhead = beat.generation > own.generation
-            || (beat.generation === own.generation && beat.counter > own.counter);
-        if (isAhead) {
-            own.generation = beat.generation + 1;
-            deps.logger.warn("generationRaised", { entry: self.entry, generation: own.generation });
-        }
-    }
-
-    function take(message: GossipMessage): void {
-        book.takeRecord(message.from);
-        message.records.filter(record => record.entry !== self.entry).forEach(book.takeRecord);
-        for (const beat of message.beats) {
-            if (beat.entry === self.entry) {
-                overtake(beat);
-            }
-            else {
-                book.takeBeat(beat);
+    function drawTarget(listedAddresses: () => string[]): Target | undefined {
+        const views = book.list();
+        const live = views.filter(view => !view.suspected);
+        if (live.length === 0 || random.nextUnit() < unknownRatio) {
+            const known = new Set(views.map(view => view.record.address).concat(self.address));
+            const address = drawOne(listedAddresses().filter(listed => !known.has(listed)), random);
+            if (address !== undefined) {
+                return { address, entry: undefined };
             }
         }
+        const suspected = views.filter(view => view.suspected);
+        const trySuspected = live.length === 0 || random.nextUnit() < suspectedRatio;
+        const view = drawOne(trySuspected && suspected.length > 0 ? suspected : live, random);
+        return view === undefined ? undefined : { address: view.record.address, entry: view.record.entry };
     }
 
-    function recordsFor(wanted: EntryId[]): EntryRecord[] {
-        return wanted
-            .slice(0, timing.recordsPerMessage)
-            .map(entry => book.record(entry))
-            .filter(record => record !== undefined);
+    async function send(
+        address: string,
+        message: GossipMessage,
+        timeoutMs = timing.gossipTimeoutMs,
+    ): Promise<GossipMessage | undefined> {
+        const call = async (): Promise<GossipMessage> =>
+            parseWith<GossipMessage>(gossipMessageSchema, await deps.exchange(address, message));
+        const outcome = await callInTime(deps.clock, timeoutMs, call);
+        return outcome?.answer;
     }
 
-    function build(to: EntryId | undefined, wanted: EntryId[]): GossipMessage {
-        const others = book.beats().filter(beat => beat.entry !== to);
-        // The receiver's own beat goes along, so that it can raise its generation over an earlier run of itself.
-        const receiver = to === undefined ? undefined : book.beat(to);
-        const passedOn = drawSome(others, timing.beatsPerMessage, random);
-        return {
-            from: self,
-            beats: [{ ...own }, ...(receiver === undefined ? [] : [receiver]), ...passedOn],
-            records: recordsFor(wanted),
-            wanted: book.withoutRecord().slice(0, timing.recordsPerMessage),
-        };
+    /** One exchange, with a second where a record is owed on either side; true if answered. */
+    async function probe(target: Target): Promise<boolean> {
+        const answer = await send(target.address, build(target.entry, []));
+        if (answer === undefined) {
+            return false;
+        }
+        take(answer);
+        const wanted = book.withoutRecord(timing.recordsPerMessage);
+        if (answer.wanted.length > 0 || wanted.length > 0) {
+            const records = recordsFor(answer.wanted);
+            const second = await send(target.address, { from: self.entry, beats: [], records, wanted });
+            second?.records.filter(({ record }) => record.entry !== self.entry).forEach(book.takeRecord);
+        }
+        return true;
     }
 
-    function drawTarget(
-        listedAddresses: string[],
-    ): { address: string; entry: EntryId | undefined; } | undefined {
-        const views = book.list();
-        const known = new Set(views.map(view => view.record.address).concat(self.address));
-        const unknown = listedAddresses.filter(address => !known.has(address));
-        const live = views.filter(view => !view.suspected);
-        const suspected = views.filter(view => view.suspected);
-        if (unknown.length > 0 && (views.length === 0 || random.nextUnit() < unknownRatio)) {
-            return { address: drawOne(unknown, random)!, entry: undefined };
-        }
-        const trySuspected = live.length === 0 || random.nextUnit() < suspectedRatio;
-        const view = drawOne(trySuspected && suspected.length > 0 ? suspected : live, random);
-        return view === undefined ? undefined : { address: view.record.address, entry: view.record.entry };
+    async function probeThrough(helper: string, target: string): Promise<boolean> {
+        const message = { ...build(undefined, []), probe: target };
+        const answer = await send(helper, message, timing.gossipTimeoutMs * helperTimeoutFactor);
+        return answer?.reached === true;
     }
 
-    async function send(address: string, message: GossipMessage): Promise<GossipMessage | undefined> {
-        const call = (): Promise<unknown> => deps.exchange(address, message);
-        const outcome = await callInTime(deps.clock, timing.gossipTimeoutMs, call);
-        return outcome === undefined
-            ? undefined
-            : parseWith<GossipMessage>(gossipMessageSchema, outcome.answer);
+    async function isReachable(target: Target): Promise<boolean> {
+        const others = book.list().filter(view => !view.suspected && view.record.entry !== target.entry);
+        const asked = drawSome(others, helpers, random);
+        const attempts = asked.map(view => probeThrough(view.record.address, target.address));
+        const reached = await Promise.all([probe(target), ...attempts]);
+        return reached.includes(true);
     }
 
-    async function exchangeOnce(listedAddresses: string[]): Promise<void> {
+    async function probeOnce(listedAddresses: () => string[]): Promise<void> {
         own.counter++;
         const target = drawTarget(listedAddresses);
         if (target === undefined) {
             return;
         }
-        const answer = await send(target.address, build(target.entry, []));
-        if (answer === undefined) {
-            if (target.entry !== undefined) {
-                book.unreachable(target.entry);
-            }
+        const pauses = awake.pauses();
+        const answered = await probe(target);
+        health.note(answered);
+        if (answered || target.entry === undefined || book.beat(target.entry)?.suspected === true) {
             return;
         }
-        take(answer);
-        if (answer.wanted.length > 0) {
-            const records = recordsFor(answer.wanted);
-            await send(target.address, { from: self, beats: [], records, wanted: [] });
+        if (await isReachable(target)) {
+            return;
+        }
+        const isOwnFault = awake.pauses() > pauses
+            || (health.isPoor() && book.list().length >= minPeersForHealth);
+        if (!isOwnFault) {
+            book.suspect(target.entry);
         }
     }
 
+    async function receive(message: unknown): Promise<GossipMessage> {
+        const parsed = parseWith<GossipMessage>(gossipMessageSchema, message);
+        take(parsed);
+        const answer = build(parsed.from, parsed.wanted);
+        if (parsed.probe !== undefined) {
+            answer.reached = await probe({ address: parsed.probe, entry: undefined });
+        }
+        return answer;
+    }
+
     return {
-        exchangeOnce,
-        receive: message => {
-            const parsed = parseWith<GossipMessage>(gossipMessageSchema, message);
-            take(parsed);
-            return build(parsed.from.entry, parsed.wanted);
-        },
+        probeOnce,
+        receive,
         beginLeaving: () => {
             own.leaving = true;
         },
--- a/packages/membership/src/createMembership.test.ts
+++ b/packages/membership/src/createMembership.test.ts
@@ -1,5 +1,7 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
 import { createRandom } from "@auburnarch/clock/createRandom";
+import { createSleep } from "@auburnarch/clock/createSleep";
+import type { Clock } from "@auburnarch/types/Clock";
 import type { EntryId } from "@auburnarch/types/EntryId";
 import type { EntryRecord } from "@auburnarch/types/EntryRecord";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
@@ -39,13 +41,29 @@
     const clock = createFakeClock();
     const random = createRandom(5);
     const nodes = new Map<string, Membership>();
+    /** Timers of entries that stand still, run when these go on. */
+    const held = new Map<number, (() => void)[]>();
+    const pausable = (at: number): Clock => {
+        const startTimer: Clock["startTimer"] = (delayMs, run) =>
+            clock.startTimer(delayMs, () => held.has(at) ? void held.get(at)!.push(run) : run());
+        return { ...clock, startTimer, sleep: createSleep(startTimer) };
+    };
+    const pause = (at: number, paused: boolean): void => {
+        const waiting = held.get(at) ?? [];
+        if (paused) {
+            held.set(at, []);
+            return;
+        }
+        held.delete(at);
+        waiting.forEach(run => run());
+    };
     const net = { connected: (_from: number, _to: string): boolean => true };
     const vms = { list: Array.from({ length: count }, (_, at) => toVm(recordOf(at, regions))) };
-    const start = (at: number, wallShiftMs = 0): Membership => {
-        const self = recordOf(at, regions);
+    const start = (at: number, wallShiftMs = 0, address?: string): Membership => {
+        const self = { ...recordOf(at, regions), ...(address === undefined ? {} : { address }) };
         const node = createMembership({
             self,
-            clock: { ...clock, wallMs: () => clock.wallMs() + wallShiftMs },
+            clock: { ...pausable(at), wallMs: () => clock.wallMs() + wallShiftMs },
             random: random.fork(),
             logger: silent,
             vmList: () => Promise.resolve(vms.list),
@@ -54,10 +72,15 @@
                 const wire = JSON.stringify(message);
                 await clock.sleep(1);
                 const target = nodes.get(address);
+                if (held.has(Number(address.split(".")[3]!.split(":")[0]))) {
+                    // A process that stands still takes messages and answers none.
+                    return new Promise(() => undefined);
+                }
                 if (target === undefined || !net.connected(at, address)) {
                     throw new Error("unreachable");
                 }
-                return JSON.parse(JSON.stringify(target.receiveGossip(JSON.parse(wire)))) as unknown;
+                const answer = await target.receiveGossip(JSON.parse(wire));
+                return JSON.parse(JSON.stringify(answer)) as unknown;
             },
             newerDocuments: () => [],
         });
@@ -73,7 +96,7 @@
     };
     const everybodyKnows = (known: number) => (): boolean =>
         [...nodes.values()].every(node => node.listPeers().length === known - 1);
-    return { clock, nodes, net, vms, start, all, kill, everybodyKnows };
+    return { clock, nodes, net, vms, start, all, kill, pause, everybodyKnows };
 }
 
 test("entries find each other from the VM list and choose the same relays, in different failure domains", async () => {
@@ -109,16 +132,18 @@
     expect(fleet.everybodyKnows(6)()).toBe(true);
 });
 
-test("a one-way link suspects nobody for long", async () => {
+test("a link that works one way only makes nobody a suspect", async () => {
     // Symptom: entry 0 is ejected by some and trusted by others, in turns.
     // Sequence: messages from 0 to 1 are lost; all other links work. Cause: a failed connection taken for death
     // although heartbeats still arrive through others.
     const fleet = build(12);
     await fleet.clock.advance(20_000);
     fleet.net.connected = (from, to) => !(from === 0 && to === recordOf(1, 1).address);
-    await fleet.clock.advance(300_000);
-    const suspectedBy = fleet.all.filter(node => node.listEntries().some(view => view.suspected));
-    expect(suspectedBy).toEqual([]);
+    for (let second = 0; second < 300; second++) {
+        await fleet.clock.advance(1_000);
+        const suspectedBy = fleet.all.filter(node => node.listEntries().some(view => view.suspected));
+        expect(suspectedBy).toEqual([]);
+    }
 });
 
 test("two regions cut off from each other go on, and know each other again after the cut", async () => {
@@ -144,6 +169,42 @@
     expect(await fleet.clock.runUntil(fleet.everybodyKnows(6), 60_000)).toBe(true);
 });
 
+test("an entry that comes back under another address is reached there", async () => {
+    // Symptom: reports and documents go to an address where nobody listens any more.
+    // Sequence: an entry's VM is replaced; the entry starts again under the same name with a new address.
+    // Cause: the record of its earlier run was kept, or was handed on by a peer that had not heard of the new run.
+    const fleet = build(8);
+    await fleet.clock.advance(20_000);
+    fleet.kill(2);
+    fleet.start(2, 0, "http://10.0.9.9:1");
+    const known = (): boolean =>
+        [...fleet.nodes.values()].filter(node =>
+            node.listPeers().some(peer => peer.address === "http://10.0.9.9:1")
+        )
+            .length === 7;
+    expect(await fleet.clock.runUntil(known, 60_000)).toBe(true);
+});
+
+test("an entry that was paused for minutes accuses nobody when it wakes, and is trusted again", async () => {
+    // Symptom: after one VM stood still, the fleet takes healthy entries for dead.
+    // Sequence: entry 0 stands still while its probes are under way; it wakes and finds them all timed out.
+    // Cause: its own pause taken for the silence of the others.
+    const fleet = build(12);
+    await fleet.clock.advance(20_000);
+    const suspicionsOfOthers = (): number =>
+        fleet.all.slice(1).flatMap(node => node.listEntries())
+            .filter(view => view.suspected && view.record.entry !== "entry-0").length;
+    fleet.pause(0, true);
+    await fleet.clock.advance(180_000);
+    expect(fleet.everybodyKnows(12)()).toBe(false);
+    fleet.pause(0, false);
+    for (let second = 0; second < 30; second++) {
+        await fleet.clock.advance(1_000);
+        expect(suspicionsOfOthers()).toBe(0);
+    }
+    expect(await fleet.clock.runUntil(fleet.everybodyKnows(12), 60_000)).toBe(true);
+});
+
 const reportOf = (
     sampler: string,
     sequence: number,
@@ -215,10 +276,10 @@
     expect(intervals[3]).toBe(10_000);
 });
 
-test("malformed messages are refused with badRequest and change nothing", () => {
+test("malformed messages are refused with badRequest and change nothing", async () => {
     const [node] = build(1).all as [Membership];
     expect(() => node.receiveReport({ report: {} })).toThrow("badRequest");
     expect(() => node.receiveReport(reportOf("s1", -1))).toThrow("badRequest");
-    expect(() => node.receiveGossip({ from: 3 })).toThrow("badRequest");
+    await expect(node.receiveGossip({ from: 3 })).rejects.toThrow("badRequest");
     expect(node.listReports()).toEqual([]);
 });
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -1,3 +1,5 @@
+import { drawSome } from "@auburnarch/spread/drawSome";
+import { parseWith } from "@auburnarch/spread/parseWith";
 import { chooseOverDomains } from "./chooseOverDomains.js";
 import { createAwakeTime } from "./createAwakeTime.js";
 import { createEntryBook } from "./createEntryBook.js";
@@ -6,19 +8,18 @@
 import { createReportPacer } from "./createReportPacer.js";
 import { createVmView } from "./createVmView.js";
 import { defaultMembershipTiming } from "./defaultMembershipTiming.js";
-import { drawSome } from "./drawSome.js";
 import type { EntryTarget } from "./EntryTarget.js";
 import type { EntryView } from "./EntryView.js";
 import type { Membership } from "./Membership.js";
 import type { MembershipDeps } from "./MembershipDeps.js";
 import type { MembershipTiming } from "./MembershipTiming.js";
-import { parseWith } from "./parseWith.js";
 import type { ReportAnswer } from "./ReportAnswer.js";
 import type { ReportMessage } from "./ReportMessage.js";
 import { reportMessageSchema } from "./reportMessageSchema.js";
 import type { ReportView } from "./ReportView.js";
 
 const relayKey = "relay";
+const usableMs = 1_000;
 /** Relays of each region, however many regions there are: one may die while the other goes on. */
 const minRelaysPerRegion = 2;
 /** A sidecar that knows fewer entries than this many times its targets is told of more. */
@@ -36,7 +37,7 @@
     const vmView = createVmView({ ...deps, intervalMs: timing.vmListIntervalMs });
     const entries = createEntryBook(awake.nowMs, timing, logger);
     const reports = createReportBook(awake.nowMs, timing, logger);
-    const gossip = createGossip(deps, entries, timing);
+    const gossip = createGossip(deps, entries, awake, timing);
     const pacer = createReportPacer(timing);
 
     async function run(): Promise<void> {
@@ -45,9 +46,7 @@
             entries.prune(record => vmView.isListed(record.vm));
             reports.prune(report => vmView.isListed(report.vm));
             // Not awaited: a slow peer does not delay the heartbeat.
-            gossip.exchangeOnce([...deps.seeds, ...vmView.listEntryAddresses()]).catch((error: unknown) =>
-                logger.warn("gossipMalformed", { error: String(error) })
-            );
+            void gossip.probeOnce(() => [...deps.seeds, ...vmView.listEntryAddresses()]);
             await clock.sleep(timing.gossipIntervalMs * (0.8 + 0.4 * random.nextUnit()), stopped.signal);
         }
     }
@@ -59,23 +58,52 @@
         }));
     }
 
-    const listUsable = (): EntryView[] => listEntries().filter(view => !view.suspected && !view.leaving);
+    let usable: { views: EntryView[]; revision: number; untilMs: number; } | undefined;
+
+    /** Entries neither suspected nor leaving; kept for a moment, since every message asks for them. */
+    function listUsable(): EntryView[] {
+        const nowMs = clock.monotonicMs();
+        if (usable === undefined || usable.revision !== entries.revision() || nowMs >= usable.untilMs) {
+            const views = listEntries().filter(view => !view.suspected && !view.leaving);
+            usable = { views, revision: entries.revision(), untilMs: nowMs + usableMs };
+        }
+        return usable.views;
+    }
 
     const toTarget = ({ record }: EntryView): EntryTarget => ({
         address: record.address,
         failureDomain: record.failureDomain,
     });
 
-    function isRelay(): boolean {
-        const usable = listUsable().map(view => view.record);
-        const regions = new Set([self, ...usable].map(record => record.region)).size;
+    function computeRelay(): boolean {
+        const records = listUsable().map(view => view.record);
+        const regions = new Set([self, ...records].map(record => record.region)).size;
         const count = Math.max(minRelaysPerRegion, Math.ceil(timing.relays / regions));
-        const near = usable.filter(record => record.region === self.region);
+        const near = records.filter(record => record.region === self.region);
         // Each region has relays of its own, so that one that is cut off needs no election to go on.
         const chosen = chooseOverDomains(`${relayKey}/${self.region}`, [self, ...near], count);
         return chosen.includes(self);
     }
 
+    let relay: { isRelay: boolean; among: string; } | undefined;
+
+    function isRelay(): boolean {
+        // Hashing all entries at each question would cost more than all the rest.
+        const among = listUsable().map(view => view.record.address).join(" ");
+        if (relay?.among !== among) {
+            const before = relay?.isRelay ?? false;
+            relay = { isRelay: computeRelay(), among };
+            if (relay.isRelay !== before) {
+                logger.info("relayChosen", {
+                    entry: self.entry,
+                    isRelay: relay.isRelay,
+                    among: listUsable().length + 1,
+                });
+            }
+        }
+        return relay.isRelay;
+    }
+
     function tellEntries(knownEntries: number): EntryTarget[] {
         if (knownEntries < knownFactor * timing.reportTargets) {
             return drawSome(listUsable(), entriesPerAnswer, random).map(toTarget);
@@ -85,11 +113,12 @@
 
     function receiveReport(message: unknown): ReportAnswer {
         const { report, digest, knownEntries } = parseWith<ReportMessage>(reportMessageSchema, message);
-        reports.take(report);
+        const nextReportMs = pacer.intervalMs(reports.size());
+        reports.take(report, nextReportMs);
         pacer.note(message);
         return {
             documents: deps.newerDocuments(digest),
-            nextReportMs: pacer.intervalMs(reports.size()),
+            nextReportMs,
             entries: tellEntries(knownEntries),
             leaving: vmView.isLeaving(report.vm),
         };
@@ -115,7 +144,7 @@
         beginLeaving: gossip.beginLeaving,
         receiveGossip: gossip.receive,
         receiveReport,
-        takeReport: report => void reports.take(report),
+        takeReport: report => void reports.take(report, timing.maxReportIntervalMs),
         listEntries,
         listPeers: () => listUsable().map(toTarget),
         listReports,
--- a/packages/membership/src/createReportBook.ts
+++ b/packages/membership/src/createReportBook.ts
@@ -8,7 +8,8 @@
 
 /** Newest report of each sampler. */
 interface ReportBook {
-    take(report: SamplerReport): boolean;
+    /** Takes a report if it is newer; the next is expected within about `expectedGapMs`. */
+    take(report: SamplerReport, expectedGapMs: number): boolean;
     note(sampler: SamplerId, reached: boolean): void;
     list(): ReportView[];
     /** Drops samplers that are silent for long and that `isListed` does not know. */
@@ -37,7 +38,7 @@
     const rows = new Map<SamplerId, Row>();
     const detector = createFailureDetector(nowMs, timing);
 
-    function take(report: SamplerReport): boolean {
+    function take(report: SamplerReport, expectedGapMs: number): boolean {
         const row = rows.get(report.sampler);
         const sequences = row?.sequences ?? new Map<IncarnationId, number>();
         if (report.sequence <= (sequences.get(report.incarnation) ?? -1)) {
@@ -57,7 +58,7 @@
             sequences.delete(sequences.keys().next().value!);
         }
         rows.set(report.sampler, { report, sequences, suspected: row?.suspected ?? false });
-        detector.heard(report.sampler);
+        detector.heard(report.sampler, expectedGapMs);
         return true;
     }
 
@@ -100,7 +101,7 @@
                 detector.unreachable(sampler);
             }
             else if (rows.has(sampler)) {
-                detector.heard(sampler);
+                detector.heard(sampler, timing.maxReportIntervalMs);
             }
         },
         list,
--- a/packages/membership/src/createReporter.ts
+++ b/packages/membership/src/createReporter.ts
@@ -1,11 +1,11 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
-import { callInTime } from "./callInTime.js";
+import { callInTime } from "@auburnarch/spread/callInTime";
+import { parseWith } from "@auburnarch/spread/parseWith";
 import { chooseOverDomains } from "./chooseOverDomains.js";
 import { createEntryDirectory } from "./createEntryDirectory.js";
 import { defaultMembershipTiming } from "./defaultMembershipTiming.js";
 import type { EntryTarget } from "./EntryTarget.js";
 import type { MembershipTiming } from "./MembershipTiming.js";
-import { parseWith } from "./parseWith.js";
 import type { ReportAnswer } from "./ReportAnswer.js";
 import { reportAnswerSchema } from "./reportAnswerSchema.js";
 import type { Reporter } from "./Reporter.js";
@@ -96,7 +96,7 @@
         const outcome = await callInTime(clock, timing.reportTimeoutMs, call);
         inFlight.delete(address);
         if (outcome !== undefined) {
-            takeAnswer(address, outcome.answer as ReportAnswer, changesSent);
+            takeAnswer(address, outcome.answer, changesSent);
             return;
         }
         directory.noteFailed(address);
--- a/packages/membership/src/defaultMembershipTiming.ts
+++ b/packages/membership/src/defaultMembershipTiming.ts
@@ -3,7 +3,7 @@
 /** Times and sizes in use unless a test says otherwise. */
 export const defaultMembershipTiming: MembershipTiming = {
     gossipIntervalMs: 1_000,
-    gossipTimeoutMs: 3_000,
+    gossipTimeoutMs: 1_500,
     beatsPerMessage: 8,
     recordsPerMessage: 4,
     minSuspectMs: 5_000,
--- a/packages/membership/src/gossipMessageSchema.ts
+++ b/packages/membership/src/gossipMessageSchema.ts
@@ -13,13 +13,16 @@
     entry: name,
     generation: z.number().min(0),
     counter: z.int().min(0),
-    leaving: z.boolean(),
+    leaving: z.boolean().optional(),
+    suspected: z.boolean().optional(),
 });
 
 /** Shape of a `GossipMessage` as it comes from another process. */
 export const gossipMessageSchema = z.strictObject({
-    from: record,
+    from: name,
     beats: z.array(beat).max(maxRows),
-    records: z.array(record).max(maxRows),
+    records: z.array(z.strictObject({ record, generation: z.number().min(0) })).max(maxRows),
     wanted: z.array(name).max(maxRows),
+    probe: z.string().max(256).optional(),
+    reached: z.boolean().optional(),
 });
--- a/packages/queue/src/WaitingSample.ts
+++ b/packages/queue/src/WaitingSample.ts
@@ -7,6 +7,8 @@
     arrivalOrder: number;
     /** Tokens still to be generated, by prediction at the time it was queued. */
     expectedTokens: number;
+    /** Monotonic time at which it has to start to be ready in time, by prediction. */
+    latestStartMs: number;
     /** Monotonic time before which it is not sent. */
     notBeforeMs: number;
 }
--- a/packages/queue/src/createWaitingQueue.ts
+++ b/packages/queue/src/createWaitingQueue.ts
@@ -10,6 +10,8 @@
     /** Earliest `notBeforeMs` that is still ahead; undefined if none is. */
     nextDueMs(nowMs: number): number | undefined;
     size(): number;
+    /** What the order looks at has changed. */
+    resort(): void;
     all(): Iterable<Work>;
 }
 
@@ -57,6 +59,9 @@
             return earliest;
         },
         size: () => members.size,
+        resort: () => {
+            isStale = true;
+        },
         all: () => members,
     };
 }
--- a/packages/send/src/createHttpSidecar.ts
+++ b/packages/send/src/createHttpSidecar.ts
@@ -2,7 +2,6 @@
 import type { Clock } from "@auburnarch/types/Clock";
 import type { SamplerOrderResult } from "@auburnarch/types/SamplerOrderResult";
 import type { SidecarPort } from "@auburnarch/types/SidecarPort";
-import { Agent } from "node:http";
 import { match } from "ts-pattern";
 import { attemptStateSchema } from "./attemptStateSchema.js";
 import { codeByNumber } from "./codeByNumber.js";
@@ -10,6 +9,7 @@
 import { createPlainCaller } from "./createPlainCaller.js";
 import { createRpcClient } from "./createRpcClient.js";
 import { createSampleCaller } from "./createSampleCaller.js";
+import { createSidecarAgent } from "./createSidecarAgent.js";
 import { defaultSendGuards } from "./defaultSendGuards.js";
 import type { HttpSidecar } from "./HttpSidecar.js";
 import { orderResultSchema } from "./orderResultSchema.js";
@@ -37,11 +37,7 @@
 export function createHttpSidecar(options: HttpSidecarOptions): HttpSidecar {
     const { clock, guards = defaultSendGuards } = options;
     const { host, port } = parseAddress(options.address);
-    const agent = new Agent({
-        keepAlive: true,
-        maxFreeSockets: options.maxIdleConnections ?? defaultMaxIdleConnections,
-        scheduling: "lifo",
-    });
+    const agent = createSidecarAgent(options.maxIdleConnections ?? defaultMaxIdleConnections);
     const incarnations = createIncarnationMemory();
     let meeting: Promise<unknown> | undefined;
     const callRpc = createRpcClient({ host, port, agent, clock });
--- a/packages/send/src/samplerReportSchema.ts
+++ b/packages/send/src/samplerReportSchema.ts
@@ -1,8 +1,10 @@
 import type { SamplerReport } from "@auburnarch/types/SamplerReport";
 import { z } from "zod";
 
-const name = z.string().max(512);
+const maxListed = 256;
+const name = z.string().min(1).max(512);
 const whole = z.number().int().nonnegative();
+const amount = z.number().nonnegative();
 
 /** A sidecar's report as it arrives; later releases may add keys, which are dropped. */
 export const samplerReportSchema = z.object({
@@ -15,15 +17,16 @@
     region: name,
     service: name,
     state: z.enum(["ready", "swapping", "unknownVersion", "leaving", "engineDown"]),
-    served: z.array(z.object({ policy: name, version: whole })),
+    served: z.array(z.object({ policy: name, version: whole })).max(maxListed),
+    stampsVersions: z.boolean().optional(),
     running: whole,
     waiting: whole,
-    limit: z.number(),
-    tokensPerSecond: z.number(),
-    maxBatch: z.number(),
+    limit: amount,
+    tokensPerSecond: amount,
+    maxBatch: amount,
     configVersion: whole,
     suspects: z.array(z.object({
         digest: name,
-        deaths: z.array(z.object({ vm: name, bootId: name })),
-    })),
+        deaths: z.array(z.object({ vm: name, bootId: name })).max(maxListed),
+    })).max(maxListed),
 }) as unknown as z.ZodType<SamplerReport>;
--- a/packages/spread/src/SpreadTiming.ts
+++ b/packages/spread/src/SpreadTiming.ts
@@ -2,6 +2,8 @@
 export interface SpreadTiming {
     /** Mean time between two exchanges that a process starts. */
     exchangeIntervalMs: number;
+    /** The same until the first exchange is answered: a process serves nothing before. */
+    startIntervalMs: number;
     exchangeTimeoutMs: number;
     /** Peers that a fresh change is sent to at once. */
     pushFanOut: number;
--- a/packages/spread/src/createExchanger.ts
+++ b/packages/spread/src/createExchanger.ts
@@ -1,8 +1,10 @@
 import { answerMessage } from "./answerMessage.js";
+import { callInTime } from "./callInTime.js";
 import type { DocumentSet } from "./DocumentSet.js";
-import { parseMessage } from "./parseMessage.js";
+import { parseWith } from "./parseWith.js";
 import type { SpreadDeps } from "./SpreadDeps.js";
 import type { SpreadMessage } from "./SpreadMessage.js";
+import { spreadMessageSchema } from "./spreadMessageSchema.js";
 import type { SpreadTiming } from "./SpreadTiming.js";
 
 /** A first message, a digest and the documents asked for: more rounds than these settle nothing. */
@@ -17,21 +19,12 @@
     documents: DocumentSet,
     timing: SpreadTiming,
 ): (address: string, first: SpreadMessage) => Promise<boolean> {
+    /** The peer's answer; undefined without one. Membership judges whether the peer is gone. */
     async function send(address: string, message: SpreadMessage): Promise<SpreadMessage | undefined> {
-        const timeout = new AbortController();
-        // A peer that takes the message and never answers must not hold an exchange open for ever.
-        const expired = deps.clock.sleep(timing.exchangeTimeoutMs, timeout.signal).then(() => undefined);
-        try {
-            const answer = await Promise.race([deps.exchange(address, message), expired]);
-            return answer === undefined ? undefined : parseMessage(answer);
-        }
-        catch {
-            // The next exchange goes to another peer; membership judges whether this one is gone.
-            return undefined;
-        }
-        finally {
-            timeout.abort();
-        }
+        const call = async (): Promise<SpreadMessage> =>
+            parseWith<SpreadMessage>(spreadMessageSchema, await deps.exchange(address, message));
+        const outcome = await callInTime(deps.clock, timing.exchangeTimeoutMs, call);
+        return outcome?.answer;
     }
 
     return async (address, first) => {
--- a/packages/spread/src/createSpread.ts
+++ b/packages/spread/src/createSpread.ts
@@ -5,21 +5,14 @@
 import { createRelay } from "./createRelay.js";
 import { defaultSpreadGuards } from "./defaultSpreadGuards.js";
 import { defaultSpreadTiming } from "./defaultSpreadTiming.js";
-import { parseMessage } from "./parseMessage.js";
+import { drawSome } from "./drawSome.js";
+import { parseWith } from "./parseWith.js";
 import type { Spread } from "./Spread.js";
 import type { SpreadDeps } from "./SpreadDeps.js";
+import type { SpreadMessage } from "./SpreadMessage.js";
+import { spreadMessageSchema } from "./spreadMessageSchema.js";
 import type { SpreadTiming } from "./SpreadTiming.js";
 
-/** Draws up to `count` different elements. */
-function drawSome<T>(from: readonly T[], count: number, nextInt: (bound: number) => number): T[] {
-    const left = [...from];
-    const drawn: T[] = [];
-    while (drawn.length < count && left.length > 0) {
-        drawn.push(...left.splice(nextInt(left.length), 1));
-    }
-    return drawn;
-}
-
 /**
  * Makes the spreading of documents in one entry: a fresh change goes at once to a few peers, and an exchange with
  * a random peer every second or so brings what was lost. A few relays watch the object API for all.
@@ -47,7 +40,7 @@
 
     function push({ name }: SharedDocument): void {
         const transfer = documents.transfer(name, previousVersions.get(name) ?? 0);
-        const peers = drawSome(deps.listPeers(), timing.pushFanOut, deps.random.nextInt);
+        const peers = drawSome(deps.listPeers(), timing.pushFanOut, deps.random);
         if (transfer === undefined) {
             return;
         }
@@ -61,7 +54,7 @@
     }
 
     async function exchangeOnce(): Promise<void> {
-        const [peer] = drawSome(deps.listPeers(), 1, deps.random.nextInt);
+        const [peer] = drawSome(deps.listPeers(), 1, deps.random);
         if (peer === undefined) {
             return;
         }
@@ -75,7 +68,8 @@
             // Not awaited: a slow peer does not delay the exchange with the next one.
             void exchangeOnce();
             const spread = 0.8 + 0.4 * deps.random.nextUnit();
-            await deps.clock.sleep(timing.exchangeIntervalMs * spread, stopped.signal);
+            const intervalMs = caughtUp ? timing.exchangeIntervalMs : timing.startIntervalMs;
+            await deps.clock.sleep(intervalMs * spread, stopped.signal);
         }
     }
 
@@ -99,7 +93,7 @@
             Object.entries(theirs)
                 .filter(([name, version]) => (documents.get(name)?.version ?? 0) > version)
                 .map(([name, version]) => documents.transfer(name, version)!),
-        receive: message => answerMessage(documents, parseMessage(message)),
+        receive: message => answerMessage(documents, parseWith<SpreadMessage>(spreadMessageSchema, message)),
         isCaughtUp: () => caughtUp,
     };
 }
--- a/packages/spread/src/defaultSpreadTiming.ts
+++ b/packages/spread/src/defaultSpreadTiming.ts
@@ -2,7 +2,8 @@
 
 /** Times and sizes in use unless a test says otherwise. */
 export const defaultSpreadTiming: SpreadTiming = {
-    exchangeIntervalMs: 1_000,
+    exchangeIntervalMs: 2_000,
+    startIntervalMs: 250,
     exchangeTimeoutMs: 3_000,
     pushFanOut: 3,
     watchWaitMs: 30_000,
--- a/packages/types/src/SamplerReport.ts
+++ b/packages/types/src/SamplerReport.ts
@@ -22,6 +22,11 @@
     service: ServiceId;
     state: "ready" | "swapping" | "unknownVersion" | "leaving" | "engineDown";
     served: { policy: PolicyId; version: WeightVersion; }[];
+    /**
+     * True where the engine states the version of each chunk. Elsewhere spans are proven only once their attempt has
+     * ended, so those of an attempt with another outcome than `ran` are worth nothing.
+     */
+    stampsVersions?: boolean;
     running: number;
     waiting: number;
     /** The sidecar's adaptive concurrency limit. */
