--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -1,7 +1,7 @@
 import type { createWaitingQueue } from "@auburnarch/queue/createWaitingQueue";
 import type { SampleId } from "@auburnarch/types/SampleId";
-import type { createPrefixHints } from "./createPrefixHints.js";
 import type { createNeedForecast } from "./createNeedForecast.js";
+import type { createPrefixHints } from "./createPrefixHints.js";
 import type { createSamplerLedger } from "./createSamplerLedger.js";
 import type { DispatchPolicy } from "./DispatchPolicy.js";
 import type { LengthModel } from "./LengthModel.js";
--- a/packages/dispatch/src/createNeedForecast.ts
+++ b/packages/dispatch/src/createNeedForecast.ts
@@ -33,7 +33,9 @@
         },
         needAtMs: (step, statedMs, oldest, nowMs) => {
             const ahead = step - oldest;
-            return ahead <= 0 ? statedMs : Math.max(statedMs, nowMs + ahead * (rhythmMs ?? defaultRhythmMs()));
+            return ahead <= 0
+                ? statedMs
+                : Math.max(statedMs, nowMs + ahead * (rhythmMs ?? defaultRhythmMs()));
         },
     };
 }
--- a/packages/dispatch/src/createPromptLengthModel.ts
+++ b/packages/dispatch/src/createPromptLengthModel.ts
@@ -62,7 +62,9 @@
         },
         expectRemaining: (prompt, produced, maxTokens) => {
             const fresh = expectTotal(prompt, maxTokens);
-            const remaining = produced === 0 ? fresh : Math.max(fresh - produced, meanExcess(produced, maxTokens));
+            const remaining = produced === 0
+                ? fresh
+                : Math.max(fresh - produced, meanExcess(produced, maxTokens));
             return Math.max(1, Math.min(remaining, maxTokens - produced));
         },
     };
--- a/packages/dispatch/src/estimateWork.ts
+++ b/packages/dispatch/src/estimateWork.ts
@@ -8,7 +8,11 @@
 /** Brings the expected length and the latest start of a waiting sample up to date. */
 export function estimateWork(state: DispatchState, work: Work, oldestStep: number, nowMs: number): void {
     const { task } = work;
-    work.expectedTokens = state.lengths.expectRemaining(task.prompt, countTokens(work.resume), task.maxTokens);
+    work.expectedTokens = state.lengths.expectRemaining(
+        task.prompt,
+        countTokens(work.resume),
+        task.maxTokens,
+    );
     const needAtMs = state.needs.needAtMs(task.step, task.needAtMs, oldestStep, nowMs);
     const runMs = work.expectedTokens / state.ledger.meanTokensPerSecond() * 1000;
     work.latestStartMs = needAtMs - runTimeMargin * runMs;
--- a/packages/errors/src/renderResultCodes.ts
+++ b/packages/errors/src/renderResultCodes.ts
@@ -22,7 +22,10 @@
             .filter(code => Math.floor(code.number / 1_000) === Number(family))
             .sort((a, b) => a.number - b.number)
             .map(renderRow);
-        const head = ["| number | name | HTTP status | meaning | what to do |", "| --- | --- | --- | --- | --- |"];
+        const head = [
+            "| number | name | HTTP status | meaning | what to do |",
+            "| --- | --- | --- | --- | --- |",
+        ];
         return [`## ${family}xxx: ${title}`, "", ...head, ...rows].join("\n");
     });
     return sections.join("\n\n");
--- a/packages/metrics/src/metricNames.test.ts
+++ b/packages/metrics/src/metricNames.test.ts
@@ -14,7 +14,9 @@
 }
 
 test("docs/metrics.md lists exactly the metrics of the code", async () => {
-    const texts = await Promise.all((await listSources()).map(path => readFile(join(packages, path), "utf8")));
+    const texts = await Promise.all(
+        (await listSources()).map(path => readFile(join(packages, path), "utf8")),
+    );
     const used = texts.flatMap(text => [...text.matchAll(call)].map(found => found[1]!));
     const listed = [...(await readFile(page, "utf8")).matchAll(row)].map(found => found[1]!);
     expect(used.length).toBeGreaterThan(0);
