--- a/packages/clock/src/createSleep.ts
+++ b/packages/clock/src/createSleep.ts
@@ -1,4 +1,8 @@
 import type { Clock } from "@auburnarch/types/Clock";
+import { getMaxListeners, setMaxListeners } from "node:events";
+
+/** A process's loops share one stop signal; beyond this many sleeps on one signal a leak is more likely. */
+const expectedSleeps = 1_000;
 
 /** Builds `sleep` on `startTimer`. */
 export function createSleep(startTimer: Clock["startTimer"]): Clock["sleep"] {
@@ -8,6 +12,9 @@
                 resolve();
                 return;
             }
+            if (signal !== undefined && getMaxListeners(signal) < expectedSleeps) {
+                setMaxListeners(expectedSleeps, signal);
+            }
             const wake = (): void => {
                 cancel();
                 signal?.removeEventListener("abort", wake);
--- a/packages/config/src/settingsSchema.ts
+++ b/packages/config/src/settingsSchema.ts
@@ -71,6 +71,9 @@
     dataFolder: filePath("Folder for bulk data; left out, nothing is kept on disk.").optional(),
     cursorKey: secret("Signs trainers' cursors; the same on all entries.").optional(),
     clusterToken: secret("Proves the system's processes to each other; the same on all."),
+    previousClusterToken: secret(
+        "Accepted beside `clusterToken` and never sent: while a new one is rolled out, first the next, then the previous.",
+    ).optional(),
     operatorToken: secret("Proves operators to an entry; left out, the operators' interface is closed.")
         .optional(),
     seeds: described(z.array(z.string().regex(/^https?:\/\/[^\s]+$/u)).default([]), {
--- a/packages/config/src/validateManifest.test.ts
+++ b/packages/config/src/validateManifest.test.ts
@@ -2,6 +2,8 @@
 import { readFileSync } from "node:fs";
 import { expect, test } from "vitest";
 import { diffManifests } from "./diffManifests.js";
+import { keysAt } from "./keysAt.js";
+import { manifestSchema } from "./manifestSchema.js";
 import { parseManifest } from "./parseManifest.js";
 import { validateManifest } from "./validateManifest.js";
 
@@ -62,6 +64,18 @@
     expect(result).toMatchSnapshot();
 });
 
+test("docs/manifest.md has a row for each key of the schema", () => {
+    const page = readFileSync(new URL("../../../docs/manifest.md", import.meta.url), "utf8");
+    const sections = new Map(page.split("\n## ").map(text => [text.split("\n", 1)[0]!, text]));
+    const rowsOf = (section: string): string[] =>
+        [...sections.get(section)!.matchAll(/^\| `(\w+)` \|/gmu)].map(found => found[1]!);
+    expect(rowsOf("Top level")).toEqual(keysAt(manifestSchema, []));
+    for (const list of ["teams", "services", "samplers", "jobs"]) {
+        expect(rowsOf(list)).toEqual(keysAt(manifestSchema, [list, 0]));
+    }
+    expect(rowsOf("limits")).toEqual(keysAt(manifestSchema, ["limits"]));
+});
+
 test.each([undefined, 3, "text", [], [[]], { teams: {} }, { teams: [3, "x"], jobs: [[], 1] }])(
     "%j is refused and does not throw",
     json => {
--- /dev/null
+++ b/packages/daemon/src/digestClusterTokens.ts
@@ -0,0 +1,17 @@
+import type { Settings } from "@auburnarch/config/Settings";
+import { digestToken } from "./digestToken.js";
+
+interface ClusterTokenDigests {
+    clusterTokenDigest: string;
+    previousClusterTokenDigest: string | undefined;
+}
+
+/** Digests of the tokens by which a process lets others of the system in. */
+export function digestClusterTokens({ clusterToken, previousClusterToken }: Settings): ClusterTokenDigests {
+    return {
+        clusterTokenDigest: digestToken(clusterToken),
+        previousClusterTokenDigest: previousClusterToken === undefined
+            ? undefined
+            : digestToken(previousClusterToken),
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/keys.test.ts
@@ -0,0 +1,321 @@
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createSystemClock } from "@auburnarch/clock/createSystemClock";
+import type { Settings } from "@auburnarch/config/Settings";
+import { validateManifest } from "@auburnarch/config/validateManifest";
+import { validateSettings } from "@auburnarch/config/validateSettings";
+import { createPeerCall } from "@auburnarch/entry/createPeerCall";
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { createLogger } from "@auburnarch/log/createLogger";
+import { createHttpSidecar } from "@auburnarch/send/createHttpSidecar";
+import { createTrust } from "@auburnarch/trust/createTrust";
+import type { Manifest } from "@auburnarch/types/Manifest";
+import type { SamplerOrder } from "@auburnarch/types/SamplerOrder";
+import type { SamplerReport } from "@auburnarch/types/SamplerReport";
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
+import { readFileSync } from "node:fs";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { Agent, type ServerResponse } from "node:http";
+import { Agent as HttpsAgent } from "node:https";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { callEntry } from "./callEntry.js";
+import { digestToken } from "./digestToken.js";
+import type { RunningProcess } from "./RunningProcess.js";
+import { startEntry } from "./startEntry.js";
+import { startSidecar } from "./startSidecar.js";
+import { startStandIns } from "./startStandIns.js";
+
+const keys = {
+    team: "token of team plume, for callers only",
+    operator: "token of the operators, for the desk only",
+    cursor: "key that signs cursors of all the trainers",
+    first: "first token of the cluster, for its processes",
+    second: "second token of the cluster, for its processes",
+};
+const lines: string[] = [];
+const context = {
+    clock: createSystemClock(),
+    random: createRandom(21),
+    writeLine: (line: string) => void lines.push(line),
+};
+const sampler = { sampler: "tile-1", service: "tiles", failureDomain: "Lugo" };
+
+type ClusterTokens = Pick<Settings, "clusterToken" | "previousClusterToken">;
+
+const pem = (name: string): string =>
+    fileURLToPath(new URL(`../../trust/src/testing/${name}.pem`, import.meta.url));
+const tlsOf = (name: string) => ({
+    certPath: pem(`${name}.cert`),
+    keyPath: pem(`${name}.key`),
+    caPath: pem("authority.cert"),
+});
+
+const plainRequest = {
+    attempt: "a",
+    service: "tiles",
+    team: "plume",
+    method: "POST",
+    path: "/alerts",
+    headers: {},
+    body: new Uint8Array(),
+    idempotent: false,
+    digest: "d",
+    budgetMs: 1_000,
+} as never;
+
+async function createBed() {
+    const checked = validateManifest({
+        name: "keys",
+        teams: [{ team: "plume", share: 1, tokenDigests: [digestToken(keys.team)] }],
+        services: [{ service: "tiles", kind: "plain", repeatable: ["GET /tiles"] }],
+        samplers: [sampler],
+        jobs: [],
+    }) as { manifest: Manifest; };
+    const { manifest } = checked;
+    const folder = await mkdtemp(join(tmpdir(), "auburnarch-keys-"));
+    const manifestPath = join(folder, "manifest.json");
+    await writeFile(manifestPath, JSON.stringify(manifest));
+    const standIns = await startStandIns(
+        { manifest, region: "norte", entries: 0, tokensPerSecond: 200, swapMs: 50, plainLatencyMs: 1 },
+        context,
+    );
+    const agent = new Agent();
+    const secureAgent = new HttpsAgent({ ca: readFileSync(pem("authority.cert")) });
+    const running = new Map<string, RunningProcess>();
+
+    function settingsOf(name: string, own: Record<string, unknown>): Settings {
+        const { objectApiUrl, vmListUrl, weightStoreUrl, scoringUrl } = standIns;
+        const common = {
+            name,
+            vm: `vm-${name}`,
+            failureDomain: "Lugo",
+            region: "norte",
+            listenHost: "127.0.0.1",
+        };
+        const result = validateSettings({
+            ...common,
+            objectApiUrl,
+            vmListUrl,
+            weightStoreUrl,
+            scoringUrl,
+            ...own,
+        });
+        if (result.kind === "invalid") {
+            throw new Error(JSON.stringify(result.faults));
+        }
+        return result.settings;
+    }
+
+    async function restart(
+        role: "entry" | "sidecar",
+        tokens: ClusterTokens,
+        tls?: Settings["tls"],
+    ): Promise<RunningProcess> {
+        const before = running.get(role);
+        await before?.shutdown();
+        // The same port again, as on a VM whose process restarts.
+        const listenPort = before === undefined ? 0 : Number(new URL(before.address).port);
+        const common = { role, listenPort, shutdownDeadlineMs: 1_000, ...tokens, tls };
+        const seeds = [running.get("entry")?.address].filter(Boolean);
+        const started = role === "entry"
+            ? await startEntry(
+                settingsOf("entry-1", {
+                    ...common,
+                    operatorToken: keys.operator,
+                    cursorKey: keys.cursor,
+                    manifestPath,
+                }),
+                context,
+            )
+            : await startSidecar(
+                settingsOf("sidecar-1", {
+                    ...common,
+                    ...sampler,
+                    seeds,
+                    backendUrl: [...standIns.backendUrls.values()][0],
+                }),
+                context,
+            );
+        running.set(role, started);
+        return started;
+    }
+
+    function call(method: string, path: string, token: string, body?: unknown): Promise<unknown> {
+        const { address } = running.get("entry")!;
+        const via = address.startsWith("https:") ? secureAgent : agent;
+        return callEntry({ agent: via, address, method, path, token, body, timeoutMs: 5_000 });
+    }
+
+    /** Waits until a caller's request goes the whole way again. */
+    async function untilServed(): Promise<void> {
+        for (;;) {
+            const served = await call("GET", "/v1/services/tiles/tiles/1", keys.team).then(
+                () => true,
+                () => false,
+            );
+            if (served) {
+                return;
+            }
+            await context.clock.sleep(50);
+        }
+    }
+
+    return {
+        running,
+        backend: [...standIns.backends.values()][0]!,
+        restart,
+        call,
+        untilServed,
+        close: async () => {
+            for (const each of [...running.values()].reverse()) {
+                await each.shutdown();
+            }
+            agent.destroy();
+            secureAgent.destroy();
+            await standIns.close();
+            await rm(folder, { recursive: true, force: true });
+        },
+    };
+}
+
+let bed: Awaited<ReturnType<typeof createBed>>;
+const refusals: string[] = [];
+const unauthenticatedStatus = 401;
+
+function noteRefusal(message: unknown): void {
+    const { request, response } = message as { request: { url: string; }; response: ServerResponse; };
+    if (response.statusCode === unauthenticatedStatus) {
+        refusals.push(request.url);
+    }
+}
+
+beforeEach(async () => {
+    lines.length = 0;
+    refusals.length = 0;
+    subscribe("http.server.response.finish", noteRefusal);
+    bed = await createBed();
+});
+
+afterEach(async () => {
+    unsubscribe("http.server.response.finish", noteRefusal);
+    await bed.close();
+});
+
+test("an order to a sidecar from outside the cluster is refused and changes nothing", async () => {
+    // Symptom: a sampler serves weights that nobody published. Sequence: some process that reaches the sidecar's port
+    // sends it an order. Cause: the sidecar took every caller for an owner.
+    await bed.restart("entry", { clusterToken: keys.first, previousClusterToken: undefined });
+    const { address } = await bed.restart("sidecar", {
+        clusterToken: keys.first,
+        previousClusterToken: undefined,
+    });
+    await bed.untilServed();
+    const runs = bed.backend.runsByAttempt().size;
+    for (const clusterToken of [undefined, keys.team, keys.operator, keys.second]) {
+        const stranger = createHttpSidecar({ address, clock: context.clock, clusterToken });
+        const order = { kind: "loadVersion", policy: "plume", version: 9, job: "j", fencing: 99 };
+        const ordered = stranger.order(order as unknown as SamplerOrder);
+        expect(await ordered.catch(codeOf)).toBe(resultCodes.sidecarUnreachable);
+        expect(await stranger.readReport().catch(codeOf)).toBe(resultCodes.sidecarUnreachable);
+        const outcome = await stranger.callPlain(plainRequest, new AbortController().signal);
+        expect(outcome).toMatchObject({ kind: "notRun", code: resultCodes.unauthenticated });
+        stranger.close();
+    }
+    expect(refusals.length).toBeGreaterThan(0);
+    expect(bed.backend.runsByAttempt().size).toBe(runs);
+    await bed.untilServed();
+});
+
+test("a new cluster token is rolled out in three rounds, and no process refuses another", async () => {
+    // Symptom: samplers vanish from half of the entries during a rotation. Sequence: processes restart one by one with
+    // a new token. Cause: the first to send it meets others that do not know it yet.
+    const rounds: ClusterTokens[] = [
+        { clusterToken: keys.first, previousClusterToken: undefined },
+        { clusterToken: keys.first, previousClusterToken: keys.second },
+        { clusterToken: keys.second, previousClusterToken: keys.first },
+        { clusterToken: keys.second, previousClusterToken: undefined },
+    ];
+    for (const [index, tokens] of rounds.entries()) {
+        const order = ["entry", "sidecar"] as const;
+        for (const role of index === 2 ? order.toReversed() : order) {
+            await bed.restart(role, tokens);
+            if (bed.running.size === order.length) {
+                await bed.untilServed();
+            }
+        }
+    }
+    expect(refusals).toEqual([]);
+    expect(lines.length).toBeGreaterThan(20);
+    const told = Object.entries(keys).filter(([, key]) => lines.some(line => line.includes(key)));
+    expect(told.map(([name]) => name)).toEqual([]);
+});
+
+test("operators drain a sampler through its entry", async () => {
+    // Symptom: `auburnarch drain` answers with a fault. Sequence: an entry calls the sidecar's `beginLeaving`. Cause:
+    // the sidecar knew no such call, and the entry did not prove itself to it.
+    await bed.restart("entry", { clusterToken: keys.first, previousClusterToken: undefined });
+    await bed.restart("sidecar", { clusterToken: keys.first, previousClusterToken: undefined });
+    await bed.untilServed();
+    const drained = await bed.call("POST", "/operator/drain", keys.operator, { sampler: "tile-1" });
+    expect(drained).toMatchObject({ sampler: "tile-1" });
+    const sidecar = createHttpSidecar({
+        address: bed.running.get("sidecar")!.address,
+        clock: context.clock,
+        clusterToken: keys.first,
+    });
+    const report: SamplerReport = await sidecar.readReport();
+    expect(report.state).toBe("leaving");
+    sidecar.close();
+});
+
+test("with certificates the token alone opens nothing between processes, and callers need none", async () => {
+    // Symptom: a token read from a file on one VM orders samplers all over the fleet. Sequence: someone sends it from a
+    // process that has no certificate, or one of another authority. Cause: the token was the only proof.
+    const tokens = { clusterToken: keys.first, previousClusterToken: undefined };
+    const entry = await bed.restart("entry", tokens, tlsOf("first"));
+    const sidecar = await bed.restart("sidecar", tokens, tlsOf("second"));
+    expect([entry.address, sidecar.address].every(address => address.startsWith("https:"))).toBe(true);
+    await bed.untilServed();
+    expect(refusals).toEqual([]);
+
+    const logger = createLogger(context.clock, context.writeLine);
+    const stranger = await createTrust(tlsOf("stranger"), { clock: context.clock, logger });
+    const bare = (options: object) => new HttpsAgent({ ...options, ca: readFileSync(pem("authority.cert")) });
+    for (const createSecureAgent of [stranger.createAgent, bare]) {
+        const callPeer = createPeerCall(keys.first, createSecureAgent);
+        const asked = callPeer(entry.address, "describe", {}, 5_000);
+        expect(await asked.catch(codeOf)).toBe(resultCodes.peerUnreachable);
+        const { address } = sidecar;
+        const port = createHttpSidecar({
+            address,
+            clock: context.clock,
+            clusterToken: keys.first,
+            createSecureAgent,
+        });
+        expect(await port.readReport().catch(codeOf)).toBe(resultCodes.sidecarUnreachable);
+        port.close();
+    }
+    stranger.stop();
+
+    // A handshake that fails sent nothing: the request truly did not run.
+    const files = { ...tlsOf("first"), caPath: pem("otherAuthority.cert") };
+    const distrustful = await createTrust(files, { clock: context.clock, logger });
+    const port = createHttpSidecar({
+        address: sidecar.address,
+        clock: context.clock,
+        clusterToken: keys.first,
+        createSecureAgent: distrustful.createAgent,
+    });
+    const outcome = await port.callPlain(plainRequest, new AbortController().signal);
+    expect(outcome).toMatchObject({ kind: "notRun", code: resultCodes.connectFailed });
+    port.close();
+    distrustful.stop();
+    expect([...new Set(refusals)]).toEqual(["/rpc"]);
+    expect(await createPeerCall(keys.first)(entry.address, "describe", {}, 5_000).catch(codeOf)).toBe(
+        resultCodes.peerUnreachable,
+    );
+    await bed.untilServed();
+});
--- /dev/null
+++ b/packages/daemon/src/openTrust.ts
@@ -0,0 +1,13 @@
+import type { Settings } from "@auburnarch/config/Settings";
+import { createTrust } from "@auburnarch/trust/createTrust";
+import type { Trust } from "@auburnarch/trust/Trust";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+
+/** Loads the certificates that the settings name; undefined where processes talk without TLS. */
+export async function openTrust(
+    { tls }: Settings,
+    deps: { clock: Clock; logger: Logger; },
+): Promise<Trust | undefined> {
+    return tls === undefined ? undefined : createTrust(tls, deps);
+}
--- a/packages/daemon/src/startEntry.ts
+++ b/packages/daemon/src/startEntry.ts
@@ -18,14 +18,17 @@
 import type { VmId } from "@auburnarch/types/VmId";
 import { readFile } from "node:fs/promises";
 import { join } from "node:path";
+import { addressOf } from "./addressOf.js";
 import { createToolbox } from "./createToolbox.js";
+import { digestClusterTokens } from "./digestClusterTokens.js";
 import { digestToken } from "./digestToken.js";
 import { openStartSnapshot } from "./openStartSnapshot.js";
+import { openTrust } from "./openTrust.js";
 import type { ProcessContext } from "./ProcessContext.js";
 import type { RunningProcess } from "./RunningProcess.js";
 
 /**
- * Bounds of one entry against a storm of calls, not its steady rate: an entry alone renews 64 key ranges with 19
+ * Bounds of one entry against a storm of calls, not its steady rate: an entry alone renews 32 key ranges with 10
  * writes a second. What the fleet needs together is on docs/CAPACITY.md.
  */
 const writesPerSecond = 40;
@@ -56,8 +59,9 @@
     });
     const keep = await openKeep(settings, context, logger);
     const { snapshot, save } = await openStartSnapshot(settings.dataFolder, logger);
-    const addressAt = (port: number): string =>
-        settings.publicAddress ?? `http://${settings.listenHost}:${port}`;
+    const trust = await openTrust(settings, { clock, logger });
+    const createSecureAgent = trust?.createAgent;
+    const addressAt = (port: number): string => addressOf(settings, port);
     const { manifestPath } = settings;
 
     const depsAt = (port: number): EntryDeps => ({
@@ -82,9 +86,10 @@
         startSnapshot: snapshot,
         saveSnapshot: save,
         leaseTtlMs: settings.leaseTtlMs,
-        connectSidecar: report => createHttpSidecar({ address: report.address, clock }),
-        callPeer: createPeerCall(settings.clusterToken),
-        forwardPlain: createForwardPlain(settings.clusterToken, clock),
+        connectSidecar: ({ address }) =>
+            createHttpSidecar({ address, clock, clusterToken: settings.clusterToken, createSecureAgent }),
+        callPeer: createPeerCall(settings.clusterToken, createSecureAgent),
+        forwardPlain: createForwardPlain(settings.clusterToken, clock, createSecureAgent),
         readManifestFile: manifestPath === undefined ? undefined : () => readFile(manifestPath, "utf8"),
         timing: { vmListIntervalMs: settings.vmListIntervalMs },
     });
@@ -92,8 +97,11 @@
     const served = await serveEntry(port => createEntry(depsAt(port)), {
         host: settings.listenHost,
         port: settings.listenPort,
+        clock,
         logger,
-        clusterTokenDigest: digestToken(settings.clusterToken),
+        createServer: trust?.createServer,
+        isPeer: trust?.isPeer,
+        ...digestClusterTokens(settings),
         operatorTokenDigest: settings.operatorToken === undefined ? "" : digestToken(settings.operatorToken),
         requestTimeoutMs,
         maxConnections,
@@ -104,6 +112,7 @@
         shutdown: async () => {
             await served.entry.shutdown(settings.shutdownDeadlineMs);
             await served.close();
+            trust?.stop();
         },
     };
 }
--- a/packages/daemon/src/startSidecar.ts
+++ b/packages/daemon/src/startSidecar.ts
@@ -2,10 +2,12 @@
 import type { Settings } from "@auburnarch/config/Settings";
 import { createPeerCall } from "@auburnarch/entry/createPeerCall";
 import { createGate } from "@auburnarch/gate/createGate";
+import type { Gate } from "@auburnarch/gate/Gate";
 import type { GateDeps } from "@auburnarch/gate/GateDeps";
 import { serveGate } from "@auburnarch/gate/serveGate";
 import { createReadFencing } from "@auburnarch/lease/createReadFencing";
 import { createReporter } from "@auburnarch/membership/createReporter";
+import type { Metrics } from "@auburnarch/metrics/Metrics";
 import { createFollower } from "@auburnarch/spread/createFollower";
 import { createBudgetedStore } from "@auburnarch/store/createBudgetedStore";
 import { createHttpEngine } from "@auburnarch/store/createHttpEngine";
@@ -19,7 +21,10 @@
 import type { SamplerIdentity } from "@auburnarch/types/SamplerIdentity";
 import type { ServiceId } from "@auburnarch/types/ServiceId";
 import type { VmId } from "@auburnarch/types/VmId";
+import { addressOf } from "./addressOf.js";
 import { createToolbox } from "./createToolbox.js";
+import { digestClusterTokens } from "./digestClusterTokens.js";
+import { openTrust } from "./openTrust.js";
 import type { ProcessContext } from "./ProcessContext.js";
 import type { RunningProcess } from "./RunningProcess.js";
 import { takeDocument } from "./takeDocument.js";
@@ -64,28 +69,45 @@
     };
 }
 
+/** Metrics of a sidecar, with its gauges as of now. */
+function renderSidecar(gate: Gate, metrics: Metrics): Promise<string> {
+    const report = gate.report();
+    metrics.set("gate_running", {}, report.running);
+    metrics.set("gate_waiting", {}, report.waiting);
+    metrics.set("gate_limit", {}, report.limit);
+    metrics.set("config_version", {}, report.configVersion);
+    metrics.set("ready", {}, report.state === "ready" ? 1 : 0);
+    report.served.forEach(({ policy, version }) => metrics.set("gate_served_version", { policy }, version));
+    return metrics.render();
+}
+
 /** Starts the sidecar role from checked settings and resolves once it listens and reports. */
 export async function startSidecar(settings: Settings, context: ProcessContext): Promise<RunningProcess> {
     const { clock, random } = context;
     const toolbox = createToolbox(settings, context);
     const { logger } = toolbox;
     const identity = identify(settings);
+    const trust = await openTrust(settings, { clock, logger });
     const gate = createGate(createGateDeps(settings, context, identity, toolbox));
     const served = await serveGate(gate, {
         host: settings.listenHost,
         port: settings.listenPort,
         clock,
         logger,
+        createServer: trust?.createServer,
+        isPeer: trust?.isPeer,
+        ...digestClusterTokens(settings),
+        renderMetrics: () => renderSidecar(gate, toolbox.metrics),
     });
     // Known only now where the system chose the port; nothing is reported before.
-    identity.address = settings.publicAddress ?? `http://${settings.listenHost}:${served.port}`;
+    identity.address = addressOf(settings, served.port);
 
     const { invariants } = toolbox;
     const follower = createFollower(
         { invariants, logger, faultsOf: faultsOfDocument },
         document => takeDocument(gate, document),
     );
-    const callPeer = createPeerCall(settings.clusterToken);
+    const callPeer = createPeerCall(settings.clusterToken, trust?.createAgent);
     const reporter = createReporter({
         sampler: identity.sampler,
         clock,
@@ -109,6 +131,7 @@
             await gate.shutdown(settings.shutdownDeadlineMs);
             reporter.stop();
             await served.close(true);
+            trust?.stop();
         },
     };
 }
--- a/packages/dispatch/src/DispatchPolicy.ts
+++ b/packages/dispatch/src/DispatchPolicy.ts
@@ -1,8 +1,10 @@
 import type { SamplerPicker } from "@auburnarch/pick/SamplerPicker";
 import type { WorkOrder } from "@auburnarch/queue/WorkOrder";
-import type { SamplerView } from "@auburnarch/types/SamplerView";
+import type { HoldRule } from "./HoldRule.js";
 import type { LengthModel } from "./LengthModel.js";
+import type { MoveRule } from "./MoveRule.js";
 import type { PriorityRule } from "./PriorityRule.js";
+import type { RoomRule } from "./RoomRule.js";
 
 /** The rules of a dispatcher. Each is a pure function, so that the bench can replace one at a time. */
 export interface DispatchPolicy {
@@ -11,8 +13,12 @@
     order: WorkOrder;
     /** Where it goes. */
     pick: SamplerPicker;
-    /** Attempts of this dispatcher that may be outstanding at a sampler; the rest waits here. */
-    outstandingLimit: (view: SamplerView) => number;
+    /** What waits although there is a place. */
+    hold: HoldRule;
+    /** How much is sent ahead and how much waits here. */
+    room: RoomRule;
+    /** Which running attempts go on elsewhere. */
+    move: MoveRule;
     /** Priority at the engine, 0 to 99. */
     priority: PriorityRule;
     createLengthModel: () => LengthModel;
--- a/packages/dispatch/src/Work.ts
+++ b/packages/dispatch/src/Work.ts
@@ -12,6 +12,8 @@
     /** Attempts that ended without saying what came of them. */
     failures: number;
     attemptsSent: number;
+    /** Times it was moved to another sampler while it ran. */
+    moves: number;
     /** Samplers that failed it. */
     avoid: Set<SamplerId>;
     running: Set<RunningAttempt>;
--- a/packages/dispatch/src/createBaselinePolicy.ts
+++ b/packages/dispatch/src/createBaselinePolicy.ts
@@ -2,7 +2,10 @@
 import { orderByArrival } from "@auburnarch/queue/orderByArrival";
 import { createMaxLengthModel } from "./createMaxLengthModel.js";
 import type { DispatchPolicy } from "./DispatchPolicy.js";
+import { holdNever } from "./holdNever.js";
+import { moveNever } from "./moveNever.js";
 import { priorityFixed } from "./priorityFixed.js";
+import { roomUnbounded } from "./roomUnbounded.js";
 
 /** A simple rule to measure against: first come, first served, sent at once to the sampler that `pick` chooses. */
 export function createBaselinePolicy(name: string, pick: SamplerPicker): DispatchPolicy {
@@ -10,7 +13,9 @@
         name,
         order: orderByArrival,
         pick,
-        outstandingLimit: () => Infinity,
+        hold: holdNever,
+        room: roomUnbounded,
+        move: moveNever,
         priority: priorityFixed,
         createLengthModel: createMaxLengthModel,
     };
--- a/packages/dispatch/src/createDispatcher.ts
+++ b/packages/dispatch/src/createDispatcher.ts
@@ -1,40 +1,26 @@
-import { createWaitingQueue } from "@auburnarch/queue/createWaitingQueue";
 import type { SampleTask } from "@auburnarch/types/SampleTask";
 import type { TokenSpan } from "@auburnarch/types/TokenSpan";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
 import { createAttemptRunner } from "./createAttemptRunner.js";
-import { createNeedForecast } from "./createNeedForecast.js";
+import { createDispatchState } from "./createDispatchState.js";
 import { createOutcomes } from "./createOutcomes.js";
 import { createPlacement } from "./createPlacement.js";
-import { createPrefixHints } from "./createPrefixHints.js";
-import { createSamplerLedger } from "./createSamplerLedger.js";
+import { createSendingRound } from "./createSendingRound.js";
 import { defaultDispatchPolicy } from "./defaultDispatchPolicy.js";
 import type { Dispatcher } from "./Dispatcher.js";
 import type { DispatcherDeps } from "./DispatcherDeps.js";
 import type { DispatchPolicy } from "./DispatchPolicy.js";
-import type { DispatchState } from "./DispatchState.js";
 import { estimateWork } from "./estimateWork.js";
 import { oldestStep } from "./oldestStep.js";
 import type { Work } from "./Work.js";
 
 /** Views change without notice, so waiting work is looked at this often even if nothing of ours ended. */
 const tickMs = 100;
+/** Estimates of waiting work are brought up to date this often. */
+const refreshMs = 500;
 /** A stop waits this long for cancelled attempts to end; a frozen VM never says so. */
 const stopGraceMs = 1_000;
 
-const createState = (deps: DispatcherDeps, policy: DispatchPolicy): DispatchState => ({
-    policy,
-    queue: createWaitingQueue<Work>(policy.order),
-    wanted: new Map(),
-    attempts: new Set(),
-    ledger: createSamplerLedger(),
-    lengths: policy.createLengthModel(),
-    needs: createNeedForecast(() => deps.job().stepNeedMs),
-    hints: createPrefixHints(),
-    attemptsSent: 0,
-    isStopped: false,
-});
-
 const createWork = (task: SampleTask, arrivalOrder: number, minVersion: WeightVersion): Work => ({
     task,
     arrivalOrder,
@@ -45,6 +31,7 @@
     resume: [],
     failures: 0,
     attemptsSent: 0,
+    moves: 0,
     avoid: new Set(),
     running: new Set(),
 });
@@ -57,15 +44,17 @@
     policy: DispatchPolicy = defaultDispatchPolicy,
 ): Dispatcher {
     const { clock, logger } = deps;
-    const state = createState(deps, policy);
+    const state = createDispatchState(deps, policy);
     const placement = createPlacement(deps, state);
     const outcomes = createOutcomes(deps, state, () => runner, enqueue);
     const runner = createAttemptRunner(deps, state, (attempt, outcome) => {
         outcomes.take(attempt, outcome);
         requestPump();
     });
+    const round = createSendingRound(deps, state, placement, runner);
     let oldestVersion = 0 as WeightVersion;
     let arrivals = 0;
+    let refreshedAtMs = 0;
     let isPumpSet = false;
     let cancelPump = (): void => {};
 
@@ -87,26 +76,18 @@
 
     function pump(): void {
         isPumpSet = false;
-        if (state.isStopped || state.queue.size() === 0 || !deps.mayAct()) {
-            return;
-        }
-        const nowMs = clock.monotonicMs();
-        const candidates = placement.listCandidates(nowMs);
-        for (const work of state.queue.due(nowMs)) {
-            if (!candidates.some(candidate => candidate.room > 0)) {
-                return;
-            }
-            const decision = placement.decide(work, candidates, nowMs);
-            if (decision.kind === "picked") {
-                const chosen = candidates.find(({ view }) => view.report.sampler === decision.sampler)!;
-                runner.send(work, chosen, decision, nowMs);
-            }
+        if (!state.isStopped && state.queue.size() > 0 && deps.mayAct()) {
+            round.run();
         }
     }
 
     /** Lengths become known and need dates move while work waits. */
-    function refreshEstimates(): void {
+    function refreshIfDue(): void {
         const nowMs = clock.monotonicMs();
+        if (nowMs - refreshedAtMs < refreshMs) {
+            return;
+        }
+        refreshedAtMs = nowMs;
         const oldest = oldestStep(state);
         for (const work of state.queue.all()) {
             estimateWork(state, work, oldest, nowMs);
@@ -117,7 +98,7 @@
     function tick(): void {
         outcomes.giveUpStalled();
         if (state.queue.size() > 0) {
-            refreshEstimates();
+            refreshIfDue();
             requestPump();
         }
         cancelTick = clock.startTimer(tickMs, tick);
--- a/packages/dispatch/src/createMaxLengthModel.ts
+++ b/packages/dispatch/src/createMaxLengthModel.ts
@@ -4,6 +4,7 @@
 export function createMaxLengthModel(): LengthModel {
     return {
         observe: () => {},
+        longTokens: maxTokens => maxTokens,
         expectRemaining: (_prompt, produced, maxTokens) => Math.max(1, maxTokens - produced),
     };
 }
--- a/packages/dispatch/src/createOutcomes.ts
+++ b/packages/dispatch/src/createOutcomes.ts
@@ -12,6 +12,7 @@
 import { findStalled } from "./findStalled.js";
 import { isProven } from "./isProven.js";
 import { joinSpans } from "./joinSpans.js";
+import { pauseAfterFailure } from "./pauseAfterFailure.js";
 import type { RunningAttempt } from "./RunningAttempt.js";
 import type { Work } from "./Work.js";
 
@@ -24,8 +25,6 @@
 
 /** Pause of a sample whose content is refused everywhere until an operator lifts it or it expires. */
 const quarantinePauseMs = 30_000;
-/** Pause of a sample that the retry budget does not allow yet. */
-const budgetPauseMs = 500;
 
 const fieldsOf = (attempt: RunningAttempt): { sample: string; attempt: string; sampler: string; } => ({
     sample: attempt.work.task.sample,
@@ -130,7 +129,7 @@
             withinBudget: isAllowed,
             keptTokens: countTokens(work.resume),
         });
-        enqueueIfIdle(work, isAllowed ? 0 : budgetPauseMs);
+        enqueueIfIdle(work, pauseAfterFailure(code, work.failures, isAllowed));
     }
 
     function giveUp(attempt: RunningAttempt): void {
--- a/packages/dispatch/src/createPlacement.ts
+++ b/packages/dispatch/src/createPlacement.ts
@@ -1,4 +1,5 @@
 import type { Candidate } from "@auburnarch/pick/Candidate";
+import { correctedLoad } from "@auburnarch/pick/correctedLoad";
 import type { PickDecision } from "@auburnarch/pick/PickDecision";
 import type { PickRequest } from "@auburnarch/pick/PickRequest";
 import { selectCandidates } from "@auburnarch/pick/selectCandidates";
@@ -22,21 +23,29 @@
     function toCandidate(view: SamplerView, nowMs: number): Candidate {
         const record = ledger.record(view.report.sampler);
         let outstandingTokens = 0;
+        let started = 0;
         for (const attempt of record.running) {
             outstandingTokens += Math.max(0, attempt.expectedTokens - attempt.tokens);
+            started += attempt.firstSpanAtMs === undefined ? 0 : 1;
         }
-        const limit = record.coolUntilMs <= nowMs ? policy.outstandingLimit(view) : 0;
-        return {
+        const candidate: Candidate = {
             view,
             outstanding: record.running.size,
             outstandingTokens,
             sentSinceReport: ledger.sentSinceReport(view, nowMs),
-            room: limit - record.running.size,
+            room: 0,
+            reserved: 0,
             cachedPromptTokens: 0,
             observedTokensPerSecond: record.tokensPerSecond,
             aboutToSwap: deps.isAboutToSwap?.(view.report.sampler) ?? false,
             lastSentOrder: record.lastSentOrder,
         };
+        if (record.coolUntilMs <= nowMs) {
+            const { outstanding } = candidate;
+            const load = correctedLoad(candidate);
+            candidate.room = policy.room({ limit: view.report.limit, load, outstanding, started });
+        }
+        return candidate;
     }
 
     function toRequest(work: Work, candidates: Candidate[], nowMs: number): PickRequest {
--- a/packages/dispatch/src/createPromptLengthModel.ts
+++ b/packages/dispatch/src/createPromptLengthModel.ts
@@ -1,6 +1,8 @@
 import type { LengthModel } from "./LengthModel.js";
 
 const historySize = 512;
+/** Observations between two looks for the long length. */
+const longEvery = 32;
 const promptsKept = 8_192;
 /** Weight of the job's mean against the samples of the prompt seen so far. */
 const priorWeight = 2;
@@ -16,8 +18,11 @@
     const prompts = new Map<string, { sum: number; count: number; }>();
     let next = 0;
     let historySum = 0;
+    let longTokens = 0;
+    let observedSinceLong = longEvery;
 
     function noteHistory(tokens: number): void {
+        observedSinceLong++;
         historySum += tokens - (history[next] ?? 0);
         history[next] = tokens;
         next = (next + 1) % historySize;
@@ -60,6 +65,17 @@
             noteHistory(tokens);
             notePrompt(prompt, tokens);
         },
+        longTokens: maxTokens => {
+            if (history.length < longEvery) {
+                return maxTokens;
+            }
+            if (observedSinceLong >= longEvery) {
+                observedSinceLong = 0;
+                const sorted = [...history].sort((a, b) => b - a);
+                longTokens = sorted[Math.floor(history.length / 100)]!;
+            }
+            return longTokens;
+        },
         expectRemaining: (prompt, produced, maxTokens) => {
             const fresh = expectTotal(prompt, maxTokens);
             const remaining = produced === 0
--- a/packages/dispatch/src/createSamplerLedger.ts
+++ b/packages/dispatch/src/createSamplerLedger.ts
@@ -68,8 +68,8 @@
         const known = record(attempt.sampler);
         known.running.delete(attempt);
         known.ended.push({ sentAtMs: attempt.sentAtMs, endedAtMs: nowMs });
-        if (known.ended.length > endsKept) {
-            known.ended.shift();
+        if (known.ended.length > 2 * endsKept) {
+            known.ended.splice(0, endsKept);
         }
         const speed = measuredSpeed(attempt);
         if (speed !== undefined) {
@@ -95,8 +95,8 @@
             sent += attempt.sentAtMs >= reportedAtMs ? 1 : 0;
         }
         let ended = 0;
-        for (const end of known.ended) {
-            ended += end.endedAtMs >= reportedAtMs && end.sentAtMs < reportedAtMs ? 1 : 0;
+        for (let at = known.ended.length - 1; at >= 0 && known.ended[at]!.endedAtMs >= reportedAtMs; at--) {
+            ended += known.ended[at]!.sentAtMs < reportedAtMs ? 1 : 0;
         }
         return Math.max(view.sentSinceReport, sent) - ended;
     }
--- /dev/null
+++ b/packages/dispatch/src/createSendingRound.ts
@@ -0,0 +1,98 @@
+import type { Candidate } from "@auburnarch/pick/Candidate";
+import { countTokens } from "./countTokens.js";
+import type { createAttemptRunner } from "./createAttemptRunner.js";
+import type { createPlacement } from "./createPlacement.js";
+import type { DispatcherDeps } from "./DispatcherDeps.js";
+import type { DispatchState } from "./DispatchState.js";
+import { estimateBacklogMs } from "./estimateBacklogMs.js";
+import { findMovable } from "./findMovable.js";
+import { oldestStep } from "./oldestStep.js";
+import type { RunningAttempt } from "./RunningAttempt.js";
+
+/** One look at the samplers and the queue. */
+interface SendingRound {
+    run(): void;
+}
+
+/** Waiting samples that one round passes over at most, since looking at each costs time. */
+const maxPassedOver = 256;
+
+/** Makes the round of one dispatcher: first stragglers are moved, then waiting samples are sent. */
+export function createSendingRound(
+    deps: DispatcherDeps,
+    state: DispatchState,
+    placement: ReturnType<typeof createPlacement>,
+    runner: ReturnType<typeof createAttemptRunner>,
+): SendingRound {
+    const { clock, logger } = deps;
+
+    function expectLeft(attempt: RunningAttempt, madeTokens: number): number {
+        const { prompt, maxTokens } = attempt.work.task;
+        return state.lengths.expectRemaining(prompt, madeTokens, maxTokens);
+    }
+
+    /** Ends attempts that go on faster elsewhere; their samples come first when the ends are in. */
+    function moveStragglers(candidates: Candidate[]): void {
+        for (const attempt of findMovable(state)) {
+            const { work, sampler } = attempt;
+            const here = candidates.find(({ view }) => view.report.sampler === sampler);
+            const madeTokens = countTokens(attempt.resumed) + attempt.tokens;
+            const leftTokens = expectLeft(attempt, madeTokens);
+            const target = state.policy.move({ here, leftTokens, madeTokens, moves: work.moves }, candidates);
+            if (target === undefined) {
+                continue;
+            }
+            target.room--;
+            target.reserved++;
+            work.moves++;
+            runner.end(attempt, "moved");
+            logger.info("stragglerMoved", {
+                sample: work.task.sample,
+                attempt: attempt.attempt,
+                from: sampler,
+                to: target.view.report.sampler,
+                madeTokens,
+                leftTokens: Math.round(leftTokens),
+            });
+        }
+    }
+
+    function sendWaiting(candidates: Candidate[], nowMs: number): void {
+        let passedOver = 0;
+        const backlogMs = estimateBacklogMs(state, candidates);
+        const oldest = oldestStep(state);
+        const { freshnessWeight } = deps.job();
+        const tokensPerMs = state.ledger.meanTokensPerSecond() / 1000;
+        for (const work of state.queue.due(nowMs)) {
+            if (passedOver > maxPassedOver || !candidates.some(candidate => candidate.room > 0)) {
+                return;
+            }
+            const { latestStartMs } = work;
+            const stepsAhead = work.task.step - oldest;
+            const longRunMs = state.lengths.longTokens(work.task.maxTokens) / tokensPerMs;
+            const timing = { stepsAhead, latestStartMs, backlogMs, longRunMs, freshnessWeight, nowMs };
+            if (state.policy.hold(timing)) {
+                continue;
+            }
+            const decision = placement.decide(work, candidates, nowMs);
+            const chosen = candidates.find(({ view }) => view.report.sampler === decision.sampler);
+            if (decision.kind === "picked") {
+                runner.send(work, chosen!, decision, nowMs);
+                continue;
+            }
+            passedOver++;
+            if (chosen !== undefined) {
+                chosen.reserved++;
+            }
+        }
+    }
+
+    return {
+        run: () => {
+            const nowMs = clock.monotonicMs();
+            const candidates = placement.listCandidates(nowMs);
+            moveStragglers(candidates);
+            sendWaiting(candidates, nowMs);
+        },
+    };
+}
--- a/packages/dispatch/src/defaultDispatchPolicy.ts
+++ b/packages/dispatch/src/defaultDispatchPolicy.ts
@@ -1,15 +1,20 @@
-import { pickLeastFinish } from "@auburnarch/pick/pickLeastFinish";
+import { pickEarliestFinish } from "@auburnarch/pick/pickEarliestFinish";
 import { orderByLatestStart } from "@auburnarch/queue/orderByLatestStart";
 import { createPromptLengthModel } from "./createPromptLengthModel.js";
 import type { DispatchPolicy } from "./DispatchPolicy.js";
-import { priorityByNeed } from "./priorityByNeed.js";
+import { holdForFreshness } from "./holdForFreshness.js";
+import { moveToFaster } from "./moveToFaster.js";
+import { priorityFixed } from "./priorityFixed.js";
+import { roomBesideOthers } from "./roomBesideOthers.js";
 
 /** Our policy. */
 export const defaultDispatchPolicy: DispatchPolicy = {
     name: "ours",
     order: orderByLatestStart,
-    pick: pickLeastFinish,
-    outstandingLimit: view => Math.max(1, view.report.limit),
-    priority: priorityByNeed,
+    pick: pickEarliestFinish,
+    hold: holdForFreshness,
+    room: roomBesideOthers,
+    move: moveToFaster,
+    priority: priorityFixed,
     createLengthModel: createPromptLengthModel,
 };
--- /dev/null
+++ b/packages/dispatch/src/estimateBacklogMs.ts
@@ -0,0 +1,19 @@
+import type { Candidate } from "@auburnarch/pick/Candidate";
+import { expectedTokensPerSecond } from "@auburnarch/pick/expectedTokensPerSecond";
+import type { DispatchState } from "./DispatchState.js";
+
+/** Time that all samplers together need for what waits, all their places in use; infinite without samplers. */
+export function estimateBacklogMs(state: DispatchState, candidates: Candidate[]): number {
+    let tokens = 0;
+    for (const work of state.queue.all()) {
+        tokens += work.expectedTokens;
+    }
+    let tokensPerSecond = 0;
+    for (const candidate of candidates) {
+        const { limit, state: samplerState } = candidate.view.report;
+        if (samplerState === "ready" || samplerState === "swapping") {
+            tokensPerSecond += limit * expectedTokensPerSecond(candidate, limit);
+        }
+    }
+    return tokens / tokensPerSecond * 1000;
+}
--- a/packages/entry/src/createAdmission.ts
+++ b/packages/entry/src/createAdmission.ts
@@ -9,6 +9,7 @@
 import type { TeamId } from "@auburnarch/types/TeamId";
 import { createDeathWatch } from "./createDeathWatch.js";
 import { createKeyedDesk } from "./createKeyedDesk.js";
+import { createLeaseScan } from "./createLeaseScan.js";
 import { createRangeOwnership } from "./createRangeOwnership.js";
 import type { EntryDeps } from "./EntryDeps.js";
 import type { Fleet } from "./Fleet.js";
@@ -16,8 +17,9 @@
 
 const defaultMaxQueued = 100;
 const reportsEveryMs = 500;
-/** 64 leases renewed three times a term: at 10 s 19 writes a second for the whole fleet, whoever holds them. */
+/** 32 leases renewed three times a term: at 10 s 10 writes a second for the whole fleet, whoever holds them. */
 const minRangeTtlMs = 10_000;
+const rangePrefix = "leases/range/";
 
 interface AdmissionDeps {
     deps: EntryDeps;
@@ -56,6 +58,7 @@
     const places = createTeamLimit({
         maxPerTeam: () => fleet.manifest()?.manifest.limits.maxQueuedPerTeam ?? defaultMaxQueued,
     });
+    const rangeTtlMs = Math.max(minRangeTtlMs, deps.leaseTtlMs);
     const rangeLeases = createLeaseKeeper({
         store,
         clock,
@@ -63,7 +66,7 @@
         logger,
         invariants: deps.invariants,
         holder: self.entry,
-        ttlMs: Math.max(minRangeTtlMs, deps.leaseTtlMs),
+        ttlMs: rangeTtlMs,
         guards: deps.guards?.lease,
     });
     const ranges = createRangeOwnership({
@@ -74,6 +77,7 @@
         guards: deps.guards?.keyRange,
         listEntries: fleet.listLiveEntries,
         takeLease: rangeLeases.tryAcquire,
+        scan: createLeaseScan({ store, leases: rangeLeases, prefix: rangePrefix, ttlMs: rangeTtlMs }),
         announce: directory.announceRange,
     });
     const runKeyed = createKeyedDesk({
--- a/packages/entry/src/createForwardPlain.ts
+++ b/packages/entry/src/createForwardPlain.ts
@@ -8,7 +8,7 @@
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
-import { Agent } from "node:http";
+import { Agent, type AgentOptions } from "node:http";
 import type { CallerRequest } from "./CallerRequest.js";
 import { forwardHeaders } from "./forwardHeaders.js";
 import type { ForwardPlain } from "./ForwardPlain.js";
@@ -26,8 +26,13 @@
 }
 
 /** Makes the client that passes a request on to the entry which owns its key's range. */
-export function createForwardPlain(clusterToken: string, clock: Clock): ForwardPlain {
-    const agent = new Agent({ keepAlive: true, maxFreeSockets: maxIdleConnections });
+export function createForwardPlain(
+    clusterToken: string,
+    clock: Clock,
+    createSecureAgent?: (options: AgentOptions) => Agent,
+): ForwardPlain {
+    const agentOptions = { keepAlive: true, maxFreeSockets: maxIdleConnections };
+    const agent = createSecureAgent?.(agentOptions) ?? new Agent(agentOptions);
 
     function headersOf(request: CallerRequest): Record<string, string | string[]> {
         const headers: Record<string, string | string[]> = {
@@ -66,7 +71,7 @@
     }
 
     return async (address, request, signal) => {
-        const { host, port } = parseAddress(address);
+        const { host, port } = parseAddress(address, createSecureAgent !== undefined);
         const exchange = await exchangeHttp({
             clock,
             agent,
--- a/packages/entry/src/createOperatorDesk.ts
+++ b/packages/entry/src/createOperatorDesk.ts
@@ -47,9 +47,7 @@
     deliveredEngineMs: 0,
     deliveredTokens: 0,
     discardedEngineMs: 0,
-    discardedTokens: 0,
     overheadEngineMs: 0,
-    overheadTokens: 0,
     interactiveEngineMs: 0,
     interactiveRequests: 0,
 });
@@ -124,9 +122,7 @@
                 deliveredTokens: jobs.filter(each => each.job.team === row.team)
                     .reduce((sum, each) => sum + (each.status?.deliveredTokens ?? 0), 0),
                 discardedEngineMs: row.discardedEngineMs,
-                discardedTokens: 0,
                 overheadEngineMs: row.overheadEngineMs,
-                overheadTokens: 0,
                 interactiveEngineMs,
                 interactiveRequests: own.reduce((sum, each) => sum + each.requests, 0),
             };
--- a/packages/entry/src/createPeerCall.ts
+++ b/packages/entry/src/createPeerCall.ts
@@ -3,9 +3,8 @@
 import { sidecarHeaders } from "@auburnarch/send/sidecarHeaders";
 import { codeByNumber } from "@auburnarch/store/codeByNumber";
 import { isJSONRPCResponse, JSONRPCClient, JSONRPCErrorException } from "json-rpc-2.0";
-import { Agent as HttpAgent, request as httpRequest } from "node:http";
-import { Agent as HttpsAgent, request as httpsRequest } from "node:https";
-import type { SecureContextOptions } from "node:tls";
+import { Agent, type AgentOptions, request as httpRequest } from "node:http";
+import { request as httpsRequest } from "node:https";
 import type { PeerCall } from "./PeerCall.js";
 
 const maxAnswerBytes = 64 * 1024 * 1024;
@@ -40,22 +39,22 @@
     );
 }
 
-/** Makes the client for JSON-RPC 2.0 over HTTP between processes; one keep-alive agent for all peers. */
+/** Makes the client for JSON-RPC 2.0 over HTTP between processes; one keep-alive agent for all peers. With
+ * `createSecureAgent` it calls `https` addresses alone, so that no token leaves over a plain connection. */
 export function createPeerCall(
     clusterToken: string,
-    tls: () => SecureContextOptions | undefined = () => undefined,
+    createSecureAgent?: (options: AgentOptions) => Agent,
 ): PeerCall {
-    const plainAgent = new HttpAgent(agentOptions);
-    const secureAgent = new HttpsAgent(agentOptions);
+    const agent = createSecureAgent?.(agentOptions) ?? new Agent(agentOptions);
+    const startRequest = createSecureAgent === undefined ? httpRequest : httpsRequest;
     let lastId = 0;
 
     function post(address: string, payload: unknown, timeoutMs: number): Promise<unknown> {
         const body = Buffer.from(JSON.stringify(payload));
         const url = new URL("/rpc", address);
-        const secure = url.protocol === "https:";
         const options = {
             method: "POST",
-            agent: secure ? secureAgent : plainAgent,
+            agent,
             timeout: timeoutMs,
             headers: {
                 "content-type": "application/json",
@@ -64,10 +63,9 @@
                 authorization: `Bearer ${clusterToken}`,
                 [sidecarHeaders.clusterToken]: clusterToken,
             },
-            ...(secure ? tls() : {}),
         };
         return new Promise((resolve, reject) => {
-            const sent = (secure ? httpsRequest : httpRequest)(url, options, answer => {
+            const sent = startRequest(url, options, answer => {
                 const chunks: Buffer[] = [];
                 let answerBytes = 0;
                 answer.on("data", (chunk: Buffer) => {
--- a/packages/entry/src/createRangeOwnership.ts
+++ b/packages/entry/src/createRangeOwnership.ts
@@ -14,9 +14,10 @@
 import type { LeaseTaker } from "./LeaseTaker.js";
 import type { RangeOwnership } from "./RangeOwnership.js";
 
-/** Two standbys for each of 64 ranges: 43 reads a second for the whole fleet, whatever its size. */
+/** Two standbys for each of 32 ranges: 21 reads a second for the whole fleet, whatever its size. */
 const tickMs = 3_000;
 const standbys = 2;
+const allRanges = Array.from({ length: rangeCount }, (_, range) => range);
 /** The others are heard of first, so that the first entry to start does not take every range. */
 const settleMs = 2_000;
 
@@ -28,6 +29,8 @@
     guards: KeyRangeGuards | undefined;
     listEntries: () => EntryId[];
     takeLease: LeaseTaker;
+    /** Of these lease keys, those worth a try. */
+    scan: (keys: string[]) => Promise<string[]>;
     announce: (range: number, lease: Lease) => void;
 }
 
@@ -69,24 +72,31 @@
         deps.announce(range, lease);
     }
 
-    function tryTake(range: number, entries: readonly EntryId[]): void {
-        const standsBy = rank(rangeLeaseKey(range), entries).slice(0, standbys).includes(deps.self);
-        if (!standsBy || owned.has(range) || taking.has(range)) {
-            return;
-        }
+    function listWanted(): number[] {
+        const entries = deps.listEntries();
+        return allRanges.filter(range => {
+            const standsBy = rank(rangeLeaseKey(range), entries).slice(0, standbys).includes(deps.self);
+            return standsBy && !owned.has(range) && !taking.has(range);
+        });
+    }
+
+    function tryTake(range: number): void {
         taking.add(range);
         take(range)
             .catch(error => logger.warn("rangeNotTaken", { range, code: codeOf(error).name }))
             .finally(() => taking.delete(range));
     }
 
+    async function tick(): Promise<void> {
+        const wanted = listWanted();
+        const worthATry = new Set(await deps.scan(wanted.map(rangeLeaseKey)));
+        wanted.filter(range => worthATry.has(rangeLeaseKey(range))).forEach(tryTake);
+    }
+
     async function loop(): Promise<void> {
         await clock.sleep(settleMs, stopped.signal);
         while (!stopped.signal.aborted) {
-            const entries = deps.listEntries();
-            for (let range = 0; range < rangeCount; range++) {
-                tryTake(range, entries);
-            }
+            await tick().catch(error => logger.warn("rangesNotScanned", { code: codeOf(error).name }));
             await clock.sleep(tickMs, stopped.signal);
         }
     }
--- a/packages/entry/src/createRankCache.ts
+++ b/packages/entry/src/createRankCache.ts
@@ -2,7 +2,7 @@
 import type { EntryId } from "@auburnarch/types/EntryId";
 
 /**
- * Remembers rankings while the set of entries stays the same. Ranking 64 key ranges over 400 entries takes 25,600
+ * Remembers rankings while the set of entries stays the same. Ranking 32 key ranges over 400 entries takes 12,800
  * hashes, too many to repeat each second; the set itself changes a few times an hour.
  */
 export function createRankCache(): (key: string, entries: readonly EntryId[]) => EntryId[] {
--- a/packages/entry/src/readBody.ts
+++ b/packages/entry/src/readBody.ts
@@ -20,7 +20,8 @@
     const chunks: Uint8Array[] = [];
     let bodyBytes = 0;
     try {
-        // Leaving the loop must not destroy the connection, or the caller would see a reset and never the code.
+        // Leaving the loop would destroy the request: what still arrives could not be drained any more, and the
+        // connection would hold up a shutdown for seconds.
         const body = request.iterator({ destroyOnReturn: false }) as AsyncIterable<Uint8Array>;
         for await (const chunk of body) {
             bodyBytes += chunk.byteLength;
--- /dev/null
+++ b/packages/entry/src/serveEntry.test.ts
@@ -0,0 +1,352 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { GroupKeep } from "@auburnarch/types/GroupKeep";
+import fc from "fast-check";
+import { connect } from "node:net";
+import { v7 as newKey } from "uuid";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { createPeerCall } from "./createPeerCall.js";
+import { createServedEntry } from "./testing/createServedEntry.js";
+import { exchangeRaw } from "./testing/exchangeRaw.js";
+
+let entry: Awaited<ReturnType<typeof createServedEntry>>;
+const kept: unknown[] = [];
+const keep: GroupKeep = {
+    save: async record => void kept.push(record),
+    load: async () => [],
+    drop: async () => undefined,
+};
+
+beforeEach(async () => {
+    kept.length = 0;
+    entry = await createServedEntry({ requestTimeoutMs: 1_000, maxBodyPoolBytes: 3_000_000 }, keep);
+});
+
+afterEach(async () => {
+    const faults = entry.lines.filter(line =>
+        line.includes("requestFault") || line.includes("promiseBroken")
+    );
+    await entry.close();
+    expect(faults).toEqual([]);
+});
+
+interface Sent {
+    token?: string;
+    headers?: Record<string, string>;
+    body?: string | Uint8Array;
+}
+
+async function send(line: string, { token, headers, body }: Sent = {}) {
+    const [method, path] = line.split(" ");
+    const authorization: Record<string, string> = token === undefined
+        ? {}
+        : { authorization: `Bearer ${token}` };
+    const answer = await fetch(`http://127.0.0.1:${entry.port}${path}`, {
+        method: method!,
+        headers: { ...authorization, ...headers },
+        body: body as string,
+    });
+    const text = await answer.text();
+    const json = (text.startsWith("{") ? JSON.parse(text) : {}) as {
+        code?: number;
+        name?: string;
+        action?: string;
+        result?: unknown;
+        error?: { code: number; };
+    };
+    return { status: answer.status, text, json };
+}
+
+const changes = (): string => JSON.stringify([entry.control.keys(), entry.control.peek("config/manifest")]);
+const step = JSON.stringify({
+    step: 1,
+    prompts: [{ prompt: "ridge", maxTokens: 5 }, { prompt: "x", maxTokens: 5 }],
+});
+
+test("every route refuses a missing and a wrong token, and nothing changes", async () => {
+    const before = changes();
+    const { tokens } = entry;
+    const team = [undefined, "", "wrong", tokens.operator, tokens.cluster];
+    const operator = [undefined, "", "wrong", tokens.plume, tokens.cluster];
+    const cluster = [undefined, "", "wrong", tokens.plume, tokens.operator];
+    const routes: [string, (string | undefined)[], string?][] = [
+        ["POST /v1/services/tiles/alerts", team, "{}"],
+        ["POST /v1/jobs/forecast/steps", team, step],
+        ["POST /v1/jobs/forecast/weights", team, "{}"],
+        ["GET /v1/jobs/forecast/steps/1/groups", team],
+        ["GET /v1/jobs/forecast", team],
+        ["GET /v1/usage", team],
+        ["GET /operator/status", operator],
+        ["GET /operator/constructor", operator],
+        ["POST /operator/manifest", operator, "{}"],
+        ["POST /operator/drain", operator, '{"sampler":"tile-1"}'],
+        ["POST /rpc", cluster, '{"jsonrpc":"2.0","id":1,"method":"describe"}'],
+    ];
+    for (const [route, wrong, body] of routes) {
+        for (const token of wrong) {
+            const { status, json } = await send(route, { token, body });
+            expect([route, status, json.code]).toEqual([route, 401, resultCodes.unauthenticated.number]);
+        }
+    }
+    expect(entry.sent).toEqual([]);
+    expect(changes()).toBe(before);
+});
+
+test("one team asks for another's job, step and page", async () => {
+    const { plume, ridge } = entry.tokens;
+    const routes: [string, string?][] = [
+        ["POST /v1/jobs/forecast/steps", step],
+        ["POST /v1/jobs/forecast/weights", '{"policy":"plume","version":9,"location":"x"}'],
+        ["GET /v1/jobs/forecast/steps/1/groups"],
+        ["GET /v1/jobs/forecast"],
+    ];
+    for (const [route, body] of routes) {
+        expect((await send(route, { token: ridge, body })).json.code).toBe(resultCodes.forbidden.number);
+    }
+    const open = async (job: string, token: string) => {
+        for (;;) {
+            // The job's owner may still be starting.
+            const { status } = await send(`POST /v1/jobs/${job}/steps`, { token, body: step });
+            if (status === 200) {
+                return;
+            }
+        }
+    };
+    await Promise.all([open("forecast", plume), open("estimates", ridge)]);
+    const page = JSON.parse((await send("GET /v1/jobs/forecast/steps/1/groups", { token: plume })).text);
+    expect(page).toMatchObject({ job: "forecast", groups: [] });
+    const stolen = await send(`GET /v1/jobs/estimates/steps/1/groups?cursor=${page.cursor}`, {
+        token: ridge,
+    });
+    expect(stolen.json.code).toBe(resultCodes.cursorInvalid.number);
+    expect(JSON.parse((await send("GET /v1/usage", { token: ridge })).text)).toMatchObject({ team: "ridge" });
+});
+
+test("a caller claims to be an entry that passes a request on", async () => {
+    // Symptom: one team's requests are run and charged as another's. Sequence: a caller sends the headers that
+    // entries use between them. Cause: the headers were believed without the cluster's token.
+    const headers = { "x-auburnarch-forwarded": "1", "x-auburnarch-team": "plume" };
+    const claim = await send("POST /v1/services/tiles/alerts", { token: entry.tokens.ridge, headers });
+    expect(claim.json.code).toBe(resultCodes.unauthenticated.number);
+    const { cluster } = entry.tokens;
+    const nameless = await send("GET /v1/services/tiles/tiles/1", {
+        token: cluster,
+        headers: { "x-auburnarch-forwarded": "1" },
+    });
+    expect(nameless.json.code).toBe(resultCodes.badRequest.number);
+    expect(entry.sent).toEqual([]);
+});
+
+test("a sampler sees neither the caller's token nor headers that only the system may set", async () => {
+    const key = newKey();
+    const answer = await send("GET /v1/services/tiles/tiles/1?layer=smoke", {
+        token: entry.tokens.plume,
+        headers: {
+            "x-auburnarch-team": "ridge",
+            "x-auburnarch-cluster-token": "guess",
+            "x-auburnarch-attempt": "a",
+            "idempotency-key": key,
+            "x-request": "kept",
+        },
+    });
+    expect(answer.text).toBe("whole");
+    const [{ team, path, headers }] = entry.sent as [typeof entry.sent[number]];
+    expect([team, path, headers["x-request"], headers["idempotency-key"]]).toEqual(
+        ["plume", "/tiles/1?layer=smoke", "kept", key],
+    );
+    expect(Object.keys(headers).filter(name => name.startsWith("x-auburnarch") || name === "authorization"))
+        .toEqual(
+            [],
+        );
+});
+
+test("hostile JSON-RPC gets a numbered code", async () => {
+    const call = (method: unknown, params?: unknown, id: unknown = 1) => ({
+        jsonrpc: "2.0",
+        id,
+        method,
+        params,
+    });
+    const bodies: unknown[] = [
+        [],
+        [call("describe"), call("describe")],
+        "describe",
+        7,
+        false,
+        {},
+        { ...call("describe"), id: undefined },
+        call("describe", {}, { nested: 1 }),
+        call(["describe"]),
+        ...["constructor", "__proto__", "toString", "hasOwnProperty", "", "rpc.on"].map(method =>
+            call(method)
+        ),
+        call("train", { team: "plume", call: { kind: "drop", job: "forecast" } }),
+        call("train", { team: "plume", call: { kind: "openStep", job: "forecast", spec: { step: "1" } } }),
+        call("train", { team: "ridge", call: { kind: "status", job: "forecast" } }),
+        call("jobStatus", { job: ["forecast"] }),
+        ...["gossip", "spread", "report", "train", "jobStatus", "keepSave", "keepLoad", "keepDrop"].flatMap(
+            method =>
+                [undefined, [], "x", { __proto__: 1 }, { job: {}, documents: {} }].map(params =>
+                    call(method, params)
+                ),
+        ),
+    ];
+    const known = new Set(Object.values(resultCodes).map(code => code.number));
+    known.delete(resultCodes.internal.number);
+    for (const text of ["", "null", "{", "\u0000", ...bodies.map(body => JSON.stringify(body))]) {
+        const { json } = await send("POST /rpc", { token: entry.tokens.cluster, body: text });
+        expect([text, known.has(json.code ?? json.error!.code)]).toEqual([text, true]);
+    }
+    await fc.assert(
+        fc.asyncProperty(
+            fc.constantFrom("gossip", "spread", "report", "train"),
+            fc.json(),
+            async (method, params) => {
+                const body = `{"jsonrpc":"2.0","id":1,"method":"${method}","params":${params}}`;
+                const { json } = await send("POST /rpc", { token: entry.tokens.cluster, body });
+                expect(known.has(json.code ?? json.error!.code)).toBe(true);
+            },
+        ),
+        { numRuns: 60, seed: 4 },
+    );
+});
+
+test("hostile bodies of teams and operators are refused with what to do, and nothing changes", async () => {
+    const before = changes();
+    const { plume, operator } = entry.tokens;
+    const routes: [string, string][] = [
+        ["POST /v1/jobs/forecast/steps", plume],
+        ["POST /v1/jobs/forecast/weights", plume],
+        ["POST /operator/manifest", operator],
+        ["POST /operator/drain", operator],
+        ["POST /operator/quarantine/lift", operator],
+    ];
+    await fc.assert(
+        fc.asyncProperty(
+            fc.constantFrom(...routes),
+            fc.oneof(
+                fc.json(),
+                fc.uint8Array().map(bytes => Buffer.from(bytes)),
+                fc.constant('{"__proto__":1}'),
+            ),
+            async ([route, token], body) => {
+                const { status, json } = await send(route, { token, body });
+                expect([400, 422]).toContain(status);
+                expect(json.code).toBeGreaterThan(0);
+                expect(json.action).not.toBe("");
+            },
+        ),
+        { numRuns: 100, seed: 9 },
+    );
+    expect(changes()).toBe(before);
+});
+
+const headOf = (line: string, token: string, ...headers: string[]): string =>
+    [`${line} HTTP/1.1`, "Host: entry", `Authorization: Bearer ${token}`, ...headers, "", ""].join("\r\n");
+
+test("oversized and endless bodies are cut at the limit with a code", async () => {
+    // Symptom: the process runs out of memory. Sequence: a body without an end, or with a length no one would read.
+    // Cause: it was gathered whole before it was judged.
+    const { plume } = entry.tokens;
+    const declared = headOf("POST /v1/services/tiles/alerts", plume, "Content-Length: 99999999999");
+    expect((await exchangeRaw(entry.port, declared)).body?.code).toBe(resultCodes.bodyTooLarge.number);
+    const chunk = Buffer.concat([Buffer.from("10000\r\n"), Buffer.alloc(65_536, 97), Buffer.from("\r\n")]);
+    const endless = headOf("POST /v1/services/tiles/alerts", plume, "Transfer-Encoding: chunked");
+    expect((await exchangeRaw(entry.port, endless, chunk)).body?.code).toBe(resultCodes.bodyTooLarge.number);
+    expect(entry.sent).toEqual([]);
+});
+
+test("many bodies at once take no more memory together than the pool", async () => {
+    // Symptom: the process runs out of memory. Sequence: bodies within their own limit, many at the same time.
+    // Cause: each was bounded, their sum was not.
+    const { plume, ridge } = entry.tokens;
+    const part = Buffer.alloc(1_000_000, 97);
+    const head = headOf("POST /v1/jobs/forecast/steps", plume, "Content-Length: 1000001");
+    const held = Array.from(
+        { length: 6 },
+        () => exchangeRaw(entry.port, Buffer.concat([Buffer.from(head), part])),
+    );
+    const codes = (await Promise.all(held)).map(answer => answer.body?.code);
+    expect(codes.filter(code => code === resultCodes.overloaded.number).length).toBeGreaterThanOrEqual(3);
+    expect(codes.filter(code => code === resultCodes.requestTimeout.number).length).toBeGreaterThanOrEqual(1);
+    expect((await send("GET /v1/services/tiles/tiles/1", { token: ridge, headers: {} })).text).toBe("whole");
+});
+
+test("a slow sender is answered with a code and cut off", async () => {
+    const { plume } = entry.tokens;
+    const beginnings = [
+        "GET /healthz HTTP/1.1\r\nHost: e",
+        headOf("POST /v1/services/tiles/alerts", plume, "Content-Length: 10") + "abc",
+        headOf("POST /v1/jobs/forecast/steps", plume, "Transfer-Encoding: chunked") + "5\r\nab",
+    ];
+    const answers = await Promise.all(beginnings.map(bytes => exchangeRaw(entry.port, bytes)));
+    expect(answers.map(answer => answer.body?.name)).toEqual(beginnings.map(() => "requestTimeout"));
+    expect(entry.sent).toEqual([]);
+});
+
+test("what is no HTTP gets a code, and the process goes on", async () => {
+    const { plume } = entry.tokens;
+    const malformed = [
+        "\u0016\u0003\u0001\u0002\r\n\r\n",
+        "GET /healthz HTTP/9.9\r\n\r\n",
+        "GET /healthz HTTP/1.1\r\nbad header\r\n\r\n",
+        `GET /healthz HTTP/1.1\r\nHost: e\r\nX: ${"a".repeat(70_000)}\r\n\r\n`,
+        headOf("POST /v1/services/tiles/alerts", plume, "Content-Length: 1", "Transfer-Encoding: chunked"),
+        headOf("POST /v1/services/tiles/alerts", plume, "Transfer-Encoding: chunked") + "zz\r\n",
+        headOf("POST /v1/services/tiles/alerts", plume, "Content-Length: 2", "Expect: miracles") + "{}",
+    ];
+    for (const bytes of malformed) {
+        const { body } = await exchangeRaw(entry.port, bytes);
+        expect([bytes.slice(0, 60), body?.code]).toEqual([bytes.slice(0, 60), resultCodes.badRequest.number]);
+    }
+    await fc.assert(
+        fc.asyncProperty(fc.uint8Array({ minLength: 1 }), async bytes => {
+            const { status, body } = await exchangeRaw(
+                entry.port,
+                Buffer.concat([bytes, Buffer.from("\r\n\r\n")]),
+            );
+            expect(status === undefined || body?.code !== undefined).toBe(true);
+        }),
+        { numRuns: 30, seed: 2 },
+    );
+    expect((await send("GET /healthz")).status).toBe(200);
+});
+
+test("connections beyond the limit are closed, and the others are served", async () => {
+    const small = await createServedEntry({ maxConnections: 3 });
+    const idle = Array.from({ length: 12 }, () => connect(small.port, "127.0.0.1"));
+    const closed = idle.map(socket => new Promise<void>(resolve => socket.once("close", () => resolve())));
+    idle.forEach(socket => socket.on("error", () => undefined).resume());
+    let count = 0;
+    await new Promise<void>(resolve =>
+        closed.forEach(each =>
+            void each.then(() => {
+                count++;
+                if (count === 9) {
+                    resolve();
+                }
+            })
+        )
+    );
+    const open = idle.find(socket => !socket.destroyed)!;
+    const answered = new Promise<string>(resolve => open.once("data", chunk => resolve(chunk.toString())));
+    open.write("GET /healthz HTTP/1.1\r\n\r\n");
+    expect(await answered).toContain("200 OK");
+    idle.forEach(socket => socket.destroy());
+    await small.close();
+});
+
+test("a peer call ends whatever the other side says", async () => {
+    // Symptom: gossip, or an operator's status, waits for ever. Sequence: a peer refuses the call, or a stranger has
+    // its address now. Cause: only an answer with the call's own id ended the call.
+    const address = `http://127.0.0.1:${entry.port}`;
+    expect(await entry.callPeer(address, "describe", {}, 5_000)).toMatchObject([{ name: "entry-1" }, {
+        name: "tile-1",
+    }]);
+    const record = { job: "forecast", step: 1, group: 0, fencing: 1, body: "x" };
+    await entry.callPeer(address, "keepSave", record, 5_000);
+    expect(kept).toEqual([record]);
+    const unknownMethod = entry.callPeer(address, "none", {}, 5_000);
+    await expect(unknownMethod).rejects.toMatchObject({ code: resultCodes.notFound });
+    const stranger = createPeerCall("token of another cluster")(address, "describe", {}, 5_000);
+    await expect(stranger).rejects.toMatchObject({ code: resultCodes.peerUnreachable });
+});
--- a/packages/entry/src/serveEntry.ts
+++ b/packages/entry/src/serveEntry.ts
@@ -61,8 +61,25 @@
     }
 }
 
+function demandPeer(request: IncomingMessage, options: ServeEntryOptions): void {
+    demand(request, options.clusterTokenDigest, options.previousClusterTokenDigest);
+    if (options.isPeer?.(request) === false) {
+        throw new ResultError(resultCodes.unauthenticated, "certificate of the authority");
+    }
+}
+
+/** Only an entry may speak for a team without the team's token. */
+function forwardedTeam(request: IncomingMessage, options: ServeEntryOptions): TeamId {
+    demandPeer(request, options);
+    const team = request.headers[forwardHeaders.team];
+    if (typeof team !== "string" || team === "") {
+        throw new ResultError(resultCodes.badRequest, `${forwardHeaders.team}: expected a team`);
+    }
+    return team as TeamId;
+}
+
 async function listen(options: ServeEntryOptions): Promise<Server> {
-    const server = createServer({
+    const server = (options.createServer ?? createServer)({
         requestTimeout: options.requestTimeoutMs,
         headersTimeout: Math.min(headersTimeoutMs, options.requestTimeoutMs),
         connectionsCheckingInterval: timeoutCheckMs,
@@ -100,19 +117,6 @@
     const peers = createPeerServer(entry, logInternal);
     const openBudget = createBodyPool(options.maxBodyPoolBytes ?? defaultBodyPoolBytes);
 
-    const demandPeer = (request: IncomingMessage): void =>
-        demand(request, options.clusterTokenDigest, options.previousClusterTokenDigest);
-
-    /** Only an entry may speak for a team without the team's token. */
-    function forwardedTeam(request: IncomingMessage): TeamId {
-        demandPeer(request);
-        const team = request.headers[forwardHeaders.team];
-        if (typeof team !== "string" || team === "") {
-            throw new ResultError(resultCodes.badRequest, `${forwardHeaders.team}: expected a team`);
-        }
-        return team as TeamId;
-    }
-
     /** Reads a body into the pool; its bytes are given back once the answer has ended. */
     function read(
         request: IncomingMessage,
@@ -130,10 +134,10 @@
         response: ServerResponse,
     ): Promise<void> {
         const forwarded = request.headers[forwardHeaders.forwarded] === "1";
-        const team = forwarded ? forwardedTeam(request) : entry.authenticate(tokenOf(request));
+        const team = forwarded ? forwardedTeam(request, options) : entry.authenticate(tokenOf(request));
         const body = await read(request, response, entry.maxBodyBytes());
         const call = { ...readCallerRequest(request, team, route.service, route.path, body), forwarded };
-        await writeAnswer(response, await entry.call(call, goneSignal(response)));
+        await writeAnswer(options.clock, response, await entry.call(call, goneSignal(response)));
     }
 
     async function train(
@@ -167,7 +171,7 @@
     }
 
     async function receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        demandPeer(request);
+        demandPeer(request, options);
         const body = parseJson(await read(request, response, maxPeerBodyBytes));
         sendJson(response, 200, await peers.receive(body));
     }
--- a/packages/gate/src/ServeGateOptions.ts
+++ b/packages/gate/src/ServeGateOptions.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@auburnarch/types/Clock";
 import type { Logger } from "@auburnarch/types/Logger";
+import type { IncomingMessage, Server, ServerOptions } from "node:http";
 
 /** How a gate is served over HTTP; bounds have defaults. */
 export interface ServeGateOptions {
@@ -8,8 +9,16 @@
     host: string;
     clock: Clock;
     logger: Logger;
+    /** Text of `GET /metrics`; empty by default. */
+    renderMetrics?: () => Promise<string>;
     /** SHA-256 in hex of the token that callers have to send; undefined lets everyone in. */
     clusterTokenDigest?: string;
+    /** Accepted beside it while a new token is rolled out. */
+    previousClusterTokenDigest?: string;
+    /** Makes the server in place of Node's plain one, for TLS. */
+    createServer?: (options: ServerOptions) => Server;
+    /** Whether the other end is a process of the system by its certificate; undefined where there are none. */
+    isPeer?: (request: IncomingMessage) => boolean;
     maxBodyBytes?: number;
     maxConnections?: number;
     /** A request has to arrive whole within this time. */
--- /dev/null
+++ b/packages/gate/src/createProbeHandler.ts
@@ -0,0 +1,47 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Gate } from "./Gate.js";
+
+const okStatus = 200;
+const unavailableStatus = 503;
+
+function answer(response: ServerResponse, status: number, type: string, text: string): void {
+    const body = Buffer.from(text);
+    response.writeHead(status, { "content-type": type, "content-length": body.byteLength });
+    response.end(body);
+}
+
+/**
+ * Makes the handler of `GET /healthz` (the process runs), `GET /readyz` (it takes work) and `GET /metrics`. They
+ * need no token and change nothing. Returns false for anything else.
+ */
+export function createProbeHandler(
+    gate: Gate,
+    renderMetrics: () => Promise<string>,
+): (request: IncomingMessage, response: ServerResponse) => boolean {
+    const json = (response: ServerResponse, status: number, value: unknown): void =>
+        answer(response, status, "application/json", JSON.stringify(value));
+
+    return (request, response) => {
+        if (request.method !== "GET") {
+            return false;
+        }
+        switch (request.url) {
+            case "/healthz":
+                json(response, okStatus, { healthy: true });
+                return true;
+            case "/readyz": {
+                const { state } = gate.report();
+                json(response, state === "ready" ? okStatus : unavailableStatus, { state });
+                return true;
+            }
+            case "/metrics":
+                renderMetrics().then(
+                    text => answer(response, okStatus, "text/plain; version=0.0.4", text),
+                    () => response.destroy(),
+                );
+                return true;
+            default:
+                return false;
+        }
+    };
+}
--- a/packages/gate/src/serveGate.ts
+++ b/packages/gate/src/serveGate.ts
@@ -4,6 +4,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { createPlainHandler } from "./createPlainHandler.js";
+import { createProbeHandler } from "./createProbeHandler.js";
 import { createRpcHandler } from "./createRpcHandler.js";
 import { createSampleHandler } from "./createSampleHandler.js";
 import { createTokenCheck } from "./createTokenCheck.js";
@@ -24,17 +25,20 @@
 const maxHeaderBytes = 16_384;
 
 /**
- * Serves a gate: `/plain/…` requests, `POST /samples` (an answer of JSON lines), `POST /rpc` (JSON-RPC). Bodies,
+ * Serves a gate: `/plain/…` requests, `POST /samples` (an answer of JSON lines), `POST /rpc` (JSON-RPC),
+ * probes and metrics. Bodies,
  * headers, connections and the time a request may take to arrive are bounded.
  */
 export async function serveGate(gate: Gate, options: ServeGateOptions): Promise<ServedGate> {
     const maxBodyBytes = options.maxBodyBytes ?? defaultMaxBodyBytes;
     const incarnation = gate.report().incarnation;
     const { clock, logger } = options;
-    const { clusterTokenDigest } = options;
-    const checkToken = clusterTokenDigest === undefined ? undefined : createTokenCheck(clusterTokenDigest);
+    const tokenChecks = [options.clusterTokenDigest, options.previousClusterTokenDigest]
+        .filter(digest => digest !== undefined)
+        .map(createTokenCheck);
     const samples = createSampleHandler({ gate, clock, incarnation, maxBodyBytes });
     const plain = createPlainHandler({ gate, clock, incarnation, maxBodyBytes });
+    const probes = createProbeHandler(gate, options.renderMetrics ?? (async () => ""));
     const rpc = createRpcHandler({ gate, incarnation, cancelSample: samples.cancel });
 
     function handlerOf(request: IncomingMessage): Handler | undefined {
@@ -48,28 +52,34 @@
         return request.method === "POST" && url === "/rpc" ? rpc : undefined;
     }
 
-    const server = createServer(
-        {
-            connectionsCheckingInterval: timeoutCheckMs,
-            headersTimeout: options.headersTimeoutMs ?? defaultHeadersTimeoutMs,
-            requestTimeout: options.requestTimeoutMs ?? defaultRequestTimeoutMs,
-            keepAliveTimeout: keepAliveTimeoutMs,
-            maxHeaderSize: maxHeaderBytes,
-            noDelay: true,
-        },
-        (request, response) => {
-            if (checkToken !== undefined && !checkToken(request.headers[sidecarHeaders.clusterToken])) {
-                writeFault(response, incarnation, resultCodes.unauthenticated, "cluster token");
-                return;
-            }
-            const handler = handlerOf(request);
-            if (handler === undefined) {
-                writeFault(response, incarnation, resultCodes.notFound, `${request.method} ${request.url}`);
-                return;
-            }
-            handler(request, response);
-        },
-    );
+    const server = (options.createServer ?? createServer)({
+        connectionsCheckingInterval: timeoutCheckMs,
+        headersTimeout: options.headersTimeoutMs ?? defaultHeadersTimeoutMs,
+        requestTimeout: options.requestTimeoutMs ?? defaultRequestTimeoutMs,
+        keepAliveTimeout: keepAliveTimeoutMs,
+        maxHeaderSize: maxHeaderBytes,
+        noDelay: true,
+    });
+    server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+        if (probes(request, response)) {
+            return;
+        }
+        if (options.isPeer?.(request) === false) {
+            writeFault(response, incarnation, resultCodes.unauthenticated, "certificate");
+            return;
+        }
+        const token = request.headers[sidecarHeaders.clusterToken];
+        if (tokenChecks.length > 0 && !tokenChecks.some(check => check(token))) {
+            writeFault(response, incarnation, resultCodes.unauthenticated, "cluster token");
+            return;
+        }
+        const handler = handlerOf(request);
+        if (handler === undefined) {
+            writeFault(response, incarnation, resultCodes.notFound, `${request.method} ${request.url}`);
+            return;
+        }
+        handler(request, response);
+    });
     server.maxConnections = options.maxConnections ?? defaultMaxConnections;
     server.listen(options.port, options.host);
     await once(server, "listening");
--- a/packages/membership/src/createMembership.test.ts
+++ b/packages/membership/src/createMembership.test.ts
@@ -122,6 +122,30 @@
     expect(await fleet.clock.runUntil(fleet.everybodyKnows(10), 60_000)).toBe(true);
 });
 
+test("a failure domain that dies at once is dropped whole, and the rest go on", async () => {
+    const fleet = build(24);
+    await fleet.clock.advance(30_000);
+    const doomed = Array.from({ length: 24 }, (_, at) => at).filter(at => at % 3 === 0);
+    doomed.forEach(fleet.kill);
+    expect(await fleet.clock.runUntil(fleet.everybodyKnows(16), 120_000)).toBe(true);
+    expect([...fleet.nodes.values()].filter(node => node.isRelay()).length).toBeGreaterThanOrEqual(2);
+});
+
+test("entries restarted one after the other all know each other at the end", async () => {
+    // Symptom: after a rolling restart some entries are taken for dead although they answer.
+    // Sequence: each of 12 entries stops and starts again two seconds later, the next one right after it.
+    // Cause: a suspicion of the earlier run outlives it, or the new run's heartbeats look old.
+    const fleet = build(12);
+    await fleet.clock.advance(20_000);
+    for (let at = 0; at < 12; at++) {
+        fleet.kill(at);
+        await fleet.clock.advance(2_000);
+        fleet.start(at);
+        await fleet.clock.advance(3_000);
+    }
+    expect(await fleet.clock.runUntil(fleet.everybodyKnows(12), 60_000)).toBe(true);
+});
+
 test("an entry that is alive stays known although the VM list has lost it", async () => {
     // Symptom: a working entry gets no reports and no documents. Sequence: the VM list answers without it.
     // Cause: the list lags or errs, and was believed against live evidence.
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -105,7 +105,8 @@
     }
 
     function tellEntries(knownEntries: number): EntryTarget[] {
-        if (knownEntries < knownFactor * timing.reportTargets) {
+        const enough = Math.min(knownFactor * timing.reportTargets, listUsable().length + 1);
+        if (knownEntries < enough) {
             return drawSome(listUsable(), entriesPerAnswer, random).map(toTarget);
         }
         return random.nextUnit() < unaskedRatio ? drawSome(listUsable(), 1, random).map(toTarget) : [];
--- a/packages/membership/src/createReporter.ts
+++ b/packages/membership/src/createReporter.ts
@@ -2,8 +2,8 @@
 import { callInTime } from "@auburnarch/spread/callInTime";
 import { parseWith } from "@auburnarch/spread/parseWith";
 import type { DocumentDigest } from "@auburnarch/types/DocumentDigest";
-import { chooseOverDomains } from "./chooseOverDomains.js";
 import { createEntryDirectory } from "./createEntryDirectory.js";
+import { createTargetChooser } from "./createTargetChooser.js";
 import { defaultMembershipTiming } from "./defaultMembershipTiming.js";
 import type { EntryTarget } from "./EntryTarget.js";
 import type { MembershipTiming } from "./MembershipTiming.js";
@@ -14,9 +14,6 @@
 
 const minSleepMs = 50;
 const maxSleepMs = 1_000;
-/** How long a choice of targets stands while nothing fails; hashing all entries each time would cost more. */
-const choiceMs = 5_000;
-const maxWeights = 2_048;
 
 /**
  * Makes the reporting of a sidecar to a few entries, chosen by rendezvous hash over failure domains. Each entry's
@@ -27,7 +24,7 @@
     const { clock } = deps;
     const stopped = new AbortController();
     const directory = createEntryDirectory(() => clock.monotonicMs(), deps.seeds);
-    const weights = new Map<string, string>();
+    const chooser = createTargetChooser(deps.sampler, timing.reportTargets, directory, clock);
     const dueAtMs = new Map<string, number>();
     const inFlight = new Set<string>();
     /** Where in the interval this sidecar's first report lies, so that not all report at the same time. */
@@ -35,7 +32,6 @@
     let vmListDueMs = 0;
     /** Counts the calls of `reportNow`. */
     let changes = 0;
-    let chosen: { targets: EntryTarget[]; untilMs: number; } | undefined;
 
     async function readVmList(): Promise<void> {
         try {
@@ -54,29 +50,7 @@
     function learn(entries: EntryTarget[]): void {
         if (entries.length > 0) {
             directory.learn(entries);
-            chosen = undefined;
-        }
-    }
-
-    function chooseTargets(): EntryTarget[] {
-        const nowMs = clock.monotonicMs();
-        if (chosen === undefined || nowMs >= chosen.untilMs) {
-            const targets = chooseOverDomains(
-                deps.sampler,
-                directory.listUsable(),
-                timing.reportTargets,
-                weights,
-            );
-            forgetWeights();
-            chosen = { targets, untilMs: nowMs + choiceMs };
-        }
-        return chosen.targets;
-    }
-
-    function forgetWeights(): void {
-        // Addresses come and go for as long as the sidecar runs.
-        if (weights.size > maxWeights) {
-            weights.clear();
+            chooser.invalidate();
         }
     }
 
@@ -85,7 +59,7 @@
      * evenly, so that some entry is heard every part of the interval, and a new document comes that much sooner.
      */
     function nextSlotMs(address: string, intervalMs: number): number {
-        const targets = chooseTargets();
+        const targets = chooser.choose();
         const rank = targets.findIndex(target => target.address === address);
         const place = (ownPlace + Math.max(0, rank) / targets.length) % 1;
         const earliestMs = clock.monotonicMs() + intervalMs / 2;
@@ -142,13 +116,13 @@
         }
         directory.noteFailed(address);
         dueAtMs.delete(address);
-        chosen = undefined;
+        chooser.invalidate();
         deps.logger.warn("reportFailed", { sampler: deps.sampler, entry: address });
     }
 
     function reportWhereDue(): void {
         const nowMs = clock.monotonicMs();
-        for (const { address } of chooseTargets()) {
+        for (const { address } of chooser.choose()) {
             if (!inFlight.has(address) && nowMs >= (dueAtMs.get(address) ?? 0)) {
                 void reportTo(address);
             }
@@ -156,7 +130,7 @@
     }
 
     function nextSleepMs(): number {
-        const dueMs = chooseTargets().map(({ address }) => dueAtMs.get(address) ?? 0);
+        const dueMs = chooser.choose().map(({ address }) => dueAtMs.get(address) ?? 0);
         const leftMs = Math.min(...dueMs) - clock.monotonicMs();
         return Math.min(maxSleepMs, Math.max(minSleepMs, leftMs));
     }
@@ -180,6 +154,6 @@
             dueAtMs.clear();
             reportWhereDue();
         },
-        targets: () => chooseTargets().map(target => target.address),
+        targets: () => chooser.choose().map(target => target.address),
     };
 }
--- a/packages/own/src/JobState.ts
+++ b/packages/own/src/JobState.ts
@@ -14,6 +14,8 @@
     retiredBelow: number;
     /** Engine time of completed steps only. */
     completedEngineMs: number;
+    completedSamples: number;
+    completedTokens: number;
     discardedEngineMs: number;
     /** Versions that a sample delivered now may name. */
     bounds(): VersionBounds;
--- a/packages/own/src/OwnerStatus.ts
+++ b/packages/own/src/OwnerStatus.ts
@@ -20,6 +20,6 @@
     /** Engine time of samples that the team itself gave up. */
     discardedEngineMs: number;
     /** Acknowledged samples and their tokens. */
-    deliveredSamples?: number;
-    deliveredTokens?: number;
+    deliveredSamples: number;
+    deliveredTokens: number;
 }
--- a/packages/own/src/buildCheckpoint.ts
+++ b/packages/own/src/buildCheckpoint.ts
@@ -9,6 +9,8 @@
         completed: [...state.completed].map(([step, digest]) => ({ step, digest })),
         retiredBelow: state.retiredBelow,
         deliveredEngineMs: state.completedEngineMs,
+        deliveredSamples: state.completedSamples,
+        deliveredTokens: state.completedTokens,
         discardedEngineMs: state.discardedEngineMs,
         cursors: [...state.steps.values()].map(step => ({
             step: step.document.step,
--- a/packages/own/src/checkpointSchema.ts
+++ b/packages/own/src/checkpointSchema.ts
@@ -9,6 +9,8 @@
     retiredBelow: z.number(),
     /** Engine time of the samples of completed steps. */
     deliveredEngineMs: z.number(),
+    deliveredSamples: z.number().default(0),
+    deliveredTokens: z.number().default(0),
     discardedEngineMs: z.number(),
     /** The furthest cursor seen of each open step. */
     cursors: z.array(z.object({ step: z.number(), cursor: z.string() })),
--- a/packages/own/src/createJobState.ts
+++ b/packages/own/src/createJobState.ts
@@ -13,6 +13,8 @@
         completed: new Map(checkpoint.completed.map(({ step, digest }) => [step, digest])),
         retiredBelow: checkpoint.retiredBelow,
         completedEngineMs: checkpoint.deliveredEngineMs,
+        completedSamples: checkpoint.deliveredSamples,
+        completedTokens: checkpoint.deliveredTokens,
         discardedEngineMs: checkpoint.discardedEngineMs,
         bounds: () => ({
             publishedVersion: state.publishedVersion,
--- a/packages/own/src/createJobStore.ts
+++ b/packages/own/src/createJobStore.ts
@@ -53,6 +53,8 @@
             completed: standing?.completed ?? [],
             retiredBelow: standing?.retiredBelow ?? 0,
             deliveredEngineMs: standing?.deliveredEngineMs ?? 0,
+            deliveredSamples: standing?.deliveredSamples ?? 0,
+            deliveredTokens: standing?.deliveredTokens ?? 0,
             discardedEngineMs: standing?.discardedEngineMs ?? 0,
             cursors: standing?.cursors ?? [],
             fencing,
--- a/packages/own/src/createOwner.test.ts
+++ b/packages/own/src/createOwner.test.ts
@@ -72,6 +72,8 @@
     expect(owner.status()).toMatchInlineSnapshot(`
       {
         "deliveredEngineMs": 280,
+        "deliveredSamples": 6,
+        "deliveredTokens": 28,
         "discardedEngineMs": 0,
         "fencing": 1,
         "job": "humo",
--- a/packages/own/src/createStepBook.ts
+++ b/packages/own/src/createStepBook.ts
@@ -92,6 +92,8 @@
         state.steps.delete(number);
         state.completed.set(number, digest);
         state.completedEngineMs += cursor.engineMs;
+        state.completedSamples += cursor.samples;
+        state.completedTokens += cursor.tokens;
         forgetOldest();
         logger.info("stepCompleted", { step: number, samples: cursor.samples, engineMs: cursor.engineMs });
         keeper.drop(step, groupsOf(step));
--- a/packages/own/src/describeOwner.ts
+++ b/packages/own/src/describeOwner.ts
@@ -16,6 +16,8 @@
         publishedVersion: state.publishedVersion,
         steps: steps.map(step => describeStep(step, runningOfStep(step.document.step))),
         deliveredEngineMs: steps.reduce((sum, step) => sum + step.furthest.engineMs, state.completedEngineMs),
+        deliveredSamples: steps.reduce((sum, step) => sum + step.furthest.samples, state.completedSamples),
+        deliveredTokens: steps.reduce((sum, step) => sum + step.furthest.tokens, state.completedTokens),
         discardedEngineMs: state.discardedEngineMs,
     };
 }
--- a/packages/own/src/testing/createTestTrainer.ts
+++ b/packages/own/src/testing/createTestTrainer.ts
@@ -21,6 +21,12 @@
     steps: number;
     /** Trains on until this holds; by default at once. */
     mayEnd?: () => boolean;
+    /** Steps opened beyond the one being read; none by default. */
+    openAhead?: number;
+    /** Versions to publish right after a page, as a trainer does that has caught up; none by default. */
+    takeExtraPublishes?: () => number;
+    /** Called before a version is published. */
+    onPublish?: (version: number) => void;
     /** Called with each page taken in. */
     onPage?: (page: GroupsPage) => void;
     groupsPerStep: number;
@@ -78,6 +84,23 @@
     const caller = createTestCaller(options, report);
     const { persist } = caller;
 
+    /** Publishes versions in quick order; a late repeat of the first must not put it back into force. */
+    async function publishMore(count: number): Promise<void> {
+        const first = published + 1;
+        for (let extra = 0; extra < count; extra++) {
+            await publish(published + 1);
+        }
+        if (count > 1) {
+            const route = options.route();
+            const weights = {
+                policy: options.policy as PolicyId,
+                version: first as WeightVersion,
+                location: `${options.policy}/${first}`,
+            };
+            void route?.publishWeights(weights).catch(() => undefined);
+        }
+    }
+
     const open = (step: number): Promise<unknown> => persist(route => route.openStep(specOf(step)));
 
     async function publish(version: number): Promise<void> {
@@ -86,6 +109,7 @@
             version: version as WeightVersion,
             location: `${options.policy}/${version}`,
         };
+        options.onPublish?.(version);
         await persist(route => route.publishWeights(weights));
         published = version;
     }
@@ -128,6 +152,7 @@
             if (page?.done === true) {
                 return;
             }
+            await publishMore(options.takeExtraPublishes?.() ?? 0);
         }
     }
 
@@ -141,9 +166,12 @@
     async function run(): Promise<void> {
         await publish(1);
         let shownTo = caller.highestFencing();
+        let opened = 0;
         const mayEnd = options.mayEnd ?? (() => true);
         for (let step = 0; step < options.steps || !mayEnd(); step++) {
-            await open(step);
+            for (; opened <= step + (options.openAhead ?? 0); opened++) {
+                await open(opened);
+            }
             await readStep(step);
             report.stepsDone++;
             await clock.sleep(options.trainMs);
--- a/packages/pick/src/Candidate.ts
+++ b/packages/pick/src/Candidate.ts
@@ -11,6 +11,8 @@
     sentSinceReport: number;
     /** Attempts this dispatcher may still add there. */
     room: number;
+    /** Waiting samples that decided in this round to wait for it. */
+    reserved: number;
     /** Prompt tokens expected in the prefix cache, after decay of the hint. */
     cachedPromptTokens: number;
     /** Tokens a second that single generations reached there lately; undefined before the first one. */
--- a/packages/pick/src/PickDecision.ts
+++ b/packages/pick/src/PickDecision.ts
@@ -10,4 +10,10 @@
         /** Milliseconds from now until the sample is expected to be complete; undefined where not estimated. */
         estimatedFinishMs: number | undefined;
     }
-    | { kind: "none"; reason: string; candidates: number; };
+    | {
+        kind: "none";
+        reason: string;
+        candidates: number;
+        /** The sampler it is worth waiting for; undefined where none has a place. */
+        sampler?: SamplerId;
+    };
--- /dev/null
+++ b/packages/pick/src/pickEarliestFinish.ts
@@ -0,0 +1,62 @@
+import type { Candidate } from "./Candidate.js";
+import { estimateFinishMs } from "./estimateFinishMs.js";
+import type { SamplerPicker } from "./SamplerPicker.js";
+
+interface Ranked {
+    candidate: Candidate;
+    finishMs: number;
+}
+
+/** A sampler with a place now is taken unless waiting for another one saves this part of the time. */
+const leastGainRatio = 0.15;
+
+/** A guess about a queue is worth no more than the age of the report behind it. */
+const isWorthWaiting = (full: Ranked, open: Ranked): boolean => {
+    const gainMs = open.finishMs - full.finishMs;
+    return gainMs > open.finishMs * leastGainRatio && gainMs > full.candidate.view.reportAgeMs;
+};
+
+const earliest = (
+    candidates: Candidate[],
+    finishMs: (candidate: Candidate) => number,
+): Ranked | undefined => {
+    let best: Ranked | undefined;
+    for (const candidate of candidates) {
+        const ms = finishMs(candidate);
+        if (best === undefined || ms < best.finishMs) {
+            best = { candidate, finishMs: ms };
+        }
+    }
+    return best;
+};
+
+const reasonFor = (candidate: Candidate): string =>
+    candidate.cachedPromptTokens > 0 ? "earliestFinishCachedPrefix" : "earliestFinish";
+
+/**
+ * The candidate that is expected to finish the request first, its queue included; where that one has no place
+ * yet and is worth the wait, the request stays at the dispatcher. Without waiting, a long sample goes to a slow
+ * sampler that happens to be free and holds up the step for longer than the fast one's queue would have.
+ * One about to swap weights is taken only if no other has a place: what starts there is paused at once.
+ */
+export const pickEarliestFinish: SamplerPicker = (candidates, request) => {
+    const staying = candidates.filter(candidate => !candidate.aboutToSwap);
+    const pool = staying.some(candidate => candidate.room > 0) ? staying : candidates;
+    const finishMs = (candidate: Candidate): number => estimateFinishMs(candidate, request);
+    const open = earliest(pool.filter(candidate => candidate.room > 0), finishMs);
+    if (open === undefined) {
+        return { kind: "none", reason: "noRoom", candidates: candidates.length };
+    }
+    const full = earliest(pool.filter(candidate => candidate.room <= 0), finishMs);
+    if (full !== undefined && isWorthWaiting(full, open)) {
+        const sampler = full.candidate.view.report.sampler;
+        return { kind: "none", reason: "waitForFaster", candidates: candidates.length, sampler };
+    }
+    return {
+        kind: "picked",
+        sampler: open.candidate.view.report.sampler,
+        reason: reasonFor(open.candidate),
+        candidates: candidates.length,
+        estimatedFinishMs: Math.round(open.finishMs),
+    };
+};
--- /dev/null
+++ b/packages/pick/src/pickers.test.ts
@@ -0,0 +1,158 @@
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { expect, test } from "vitest";
+import type { Candidate } from "./Candidate.js";
+import { pickEarliestFinish } from "./pickEarliestFinish.js";
+import { pickLeastFinish } from "./pickLeastFinish.js";
+import { pickLeastReported } from "./pickLeastReported.js";
+import { pickRandom } from "./pickRandom.js";
+import { pickRoundRobin } from "./pickRoundRobin.js";
+import { pickTwoChoices } from "./pickTwoChoices.js";
+import type { SamplerPicker } from "./SamplerPicker.js";
+import { toCandidate } from "./testing/toCandidate.js";
+import { toRequest } from "./testing/toRequest.js";
+
+const pickers: SamplerPicker[] = [
+    pickRandom,
+    pickRoundRobin,
+    pickLeastReported,
+    pickTwoChoices,
+    pickLeastFinish,
+    pickEarliestFinish,
+];
+
+const decideAll = (candidates: Candidate[], request = toRequest()): Record<string, unknown> =>
+    Object.fromEntries(
+        ["random", "roundRobin", "leastReported", "twoChoices", "leastFinish", "earliestFinish"]
+            .map((name, index) => [name, pickers[index]!(candidates, request, createRandom(7))]),
+    );
+
+test("each picker among a busy, an idle and a fast sampler", () => {
+    const candidates = [
+        toCandidate("busy", { room: 2, outstanding: 6, lastSentOrder: 9 }, { running: 6 }),
+        toCandidate("idle", { lastSentOrder: 8 }),
+        toCandidate("fast", { room: 4, outstanding: 4, observedTokensPerSecond: 190, lastSentOrder: 10 }, {
+            running: 4,
+            tokensPerSecond: 200,
+        }),
+    ];
+    expect(decideAll(candidates)).toMatchInlineSnapshot(`
+      {
+        "earliestFinish": {
+          "candidates": 3,
+          "estimatedFinishMs": 1105,
+          "kind": "picked",
+          "reason": "earliestFinish",
+          "sampler": "fast",
+        },
+        "leastFinish": {
+          "candidates": 3,
+          "estimatedFinishMs": 1105,
+          "kind": "picked",
+          "reason": "leastFinish",
+          "sampler": "fast",
+        },
+        "leastReported": {
+          "candidates": 3,
+          "estimatedFinishMs": undefined,
+          "kind": "picked",
+          "reason": "leastReported",
+          "sampler": "idle",
+        },
+        "random": {
+          "candidates": 3,
+          "estimatedFinishMs": undefined,
+          "kind": "picked",
+          "reason": "random",
+          "sampler": "busy",
+        },
+        "roundRobin": {
+          "candidates": 3,
+          "estimatedFinishMs": undefined,
+          "kind": "picked",
+          "reason": "roundRobin",
+          "sampler": "idle",
+        },
+        "twoChoices": {
+          "candidates": 3,
+          "estimatedFinishMs": undefined,
+          "kind": "picked",
+          "reason": "twoChoices",
+          "sampler": "busy",
+        },
+      }
+    `);
+});
+
+test("nothing is picked where there is no room", () => {
+    const candidates = [toCandidate("a", { room: 0 }), toCandidate("b", { room: 0 })];
+    for (const picker of pickers) {
+        expect(picker(candidates, toRequest(), createRandom(1))).toMatchObject({
+            kind: "none",
+            reason: "noRoom",
+        });
+    }
+});
+
+test("a burst after one report is spread, not piled on the sampler that looked idle in it", () => {
+    // Symptom: queues swing from one sampler to the next at the rhythm of the reports. Sequence: one report shows
+    // `a` idle, twelve samples are placed before the next. Cause: reported load without what was sent since.
+    const candidates = [
+        toCandidate("a", {}, { running: 0 }),
+        toCandidate("b", { room: 4 }, { running: 4 }),
+    ];
+    const sent = Array.from({ length: 12 }, () => {
+        const decision = pickEarliestFinish(candidates, toRequest(), createRandom(1));
+        const chosen = candidates.find(({ view }) => view.report.sampler === decision.sampler)!;
+        chosen.sentSinceReport++;
+        chosen.outstanding++;
+        chosen.room--;
+        return decision.sampler;
+    });
+    expect(sent.join("")).toMatchInlineSnapshot(`"aaaaabababab"`);
+});
+
+test("a long sample waits for the fast sampler, a short one takes the slow one at once", () => {
+    // Symptom: one sample on the slow sampler holds up the step. Sequence: the fast one is full for another second
+    // when a long sample's turn comes. Cause: a free place was taken for the earliest end.
+    const candidates = [
+        toCandidate("slow", { observedTokensPerSecond: 40 }),
+        toCandidate("fast", {
+            room: 0,
+            outstanding: 8,
+            outstandingTokens: 8_000,
+            observedTokensPerSecond: 150,
+        }, {
+            running: 8,
+        }),
+    ];
+    const decide = (expectedTokens: number): unknown =>
+        pickEarliestFinish(candidates, toRequest({ expectedTokens }), createRandom(1));
+    expect(decide(1_000)).toMatchObject({ kind: "none", reason: "waitForFaster", sampler: "fast" });
+    expect(decide(10)).toMatchObject({ kind: "picked", sampler: "slow" });
+});
+
+test("a sampler about to swap is taken only if no other has a place", () => {
+    const swapping = toCandidate("a", { aboutToSwap: true });
+    const decide = (other: Candidate): unknown =>
+        pickEarliestFinish([swapping, other], toRequest(), createRandom(1));
+    expect(decide(toCandidate("b", { room: 1, outstanding: 7 }, { running: 7 }))).toMatchObject({
+        sampler: "b",
+    });
+    expect(decide(toCandidate("b", { room: 0 }, { running: 8 }))).toMatchObject({ sampler: "a" });
+});
+
+test("a cached prompt outweighs a little load, not a long queue", () => {
+    const request = toRequest({ promptTokens: 6_000, expectedTokens: 200 });
+    const cached = (load: number): Candidate =>
+        toCandidate(
+            "cached",
+            { cachedPromptTokens: 6_000, outstanding: load, outstandingTokens: load * 200 },
+            {
+                running: load,
+            },
+        );
+    const decide = (load: number): unknown =>
+        pickEarliestFinish([cached(load), toCandidate("cold")], request, createRandom(1));
+    expect(decide(4)).toMatchObject({ sampler: "cached", reason: "earliestFinishCachedPrefix" });
+    expect(decide(40)).toMatchObject({ sampler: "cold" });
+});
--- /dev/null
+++ b/packages/pick/src/testing/toRequest.ts
@@ -0,0 +1,17 @@
+import type { PickRequest } from "../PickRequest.js";
+
+/** A request for 200 tokens of `plume` at version 3, changed by the argument; for tests. */
+export function toRequest(changes: Partial<Record<keyof PickRequest, unknown>> = {}): PickRequest {
+    return {
+        policy: "plume",
+        minVersion: 3,
+        digest: "own",
+        promptTokens: 300,
+        expectedTokens: 200,
+        needAtMs: 60_000,
+        nowMs: 0,
+        suspect: false,
+        avoid: new Set(),
+        ...changes,
+    } as unknown as PickRequest;
+}
--- a/packages/queue/src/createWaitingQueue.ts
+++ b/packages/queue/src/createWaitingQueue.ts
@@ -5,10 +5,8 @@
 interface WaitingQueue<Work extends WaitingSample> {
     add(work: Work): void;
     remove(work: Work): boolean;
-    /** Those whose time has come, first to be sent first. */
-    due(nowMs: number): Work[];
-    /** Earliest `notBeforeMs` that is still ahead; undefined if none is. */
-    nextDueMs(nowMs: number): number | undefined;
+    /** Those whose time has come, first to be sent first. Members removed while it is read are left out. */
+    due(nowMs: number): Iterable<Work>;
     size(): number;
     /** What the order looks at has changed. */
     resort(): void;
@@ -18,49 +16,36 @@
 /** Makes a queue that sorts when read after a change, which is cheap because most of it is in order already. */
 export function createWaitingQueue<Work extends WaitingSample>(order: WorkOrder): WaitingQueue<Work> {
     const members = new Set<Work>();
+    /** May still hold what was removed; `members` has the say. */
     let sorted: Work[] = [];
-    let isStale = false;
+    let isSorted = true;
 
     function refresh(): void {
-        if (isStale) {
-            sorted = sorted.filter(work => members.has(work));
-            const present = new Set(sorted);
-            for (const work of members) {
-                if (!present.has(work)) {
-                    sorted.push(work);
-                }
+        if (!isSorted) {
+            sorted = [...members].sort(order);
+            isSorted = true;
+        }
+    }
+
+    function* due(nowMs: number): Iterable<Work> {
+        refresh();
+        for (const work of sorted) {
+            if (work.notBeforeMs <= nowMs && members.has(work)) {
+                yield work;
             }
-            sorted.sort(order);
-            isStale = false;
         }
     }
 
     return {
         add: work => {
             members.add(work);
-            isStale = true;
-        },
-        remove: work => {
-            const wasMember = members.delete(work);
-            isStale ||= wasMember;
-            return wasMember;
-        },
-        due: nowMs => {
-            refresh();
-            return sorted.filter(work => work.notBeforeMs <= nowMs);
-        },
-        nextDueMs: nowMs => {
-            let earliest: number | undefined;
-            for (const work of members) {
-                if (work.notBeforeMs > nowMs && (earliest === undefined || work.notBeforeMs < earliest)) {
-                    earliest = work.notBeforeMs;
-                }
-            }
-            return earliest;
+            isSorted = false;
         },
+        remove: work => members.delete(work),
+        due,
         size: () => members.size,
         resort: () => {
-            isStale = true;
+            isSorted = false;
         },
         all: () => members,
     };
--- a/packages/send/src/createHttpSidecar.ts
+++ b/packages/send/src/createHttpSidecar.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "@auburnarch/types/Clock";
 import type { SamplerOrderResult } from "@auburnarch/types/SamplerOrderResult";
 import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+import type { Agent, AgentOptions } from "node:http";
 import { match } from "ts-pattern";
 import { attemptStateSchema } from "./attemptStateSchema.js";
 import { codeByNumber } from "./codeByNumber.js";
@@ -26,6 +27,8 @@
     guards?: SendGuards;
     /** Proves this process to the sidecar; undefined where sidecars ask for none. */
     clusterToken?: string;
+    /** Makes agents that connect by TLS with this process's certificate; the address is then `https://ip:port`. */
+    createSecureAgent?: (options: AgentOptions) => Agent;
     /** Connections kept open at most while idle. */
     maxIdleConnections?: number;
 }
@@ -39,8 +42,12 @@
 /** Makes the port to a sidecar over HTTP. See `SidecarPort` for outcomes and errors. */
 export function createHttpSidecar(options: HttpSidecarOptions): HttpSidecar {
     const { clock, guards = defaultSendGuards } = options;
-    const { host, port } = parseAddress(options.address);
-    const agent = createSidecarAgent(options.maxIdleConnections ?? defaultMaxIdleConnections);
+    const { createSecureAgent } = options;
+    const { host, port } = parseAddress(options.address, createSecureAgent !== undefined);
+    const agent = createSidecarAgent(
+        options.maxIdleConnections ?? defaultMaxIdleConnections,
+        createSecureAgent,
+    );
     const incarnations = createIncarnationMemory();
     let meeting: Promise<unknown> | undefined;
     const ownHeaders: Record<string, string> = options.clusterToken === undefined
--- a/packages/send/src/createRpcClient.ts
+++ b/packages/send/src/createRpcClient.ts
@@ -1,7 +1,7 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import type { Clock } from "@auburnarch/types/Clock";
-import { JSONRPCClient, JSONRPCErrorException } from "json-rpc-2.0";
+import { isJSONRPCResponse, JSONRPCClient, JSONRPCErrorException } from "json-rpc-2.0";
 import { setMaxListeners } from "node:events";
 import type { Agent } from "node:http";
 import { codeByNumber } from "./codeByNumber.js";
@@ -50,8 +50,13 @@
     }
 
     return async (method, params, timeoutMs) => {
-        const client = new JSONRPCClient(async payload => {
-            client.receive(await post(payload, timeoutMs) as Parameters<typeof client.receive>[0]);
+        const client = new JSONRPCClient(async (payload: { id?: unknown; }) => {
+            const answer = await post(payload, timeoutMs);
+            // What another program at a reused address says answers no call: the client would wait for ever.
+            if (!(answer instanceof Object) || !isJSONRPCResponse(answer) || answer.id !== payload.id) {
+                throw new ResultError(resultCodes.sidecarUnreachable, "no answer to the call");
+            }
+            client.receive(answer);
         });
         try {
             return await client.request(method, params);
--- a/packages/send/src/exchangeHttp.ts
+++ b/packages/send/src/exchangeHttp.ts
@@ -3,6 +3,9 @@
 import { ResultError } from "@auburnarch/errors/ResultError";
 import type { Clock } from "@auburnarch/types/Clock";
 import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
+import { Agent as HttpsAgent } from "node:https";
+import type { Socket } from "node:net";
+import { TLSSocket } from "node:tls";
 import type { HttpExchange } from "./HttpExchange.js";
 
 interface HttpCall {
@@ -43,11 +46,11 @@
             call.signal.removeEventListener("abort", giveUp);
         };
         request.once("socket", socket => {
-            connected = !socket.connecting;
+            connected = isConnected(socket);
             if (!connected) {
                 const cancelConnectTimer = call.clock.startTimer(connectTimeoutMs, giveUp);
                 socket.once("close", cancelConnectTimer);
-                socket.once("connect", () => {
+                socket.once(socket instanceof TLSSocket ? "secureConnect" : "connect", () => {
                     connected = true;
                     cancelConnectTimer();
                 });
@@ -68,7 +71,14 @@
 
 function startRequest(call: HttpCall): ClientRequest {
     const { agent, host, port, method, path, headers } = call;
-    return httpRequest({ agent, host, port, method, path, headers });
+    const protocol = agent instanceof HttpsAgent ? "https:" : "http:";
+    return httpRequest({ agent, protocol, host, port, method, path, headers });
+}
+
+/** Over TLS nothing of a request is sent before the handshake has ended. */
+function isConnected(socket: Socket): boolean {
+    const isReady = !(socket instanceof TLSSocket) || socket.getFinished() !== undefined;
+    return !socket.connecting && isReady;
 }
 
 /** The body of an answer; it rejects if the connection ends before the message does. */
--- a/packages/send/src/parseAddress.ts
+++ b/packages/send/src/parseAddress.ts
@@ -1,11 +1,12 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 
-/** Splits `http://ip:port`. Throws a `ResultError` of code `settingsInvalid` for anything else. */
-export function parseAddress(address: string): { host: string; port: number; } {
+/** Splits `http://ip:port`, or `https://…` where TLS is used. Throws a `ResultError` of code `settingsInvalid` for anything else. */
+export function parseAddress(address: string, secure = false): { host: string; port: number; } {
+    const protocol = secure ? "https:" : "http:";
     const url = URL.canParse(address) ? new URL(address) : undefined;
-    if (url === undefined || url.protocol !== "http:") {
-        throw new ResultError(resultCodes.settingsInvalid, `address ${address} is not http://ip:port`);
+    if (url === undefined || url.protocol !== protocol) {
+        throw new ResultError(resultCodes.settingsInvalid, `address ${address} is not ${protocol}//ip:port`);
     }
-    return { host: url.hostname.replace(/^\[|\]$/g, ""), port: Number(url.port || "80") };
+    return { host: url.hostname.replace(/^\[|\]$/g, ""), port: Number(url.port || (secure ? "443" : "80")) };
 }
--- a/packages/spread/src/SpreadTiming.ts
+++ b/packages/spread/src/SpreadTiming.ts
@@ -5,6 +5,8 @@
     /** The same until the first exchange is answered: a process serves nothing before. */
     startIntervalMs: number;
     exchangeTimeoutMs: number;
+    /** Changes within this time are sent on together. */
+    pushDelayMs: number;
     /** Peers that a fresh change is sent to at once. */
     pushFanOut: number;
     /** Length of one long poll at the object API. */
--- a/packages/spread/src/createSpread.ts
+++ b/packages/spread/src/createSpread.ts
@@ -23,7 +23,9 @@
     const stopped = new AbortController();
     const documents = createDocumentSet(deps, deps.guards ?? defaultSpreadGuards, onTaken);
     const exchangeWith = createExchanger(deps, documents, timing);
-    const previousVersions = new Map<string, number>();
+    /** Documents to push with the next message, with the version that peers most likely have. */
+    const toPush = new Map<string, number>();
+    const heldVersions = new Map<string, number>();
     let caughtUp = false;
     const relay = createRelay(deps, timing, offer, () => {
         caughtUp = true;
@@ -31,21 +33,34 @@
 
     function onTaken(document: SharedDocument): void {
         listeners.forEach(listener => listener(document));
+        const { name, version } = document;
         // What a starting process catches up with is no news to its peers.
         if (caughtUp) {
-            push(document);
+            schedulePush(name, heldVersions.get(name) ?? 0);
         }
-        previousVersions.set(document.name, document.version);
+        heldVersions.set(name, version);
     }
 
-    function push({ name }: SharedDocument): void {
-        const transfer = documents.transfer(name, previousVersions.get(name) ?? 0);
-        const peers = drawSome(deps.listPeers(), timing.pushFanOut, deps.random);
-        if (transfer === undefined) {
+    /** Changes that come within a moment go out together: a takeover of many key ranges is one message, not many. */
+    function schedulePush(name: string, baseVersion: number): void {
+        if (toPush.size === 0) {
+            deps.clock.startTimer(timing.pushDelayMs, push);
+        }
+        toPush.set(name, toPush.get(name) ?? baseVersion);
+    }
+
+    function push(): void {
+        const transfers = [...toPush].map(([name, baseVersion]) => documents.transfer(name, baseVersion));
+        toPush.clear();
+        if (stopped.signal.aborted) {
             return;
         }
-        for (const peer of peers) {
-            void exchangeWith(peer.address, { checksum: documents.checksum(), documents: [transfer] });
+        const message: SpreadMessage = {
+            checksum: documents.checksum(),
+            documents: transfers.filter(transfer => transfer !== undefined),
+        };
+        for (const peer of drawSome(deps.listPeers(), timing.pushFanOut, deps.random)) {
+            void exchangeWith(peer.address, message);
         }
     }
 
--- a/packages/spread/src/defaultSpreadTiming.ts
+++ b/packages/spread/src/defaultSpreadTiming.ts
@@ -5,6 +5,7 @@
     exchangeIntervalMs: 2_000,
     startIntervalMs: 250,
     exchangeTimeoutMs: 3_000,
+    pushDelayMs: 20,
     pushFanOut: 3,
     watchWaitMs: 30_000,
     minBackoffMs: 500,
--- /dev/null
+++ b/packages/trust/src/TrustMaterial.ts
@@ -0,0 +1,6 @@
+/** Contents of the files, as TLS takes them. */
+export interface TrustMaterial {
+    cert: string;
+    key: string;
+    ca: string;
+}
--- /dev/null
+++ b/packages/trust/src/createTrust.test.ts
@@ -0,0 +1,186 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { createLogger } from "@auburnarch/log/createLogger";
+import { once } from "node:events";
+import { copyFile, mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import type { ServerResponse } from "node:http";
+import { Agent, request as httpsRequest } from "node:https";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { TLSSocket } from "node:tls";
+import { fileURLToPath } from "node:url";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { createTrust } from "./createTrust.js";
+import type { Trust } from "./Trust.js";
+
+const fixture = (name: string): string => fileURLToPath(new URL(`./testing/${name}.pem`, import.meta.url));
+const filesOf = (name: string, ca = "authority") => ({
+    certPath: fixture(`${name}.cert`),
+    keyPath: fixture(`${name}.key`),
+    caPath: fixture(`${ca}.cert`),
+});
+
+let folder: string;
+const cleanups: (() => unknown)[] = [];
+const lines: string[] = [];
+const clock = createFakeClock();
+const logger = createLogger(clock, line => lines.push(line));
+
+async function open(files: Parameters<typeof createTrust>[0]): Promise<Trust> {
+    const trust = await createTrust(files, { clock, logger });
+    cleanups.push(trust.stop);
+    return trust;
+}
+
+/** Serves the common name of the caller's certificate; a stream at `/stream`. */
+async function serve(trust: Trust) {
+    const streams: ServerResponse[] = [];
+    const server = trust.createServer({ keepAlive: true });
+    server.on("request", (request, response) => {
+        if (request.url === "/stream") {
+            response.write("begun ");
+            streams.push(response);
+            return;
+        }
+        const { subject } = (request.socket as TLSSocket).getPeerCertificate();
+        response.end(trust.isPeer(request) ? `peer ${subject.CN}` : "nobody");
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    cleanups.push(() => server.close(), () => server.closeAllConnections());
+    return { port: (server.address() as AddressInfo).port, streams };
+}
+
+interface Got {
+    text: string;
+    /** Common name of the server's certificate. */
+    server: string;
+}
+
+function get(port: number, agent: unknown, path = "/"): Promise<Got> {
+    return new Promise((resolve, reject) => {
+        const sent = httpsRequest({ host: "127.0.0.1", port, path, agent: agent as Agent }, answer => {
+            const server = (answer.socket as TLSSocket).getPeerCertificate().subject.CN;
+            let text = "";
+            answer.on("data", chunk => {
+                text += String(chunk);
+            });
+            answer.on("end", () => resolve({ text, server: String(server) }));
+            answer.on("error", reject);
+        });
+        sent.on("error", reject);
+        sent.end();
+    });
+}
+
+beforeEach(async () => {
+    folder = await mkdtemp(join(tmpdir(), "auburnarch-trust-"));
+    lines.length = 0;
+});
+
+afterEach(async () => {
+    for (const cleanup of cleanups.splice(0).reverse()) {
+        await cleanup();
+    }
+    await rm(folder, { recursive: true, force: true });
+});
+
+test("only a certificate of the authority that has not expired makes a peer", async () => {
+    const { port } = await serve(await open(filesOf("first")));
+    const ca = await readFile(fixture("authority.cert"));
+    const told: string[] = [];
+    for (const name of ["second", "expired", "stranger"]) {
+        const agent = (await open(filesOf(name))).createAgent({});
+        told.push((await get(port, agent)).text);
+    }
+    told.push((await get(port, new Agent({ ca }))).text);
+    expect(told).toEqual(["peer second", "nobody", "nobody", "nobody"]);
+});
+
+test("a process does not talk to a server of another authority, or to an expired one", async () => {
+    // Symptom: tokens and prompts leak. Sequence: a stranger listens at the address of a VM that was replaced. Cause:
+    // a client that takes any certificate.
+    const agent = (await open(filesOf("first"))).createAgent({});
+    for (const name of ["stranger", "expired"]) {
+        const { port } = await serve(await open(filesOf(name)));
+        await expect(get(port, agent)).rejects.toThrow(/certificate|self-signed/u);
+    }
+});
+
+async function place(name: string, parts = ["cert", "key"]): Promise<void> {
+    await Promise.all(parts.map(part => copyFile(fixture(`${name}.${part}`), join(folder, part))));
+}
+
+const placed = () => ({
+    certPath: join(folder, "cert"),
+    keyPath: join(folder, "key"),
+    caPath: join(folder, "ca"),
+});
+
+/** Lets the watch run until it has logged an event. */
+async function untilLogged(event: string, times: number): Promise<void> {
+    while (lines.filter(line => line.includes(`event=${event} `)).length < times) {
+        await clock.advance(10_000);
+    }
+}
+
+test("certificates change while calls go on", async () => {
+    // Symptom: a planned change of certificates cuts every connection. Sequence: the files are replaced while a
+    // stream runs. Cause: the server is started anew to take them.
+    await place("first");
+    await copyFile(fixture("authority.cert"), join(folder, "ca"));
+    const trust = await open(placed());
+    const { port, streams } = await serve(trust);
+    const agent = trust.createAgent({ keepAlive: true });
+    cleanups.push(() => agent.destroy());
+    const streamed = get(port, agent, "/stream");
+    expect(await get(port, agent)).toEqual({ text: "peer first", server: "first" });
+    await place("second");
+    await untilLogged("certificateTaken", 2);
+    expect(await get(port, trust.createAgent({}))).toEqual({ text: "peer second", server: "second" });
+    streams[0]!.end("whole");
+    expect(await streamed).toEqual({ text: "begun whole", server: "first" });
+});
+
+test("one of the files is replaced before the other", async () => {
+    // Symptom: no process reaches any other. Sequence: the new certificate is written, its key is not yet, and both
+    // are read. Cause: files taken without a look at whether they fit.
+    await place("first");
+    await copyFile(fixture("authority.cert"), join(folder, "ca"));
+    const trust = await open(placed());
+    const { port } = await serve(trust);
+    await place("second", ["cert"]);
+    await untilLogged("certificateNotTaken", 1);
+    expect(await get(port, trust.createAgent({}))).toEqual({ text: "peer first", server: "first" });
+    await place("second", ["key"]);
+    await untilLogged("certificateTaken", 2);
+    expect((await get(port, trust.createAgent({}))).server).toBe("second");
+});
+
+test("the authority is replaced by way of both", async () => {
+    const both = `${await readFile(fixture("authority.cert"), "utf8")}${await readFile(
+        fixture("otherAuthority.cert"),
+        "utf8",
+    )}`;
+    await place("first");
+    await writeFile(join(folder, "ca"), both);
+    const old = await open(placed());
+    const { port } = await serve(old);
+    const renewed = await open({ ...filesOf("stranger"), caPath: join(folder, "ca") });
+    expect((await get(port, renewed.createAgent({}))).text).toBe("peer stranger");
+    const { port: newPort } = await serve(renewed);
+    expect((await get(newPort, old.createAgent({}))).text).toBe("peer first");
+});
+
+test("a process does not start with files that are missing or do not fit", async () => {
+    const broken = [
+        { ...filesOf("first"), keyPath: fixture("second.key") },
+        { ...filesOf("first"), caPath: join(folder, "none") },
+        { ...filesOf("first"), caPath: fixture("first.key") },
+    ];
+    for (const files of broken) {
+        expect(await open(files).catch(codeOf)).toBe(resultCodes.settingsInvalid);
+    }
+});
--- /dev/null
+++ b/packages/trust/src/createTrust.ts
@@ -0,0 +1,114 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { AgentOptions, ServerOptions } from "node:http";
+import { Agent, createServer, type Server } from "node:https";
+import { createSecureContext, TLSSocket } from "node:tls";
+import { checkMaterial } from "./checkMaterial.js";
+import { readMaterial } from "./readMaterial.js";
+import type { Trust } from "./Trust.js";
+import type { TrustFiles } from "./TrustFiles.js";
+import type { TrustMaterial } from "./TrustMaterial.js";
+
+/** A new certificate is in use this long after its file was written, at the latest. */
+const pollMs = 10_000;
+const minVersion = "TLSv1.3";
+
+interface TrustDeps {
+    clock: Clock;
+    logger: Logger;
+}
+
+/** What Node's agent calls for a new connection; its types leave it out. */
+interface Connecting {
+    createConnection(options: object, done: unknown): unknown;
+}
+
+const sameMaterial = (a: TrustMaterial, b: TrustMaterial): boolean =>
+    a.cert === b.cert && a.key === b.key && a.ca === b.ca;
+
+/**
+ * Loads certificate, key and authority, and loads them again whenever the files change. Connections under way keep
+ * what they were made with; new ones use the new. Files that do not fit together, as in the middle of a
+ * replacement, leave the old ones in use: a process that took them would be cut off from all others.
+ * Rejects with `settingsInvalid` if the files are unusable at the start.
+ */
+export async function createTrust(files: TrustFiles, { clock, logger }: TrustDeps): Promise<Trust> {
+    const stopped = new AbortController();
+    const servers = new Set<Server>();
+    let material = await loadFirst(files);
+    // Made once for each set of files: reading the PEM anew takes most of a handshake's time.
+    let context = createSecureContext({ ...material, minVersion });
+    let refused: TrustMaterial | undefined;
+    logTaken(material);
+
+    function logTaken(taken: TrustMaterial): void {
+        logger.info("certificateTaken", { validTo: checkMaterial(taken).toISOString() });
+    }
+
+    function take(next: TrustMaterial): void {
+        if (sameMaterial(next, material) || (refused !== undefined && sameMaterial(next, refused))) {
+            return;
+        }
+        try {
+            checkMaterial(next);
+            servers.forEach(server => server.setSecureContext({ ...next, minVersion }));
+        }
+        catch (error) {
+            refused = next;
+            logger.warn("certificateNotTaken", { fault: (error as Error).message });
+            return;
+        }
+        material = next;
+        context = createSecureContext({ ...next, minVersion });
+        logTaken(next);
+    }
+
+    async function watch(): Promise<void> {
+        while (!stopped.signal.aborted) {
+            await clock.sleep(pollMs, stopped.signal);
+            // A file that is missing for a moment is being replaced.
+            const next = await readMaterial(files).catch(() => undefined);
+            if (next !== undefined && !stopped.signal.aborted) {
+                take(next);
+            }
+        }
+    }
+
+    function makeServer(options: ServerOptions): Server {
+        const asked = { requestCert: true, rejectUnauthorized: false, minVersion } as const;
+        const server = createServer({ ...options, ...material, ...asked });
+        servers.add(server);
+        server.once("close", () => servers.delete(server));
+        return server;
+    }
+
+    function makeAgent(options: AgentOptions): Agent {
+        // A resumed session would go on with the certificate of the one before it.
+        const agent = new Agent({ ...options, maxCachedSessions: 0 });
+        const connecting = agent as unknown as Connecting;
+        const connect = connecting.createConnection.bind(agent);
+        connecting.createConnection = (target, done) => connect({ ...target, secureContext: context }, done);
+        return agent;
+    }
+
+    void watch();
+    return {
+        createServer: makeServer,
+        createAgent: makeAgent,
+        isPeer: ({ socket }) => socket instanceof TLSSocket && socket.authorized,
+        stop: () => stopped.abort(),
+    };
+}
+
+async function loadFirst(files: TrustFiles): Promise<TrustMaterial> {
+    try {
+        const material = await readMaterial(files);
+        checkMaterial(material);
+        return material;
+    }
+    catch (error) {
+        throw new ResultError(resultCodes.settingsInvalid, `tls: ${(error as Error).message}`);
+    }
+}
--- a/packages/types/src/OperatorTeamUsage.ts
+++ b/packages/types/src/OperatorTeamUsage.ts
@@ -7,9 +7,7 @@
     deliveredEngineMs: number;
     deliveredTokens: number;
     discardedEngineMs: number;
-    discardedTokens: number;
     overheadEngineMs: number;
-    overheadTokens: number;
     /** Interactive and plain requests. */
     interactiveEngineMs: number;
     interactiveRequests: number;
