--- /dev/null
+++ b/packages/daemon/src/leaving.test.ts
@@ -0,0 +1,49 @@
+import { validateManifest } from "@auburnarch/config/validateManifest";
+import type { Manifest } from "@auburnarch/types/Manifest";
+import type { VmId } from "@auburnarch/types/VmId";
+import { expect, test } from "vitest";
+import { createMemorySystem } from "./testing/createMemorySystem.js";
+
+const listLagMs = 1_000;
+const promisedMs = 3_000;
+
+function makeManifest(): Manifest {
+    const checked = validateManifest({
+        name: "leaving",
+        teams: [{ team: "smoke", share: 1, tokenDigests: ["0".repeat(64)] }],
+        services: [{ service: "tiles", kind: "plain", repeatable: ["GET /tiles"] }],
+        samplers: Array.from({ length: 24 }, (_, index) => ({
+            sampler: `tile-${index}`,
+            service: "tiles",
+            failureDomain: ["Lugo", "Burgos", "Bilbao"][index % 3],
+        })),
+        jobs: [],
+    });
+    if (checked.kind === "invalid") {
+        throw new Error(JSON.stringify(checked.faults));
+    }
+    return checked.manifest;
+}
+
+test("a leaving VM's sidecar refuses new work within 3 s of its mark in the list", async () => {
+    // Symptom: requests break off when a VM is taken away. Sequence: the VM list marks it as leaving, the sidecar
+    // hears of it with one of its next reports, which are seconds apart in a large fleet, and takes work until then.
+    // Cause: nobody told the sidecar at once.
+    const manifest = makeManifest();
+    const system = createMemorySystem(manifest, () => JSON.stringify(manifest), 5);
+    await system.clock.advance(8_000);
+    const late: string[] = [];
+    for (const { sampler } of manifest.samplers.slice(0, 20)) {
+        // At another place in everyone's intervals each time.
+        await system.clock.advance(730);
+        system.vms.markLeaving(`vm-sidecar-${sampler}` as VmId);
+        system.clock.startTimer(listLagMs + promisedMs, () => {
+            if (system.samplers.get(sampler)!.gate.report().state !== "leaving") {
+                late.push(sampler);
+            }
+        });
+    }
+    await system.clock.advance(listLagMs + promisedMs);
+    expect(late).toEqual([]);
+    expect(system.violations).toEqual([]);
+});
--- a/packages/daemon/src/startSidecar.ts
+++ b/packages/daemon/src/startSidecar.ts
@@ -28,6 +28,7 @@
 import type { ProcessContext } from "./ProcessContext.js";
 import type { RunningProcess } from "./RunningProcess.js";
 import { takeDocument } from "./takeDocument.js";
+import { watchState } from "./watchState.js";
 
 /** A sidecar only reads leases it is ordered under for the first time, and never writes. */
 const storeCallsPerSecond = 5;
@@ -122,6 +123,7 @@
         exchange: (address, message) => callPeer(address, "report", message, reportTimeoutMs),
     });
     reporter.start();
+    const stopWatch = watchState(gate, clock, reporter.reportNow);
     return {
         name: settings.name,
         address: identity.address,
@@ -130,6 +132,7 @@
             reporter.reportNow();
             await gate.shutdown(settings.shutdownDeadlineMs);
             reporter.stop();
+            stopWatch();
             await served.close(true);
             trust?.stop();
         },
--- a/packages/daemon/src/testing/createMemorySystem.ts
+++ b/packages/daemon/src/testing/createMemorySystem.ts
@@ -53,6 +53,7 @@
     samplers: Map<SamplerId, MemorySampler>;
     store: ObjectStore;
     storeControl: FakeStoreControl;
+    vms: ReturnType<typeof createFakeVmList>["control"];
     /** Log lines of all processes, in order. */
     lines: string[];
     violations: string[];
@@ -181,5 +182,5 @@
 
     Array.from({ length: entryCount }, (_, index) => startEntry(index));
     manifest.samplers.forEach(startSidecar);
-    return { clock, entries: [...entries.values()], samplers, store, storeControl, lines, violations };
+    return { clock, entries: [...entries.values()], samplers, store, storeControl, vms, lines, violations };
 }
--- a/packages/dispatch/src/DispatchPolicy.ts
+++ b/packages/dispatch/src/DispatchPolicy.ts
@@ -5,6 +5,7 @@
 import type { MoveRule } from "./MoveRule.js";
 import type { PriorityRule } from "./PriorityRule.js";
 import type { RoomRule } from "./RoomRule.js";
+import type { ThinRule } from "./ThinRule.js";
 
 /** The rules of a dispatcher. Each is a pure function, so that the bench can replace one at a time. */
 export interface DispatchPolicy {
@@ -17,6 +18,8 @@
     hold: HoldRule;
     /** How much is sent ahead and how much waits here. */
     room: RoomRule;
+    /** How far a sampler is filled that runs what the trainer waits for. */
+    thin: ThinRule;
     /** Which running attempts go on elsewhere. */
     move: MoveRule;
     /** Priority at the engine, 0 to 99. */
--- a/packages/dispatch/src/createBaselinePolicy.ts
+++ b/packages/dispatch/src/createBaselinePolicy.ts
@@ -6,6 +6,7 @@
 import { moveNever } from "./moveNever.js";
 import { priorityFixed } from "./priorityFixed.js";
 import { roomUnbounded } from "./roomUnbounded.js";
+import { thinNever } from "./thinNever.js";
 
 /** A simple rule to measure against: first come, first served, sent at once to the sampler that `pick` chooses. */
 export function createBaselinePolicy(name: string, pick: SamplerPicker): DispatchPolicy {
@@ -15,6 +16,7 @@
         pick,
         hold: holdNever,
         room: roomUnbounded,
+        thin: thinNever,
         move: moveNever,
         priority: priorityFixed,
         createLengthModel: createMaxLengthModel,
--- a/packages/dispatch/src/createPlacement.ts
+++ b/packages/dispatch/src/createPlacement.ts
@@ -3,9 +3,11 @@
 import type { PickDecision } from "@auburnarch/pick/PickDecision";
 import type { PickRequest } from "@auburnarch/pick/PickRequest";
 import { selectCandidates } from "@auburnarch/pick/selectCandidates";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
 import type { SamplerView } from "@auburnarch/types/SamplerView";
 import type { DispatcherDeps } from "./DispatcherDeps.js";
 import type { DispatchState } from "./DispatchState.js";
+import { findCritical } from "./findCritical.js";
 import type { Work } from "./Work.js";
 
 /** Turns views into candidates and a waiting sample into a decision. */
@@ -20,7 +22,7 @@
 export function createPlacement(deps: DispatcherDeps, state: DispatchState): Placement {
     const { ledger, hints, policy } = state;
 
-    function toCandidate(view: SamplerView, nowMs: number): Candidate {
+    function toCandidate(view: SamplerView, critical: ReadonlySet<SamplerId>, nowMs: number): Candidate {
         const record = ledger.record(view.report.sampler);
         let outstandingTokens = 0;
         let started = 0;
@@ -42,8 +44,10 @@
         };
         if (record.coolUntilMs <= nowMs) {
             const { outstanding } = candidate;
+            const { limit: reported } = view.report;
+            const limit = critical.has(view.report.sampler) ? policy.thin(reported) : reported;
             const load = correctedLoad(candidate);
-            candidate.room = policy.room({ limit: view.report.limit, load, outstanding, started });
+            candidate.room = policy.room({ limit, load, outstanding, started });
         }
         return candidate;
     }
@@ -74,7 +78,10 @@
     }
 
     return {
-        listCandidates: nowMs => deps.listSamplers().map(view => toCandidate(view, nowMs)),
+        listCandidates: nowMs => {
+            const critical = findCritical(state, nowMs);
+            return deps.listSamplers().map(view => toCandidate(view, critical, nowMs));
+        },
         decide: (work, candidates, nowMs) => {
             const request = toRequest(work, candidates, nowMs);
             const able = selectCandidates(candidates, request);
--- a/packages/dispatch/src/defaultDispatchPolicy.ts
+++ b/packages/dispatch/src/defaultDispatchPolicy.ts
@@ -6,6 +6,7 @@
 import { moveToFaster } from "./moveToFaster.js";
 import { priorityFixed } from "./priorityFixed.js";
 import { roomBesideOthers } from "./roomBesideOthers.js";
+import { thinForStraggler } from "./thinForStraggler.js";
 
 /** Our policy. */
 export const defaultDispatchPolicy: DispatchPolicy = {
@@ -14,6 +15,7 @@
     pick: pickEarliestFinish,
     hold: holdForFreshness,
     room: roomBesideOthers,
+    thin: thinForStraggler,
     move: moveToFaster,
     priority: priorityFixed,
     createLengthModel: createPromptLengthModel,
--- a/packages/entry/src/ServeEntryOptions.ts
+++ b/packages/entry/src/ServeEntryOptions.ts
@@ -20,6 +20,9 @@
     createServer?: (options: ServerOptions) => Server;
     /** Whether the other end is a process of the system by its certificate; undefined where there are none. */
     isPeer?: (request: IncomingMessage) => boolean;
-    /** Bytes that the bodies of all requests in flight may take; the default is 256 MiB. */
+    /**
+     * Bytes that the bodies of all callers' requests in flight may take, a team's at most half of it; those of peers may
+     * take as much again. The default is 128 MiB.
+     */
     maxBodyPoolBytes?: number;
 }
--- a/packages/entry/src/answerClientErrors.ts
+++ b/packages/entry/src/answerClientErrors.ts
@@ -14,30 +14,45 @@
     return new ResultError(resultCodes.badRequest, detail);
 }
 
+interface Exchange {
+    request: IncomingMessage;
+    response: ServerResponse;
+}
+
+/** True while `readBody` waits for more of the body, so that nothing of the request can have been run. */
+function isUnread({ request, response }: Exchange): boolean {
+    return !response.headersSent && !request.complete && request.listenerCount("readable") > 0;
+}
+
 /**
  * Answers what Node's parser refuses (malformed or too large heads, requests that do not arrive in time) with a
  * numbered code as well; by itself Node sends a bare status, which tells a caller neither the code nor the outcome.
- * The connection is closed behind the answer. One in the middle of an answer is cut: more bytes would pass for a
- * part of it.
+ * The connection is closed behind the answer. Where an earlier request of the connection is running or being answered,
+ * it is cut instead: the refusal would pass for that request's answer, and say "not run" of one that runs.
  */
 export function answerClientErrors(server: Server): void {
-    const answering = new WeakMap<Duplex, ServerResponse>();
+    const exchanges = new WeakMap<Duplex, Exchange>();
 
     server.prependListener("request", (request: IncomingMessage, response: ServerResponse) => {
-        answering.set(request.socket, response);
-        response.once("close", () => answering.delete(request.socket));
+        const exchange = { request, response };
+        exchanges.set(request.socket, exchange);
+        response.once("close", () => {
+            if (exchanges.get(request.socket) === exchange) {
+                exchanges.delete(request.socket);
+            }
+        });
     });
     server.on("checkExpectation", (request: IncomingMessage, response: ServerResponse) => {
         request.resume();
         sendFailure(response, new ResultError(resultCodes.badRequest, "expect: only 100-continue"));
     });
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => {
-        const open = answering.get(socket);
-        if (!socket.writable || open?.headersSent === true) {
+        const open = exchanges.get(socket);
+        if (!socket.writable || (open !== undefined && !isUnread(open))) {
             socket.destroy();
             return;
         }
-        const response = open ?? new ServerResponse(new IncomingMessage(new Socket()));
+        const response = open?.response ?? new ServerResponse(new IncomingMessage(new Socket()));
         if (open === undefined) {
             response.assignSocket(socket as Socket);
         }
--- a/packages/entry/src/createBodyPool.ts
+++ b/packages/entry/src/createBodyPool.ts
@@ -5,23 +5,38 @@
 const retryAfterMs = 1_000;
 
 /**
- * Bounds the memory that the bodies of all requests in flight take together. Each body has its own bound, but a few
- * hundred large ones at once would end the process; they would be noticed only by its death.
+ * Bounds the memory that the bodies of all requests in flight take together, and what one owner of requests may take
+ * of it. Each body has its own bound, but a few hundred large ones at once would end the process; they would be
+ * noticed only by its death.
  */
-export function createBodyPool(maxBytes: number): () => BodyBudget {
-    let heldBytes = 0;
-    return () => {
+export function createBodyPool(maxBytes: number, maxOwnerBytes: number): (owner: string) => BodyBudget {
+    const heldBytes = new Map<string, number>();
+    let totalBytes = 0;
+
+    function add(owner: string, bodyBytes: number): void {
+        const nextBytes = (heldBytes.get(owner) ?? 0) + bodyBytes;
+        totalBytes += bodyBytes;
+        if (nextBytes === 0) {
+            heldBytes.delete(owner);
+        }
+        else {
+            heldBytes.set(owner, nextBytes);
+        }
+    }
+
+    return owner => {
         let ownBytes = 0;
         return {
             take: bodyBytes => {
-                if (heldBytes + bodyBytes > maxBytes) {
+                const ownerBytes = (heldBytes.get(owner) ?? 0) + bodyBytes;
+                if (totalBytes + bodyBytes > maxBytes || ownerBytes > maxOwnerBytes) {
                     throw new ResultError(resultCodes.overloaded, "request bodies in flight", retryAfterMs);
                 }
-                heldBytes += bodyBytes;
+                add(owner, bodyBytes);
                 ownBytes += bodyBytes;
             },
             release: () => {
-                heldBytes -= ownBytes;
+                add(owner, -ownBytes);
                 ownBytes = 0;
             },
         };
--- a/packages/entry/src/createCountedSidecar.ts
+++ b/packages/entry/src/createCountedSidecar.ts
@@ -75,5 +75,6 @@
         order: async order => connect().order(order),
         readReport: async () => connect().readReport(),
         readUsage: async () => connect().readUsage(),
+        beginLeaving: async () => connect().beginLeaving?.(),
     };
 }
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -5,6 +5,7 @@
 import { createAdmission } from "./createAdmission.js";
 import { createDecisionBook } from "./createDecisionBook.js";
 import { createFleet } from "./createFleet.js";
+import { createLeavingWatch } from "./createLeavingWatch.js";
 import { createManifestPublisher } from "./createManifestPublisher.js";
 import { createOperations } from "./createOperations.js";
 import { createOwnership } from "./createOwnership.js";
@@ -113,7 +114,8 @@
         keep: deps.keep,
     });
 
-    const parts = [quickStart, fleet, usage, publisher, admission];
+    const leaving = createLeavingWatch({ fleet, vmList: deps.vmList, clock, logger });
+    const parts = [quickStart, fleet, leaving, usage, publisher, admission];
     parts.forEach(part => part.start());
     jobs.start();
     logger.info("entryStarted", { entry: self.entry, address: self.address });
--- /dev/null
+++ b/packages/entry/src/createLeavingWatch.ts
@@ -0,0 +1,93 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { SamplerView } from "@auburnarch/types/SamplerView";
+import type { VmList } from "@auburnarch/types/VmList";
+import { z } from "zod";
+import type { Fleet } from "./Fleet.js";
+
+const documentName = "leaving";
+const everyMs = 1_000;
+const leavingSchema = z.object({ vms: z.array(z.string()) });
+
+interface LeavingWatchDeps {
+    fleet: Fleet;
+    vmList: VmList;
+    clock: Clock;
+    logger: Logger;
+}
+
+interface LeavingWatch {
+    start(): void;
+    stop(): void;
+}
+
+/**
+ * Brings the word that a VM is leaving to its sidecar within seconds. The few relays read the VM list every second
+ * and spread the leaving VMs as a shared document; an entry that a leaving sampler reports to orders its sidecar to
+ * take no new work. If every process read the list that often, it would see thousands of calls a second.
+ */
+export function createLeavingWatch(deps: LeavingWatchDeps): LeavingWatch {
+    const { fleet, clock, logger } = deps;
+    const { spread, membership, views } = fleet;
+    const stopped = new AbortController();
+    const ordered = new Set<IncarnationId>();
+
+    function leavingVms(): string[] {
+        const parsed = leavingSchema.safeParse(spread.get(documentName)?.value);
+        return parsed.success ? parsed.data.vms : [];
+    }
+
+    async function readList(): Promise<void> {
+        const listed = await deps.vmList();
+        const vms = listed.filter(record => record.state === "leaving").map(record => record.vm).sort();
+        if (JSON.stringify(vms) !== JSON.stringify(leavingVms())) {
+            const before = spread.get(documentName)?.version ?? 0;
+            spread.offer({
+                name: documentName,
+                version: Math.max(before + 1, clock.wallMs()),
+                value: { vms },
+            });
+        }
+    }
+
+    async function orderOut({ report }: SamplerView): Promise<void> {
+        ordered.add(report.incarnation);
+        try {
+            const sidecar = views.sidecar(report.sampler);
+            await sidecar.beginLeaving?.();
+            membership.takeReport(await sidecar.readReport());
+            logger.info("samplerOrderedOut", { sampler: report.sampler, vm: report.vm });
+        }
+        catch (error) {
+            ordered.delete(report.incarnation);
+            logger.warn("samplerNotOrderedOut", { sampler: report.sampler, code: codeOf(error).name });
+        }
+    }
+
+    function orderAllOut(): void {
+        const leaving = new Set(leavingVms());
+        views.listAll()
+            .filter(view => leaving.has(view.report.vm) && !ordered.has(view.report.incarnation))
+            .forEach(view => void orderOut(view));
+    }
+
+    async function loop(): Promise<void> {
+        while (!stopped.signal.aborted) {
+            if (membership.isRelay()) {
+                await readList().catch(error => logger.warn("vmListFailed", { code: codeOf(error).name }));
+            }
+            orderAllOut();
+            await clock.sleep(everyMs, stopped.signal);
+        }
+    }
+
+    return {
+        start: () => {
+            spread.onChange(document => document.name === documentName && orderAllOut());
+            void loop();
+        },
+        stop: () => stopped.abort(),
+    };
+}
--- a/packages/entry/src/createOperations.ts
+++ b/packages/entry/src/createOperations.ts
@@ -58,12 +58,17 @@
     });
     const desk = createOperatorDesk({
         self,
+        clock: deps.clock,
         manifest: fleet.manifest,
         isReady,
         isStoreReachable,
         readMembers: members.readAll,
         views,
-        drain: createDrainer(views, callPeer, parts.book.logger),
+        drain: createDrainer({
+            sidecar: views.sidecar,
+            takeReport: fleet.membership.takeReport,
+            logger: parts.book.logger,
+        }),
         publish: parts.publish,
         readJobs,
         usage: parts.usage,
--- a/packages/entry/src/createOperatorDesk.ts
+++ b/packages/entry/src/createOperatorDesk.ts
@@ -1,6 +1,7 @@
 import { summarizeUsage } from "@auburnarch/account/summarizeUsage";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import type { Clock } from "@auburnarch/types/Clock";
 import type { ConfigVersion } from "@auburnarch/types/ConfigVersion";
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { EntryRecord } from "@auburnarch/types/EntryRecord";
@@ -26,6 +27,7 @@
 
 interface OperatorDeskDeps {
     self: EntryRecord;
+    clock: Clock;
     manifest: () => VersionedManifest | undefined;
     isReady: () => boolean;
     isStoreReachable: () => boolean;
@@ -96,7 +98,7 @@
             groupsDelivered: open?.delivered ?? 0,
             groups: open?.groups ?? 0,
             publishedVersion: found?.publishedVersion,
-            needInMs: undefined,
+            needInMs: open === undefined ? undefined : open.needAtMs - deps.clock.wallMs(),
         };
     }
 
--- a/packages/entry/src/serveEntry.ts
+++ b/packages/entry/src/serveEntry.ts
@@ -8,6 +8,7 @@
 import type { AddressInfo } from "node:net";
 import { match } from "ts-pattern";
 import { answerClientErrors } from "./answerClientErrors.js";
+import type { BodyBudget } from "./BodyBudget.js";
 import { createBodyPool } from "./createBodyPool.js";
 import { createPeerServer } from "./createPeerServer.js";
 import type { Entry } from "./Entry.js";
@@ -29,7 +30,9 @@
 const maxOperatorBodyBytes = 1024 * 1024;
 const headersTimeoutMs = 10_000;
 const timeoutCheckMs = 1_000;
-const defaultBodyPoolBytes = 256 * 1024 * 1024;
+const defaultBodyPoolBytes = 128 * 1024 * 1024;
+/** So that the bodies of one team leave room for the others. */
+const maxTeamPart = 0.5;
 
 interface Served {
     port: number;
@@ -78,6 +81,17 @@
     return team as TeamId;
 }
 
+/** Reads a body; what it took of its budget is given back once the answer has ended. */
+function readHeld(
+    request: IncomingMessage,
+    response: ServerResponse,
+    maxBytes: number,
+    budget: BodyBudget,
+): Promise<Uint8Array> {
+    response.once("close", budget.release);
+    return readBody(request, maxBytes, budget);
+}
+
 async function listen(options: ServeEntryOptions): Promise<Server> {
     const server = (options.createServer ?? createServer)({
         requestTimeout: options.requestTimeoutMs,
@@ -115,18 +129,9 @@
     }
 
     const peers = createPeerServer(entry, logInternal);
-    const openBudget = createBodyPool(options.maxBodyPoolBytes ?? defaultBodyPoolBytes);
-
-    /** Reads a body into the pool; its bytes are given back once the answer has ended. */
-    function read(
-        request: IncomingMessage,
-        response: ServerResponse,
-        maxBytes: number,
-    ): Promise<Uint8Array> {
-        const budget = openBudget();
-        response.once("close", budget.release);
-        return readBody(request, maxBytes, budget);
-    }
+    const poolBytes = options.maxBodyPoolBytes ?? defaultBodyPoolBytes;
+    const teamBudget = createBodyPool(poolBytes, poolBytes * maxTeamPart);
+    const peerBudget = createBodyPool(poolBytes, poolBytes);
 
     async function callService(
         route: EntryRoute & { kind: "service"; },
@@ -135,7 +140,7 @@
     ): Promise<void> {
         const forwarded = request.headers[forwardHeaders.forwarded] === "1";
         const team = forwarded ? forwardedTeam(request, options) : entry.authenticate(tokenOf(request));
-        const body = await read(request, response, entry.maxBodyBytes());
+        const body = await readHeld(request, response, entry.maxBodyBytes(), teamBudget(team));
         const call = { ...readCallerRequest(request, team, route.service, route.path, body), forwarded };
         await writeAnswer(options.clock, response, await entry.call(call, goneSignal(response)));
     }
@@ -154,7 +159,7 @@
             sendJson(response, 200, await entry.train(team, { kind: "status", job: route.job }, false));
             return;
         }
-        const body = parseJson(await read(request, response, maxPeerBodyBytes));
+        const body = parseJson(await readHeld(request, response, maxPeerBodyBytes, teamBudget(team)));
         sendJson(response, 200, await entry.train(team, parseTrainerBody(route, body), false) ?? {});
     }
 
@@ -165,14 +170,14 @@
     ): Promise<void> {
         demand(request, options.operatorTokenDigest);
         const body = request.method === "POST"
-            ? parseJson(await read(request, response, maxOperatorBodyBytes))
+            ? parseJson(await readHeld(request, response, maxOperatorBodyBytes, peerBudget("operators")))
             : undefined;
         sendJson(response, 200, await entry.operate(route.action, route.query, body) ?? {});
     }
 
     async function receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
         demandPeer(request, options);
-        const body = parseJson(await read(request, response, maxPeerBodyBytes));
+        const body = parseJson(await readHeld(request, response, maxPeerBodyBytes, peerBudget("peers")));
         sendJson(response, 200, await peers.receive(body));
     }
 
--- a/packages/entry/src/testing/createServedEntry.ts
+++ b/packages/entry/src/testing/createServedEntry.ts
@@ -60,6 +60,8 @@
     /** What reached the sampler of service `tiles`. */
     sent: PlainRequest[];
     callPeer: EntryDeps["callPeer"];
+    /** Lets the sampler answer calls of `/held`. */
+    release(): void;
     close(): Promise<void>;
 }
 
@@ -74,9 +76,16 @@
     const lines: string[] = [];
     const logger = createLogger(clock, line => lines.push(line));
     const sent: PlainRequest[] = [];
+    let release = (): void => undefined;
+    const held = new Promise<void>(resolve => {
+        release = resolve;
+    });
     const sampler = {
         callPlain: async (request: PlainRequest) => {
             sent.push(request);
+            if (request.path === "/held") {
+                await held;
+            }
             const body = (async function*() {
                 yield Buffer.from("whole");
             })();
@@ -126,7 +135,9 @@
         lines,
         sent,
         callPeer: createPeerCall(tokens.cluster),
+        release: () => release(),
         close: async () => {
+            release();
             await served.entry.shutdown(0);
             await served.close();
         },
--- a/packages/membership/src/createReporter.ts
+++ b/packages/membership/src/createReporter.ts
@@ -6,6 +6,7 @@
 import { createTargetChooser } from "./createTargetChooser.js";
 import { defaultMembershipTiming } from "./defaultMembershipTiming.js";
 import type { EntryTarget } from "./EntryTarget.js";
+import { isOwnVmLeaving } from "./isOwnVmLeaving.js";
 import type { MembershipTiming } from "./MembershipTiming.js";
 import type { ReportAnswer } from "./ReportAnswer.js";
 import { reportAnswerSchema } from "./reportAnswerSchema.js";
@@ -27,15 +28,19 @@
     const chooser = createTargetChooser(deps.sampler, timing.reportTargets, directory, clock);
     const dueAtMs = new Map<string, number>();
     const inFlight = new Set<string>();
-    /** Where in the interval this sidecar's first report lies, so that not all report at the same time. */
+    /** Where in the interval this sidecar's second report lies, so that not all report at the same time. */
     const ownPlace = deps.random.nextUnit();
     let vmListDueMs = 0;
+    let answeredAtMs = clock.monotonicMs();
     /** Counts the calls of `reportNow`. */
     let changes = 0;
 
     async function readVmList(): Promise<void> {
         try {
             const listed = await deps.vmList();
+            if (isOwnVmLeaving(deps.sampler, listed)) {
+                deps.onLeaving();
+            }
             learn(
                 listed
                     .filter(record => record.role === "entry" && record.state === "live")
@@ -47,6 +52,12 @@
         }
     }
 
+    function isListWanted(): boolean {
+        const nowMs = clock.monotonicMs();
+        const isSilent = nowMs - answeredAtMs > timing.maxReportIntervalMs;
+        return nowMs >= vmListDueMs && (isSilent || directory.countUsable() < timing.reportTargets);
+    }
+
     function learn(entries: EntryTarget[]): void {
         if (entries.length > 0) {
             directory.learn(entries);
@@ -55,22 +66,28 @@
     }
 
     /**
-     * The next report to an entry, at its place in the interval: the reports to the entries chosen are spread
-     * evenly, so that some entry is heard every part of the interval, and a new document comes that much sooner.
+     * The next report to an entry: a part of the interval behind the last one planned. The reports to the entries
+     * chosen are so spread evenly, and a new document comes that much sooner than at the end of an interval.
      */
-    function nextSlotMs(address: string, intervalMs: number): number {
+    function nextReportAtMs(address: string, intervalMs: number): number {
+        const nowMs = clock.monotonicMs();
         const targets = chooser.choose();
-        const rank = targets.findIndex(target => target.address === address);
-        const place = (ownPlace + Math.max(0, rank) / targets.length) % 1;
-        const earliestMs = clock.monotonicMs() + intervalMs / 2;
-        return (Math.ceil(earliestMs / intervalMs - place) + place) * intervalMs;
+        const planned = targets
+            .filter(target => target.address !== address)
+            .map(target => dueAtMs.get(target.address) ?? 0);
+        const lastMs = Math.max(...planned, 0);
+        const wantedMs = lastMs > nowMs
+            ? lastMs + intervalMs / targets.length
+            : nowMs + intervalMs * (0.5 + ownPlace);
+        return Math.min(nowMs + 1.5 * intervalMs, Math.max(nowMs + 0.5 * intervalMs, wantedMs));
     }
 
     function takeAnswer(address: string, answer: ReportAnswer, changesSent: number): void {
         directory.noteAnswered(address);
+        answeredAtMs = clock.monotonicMs();
         learn(answer.entries);
         if (changesSent === changes) {
-            dueAtMs.set(address, nextSlotMs(address, answer.nextReportMs));
+            dueAtMs.set(address, nextReportAtMs(address, answer.nextReportMs));
         }
         else {
             // A change came while the report was under way: the answer is to an older state.
@@ -137,7 +154,7 @@
 
     async function run(): Promise<void> {
         while (!stopped.signal.aborted) {
-            if (directory.countUsable() < timing.reportTargets && clock.monotonicMs() >= vmListDueMs) {
+            if (isListWanted()) {
                 vmListDueMs = clock.monotonicMs() + timing.vmListIntervalMs;
                 await callInTime(clock, timing.reportTimeoutMs, readVmList);
             }
--- a/packages/membership/src/defaultMembershipTiming.ts
+++ b/packages/membership/src/defaultMembershipTiming.ts
@@ -13,7 +13,7 @@
     vmListIntervalMs: 5_000,
     reportTargets: 3,
     minReportIntervalMs: 1_000,
-    maxReportIntervalMs: 10_000,
+    maxReportIntervalMs: 12_000,
     reportBytesPerSecond: 2_500,
     reportTimeoutMs: 3_000,
     relays: 3,
--- a/packages/own/src/OwnerStatus.ts
+++ b/packages/own/src/OwnerStatus.ts
@@ -14,6 +14,8 @@
         delivered: number;
         waiting: number;
         running: number;
+        /** Wall time when the trainer needs the last group. */
+        needAtMs: number;
     }[];
     /** Engine time of acknowledged samples. */
     deliveredEngineMs: number;
--- a/packages/own/src/describeStep.ts
+++ b/packages/own/src/describeStep.ts
@@ -16,5 +16,6 @@
         delivered: countGroups(step.furthest),
         waiting: Math.max(0, step.outstanding.size - running),
         running,
+        needAtMs: step.document.needAtMs,
     };
 }
--- a/packages/send/src/createHttpSidecar.ts
+++ b/packages/send/src/createHttpSidecar.ts
@@ -106,6 +106,7 @@
                 .exhaustive();
         },
         readUsage: async () => usageCountersSchema.parse(await callRpc("readUsage", {}, reportTimeoutMs)),
+        beginLeaving: async () => void await callRpc("beginLeaving", {}, queryTimeoutMs),
         close: () => agent.destroy(),
     };
 }
--- a/packages/types/src/SidecarPort.ts
+++ b/packages/types/src/SidecarPort.ts
@@ -27,4 +27,6 @@
     order(order: SamplerOrder): Promise<SamplerOrderResult>;
     readReport(): Promise<SamplerReport>;
     readUsage(): Promise<UsageCounter[]>;
+    /** From now on new work is refused with code `leaving`; running work goes on. */
+    beginLeaving?(): void | Promise<void>;
 }
