--- a/packages/dispatch/src/createPromptLengthModel.ts
+++ b/packages/dispatch/src/createPromptLengthModel.ts
@@ -5,7 +5,7 @@
 const longEvery = 32;
 const promptsKept = 8_192;
 /** Weight of the job's mean against the samples of the prompt seen so far. */
-const priorWeight = (globalThis as { PW?: number; }).PW ?? 2;
+const priorWeight = 2;
 
 /**
  * Predicts lengths from the job's last 512 samples and from what earlier samples of the same prompt came to, in
--- a/packages/membership/src/createReporter.ts
+++ b/packages/membership/src/createReporter.ts
@@ -1,5 +1,6 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { callInTime } from "@auburnarch/spread/callInTime";
+import { listEntryTargets } from "./listEntryTargets.js";
 import { parseWith } from "@auburnarch/spread/parseWith";
 import type { DocumentDigest } from "@auburnarch/types/DocumentDigest";
 import { createEntryDirectory } from "./createEntryDirectory.js";
@@ -41,11 +42,7 @@
             if (isOwnVmLeaving(deps.sampler, listed)) {
                 deps.onLeaving();
             }
-            learn(
-                listed
-                    .filter(record => record.role === "entry" && record.state === "live")
-                    .map(({ address, failureDomain }) => ({ address, failureDomain })),
-            );
+            learn(listEntryTargets(listed));
         }
         catch (error) {
             deps.logger.warn("vmListFailed", { code: codeOf(error).name });
