--- a/packages/membership/src/createReporter.ts
+++ b/packages/membership/src/createReporter.ts
@@ -1,6 +1,5 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { callInTime } from "@auburnarch/spread/callInTime";
-import { listEntryTargets } from "./listEntryTargets.js";
 import { parseWith } from "@auburnarch/spread/parseWith";
 import type { DocumentDigest } from "@auburnarch/types/DocumentDigest";
 import { createEntryDirectory } from "./createEntryDirectory.js";
@@ -8,6 +7,7 @@
 import { defaultMembershipTiming } from "./defaultMembershipTiming.js";
 import type { EntryTarget } from "./EntryTarget.js";
 import { isOwnVmLeaving } from "./isOwnVmLeaving.js";
+import { listEntryTargets } from "./listEntryTargets.js";
 import type { MembershipTiming } from "./MembershipTiming.js";
 import type { ReportAnswer } from "./ReportAnswer.js";
 import { reportAnswerSchema } from "./reportAnswerSchema.js";
