Count a death as shared only by one VM and incarnation

Change: the same death is the same VM and the same incarnation. Conclusion: the doubt is kept for deaths that two contents truly shared.

--- a/packages/admit/src/countDeadVms.ts
+++ b/packages/admit/src/countDeadVms.ts
@@ -14,7 +14,7 @@
 }
 
 /**
- * VMs whose death counts against a record. If another content was in flight when the same VMs died, one of the two
+ * VMs whose death counts against a record. If another content was in flight at all the same deaths, one of the two
  * is a bystander and the deaths do not tell which: convicting both would refuse an innocent content everywhere. Only
  * one VM counts then, so that both stay suspects, which run apart from then on: the next death names one of them.
  */
@@ -30,7 +30,10 @@
     }
     const isDoubtful = records.some(other => {
         const others = other.digest === record.digest ? [] : countedDeaths(other, nowMs);
-        return others.length > 0 && deaths.every(death => others.some(each => each.vm === death.vm));
+        return others.length > 0
+            && deaths.every(death =>
+                others.some(each => each.vm === death.vm && each.bootId === death.bootId)
+            );
     });
     return isDoubtful ? 1 : vms;
 }
--- a/packages/gate/src/refuseSuspect.test.ts
+++ b/packages/gate/src/refuseSuspect.test.ts
@@ -57,3 +57,16 @@
     expect(await code(attempt("killer"))).toBe("quarantined");
     expect(await code(attempt("group"))).toBe("running");
 });
+
+test("two contents that killed the same VMs at different times do not excuse each other", async () => {
+    // Symptom: a convicted content is released and kills three more engines. Sequence: two contents each kill the
+    // same two samplers alone, one after the other. Cause: deaths were compared by VM, not by incarnation.
+    const { gate, attempt, code } = await createReadyGate();
+    const second = record("digest-second", ["vm-a", "vm-b"]);
+    second.deaths.forEach(death => {
+        death.bootId += "-later";
+    });
+    gate.offerQuarantine(1, [record("digest-first", ["vm-a", "vm-b"]), second]);
+    expect(await code(attempt("first"))).toBe("quarantined");
+    expect(await code(attempt("second"))).toBe("quarantined");
+});
