Look result codes up by number in one place

Cause: two packages had the same table by number, one with and one without a fallback. Conclusion: one piece of logic stood twice.

--- a/packages/daemon/src/callEntry.ts
+++ b/packages/daemon/src/callEntry.ts
@@ -1,6 +1,6 @@
+import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
-import { codeByNumber } from "@auburnarch/store/codeByNumber";
 import { request as httpRequest } from "node:http";
 import type { Agent } from "node:http";
 
@@ -29,7 +29,7 @@
         return answer;
     }
     throw new ResultError(
-        codeByNumber(answer.code) ?? resultCodes.internal,
+        codeByNumber(answer.code),
         answer.message ?? "",
         answer.retryAfterMs,
     );
--- a/packages/entry/src/createForwardPlain.ts
+++ b/packages/entry/src/createForwardPlain.ts
@@ -1,10 +1,10 @@
+import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { exchangeHttp } from "@auburnarch/send/exchangeHttp";
 import { parseAddress } from "@auburnarch/send/parseAddress";
 import { passHeaders } from "@auburnarch/send/passHeaders";
 import { readWhole } from "@auburnarch/send/readWhole";
 import { writeHeaders } from "@auburnarch/send/writeHeaders";
-import { codeByNumber } from "@auburnarch/store/codeByNumber";
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
@@ -58,7 +58,7 @@
         try {
             const refusal = JSON.parse((await readWhole(body, maxRefusalBytes)).toString()) as Refusal;
             const code = codeByNumber(refusal.code);
-            if (code === undefined) {
+            if (code === resultCodes.internal) {
                 return unclear;
             }
             return refusal.outcome === "notRun"
--- a/packages/entry/src/createPeerCall.ts
+++ b/packages/entry/src/createPeerCall.ts
@@ -1,7 +1,7 @@
+import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import { sidecarHeaders } from "@auburnarch/send/sidecarHeaders";
-import { codeByNumber } from "@auburnarch/store/codeByNumber";
 import { isJSONRPCResponse, JSONRPCClient, JSONRPCErrorException } from "json-rpc-2.0";
 import { Agent, type AgentOptions, request as httpRequest } from "node:http";
 import { request as httpsRequest } from "node:https";
@@ -17,7 +17,7 @@
 
 function codeIn(answer: unknown): string {
     const number = (answer as { code?: unknown; } | undefined)?.code;
-    return codeByNumber(typeof number === "number" ? number : undefined)?.name ?? "not JSON-RPC";
+    return codeByNumber(number, resultCodes.peerUnreachable).name;
 }
 
 function toResultError(error: unknown): ResultError {
@@ -28,7 +28,7 @@
         // The library turns a failed sending into an error of its own, with a number that is none of ours.
         const data = (error.data ?? {}) as ErrorData;
         return new ResultError(
-            codeByNumber(error.code) ?? resultCodes.peerUnreachable,
+            codeByNumber(error.code, resultCodes.peerUnreachable),
             data.detail ?? error.message,
             data.retryAfterMs,
         );
--- a/packages/send/src/createHttpSidecar.ts
+++ b/packages/send/src/createHttpSidecar.ts
@@ -1,3 +1,4 @@
+import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import type { AttemptId } from "@auburnarch/types/AttemptId";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { SamplerOrderResult } from "@auburnarch/types/SamplerOrderResult";
@@ -5,7 +6,6 @@
 import type { Agent, AgentOptions } from "node:http";
 import { match } from "ts-pattern";
 import { attemptStateSchema } from "./attemptStateSchema.js";
-import { codeByNumber } from "./codeByNumber.js";
 import { createIncarnationMemory } from "./createIncarnationMemory.js";
 import { createPlainCaller } from "./createPlainCaller.js";
 import { createRpcClient } from "./createRpcClient.js";
--- a/packages/send/src/createPlainCaller.ts
+++ b/packages/send/src/createPlainCaller.ts
@@ -1,10 +1,10 @@
+import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
 import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
 import type { PlainRequest } from "@auburnarch/types/PlainRequest";
 import type { ResultCode } from "@auburnarch/types/ResultCode";
 import type { SidecarPort } from "@auburnarch/types/SidecarPort";
-import { codeByNumber } from "./codeByNumber.js";
 import { exchangeHttp } from "./exchangeHttp.js";
 import type { HttpExchange } from "./HttpExchange.js";
 import { passHeaders } from "./passHeaders.js";
--- a/packages/send/src/createRpcClient.ts
+++ b/packages/send/src/createRpcClient.ts
@@ -1,10 +1,10 @@
+import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import type { Clock } from "@auburnarch/types/Clock";
 import { isJSONRPCResponse, JSONRPCClient, JSONRPCErrorException } from "json-rpc-2.0";
 import { setMaxListeners } from "node:events";
 import type { Agent } from "node:http";
-import { codeByNumber } from "./codeByNumber.js";
 import { exchangeHttp } from "./exchangeHttp.js";
 import { readWhole } from "./readWhole.js";
 
--- a/packages/send/src/createSampleCaller.ts
+++ b/packages/send/src/createSampleCaller.ts
@@ -1,4 +1,5 @@
 import { createSpanAssembler } from "@auburnarch/collect/createSpanAssembler";
+import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import type { AttemptId } from "@auburnarch/types/AttemptId";
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
@@ -9,7 +10,6 @@
 import type { TokenSpan } from "@auburnarch/types/TokenSpan";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
 import { match } from "ts-pattern";
-import { codeByNumber } from "./codeByNumber.js";
 import { createLineReader } from "./createLineReader.js";
 import { exchangeHttp } from "./exchangeHttp.js";
 import type { HttpExchange } from "./HttpExchange.js";
--- a/packages/store/src/createJsonClient.ts
+++ b/packages/store/src/createJsonClient.ts
@@ -1,7 +1,8 @@
+import { codeByNumber } from "@auburnarch/errors/codeByNumber";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import type { ResultCode } from "@auburnarch/types/ResultCode";
 import { Agent, type IncomingMessage, request as startRequest } from "node:http";
-import { codeByNumber } from "./codeByNumber.js";
 import type { HttpClientOptions } from "./HttpClientOptions.js";
 import type { JsonClient } from "./JsonClient.js";
 
@@ -27,7 +28,7 @@
 function errorIn(value: unknown): ResultError | undefined {
     const error = (value ?? {}) as { code?: unknown; detail?: unknown; retryAfterMs?: unknown; };
     const code = codeByNumber(error.code);
-    if (code === undefined) {
+    if (code === resultCodes.internal) {
         return undefined;
     }
     const retryAfterMs = typeof error.retryAfterMs === "number" ? error.retryAfterMs : undefined;
