Measure the slopes of control and add up capacity at the target

Change: bench slopes (membership, spreading, reports, leases, run many to a process under the fake clock; N doubled seven times), docs/CAPACITY.md with a test that computes its tables again from the committed figures, manifest documents read with their defaults, the reporter's look at its own row, lost in an edit, back with a test of its own.

--- /dev/null
+++ b/packages/bench/src/path/Failures.ts
@@ -0,0 +1,2 @@
+/** How many requests failed, by what they said. */
+export type Failures = Record<string, number>;
--- /dev/null
+++ b/packages/bench/src/path/PathProcesses.ts
@@ -0,0 +1,13 @@
+import type { RoleProcess } from "./RoleProcess.js";
+
+/** The processes of one run of the path bench. */
+export interface PathProcesses {
+    standIn: RoleProcess;
+    engines: RoleProcess[];
+    plainSidecar: RoleProcess;
+    modelSidecars: RoleProcess[];
+    entry: RoleProcess;
+    /** Bearer token of the callers' team. */
+    token: string;
+    stop(): Promise<void>;
+}
--- /dev/null
+++ b/packages/bench/src/path/callOnce.ts
@@ -0,0 +1,50 @@
+import { type Agent, type IncomingMessage, request as httpRequest } from "node:http";
+
+interface Call {
+    agent: Agent;
+    url: URL;
+    method: string;
+    /** Bearer token; the stand-ins ask for none and ignore it. */
+    token: string;
+    body?: string;
+    onChunk?: (chunk: Buffer) => void;
+}
+
+const maxFaultChars = 60;
+
+/** One HTTP request of the load generator; resolves once the answer is whole, rejects if it is not one of status 200. */
+export function callOnce(call: Call): Promise<void> {
+    return new Promise((resolve, reject) => {
+        const { agent, method, url } = call;
+        const request = httpRequest({
+            agent,
+            method,
+            host: url.hostname,
+            port: url.port,
+            path: url.pathname + url.search,
+            headers: { "authorization": `Bearer ${call.token}`, "content-type": "application/json" },
+        });
+        request.on("error", reject);
+        request.on("response", (response: IncomingMessage) => {
+            let fault = "";
+            response.on("data", (chunk: Buffer) => {
+                if (response.statusCode === 200) {
+                    call.onChunk?.(chunk);
+                }
+                else if (fault.length < maxFaultChars) {
+                    fault += chunk.toString("utf8");
+                }
+            });
+            response.on("error", reject);
+            response.on("end", () => {
+                if (response.statusCode === 200) {
+                    resolve();
+                }
+                else {
+                    reject(new Error(`status ${response.statusCode} ${fault.slice(0, maxFaultChars)}`));
+                }
+            });
+        });
+        request.end(call.body);
+    });
+}
--- /dev/null
+++ b/packages/bench/src/path/measureFlatOut.ts
@@ -0,0 +1,42 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import { Agent } from "node:http";
+import { callOnce } from "./callOnce.js";
+import type { Failures } from "./Failures.js";
+import { noteFailure } from "./noteFailure.js";
+
+interface FlatOutOptions {
+    clock: Clock;
+    token: string;
+    url: URL;
+    connections: number;
+    durationMs: number;
+}
+
+/** Requests a second that `connections` callers get done who send the next request as soon as the last is answered. */
+export async function measureFlatOut(
+    options: FlatOutOptions,
+): Promise<{ perSecond: number; failures: Failures; }> {
+    const { clock, url, connections, token } = options;
+    const agent = new Agent({ keepAlive: true, maxSockets: connections });
+    const startMs = clock.monotonicMs();
+    const endMs = startMs + options.durationMs;
+    let done = 0;
+    const failures: Failures = {};
+
+    async function loop(): Promise<void> {
+        while (clock.monotonicMs() < endMs) {
+            try {
+                await callOnce({ agent, url, method: "GET", token });
+                done++;
+            }
+            catch (error) {
+                noteFailure(failures, error);
+            }
+        }
+    }
+
+    await Promise.all(Array.from({ length: connections }, loop));
+    const elapsedMs = clock.monotonicMs() - startMs;
+    agent.destroy();
+    return { perSecond: done * 1_000 / elapsedMs, failures };
+}
--- /dev/null
+++ b/packages/bench/src/path/startEngineStandIn.ts
@@ -0,0 +1,21 @@
+import { createFakeEngine } from "@auburnarch/fakes/createFakeEngine";
+import { serveEngine } from "@auburnarch/fakes/serveEngine";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { Random } from "@auburnarch/types/Random";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+
+/** Serves the stand-in engine: one token a chunk and 50 tokens a second for each stream. Gives its port. */
+export async function startEngineStandIn(clock: Clock, random: Random): Promise<number> {
+    const { engine } = createFakeEngine({
+        clock,
+        random,
+        served: [{ policy: "bench" as PolicyId, version: 1 as WeightVersion }],
+        maxBatch: 1_024,
+        tokensPerSecond: 50,
+        batchSlowdown: 0,
+        chunkMs: 20,
+        lengthOf: () => Number.MAX_SAFE_INTEGER,
+    });
+    return (await serveEngine(engine)).port;
+}
--- /dev/null
+++ b/packages/bench/src/slopes/CallCost.ts
@@ -0,0 +1,8 @@
+/** Cost of one JSON-RPC call between two processes over HTTP on loopback. */
+export interface CallCost {
+    /** Bytes on the wire beside the JSON of request and answer. */
+    envelopeBytes: number;
+    /** Processor time of client and server together. */
+    cpuUs: number;
+    calls: number;
+}
--- /dev/null
+++ b/packages/bench/src/slopes/FleetCommon.ts
@@ -0,0 +1,16 @@
+import type { Invariants } from "@auburnarch/invariants/Invariants";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { Random } from "@auburnarch/types/Random";
+import type { VmList } from "@auburnarch/types/VmList";
+import type { FleetNetwork } from "./FleetNetwork.js";
+
+/** What every process of a simulated fleet is built from. */
+export interface FleetCommon {
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    invariants: Invariants;
+    vmList: VmList;
+    network: FleetNetwork;
+}
--- /dev/null
+++ b/packages/bench/src/slopes/SlopesFigures.ts
@@ -0,0 +1,26 @@
+import type { CallCost } from "./CallCost.js";
+import type { ChangePoint } from "./ChangePoint.js";
+import type { CutPoint } from "./CutPoint.js";
+import type { DetectionPoint } from "./DetectionPoint.js";
+import type { LeasePoint } from "./LeasePoint.js";
+import type { SpreadPoint } from "./SpreadPoint.js";
+import type { SteadyPoint } from "./SteadyPoint.js";
+
+/** Everything that `slopes` measured; docs/CAPACITY.md is computed from it. */
+export interface SlopesFigures {
+    /** Resident memory of this process before the first fleet, all modules loaded. */
+    baseRssBytes: number;
+    call: CallCost;
+    /** Series by what is doubled in them. */
+    steady: { entries: SteadyPoint[]; samplers: SteadyPoint[]; jobs: SteadyPoint[]; changes: SteadyPoint[]; };
+    /** Entries doubled with 10.25 samplers each, as in the target. */
+    scaled: SteadyPoint[];
+    spread: SpreadPoint[];
+    detection: DetectionPoint[];
+    cut: CutPoint[];
+    leases: LeasePoint[];
+    change: ChangePoint[];
+    /** Points left out because the time was up. */
+    skipped: string[];
+    elapsedMs: number;
+}
--- /dev/null
+++ b/packages/bench/src/slopes/createFleetEntry.ts
@@ -0,0 +1,51 @@
+import { faultsOfDocument } from "@auburnarch/config/faultsOfDocument";
+import { createMembership } from "@auburnarch/membership/createMembership";
+import type { Membership } from "@auburnarch/membership/Membership";
+import { createSpread } from "@auburnarch/spread/createSpread";
+import type { Spread } from "@auburnarch/spread/Spread";
+import type { EntryRecord } from "@auburnarch/types/EntryRecord";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { FleetCommon } from "./FleetCommon.js";
+
+/** The control part of an entry. */
+interface FleetEntry {
+    membership: Membership;
+    spread: Spread;
+    manifestVersion(): number;
+    stop(): void;
+}
+
+/** Starts membership and spreading of one entry. */
+export function createFleetEntry(deps: FleetCommon & { self: EntryRecord; store: ObjectStore; }): FleetEntry {
+    const { self, network } = deps;
+    const from = { role: "entry" as const, region: self.region };
+    const membership = createMembership({
+        ...deps,
+        seeds: [],
+        exchange: (address, message) => network.call(from, address, "gossip", message),
+        newerDocuments: theirs => spread.transfersFor(theirs),
+    });
+    const spread: Spread = createSpread({
+        ...deps,
+        listPeers: membership.listPeers,
+        isRelay: membership.isRelay,
+        exchange: (address, message) => network.call(from, address, "spread", message),
+        faultsOf: faultsOfDocument,
+    });
+    network.listen(self.address, self.region, {
+        gossip: membership.receiveGossip,
+        spread: spread.receive,
+        report: membership.receiveReport,
+    });
+    membership.start();
+    spread.start();
+    return {
+        membership,
+        spread,
+        manifestVersion: () => spread.get("manifest")?.version ?? 0,
+        stop: () => {
+            membership.stop();
+            spread.stop();
+        },
+    };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/createSuspicionLogger.ts
@@ -0,0 +1,17 @@
+import type { Logger } from "@auburnarch/types/Logger";
+
+/** Makes a logger that keeps nothing but the number of suspicions. */
+export function createSuspicionLogger(): { logger: Logger; count(): number; } {
+    let suspicions = 0;
+    const logger: Logger = {
+        info: event => {
+            if (event.endsWith("Suspected")) {
+                suspicions++;
+            }
+        },
+        warn: () => undefined,
+        error: () => undefined,
+        child: () => logger,
+    };
+    return { logger, count: () => suspicions };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/measureChange.ts
@@ -0,0 +1,71 @@
+import { faultsOfDocument } from "@auburnarch/config/faultsOfDocument";
+import { createInvariants } from "@auburnarch/invariants/createInvariants";
+import { createDocumentSet } from "@auburnarch/spread/createDocumentSet";
+import { defaultSpreadGuards } from "@auburnarch/spread/defaultSpreadGuards";
+import type { DocumentSet } from "@auburnarch/spread/DocumentSet";
+import type { DocumentTransfer } from "@auburnarch/spread/DocumentTransfer";
+import type { ChangePoint } from "./ChangePoint.js";
+import { collectGarbage } from "./collectGarbage.js";
+import { createSuspicionLogger } from "./createSuspicionLogger.js";
+import { makeManifest } from "./makeManifest.js";
+
+const changes = 20;
+const jobs = 10;
+const priorities = 10;
+
+function createSet(): DocumentSet {
+    const { logger } = createSuspicionLogger();
+    const invariants = createInvariants(logger, code => {
+        throw new Error(`promise broken: ${code.name}`);
+    });
+    return createDocumentSet(
+        { logger, invariants, faultsOf: faultsOfDocument },
+        defaultSpreadGuards,
+        () => undefined,
+    );
+}
+
+const cpuNowUs = (): number => {
+    const { user, system } = process.cpuUsage();
+    return user + system;
+};
+
+function heapNow(): number {
+    collectGarbage();
+    return process.memoryUsage().heapUsed;
+}
+
+/** Passes changes of a manifest from one process to another and measures each side. */
+export function measureChange(samplers: number): ChangePoint {
+    const [from, to] = [createSet(), createSet()];
+    const publish = (version: number): void => {
+        const value = makeManifest(samplers, jobs, version % priorities + 1);
+        from.take({ name: "manifest", version, value });
+    };
+    const cross = (transfer: DocumentTransfer): string => JSON.stringify(transfer);
+    publish(1);
+    const heapBefore = heapNow();
+    to.takeTransfer(JSON.parse(cross(from.transfer("manifest", 0)!)) as DocumentTransfer);
+    let makeUs = 0;
+    let takeUs = 0;
+    let transferBytes = 0;
+    for (let version = 2; version < 2 + changes; version++) {
+        publish(version);
+        const startedUs = cpuNowUs();
+        const text = cross(from.transfer("manifest", version - 1)!);
+        const madeUs = cpuNowUs();
+        to.takeTransfer(JSON.parse(text) as DocumentTransfer);
+        takeUs += cpuNowUs() - madeUs;
+        makeUs += madeUs - startedUs;
+        transferBytes = text.length;
+    }
+    return {
+        samplers,
+        manifestBytes: JSON.stringify(from.get("manifest")!.value).length,
+        transferBytes,
+        takeCpuUs: Math.round(takeUs / changes),
+        makeCpuUs: Math.round(makeUs / changes),
+        // The sender's texts grew in step with the receiver's.
+        heapBytes: Math.round((heapNow() - heapBefore) / 2),
+    };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/measureCut.ts
@@ -0,0 +1,32 @@
+import { createFleet } from "./createFleet.js";
+import type { CutPoint } from "./CutPoint.js";
+import type { FleetOptions } from "./FleetOptions.js";
+
+const warmMs = 30_000;
+const cutMs = 180_000;
+const limitMs = 180_000;
+const resolutionMs = 250;
+
+/** Cuts two regions off from each other for three minutes, publishes a change meanwhile and joins them again. */
+export async function measureCut(options: FleetOptions): Promise<CutPoint> {
+    const fleet = createFleet({ ...options, regions: 2 });
+    await fleet.publish();
+    await fleet.clock.advance(warmMs);
+    fleet.cutRegions(true);
+    await fleet.clock.advance(cutMs / 2);
+    const version = await fleet.publish();
+    await fleet.clock.advance(cutMs / 2);
+    const leastPeersDuringCut = fleet.peersKnown().least;
+    fleet.cutRegions(false);
+    const startedMs = fleet.clock.monotonicMs();
+    let mergedMs: number | undefined;
+    let configMs: number | undefined;
+    while (mergedMs === undefined && fleet.clock.monotonicMs() - startedMs < limitMs) {
+        const elapsedMs = fleet.clock.monotonicMs() - startedMs;
+        configMs ??= fleet.behind(version).entries === 0 ? elapsedMs : undefined;
+        mergedMs = fleet.peersKnown().least === options.entries - 1 ? elapsedMs : undefined;
+        await fleet.clock.advance(resolutionMs);
+    }
+    fleet.stop();
+    return { entries: options.entries, cutMs, leastPeersDuringCut, mergedMs, configMs };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/measureSpread.ts
@@ -0,0 +1,51 @@
+import { createFleet } from "./createFleet.js";
+import type { Fleet } from "./Fleet.js";
+import type { FleetOptions } from "./FleetOptions.js";
+import type { SpreadPoint } from "./SpreadPoint.js";
+
+const warmMs = 30_000;
+const limitMs = 60_000;
+const resolutionMs = 50;
+const slowRelayMs = 2_000;
+const lossRatio = 0.1;
+
+/** Simulated milliseconds until `done`, to within 50 ms; undefined if not within the limit. */
+async function timeUntil(fleet: Fleet, startedMs: number, done: () => boolean): Promise<number | undefined> {
+    while (!done()) {
+        if (fleet.clock.monotonicMs() - startedMs > limitMs) {
+            return undefined;
+        }
+        await fleet.clock.advance(resolutionMs);
+    }
+    return fleet.clock.monotonicMs() - startedMs;
+}
+
+function strike(fleet: Fleet, condition: SpreadPoint["condition"]): void {
+    const [relay] = fleet.relays();
+    if (condition === "deadRelay") {
+        fleet.kill(relay!);
+    }
+    else if (condition === "slowRelay") {
+        fleet.slow(relay!, slowRelayMs);
+    }
+}
+
+/** Publishes one change to a settled fleet under a condition and measures until it is in force. */
+export async function measureSpread(
+    options: FleetOptions,
+    condition: SpreadPoint["condition"],
+): Promise<SpreadPoint> {
+    const fleet = createFleet({ ...options, loss: condition === "loss" ? lossRatio : 0 });
+    await fleet.publish();
+    await fleet.clock.advance(warmMs);
+    strike(fleet, condition);
+    const startedMs = fleet.clock.monotonicMs();
+    const version = await fleet.publish();
+    const entriesMs = await timeUntil(fleet, startedMs, () => fleet.behind(version).entries === 0);
+    const everywhereMs = await timeUntil(fleet, startedMs, () => {
+        const { entries, sidecars } = fleet.behind(version);
+        return entries === 0 && sidecars === 0;
+    });
+    fleet.stop();
+    return { entries: options.entries, samplers: options.samplers, condition, entriesMs, everywhereMs };
+}
--- a/packages/dispatch/src/rules.test.ts
+++ b/packages/dispatch/src/rules.test.ts
@@ -4,13 +4,20 @@
 import type { WaitingSample } from "@auburnarch/queue/WaitingSample";
 import fc from "fast-check";
 import { expect, test } from "vitest";
+import { createDispatchState } from "./createDispatchState.js";
 import { createNeedForecast } from "./createNeedForecast.js";
 import { createPrefixHints } from "./createPrefixHints.js";
 import { createPromptLengthModel } from "./createPromptLengthModel.js";
+import { defaultDispatchPolicy } from "./defaultDispatchPolicy.js";
+import { findCritical } from "./findCritical.js";
+import { holdForFreshness } from "./holdForFreshness.js";
 import { joinSpans } from "./joinSpans.js";
 import { moveToFaster } from "./moveToFaster.js";
 import { priorityByNeed } from "./priorityByNeed.js";
 import { roomBesideOthers } from "./roomBesideOthers.js";
+import type { RunningAttempt } from "./RunningAttempt.js";
+import { thinForStraggler } from "./thinForStraggler.js";
+import type { Work } from "./Work.js";
 
 type Span = Parameters<typeof joinSpans>[0][number];
 const span = (
@@ -167,3 +174,60 @@
     queue.resort();
     expect([...queue.due(1_000)].map(work => work.latestStartMs)).toEqual([10, 30, 40]);
 });
+
+test("held: only later steps of jobs that weigh freshness above idle time, and only while there is time to spare", () => {
+    const base = {
+        stepsAhead: 1,
+        latestStartMs: 60_000,
+        backlogMs: 10_000,
+        longRunMs: 20_000,
+        freshnessWeight: 1,
+        nowMs: 0,
+    };
+    expect({
+        early: holdForFreshness(base),
+        inTime: holdForFreshness({ ...base, nowMs: 28_000 }),
+        oldestStep: holdForFreshness({ ...base, stepsAhead: 0 }),
+        neutral: holdForFreshness({ ...base, freshnessWeight: 0.5 }),
+        longBacklog: holdForFreshness({ ...base, backlogMs: 40_000 }),
+        noSamplers: holdForFreshness({ ...base, backlogMs: Infinity }),
+    }).toMatchInlineSnapshot(`
+      {
+        "early": true,
+        "inTime": false,
+        "longBacklog": false,
+        "neutral": false,
+        "noSamplers": false,
+        "oldestStep": false,
+      }
+    `);
+});
+
+test("critical: the sampler of a straggler that the trainer waits for, once nothing else of its step waits", () => {
+    const deps = { job: () => ({ stepNeedMs: 20_000 }) } as Parameters<typeof createDispatchState>[0];
+    const state = createDispatchState(deps, defaultDispatchPolicy);
+    const work = (
+        step: number,
+        name: string,
+    ): Work => ({
+        task: { step, sample: name, needAtMs: 20_000 },
+        running: new Set(),
+        latestStartMs: 0,
+    } as unknown as Work);
+    const run = (of: Work, on: string, tokens: number): void => {
+        state.wanted.set(of.task.sample, of);
+        state.attempts.add(
+            { work: of, sampler: on, tokens, expectedTokens: 100 } as unknown as RunningAttempt,
+        );
+    };
+    run(work(0, "straggler"), "a", 500);
+    run(work(0, "ordinary"), "b", 50);
+    run(work(1, "next"), "c", 500);
+    expect([...findCritical(state, 1_000)]).toEqual([]);
+    expect([...findCritical(state, 16_000)]).toEqual(["a"]);
+    const waiting = work(0, "waiting");
+    state.wanted.set(waiting.task.sample, waiting);
+    state.queue.add(waiting);
+    expect([...findCritical(state, 16_000)]).toEqual([]);
+    expect([thinForStraggler(8), thinForStraggler(2)]).toEqual([3, 2]);
+});
--- a/packages/membership/src/createReporter.test.ts
+++ b/packages/membership/src/createReporter.test.ts
@@ -33,6 +33,7 @@
 function build(answers: (address: string, message: ReportMessage) => Promise<unknown>) {
     const clock = createFakeClock();
     const state = { leaving: 0, sent: [] as { address: string; atMs: number; state: string; }[] };
+    const vms = [...entryVms];
     let sequence = 0;
     const reported = { state: "ready" as SamplerReport["state"] };
     const reporter = createReporter({
@@ -47,14 +48,14 @@
         onLeaving: () => {
             state.leaving++;
         },
-        vmList: () => Promise.resolve(entryVms),
+        vmList: () => Promise.resolve(vms),
         seeds: [],
         exchange: (address, message) => {
             state.sent.push({ address, atMs: clock.monotonicMs(), state: message.report.state });
             return answers(address, message);
         },
     });
-    return { clock, reporter, state, reported };
+    return { clock, reporter, state, reported, vms };
 }
 
 const fine = { documents: [], nextReportMs: 1_000, entries: [], leaving: false };
@@ -136,3 +137,16 @@
     reporter.stop();
     expect(state.leaving).toBeGreaterThan(0);
 });
+
+test("a sidecar that no entry answers learns from the VM list that its VM is leaving", async () => {
+    // Symptom: a leaving sampler cut off from its entries goes on taking work from others.
+    // Sequence: no entry answers; the VM list marks the sampler's VM. Cause: only answers told of it.
+    const { clock, reporter, state, vms } = build(() => Promise.reject(new Error("refused")));
+    reporter.start();
+    await clock.advance(30_000);
+    expect(state.leaving).toBe(0);
+    vms.push({ ...entryVms[0]!, role: "sidecar", sampler: "rollout-1" as SamplerId, state: "leaving" });
+    await clock.advance(30_000);
+    reporter.stop();
+    expect(state.leaving).toBeGreaterThan(0);
+});
--- a/packages/membership/src/createReporter.ts
+++ b/packages/membership/src/createReporter.ts
@@ -2,7 +2,6 @@
 import { callInTime } from "@auburnarch/spread/callInTime";
 import { parseWith } from "@auburnarch/spread/parseWith";
 import type { DocumentDigest } from "@auburnarch/types/DocumentDigest";
-import type { VmRecord } from "@auburnarch/types/VmRecord";
 import { createEntryDirectory } from "./createEntryDirectory.js";
 import { createTargetChooser } from "./createTargetChooser.js";
 import { defaultMembershipTiming } from "./defaultMembershipTiming.js";
@@ -18,11 +17,6 @@
 const minSleepMs = 50;
 const maxSleepMs = 1_000;
 
-const entriesOf = (records: VmRecord[]): EntryTarget[] =>
-    records
-        .filter(record => record.role === "entry" && record.state === "live")
-        .map(({ address, failureDomain }) => ({ address, failureDomain }));
-
 /**
  * Makes the reporting of a sidecar to a few entries, chosen by rendezvous hash over failure domains. Each entry's
  * answer says when it wants the next report; a failing entry is replaced at once by the next in order.
@@ -44,7 +38,11 @@
 
     async function readVmList(): Promise<void> {
         try {
-            learn(entriesOf(await deps.vmList()));
+            const listed = await deps.vmList();
+            if (isOwnVmLeaving(deps.sampler, listed)) {
+                deps.onLeaving();
+            }
+            learn(listEntryTargets(listed));
         }
         catch (error) {
             deps.logger.warn("vmListFailed", { code: codeOf(error).name });
