--- /dev/null
+++ b/packages/bench/src/faults/FaultKind.ts
@@ -0,0 +1,4 @@
+import type { faultKinds } from "./faultKinds.js";
+
+/** A kind of fault that a run may draw. */
+export type FaultKind = typeof faultKinds[number];
--- /dev/null
+++ b/packages/bench/src/faults/SidecarProcess.ts
@@ -0,0 +1,16 @@
+import type { Gate } from "@auburnarch/gate/Gate";
+import type { TestProcess } from "@auburnarch/own/testing/TestProcess";
+
+/** One run of a sidecar. */
+export interface SidecarProcess {
+    gate: Gate;
+    process: TestProcess;
+    /** The job lease's number in the object API when this run began. */
+    startedAtFencing: number;
+    startedAtMs: number;
+    /** When its shutdown began; undefined before. */
+    shutdownAtMs: number | undefined;
+    kill(): void;
+    stopReporting(): void;
+    whenDown(): Promise<void>;
+}
--- /dev/null
+++ b/packages/bench/src/faults/Violations.ts
@@ -0,0 +1,6 @@
+/** Breaches of promises found in one run. */
+export interface Violations {
+    add(promise: string, detail: string): void;
+    list(): { promise: string; detail: string; atMs: number; }[];
+    count(): number;
+}
--- /dev/null
+++ b/packages/bench/src/faults/createEntryNode.ts
@@ -0,0 +1,165 @@
+import { createEntry } from "@auburnarch/entry/createEntry";
+import type { Entry } from "@auburnarch/entry/Entry";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import { createInvariants } from "@auburnarch/invariants/createInvariants";
+import { createTestProcess } from "@auburnarch/own/testing/createTestProcess";
+import type { TestProcess } from "@auburnarch/own/testing/TestProcess";
+import type { EntryId } from "@auburnarch/types/EntryId";
+import type { EntryRecord } from "@auburnarch/types/EntryRecord";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import type { GroupKeep } from "@auburnarch/types/GroupKeep";
+import type { Region } from "@auburnarch/types/Region";
+import type { ScoringPort } from "@auburnarch/types/ScoringPort";
+import type { VmId } from "@auburnarch/types/VmId";
+import { createEntryPorts } from "./createEntryPorts.js";
+import { createQuietMetrics } from "./createQuietMetrics.js";
+import { createStoreLink } from "./createStoreLink.js";
+import { createWatchedParts } from "./createWatchedParts.js";
+import type { EntryNode } from "./EntryNode.js";
+import type { SamplerNode } from "./SamplerNode.js";
+import type { World } from "./World.js";
+
+interface EntryNodeDeps {
+    name: string;
+    failureDomain: FailureDomain;
+    entries: () => EntryNode[];
+    /** Addresses of all entries, started or not. */
+    addresses: string[];
+    samplers: () => SamplerNode[];
+    scoring: ScoringPort;
+    keep: GroupKeep;
+}
+
+interface Running {
+    entry: Entry;
+    process: TestProcess;
+    fencing: FencingNumber | undefined;
+    die: () => void;
+    died: Promise<void>;
+}
+
+const leaseTtlMs = 3_600;
+const membershipTiming = {
+    gossipIntervalMs: 500,
+    gossipTimeoutMs: 800,
+    minSuspectMs: 1_500,
+    maxSuspectMs: 4_000,
+    minReportIntervalMs: 600,
+    maxReportIntervalMs: 1_000,
+    vmListIntervalMs: 1_000,
+};
+
+/** Makes a VM with the real entry in a process of its own, started at once. */
+export function createEntryNode(world: World, deps: EntryNodeDeps): EntryNode {
+    const { guards, network, violations, logger } = world;
+    const { name } = deps;
+    let running: Running | undefined;
+
+    const record: EntryRecord = {
+        entry: name as EntryId,
+        vm: `vm-${name}` as VmId,
+        address: name,
+        failureDomain: deps.failureDomain,
+        region: "norte" as Region,
+    };
+
+    function start(): void {
+        const process = createTestProcess(world.clock);
+        let die = (): void => undefined;
+        const died = new Promise<void>(resolve => {
+            die = resolve;
+        });
+        const invariants = createInvariants(
+            logger,
+            (code, fields) => violations.add(code.name, `${name} ${JSON.stringify(fields)}`),
+        );
+        let fencing: FencingNumber | undefined;
+        const entry = createEntry({
+            self: record,
+            clock: process.clock,
+            random: world.random.fork(),
+            logger,
+            metrics: createQuietMetrics(),
+            invariants,
+            store: process.connect(createStoreLink(world, name)),
+            vmList: process.connect(world.vmList),
+            scoring: process.connect(deps.scoring),
+            keep: process.connect(deps.keep),
+            cursorKey: "bench-key",
+            seeds: deps.addresses,
+            leaseTtlMs,
+            ...createEntryPorts(world, { name, process, entries: deps.entries, samplers: deps.samplers }),
+            readManifestFile: undefined,
+            guards: {
+                owner: guards.owner,
+                ownerParts: createWatchedParts(next => {
+                    fencing = next;
+                }),
+                lease: guards.lease,
+                spread: guards.spread,
+                send: guards.send,
+                keyRange: guards.keyRange,
+                ...guards.quarantine,
+            },
+            timing: membershipTiming,
+        });
+        running = {
+            entry,
+            process,
+            get fencing() {
+                return fencing;
+            },
+            die,
+            died,
+        };
+    }
+
+    function kill(): void {
+        running?.process.kill();
+        running?.die();
+        running = undefined;
+    }
+
+    function demandRunning(): Running {
+        if (running === undefined) {
+            throw new ResultError(resultCodes.peerUnreachable, name);
+        }
+        return running;
+    }
+
+    network.register(name, {
+        isUp: () => running !== undefined,
+        whenDown: () => running?.died ?? Promise.resolve(),
+    });
+    world.vms.add({ ...record, role: "entry", sampler: undefined, state: "live" });
+    start();
+
+    return {
+        name,
+        running: () => running,
+        receive: async (method, params) => {
+            const { entry, process } = demandRunning();
+            return await process.enter(() => entry.receive(method, params));
+        },
+        enter: async call => {
+            const { entry, process } = demandRunning();
+            return await process.enter(() => call(entry));
+        },
+        ownedFencing: () => running?.fencing,
+        kill,
+        start: () => {
+            if (running === undefined) {
+                start();
+            }
+        },
+        shutDown: async deadlineMs => {
+            const before = running;
+            await before?.process.enter(() => before.entry.shutdown(deadlineMs));
+            if (running === before) {
+                kill();
+            }
+        },
+    };
+}
--- /dev/null
+++ b/packages/bench/src/faults/createJudgedStore.ts
@@ -0,0 +1,56 @@
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { Violations } from "./Violations.js";
+
+const fencedKeys = /^jobs\/[^/]+\/(weights|checkpoint)$/u;
+
+interface FencedValue {
+    fencing?: number;
+    published?: { version: number; };
+}
+
+interface JudgedStore {
+    store: ObjectStore;
+    /** The job lease's number as it truly stands; a write whose answer was lost shows at the next renewal. */
+    trueFencing(): number;
+}
+
+/** The object API with a judge: fencing numbers and published versions in it only ever rise. */
+export function createJudgedStore(store: ObjectStore, violations: Violations, leaseKey: string): JudgedStore {
+    let fencing = 0;
+    const standing = new Map<string, { value: FencedValue; version: number; }>();
+
+    function compare(key: string, earlier: FencedValue, later: FencedValue): void {
+        if ((later.fencing ?? 0) < (earlier.fencing ?? 0)) {
+            violations.add("fencingWentBack", `${key}: ${earlier.fencing} to ${later.fencing}`);
+        }
+        if ((later.published?.version ?? 0) < (earlier.published?.version ?? 0)) {
+            violations.add(
+                "weightsWentBack",
+                `${key}: ${earlier.published?.version} to ${later.published?.version}`,
+            );
+        }
+    }
+
+    /** Answers may come in another order than the writes took effect in; the versions tell that order. */
+    function judge(key: string, value: FencedValue, version: number): void {
+        const known = standing.get(key);
+        if (known !== undefined && known.version > version) {
+            compare(key, value, known.value);
+            return;
+        }
+        compare(key, known?.value ?? {}, value);
+        standing.set(key, { value, version });
+    }
+
+    const write: ObjectStore["write"] = async (key, value, expected) => {
+        const outcome = await store.write(key, value, expected);
+        if (outcome.kind === "written" && fencedKeys.test(key)) {
+            judge(key, value as FencedValue, outcome.version);
+        }
+        if (outcome.kind === "written" && key === leaseKey) {
+            fencing = Math.max(fencing, (value as FencedValue).fencing ?? outcome.version);
+        }
+        return outcome;
+    };
+    return { store: { ...store, write }, trueFencing: () => fencing };
+}
--- /dev/null
+++ b/packages/bench/src/faults/createNetwork.ts
@@ -0,0 +1,117 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Random } from "@auburnarch/types/Random";
+import type { Exchange } from "./Exchange.js";
+import type { Network } from "./Network.js";
+import type { NetworkFault } from "./NetworkFault.js";
+
+interface Strike {
+    fault: NetworkFault;
+    to: string;
+    from: string | undefined;
+    onStruck: () => void;
+}
+
+const latencyMs = 1;
+const connectTimeoutMs = 200;
+const breakAfterMs = 400;
+const lateByMs = 900;
+
+/** Small calls beside the work share its way, but are struck only with it. */
+const controlSuffix = "#control";
+
+const bare = (name: string): string =>
+    name.endsWith(controlSuffix) ? name.slice(0, -controlSuffix.length) : name;
+
+const pairOf = (a: string, b: string): string => [bare(a), bare(b)].sort().join(" ");
+
+/** Makes a network without faults. */
+export function createNetwork(clock: Clock, random: Random): Network {
+    const processes = new Map<string, { isUp(): boolean; whenDown(): Promise<void>; }>();
+    const cuts = new Set<string>();
+    let strikes: Strike[] = [];
+    let disorderMs = 0;
+
+    const isUp = (name: string): boolean => processes.get(name)?.isUp() ?? true;
+    const travel = (): Promise<void> => clock.sleep(latencyMs + random.nextUnit() * disorderMs);
+
+    /** The round trip is counted once, unless messages overtake each other. */
+    const travelBack = (): Promise<void> => disorderMs > 0 ? travel() : Promise.resolve();
+
+    function takeStrike(from: string, to: string): NetworkFault | undefined {
+        if (from.endsWith(controlSuffix)) {
+            return undefined;
+        }
+        const strike = strikes.find(each =>
+            each.to === to && (each.from === undefined || each.from === from)
+        );
+        strikes = strikes.filter(each => each !== strike);
+        strike?.onStruck();
+        return strike?.fault;
+    }
+
+    /** Carries the request out, unless the receiver dies first. */
+    async function carryOut<T>(to: string, deliver: () => Promise<T>): Promise<Exchange<T>> {
+        const down = processes.get(to)?.whenDown().then((): Exchange<T> => ({ kind: "broken" }));
+        const answered = deliver().then((answer): Exchange<T> => ({ kind: "answered", answer }));
+        return down === undefined ? await answered : await Promise.race([answered, down]);
+    }
+
+    /** A late request travels on its connection, so it reaches the process it was sent to or none. */
+    function deliverLate(to: string, deliver: () => Promise<unknown>): void {
+        let isSame = true;
+        void processes.get(to)?.whenDown().then(() => {
+            isSame = false;
+        });
+        clock.startTimer(lateByMs, () => {
+            if (isSame && isUp(to)) {
+                deliver().catch(() => undefined);
+            }
+        });
+    }
+
+    async function breakLater(): Promise<{ kind: "broken"; }> {
+        await clock.sleep(breakAfterMs);
+        return { kind: "broken" };
+    }
+
+    async function exchange<T>(from: string, to: string, deliver: () => Promise<T>): Promise<Exchange<T>> {
+        const fault = takeStrike(from, to);
+        if (!isUp(to) || cuts.has(pairOf(from, to)) || fault === "noConnection") {
+            await clock.sleep(connectTimeoutMs);
+            return { kind: "notSent" };
+        }
+        await travel();
+        if (!isUp(to) || fault === "requestLost" || fault === "requestLate") {
+            if (fault === "requestLate") {
+                deliverLate(to, deliver);
+            }
+            return await breakLater();
+        }
+        if (fault === "requestTwice") {
+            deliverLate(to, deliver);
+        }
+        const result = await carryOut(to, deliver);
+        await travelBack();
+        const isLost = fault === "answerLost" || cuts.has(pairOf(from, to));
+        return isLost ? await breakLater() : result;
+    }
+
+    return {
+        exchange,
+        register: (name, process) => void processes.set(name, process),
+        cut: (a, b) => void cuts.add(pairOf(a, b)),
+        heal: (a, b) => void cuts.delete(pairOf(a, b)),
+        healAll: () => {
+            cuts.clear();
+            strikes = [];
+            disorderMs = 0;
+        },
+        isCut: (a, b) => cuts.has(pairOf(a, b)),
+        strikeNext: (fault, to, from, onStruck = () => undefined) => {
+            strikes.push({ fault, to, from, onStruck });
+        },
+        setDisorder: maxDelayMs => {
+            disorderMs = maxDelayMs;
+        },
+    };
+}
--- /dev/null
+++ b/packages/bench/src/faults/createPoisonRequest.ts
@@ -0,0 +1,19 @@
+import type { CallerRequest } from "@auburnarch/entry/CallerRequest";
+import type { ServiceId } from "@auburnarch/types/ServiceId";
+import type { TeamId } from "@auburnarch/types/TeamId";
+
+/** A completion whose prompt kills every engine that runs it. */
+export function createPoisonRequest(prompt: string): CallerRequest {
+    return {
+        team: "humoboira" as TeamId,
+        service: "rollout" as ServiceId,
+        method: "POST",
+        path: "/v1/completions",
+        headers: { "content-type": "application/json" },
+        body: Buffer.from(JSON.stringify({ model: "plume", prompt, max_tokens: 8 })),
+        budgetMs: 1_500,
+        idempotencyKey: undefined,
+        idempotent: undefined,
+        forwarded: false,
+    };
+}
--- /dev/null
+++ b/packages/bench/src/faults/createQuietLogger.ts
@@ -0,0 +1,12 @@
+import type { Logger } from "@auburnarch/types/Logger";
+
+/** A logger that writes nothing. */
+export function createQuietLogger(): Logger {
+    const logger: Logger = {
+        info: () => undefined,
+        warn: () => undefined,
+        error: () => undefined,
+        child: () => logger,
+    };
+    return logger;
+}
--- /dev/null
+++ b/packages/bench/src/faults/createQuietMetrics.ts
@@ -0,0 +1,11 @@
+import type { Metrics } from "@auburnarch/metrics/Metrics";
+
+/** Metrics that nobody reads. */
+export function createQuietMetrics(): Metrics {
+    return {
+        count: () => undefined,
+        set: () => undefined,
+        observeMs: () => undefined,
+        render: async () => "",
+    };
+}
--- /dev/null
+++ b/packages/bench/src/faults/createRunParts.ts
@@ -0,0 +1,101 @@
+import { createFakeScoring } from "@auburnarch/fakes/createFakeScoring";
+import { createFakeWeightStore } from "@auburnarch/fakes/createFakeWeightStore";
+import type { FakeEngineControl } from "@auburnarch/fakes/FakeEngineControl";
+import { createTestKeep } from "@auburnarch/own/testing/createTestKeep";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { ServiceId } from "@auburnarch/types/ServiceId";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import { createBackends } from "./createBackends.js";
+import { createCaller } from "./createCaller.js";
+import { createEntryNode } from "./createEntryNode.js";
+import { createSamplerNode } from "./createSamplerNode.js";
+import { createTrainerSide } from "./createTrainerSide.js";
+import type { EntryNode } from "./EntryNode.js";
+import type { RunParts } from "./RunParts.js";
+import type { World } from "./World.js";
+
+/** One engine that states versions and fences, one that does neither, one that states only. */
+const modelKinds = [
+    { name: "model-1", statesFingerprint: true, honoursFencing: true },
+    { name: "model-2", statesFingerprint: false, honoursFencing: false },
+    { name: "model-3", statesFingerprint: true, honoursFencing: false },
+];
+const entryPlaces = [
+    { name: "entry-1", failureDomain: "Pamplona" as FailureDomain },
+    { name: "entry-2", failureDomain: "Lugo" as FailureDomain },
+];
+const plainNames = ["tiles-1", "tiles-2"];
+const scoringLatencyMs = 5;
+const weightTransferMs = 60;
+
+/** Builds the system of a run: two entries, three model samplers, two plain ones, a trainer and a caller. */
+export function createRunParts(
+    world: World,
+    mayEnd: () => boolean,
+): Pick<RunParts, "world" | "entries" | "models" | "plains" | "caller" | "trainer"> {
+    const { clock } = world;
+    const { scoring } = createFakeScoring({ clock, latencyMs: scoringLatencyMs });
+    const { weightStore } = createFakeWeightStore({ clock, transferMs: weightTransferMs, maxConcurrent: 2 });
+    const keep = createTestKeep();
+    const backends = createBackends(world);
+    const entries: EntryNode[] = [];
+
+    const addresses = entryPlaces.map(place => place.name);
+
+    const models = modelKinds.map(kind => {
+        let control: FakeEngineControl | undefined;
+        const node = createSamplerNode(world, {
+            name: kind.name,
+            service: "rollout" as ServiceId,
+            weightStore,
+            entries: () => entries,
+            addresses,
+            createBackend: (sidecar, vm) => {
+                const backend = backends.model(kind.name, vm, kind, sidecar);
+                control = backend.control;
+                return { engine: backend.engine, plain: undefined, crash: backend.control.crash };
+            },
+        });
+        return { node, control: () => control! };
+    });
+    const plains = plainNames.map(name => {
+        let setLatencyMs: (latencyMs: number) => void = () => undefined;
+        const node = createSamplerNode(world, {
+            name,
+            service: "tiles" as ServiceId,
+            weightStore,
+            entries: () => entries,
+            addresses,
+            createBackend: () => {
+                const { backend, control } = backends.plain(name);
+                setLatencyMs = control.setLatency;
+                return { engine: undefined, plain: backend, crash: () => undefined };
+            },
+        });
+        return { node, setLatencyMs: (latencyMs: number) => setLatencyMs(latencyMs) };
+    });
+    for (const place of entryPlaces) {
+        entries.push(createEntryNode(world, {
+            ...place,
+            entries: () => entries,
+            addresses,
+            samplers: () => [...models.map(model => model.node), ...plains.map(plain => plain.node)],
+            scoring,
+            keep,
+        }));
+    }
+    world.setEntryAwake(() => entries.some(entry => entry.running()?.process.isPaused() === false));
+    return {
+        world,
+        entries,
+        models,
+        plains,
+        caller: createCaller(world, {
+            team: "humoboira" as TeamId,
+            service: "tiles" as ServiceId,
+            entries,
+            mayEnd,
+        }),
+        trainer: createTrainerSide(world, { entries, mayEnd }),
+    };
+}
--- /dev/null
+++ b/packages/bench/src/faults/createSidecarLink.ts
@@ -0,0 +1,101 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { TestProcess } from "@auburnarch/own/testing/TestProcess";
+import { createIncarnationMemory } from "@auburnarch/send/createIncarnationMemory";
+import { resolveBroken } from "@auburnarch/send/resolveBroken";
+import type { SendGuards } from "@auburnarch/send/SendGuards";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+import type { Exchange } from "./Exchange.js";
+import type { Network } from "./Network.js";
+import type { SamplerNode } from "./SamplerNode.js";
+
+interface SidecarLinkDeps {
+    network: Network;
+    /** Process that calls, and its name in the network. */
+    process: TestProcess;
+    from: string;
+    node: SamplerNode;
+    guards: SendGuards;
+}
+
+type Wire = {
+    [Call in Exclude<keyof SidecarPort, "beginLeaving">]: (
+        ...args: Parameters<SidecarPort[Call]>
+    ) => Promise<Exchange<Awaited<ReturnType<SidecarPort[Call]>>>>;
+};
+
+/**
+ * Makes the port to a sidecar over the run's network, with the rules of the port over HTTP: what was not written
+ * did not run, and after a break the incarnation that the attempt was sent to is asked.
+ */
+export function createSidecarLink(deps: SidecarLinkDeps): SidecarPort {
+    const { network, process, from, node, guards } = deps;
+    const incarnations = createIncarnationMemory();
+    const carry = <T>(call: () => Promise<T>): Promise<Exchange<T>> =>
+        network.exchange(from, node.name, call);
+
+    /** Small calls beside the work. */
+    const ask = <T>(call: () => Promise<T>): Promise<Exchange<T>> =>
+        network.exchange(`${from}#control`, node.name, call);
+
+    const wire = process.connect<Wire>({
+        runSample: (attempt, onSpan, signal) => carry(() => node.port().runSample(attempt, onSpan, signal)),
+        callPlain: (request, signal) => carry(() => node.port().callPlain(request, signal)),
+        queryAttempt: attempt => ask(() => node.port().queryAttempt(attempt)),
+        order: order => carry(() => node.port().order(order)),
+        readReport: () => ask(() => node.port().readReport()),
+        readUsage: () => ask(() => node.port().readUsage()),
+    });
+
+    async function demand<T>(exchange: Promise<Exchange<T>>): Promise<T> {
+        const ended = await exchange;
+        if (ended.kind !== "answered") {
+            throw new ResultError(resultCodes.sidecarUnreachable, node.name);
+        }
+        return ended.answer;
+    }
+
+    async function queryAttempt(attempt: AttemptId): ReturnType<SidecarPort["queryAttempt"]> {
+        const state = await demand(wire.queryAttempt(attempt));
+        incarnations.note(state.incarnation);
+        return state;
+    }
+
+    async function readReport(): ReturnType<SidecarPort["readReport"]> {
+        const report = await demand(wire.readReport());
+        incarnations.note(report.incarnation);
+        return report;
+    }
+
+    async function send<Answer>(
+        attempt: AttemptId,
+        call: () => Promise<Exchange<AttemptOutcome<Answer>>>,
+    ): Promise<AttemptOutcome<Answer>> {
+        if (incarnations.known() === undefined) {
+            await readReport().catch(() => undefined);
+        }
+        const sentTo = incarnations.known();
+        const sentAtMs = process.clock.monotonicMs();
+        const ended = await call();
+        if (ended.kind === "notSent") {
+            return { kind: "notRun", code: resultCodes.connectFailed, retryAfterMs: undefined };
+        }
+        if (ended.kind === "answered") {
+            return ended.answer;
+        }
+        const { clock } = process;
+        return resolveBroken({ attempt, sentTo, sentAtMs, clock, query: queryAttempt, guards });
+    }
+
+    return {
+        runSample: (attempt, onSpan, signal) =>
+            send(attempt.attempt, () => wire.runSample(attempt, onSpan, signal)),
+        callPlain: (request, signal) => send(request.attempt, () => wire.callPlain(request, signal)),
+        queryAttempt,
+        readReport,
+        order: order => demand(wire.order(order)),
+        readUsage: () => demand(wire.readUsage()),
+    };
+}
--- /dev/null
+++ b/packages/bench/src/faults/createStoreLink.ts
@@ -0,0 +1,31 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { World } from "./World.js";
+
+const cutTimeoutMs = 300;
+
+/** The object API as one process reaches it: a cut way answers nothing, neither before nor after the effect. */
+export function createStoreLink(world: World, from: string): ObjectStore {
+    const { store, network, clock } = world;
+
+    async function call<T>(run: () => Promise<T>): Promise<T> {
+        if (network.isCut(from, "store")) {
+            await clock.sleep(cutTimeoutMs);
+            throw new ResultError(resultCodes.storeUnavailable, "cut");
+        }
+        const answer = await run();
+        if (network.isCut(from, "store")) {
+            throw new ResultError(resultCodes.storeUnavailable, "cut");
+        }
+        return answer;
+    }
+
+    return {
+        read: key => call(() => store.read(key)),
+        list: prefix => call(() => store.list(prefix)),
+        write: (key, value, expected) => call(() => store.write(key, value, expected)),
+        remove: (key, expected) => call(() => store.remove(key, expected)),
+        watch: (prefix, revision, waitMs) => call(() => store.watch(prefix, revision, waitMs)),
+    };
+}
--- /dev/null
+++ b/packages/bench/src/faults/createWitnessedEngine.ts
@@ -0,0 +1,66 @@
+import type { FakeEngineControl } from "@auburnarch/fakes/FakeEngineControl";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { EnginePort } from "@auburnarch/types/EnginePort";
+import type { EngineRequest } from "@auburnarch/types/EngineRequest";
+import type { SidecarProcess } from "./SidecarProcess.js";
+import type { Witness } from "./Witness.js";
+
+interface WitnessedEngineDeps {
+    node: string;
+    engine: EnginePort;
+    control: FakeEngineControl;
+    clock: Clock;
+    witness: Witness;
+    sidecar: () => SidecarProcess | undefined;
+    /** Whether the sidecar is shown the fingerprints; the witness always sees them. */
+    statesFingerprint: boolean;
+    /** Called as a generation starts; `countRunning` tells how many run at any later time. */
+    onStart: (request: EngineRequest, countRunning: () => number) => void;
+}
+
+/** A description takes time, in which the sidecar is in doubt. */
+const describeMs = 40;
+
+const versionIn = (fingerprint: string | undefined): number => Number(fingerprint?.split("@")[1] ?? -1);
+
+/** An engine whose every effect the witness sees. */
+export function createWitnessedEngine(deps: WitnessedEngineDeps): EnginePort {
+    const { engine, control, clock, witness, node } = deps;
+    let running = 0;
+    const servedVersion = (): number => control.served()[0]?.version ?? -1;
+
+    return {
+        ...engine,
+        generate: (request, onChunk, signal) => {
+            if (control.isUp() && !signal.aborted && servedVersion() >= 0) {
+                witness.noteEngineStart(node, request);
+            }
+            running++;
+            deps.onStart(request, () => running);
+            const finished = engine.generate(request, chunk => {
+                witness.noteTokens(request.attempt, versionIn(chunk.fingerprint), chunk.tokens);
+                onChunk(deps.statesFingerprint ? chunk : { ...chunk, fingerprint: undefined });
+            }, signal);
+            const end = (): void => {
+                running--;
+                witness.noteEngineEnd(node, request.attempt);
+            };
+            finished.then(end, end);
+            return finished;
+        },
+        order: order => {
+            const sidecar = deps.sidecar();
+            if (sidecar !== undefined && control.isUp()) {
+                witness.noteEngineOrder(node, order, servedVersion(), sidecar);
+                if (order.kind === "load" && !deps.statesFingerprint && running > 0) {
+                    witness.noteMixedSwap(node, running);
+                }
+            }
+            return engine.order(order);
+        },
+        describe: async () => {
+            await clock.sleep(describeMs);
+            return await engine.describe();
+        },
+    };
+}
--- /dev/null
+++ b/packages/bench/src/faults/createWorld.ts
@@ -0,0 +1,127 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
+import { createFakeVmList } from "@auburnarch/fakes/createFakeVmList";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+import { createJudgedStore } from "./createJudgedStore.js";
+import { createNetwork } from "./createNetwork.js";
+import { createQuietLogger } from "./createQuietLogger.js";
+import { createViolations } from "./createViolations.js";
+import { createWitness } from "./createWitness.js";
+import type { FaultGuards } from "./FaultGuards.js";
+import type { World } from "./World.js";
+
+/** In every other run calls take time, so that faults also strike between effect and answer. */
+const storeLatencyMs = 3;
+/** A death is known to the entries at most this long after it. */
+const reportedWithinMs = 3_000;
+const vmListLagMs = 1_000;
+const leaseKey = "leases/job/plume";
+
+/** Makes the outside world of one run: clock, network, platform and judges. All draws follow from the seed. */
+export function createWorld(
+    seed: number,
+    guards: FaultGuards,
+    createLogger: (clock: Clock) => Logger = createQuietLogger,
+): World {
+    const clock = createFakeClock();
+    const random = createRandom(seed);
+    const violations = createViolations(clock);
+    const { store, control } = createFakeObjectStore({
+        clock,
+        random: random.fork(),
+        latencyMs: seed % 2 === 0 ? storeLatencyMs : 0,
+    });
+    const { vmList, control: vms } = createFakeVmList({ clock, lagMs: vmListLagMs });
+    const judged = createJudgedStore(store, violations, leaseKey);
+    const network = createNetwork(clock, random.fork());
+    let isDown = false;
+    let slowMs = 0;
+    const poison = new Map<string, { vms: Set<string>; runs: number; }>();
+    const poisonDeaths: { vm: string; atWallMs: number; }[] = [];
+    let isAwake = (): boolean => false;
+    let onSpoil: (() => void) | undefined;
+    /** Last time at which something kept a process, or all, from the store. */
+    const hamperedAtMs = new Map<string, number>();
+
+    function poisonOf(prompt: string): { vms: Set<string>; runs: number; } {
+        const known = poison.get(prompt) ?? { vms: new Set<string>(), runs: 0 };
+        poison.set(prompt, known);
+        return known;
+    }
+
+    function isHampered(name: string): boolean {
+        return isDown || slowMs > 0 || network.isCut(name, "store");
+    }
+
+    /** Looked at often enough that no hindrance of interest falls between two looks. */
+    function storeReachableForMs(name: string): number {
+        const nowMs = clock.monotonicMs();
+        if (isHampered(name)) {
+            hamperedAtMs.set(name, nowMs);
+        }
+        return nowMs - Math.max(hamperedAtMs.get(name) ?? 0, hamperedAtMs.get("") ?? 0);
+    }
+
+    return {
+        clock,
+        random,
+        logger: createLogger(clock),
+        guards,
+        network: {
+            ...network,
+            cut: (a, b) => {
+                network.cut(a, b);
+                storeReachableForMs(a);
+            },
+            heal: (a, b) => {
+                storeReachableForMs(a);
+                network.heal(a, b);
+            },
+        },
+        store: judged.store,
+        storeControl: control,
+        storeFaults: {
+            setOutage: down => {
+                isDown = down;
+                hamperedAtMs.set("", clock.monotonicMs());
+                control.setOutage(down);
+            },
+            setSlow: ms => {
+                slowMs = ms;
+                hamperedAtMs.set("", clock.monotonicMs());
+                control.setSlow(ms);
+            },
+        },
+        vmList,
+        vms,
+        violations,
+        witness: createWitness(clock, violations),
+        trueFencing: judged.trueFencing,
+        storeReachableForMs,
+        notePoison: prompt => {
+            poisonOf(prompt).runs++;
+        },
+        notePoisonAlone: (prompt, vm) => void poisonOf(prompt).vms.add(vm),
+        notePoisonDeath: vm => void poisonDeaths.push({ vm, atWallMs: clock.wallMs() }),
+        isPoisonDeath: (vm, atWallMs) =>
+            poisonDeaths.some(death =>
+                death.vm === vm && Math.abs(death.atWallMs - atWallMs) < reportedWithinMs
+            ),
+        isEntryAwake: () => isAwake(),
+        setEntryAwake: judge => {
+            isAwake = judge;
+        },
+        poison: () => poison,
+        spoilNextAnswer: onSpoilt => {
+            onSpoil = onSpoilt;
+        },
+        takeSpoiling: () => {
+            const strike = onSpoil;
+            onSpoil = undefined;
+            strike?.();
+            return strike !== undefined;
+        },
+    };
+}
--- /dev/null
+++ b/packages/bench/src/faults/runFaultSeries.ts
@@ -0,0 +1,66 @@
+import type { FaultGuards } from "./FaultGuards.js";
+import { faultKinds } from "./faultKinds.js";
+import type { FaultRun } from "./FaultRun.js";
+import type { FaultSummary } from "./FaultSummary.js";
+import { focusKinds } from "./focusKinds.js";
+import { runWithFaults } from "./runWithFaults.js";
+
+const keptViolations = 100;
+/** Seeds of the runs of a series lie apart from those of a neighbouring series. */
+const seedStride = 1_000_003;
+
+interface SeriesOptions {
+    seed: number;
+    runs: number;
+    guards: FaultGuards;
+    without: string | undefined;
+    /** Ends the series at the first violation. */
+    stopAtFirst: boolean;
+    onRun?: (run: FaultRun, index: number) => void;
+}
+
+function addRun(summary: FaultSummary, run: FaultRun): void {
+    for (const kind of faultKinds) {
+        summary.strikes[kind] += run.strikes[kind];
+    }
+    const left = keptViolations - summary.violations.length;
+    summary.violations.push(...run.violations.slice(0, left).map(each => ({ seed: run.seed, ...each })));
+    summary.violationCount += run.violations.length;
+    summary.simulatedMs += Math.round(run.simulatedMs);
+    summary.stepsDone += run.stepsDone;
+    summary.groupsTaken += run.groupsTaken;
+    summary.requests += run.requests;
+    summary.owners += run.owners;
+}
+
+/** Runs a series; the same options give the same summary. */
+export async function runFaultSeries(options: SeriesOptions): Promise<FaultSummary> {
+    const summary: FaultSummary = {
+        seed: options.seed,
+        runs: 0,
+        without: options.without,
+        strikes: Object.fromEntries(faultKinds.map(kind => [kind, 0])) as FaultSummary["strikes"],
+        violations: [],
+        violationCount: 0,
+        simulatedMs: 0,
+        stepsDone: 0,
+        groupsTaken: 0,
+        requests: 0,
+        owners: 0,
+    };
+    // Refusals are errors here by the thousand, and nobody reads their stacks.
+    Error.stackTraceLimit = 0;
+    for (let index = 0; index < options.runs; index++) {
+        const seed = options.seed * seedStride + index;
+        const focus = options.without === undefined ? undefined : focusKinds[options.without];
+        const only = index % 2 === 0 ? focus : undefined;
+        const run = await runWithFaults(seed, options.guards, { stopAtFirst: options.stopAtFirst, only });
+        summary.runs++;
+        addRun(summary, run);
+        options.onRun?.(run, index);
+        if (options.stopAtFirst && summary.violationCount > 0) {
+            break;
+        }
+    }
+    return summary;
+}
--- /dev/null
+++ b/packages/bench/src/faults/runWithFaults.ts
@@ -0,0 +1,152 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { Random } from "@auburnarch/types/Random";
+import { createManifest } from "./createManifest.js";
+import { createRunParts } from "./createRunParts.js";
+import { createWorld } from "./createWorld.js";
+import type { FaultGuards } from "./FaultGuards.js";
+import type { FaultKind } from "./FaultKind.js";
+import { faultKinds } from "./faultKinds.js";
+import type { FaultRun } from "./FaultRun.js";
+import { judgeRun } from "./judgeRun.js";
+import type { RunParts } from "./RunParts.js";
+import { strikeFault } from "./strikeFault.js";
+import { watchRun } from "./watchRun.js";
+
+const manifestKey = "config/manifest";
+const warmUpMs = 2_500;
+const faultsFromMs = 2_600;
+const faultsUntilMs = 8_000;
+const slowFaultsUntilMs = 4_500;
+const healAtMs = 10_500;
+const endLimitMs = 120_000;
+const faultsPerRun = 10;
+const twiceChance = 0.4;
+const twiceWithinMs = 1_500;
+const settleMs = 3_000;
+
+/** Kinds that often find nothing to strike are drawn more often; a long sleep takes most of a run's time. */
+const weights: Partial<Record<FaultKind, number>> = {
+    twoOwners: 3,
+    ownerPause: 2,
+    senderFreeze: 1.5,
+    poisonRequest: 1.5,
+};
+
+/** Kinds that need some seconds to take their course. */
+const slowKinds: readonly FaultKind[] = ["twoOwners", "ownerPause", "senderFreeze"];
+
+function drawKind(kinds: readonly FaultKind[], random: Random): FaultKind {
+    const weightOf = (kind: FaultKind): number => weights[kind] ?? 1;
+    let left = random.nextUnit() * kinds.reduce((sum, kind) => sum + weightOf(kind), 0);
+    return kinds.find(kind => (left -= weightOf(kind)) < 0) ?? kinds[0]!;
+}
+
+/** Draws the run's faults, many of them twice in short order. */
+function schedule(parts: RunParts, only: readonly FaultKind[] | undefined): void {
+    const { clock, random } = parts.world;
+    const kinds = only ?? faultKinds;
+    for (let drawn = 0; drawn < faultsPerRun; drawn++) {
+        const kind = drawKind(kinds, random);
+        const untilMs = slowKinds.includes(kind) ? slowFaultsUntilMs : faultsUntilMs;
+        const atMs = faultsFromMs + random.nextUnit() * (untilMs - faultsFromMs);
+        clock.startTimer(atMs - clock.monotonicMs(), () => strikeFault(parts, kind));
+        if (random.nextUnit() < twiceChance) {
+            const againMs = atMs + random.nextUnit() * twiceWithinMs;
+            clock.startTimer(againMs - clock.monotonicMs(), () => strikeFault(parts, kind));
+        }
+    }
+}
+
+/** Ends every fault that lasts, so that what is left must settle. */
+function heal(parts: RunParts): void {
+    const { world, entries, models, plains } = parts;
+    world.network.healAll();
+    world.storeFaults.setOutage(false);
+    world.storeFaults.setSlow(0);
+    world.storeControl.setStaleReads(0);
+    entries.forEach(entry => entry.start());
+    [...models.map(model => model.node), ...plains.map(plain => plain.node)].forEach(node =>
+        node.startSidecar()
+    );
+}
+
+interface RunOptions {
+    /** Ends the run at the first violation. */
+    stopAtFirst?: boolean;
+    /** Kinds of fault to draw from; all by default. */
+    only?: readonly FaultKind[];
+    /** Where the log of all processes goes; nowhere by default. */
+    createLogger?: (clock: Clock) => Logger;
+    /** Hears of each fault that truly struck. */
+    onStrike?: (kind: FaultKind, atMs: number) => void;
+}
+
+/** One randomised run of the real entries, sidecars and owners; the same seed gives the same run. */
+export async function runWithFaults(
+    seed: number,
+    guards: FaultGuards,
+    options: RunOptions = {},
+): Promise<FaultRun> {
+    const world = createWorld(seed, guards, options.createLogger);
+    const { clock, violations } = world;
+    const strikes = Object.fromEntries(faultKinds.map(kind => [kind, 0])) as FaultRun["strikes"];
+    let isHealed = false;
+    let frozenUntilMs = 0;
+    let healNotBeforeMs = 0;
+    void world.store.write(manifestKey, createManifest(0), 0 as ObjectVersion);
+    const parts: RunParts = {
+        ...createRunParts(world, () => isHealed),
+        poisonDigests: new Set(),
+        struck: kind => {
+            strikes[kind]++;
+            options.onStrike?.(kind, clock.monotonicMs());
+        },
+        noteFrozen: durationMs => {
+            frozenUntilMs = clock.monotonicMs() + durationMs;
+        },
+        holdHealingFor: durationMs => {
+            healNotBeforeMs = Math.max(healNotBeforeMs, clock.monotonicMs() + durationMs);
+        },
+        isFrozen: () => clock.monotonicMs() < frozenUntilMs,
+    };
+    const watch = watchRun(parts);
+    const stopsNow = (): boolean => options.stopAtFirst === true && violations.count() > 0;
+
+    await clock.runUntil(stopsNow, warmUpMs);
+    void parts.trainer.trainer.run();
+    void parts.caller.run();
+    schedule(parts, options.only);
+    await clock.runUntil(stopsNow, healAtMs - clock.monotonicMs());
+    await clock.runUntil(stopsNow, Math.max(0, healNotBeforeMs - clock.monotonicMs()));
+    heal(parts);
+    isHealed = true;
+    const isOver = (): boolean => parts.trainer.trainer.isFinished() && parts.caller.isFinished();
+    await clock.runUntil(() => stopsNow() || isOver(), endLimitMs);
+    await clock.runUntil(stopsNow, settleMs);
+    if (!stopsNow()) {
+        await judgeRun(parts, isOver());
+    }
+    if (!stopsNow() && frozenUntilMs > clock.monotonicMs()) {
+        // What is left of a long sleep concerns the sleeper and the plain samplers only.
+        const awake = parts.entries.filter(entry => entry.running()?.process.isPaused() === false);
+        awake.forEach(entry => entry.kill());
+        parts.models.forEach(model => model.node.killSidecar());
+        parts.plains.forEach(plain => plain.node.sidecar()?.stopReporting());
+        await clock.runUntil(stopsNow, frozenUntilMs + settleMs - clock.monotonicMs());
+    }
+    parts.caller.judgeEnd();
+    world.witness.judgeEnd();
+    watch.stop();
+    return {
+        seed,
+        strikes,
+        violations: violations.list(),
+        simulatedMs: clock.monotonicMs(),
+        stepsDone: parts.trainer.trainer.report.stepsDone,
+        groupsTaken: parts.trainer.trainer.report.taken.size,
+        requests: parts.caller.count(),
+        owners: watch.owners(),
+    };
+}
--- /dev/null
+++ b/packages/bench/src/faults/strikeFault.ts
@@ -0,0 +1,469 @@
+import { digestRequest } from "@auburnarch/entry/digestRequest";
+import type { TestProcess } from "@auburnarch/own/testing/TestProcess";
+import type { AttemptId } from "@auburnarch/types/AttemptId";
+import { attemptMemoryMs } from "@auburnarch/types/attemptMemoryMs";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { PlainRequest } from "@auburnarch/types/PlainRequest";
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { ServiceId } from "@auburnarch/types/ServiceId";
+import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import { createManifest } from "./createManifest.js";
+import { createPoisonRequest } from "./createPoisonRequest.js";
+import type { EntryNode } from "./EntryNode.js";
+import type { FaultKind } from "./FaultKind.js";
+import { maxQueuedPerTeam } from "./maxQueuedPerTeam.js";
+import type { NetworkFault } from "./NetworkFault.js";
+import type { RunParts } from "./RunParts.js";
+import type { SamplerNode } from "./SamplerNode.js";
+import { strikeStore } from "./strikeStore.js";
+
+const policy = "plume" as PolicyId;
+/** A sidecar forgets its older half of attempts as a newer one ends, each half after this time: two turns forget all. */
+const forgetTurnMs = attemptMemoryMs + 2_000;
+const freezeMs = 2 * forgetTurnMs + 2_000;
+/** More than a plain sampler runs and queues at once. */
+const burstRequests = 90;
+/** As many as a plain sampler runs at once; the others wait beyond their deadline. */
+const burstRunning = 64;
+const burstLookMs = 10;
+/** Long enough for a takeover of key ranges and twice the largest clock skew after it. */
+const longCutMs = 17_000;
+const lookForOwnersMs = 250;
+/** Longer than the entries remember a key. */
+const allAsleepMs = 605_000;
+/** After the call was carried out, before its sender asks what became of it. */
+const afterAnswerMs = 250;
+/** After an entry's death its key ranges have another owner by then. */
+const takeoverMs = 10_500;
+/** The requests are answered before everything falls asleep. */
+const beforeSleepMs = 400;
+const deafMs = 3_000;
+const manifestKey = "config/manifest";
+
+function pickOne<T>(parts: RunParts, from: readonly T[]): T | undefined {
+    return from.length === 0 ? undefined : from[parts.world.random.nextInt(from.length)];
+}
+
+/** Milliseconds between two bounds. */
+function drawMs(parts: RunParts, minMs: number, maxMs: number): number {
+    return minMs + parts.world.random.nextUnit() * (maxMs - minMs);
+}
+
+const plainNodes = (parts: RunParts): SamplerNode[] => parts.plains.map(plain => plain.node);
+
+const findOwner = (parts: RunParts): EntryNode | undefined =>
+    parts.entries.find(entry => entry.ownedFencing() !== undefined);
+
+/** Strikes the next exchange from an entry to some sidecar, model or plain. */
+function strikeSidecarCall(parts: RunParts, kind: FaultKind, fault: NetworkFault): void {
+    const targets = [...parts.models.map(model => model.node), ...plainNodes(parts), ...plainNodes(parts)];
+    const target = pickOne(parts, targets)!;
+    const from = pickOne(parts, parts.entries)!;
+    parts.world.network.strikeNext(fault, target.name, from.name, () => parts.struck(kind));
+}
+
+function restartLater(parts: RunParts, entry: EntryNode): void {
+    parts.world.clock.startTimer(drawMs(parts, 500, 8_000), entry.start);
+}
+
+function killOwner(parts: RunParts): void {
+    const owner = findOwner(parts);
+    if (owner !== undefined) {
+        owner.kill();
+        parts.struck("ownerKill");
+        restartLater(parts, owner);
+    }
+}
+
+function pauseOwner(parts: RunParts): void {
+    const owner = findOwner(parts);
+    const running = owner?.running();
+    if (running !== undefined && !running.process.isPaused()) {
+        running.process.pause();
+        parts.struck("ownerPause");
+        parts.world.clock.startTimer(drawMs(parts, 5_000, 8_000), running.process.resume);
+    }
+}
+
+/** A sampler restarts with old weights, so that both owners of the moment order it to swap, and cannot read who is right. */
+function restartSampler(parts: RunParts): void {
+    const model = pickOne(parts, parts.models)!;
+    model.node.killSidecar();
+    model.control().crash();
+    model.control().restart([{ policy, version: 0 as WeightVersion }]);
+    parts.world.network.cut(model.node.name, "store");
+    parts.world.clock.startTimer(deafMs, () => parts.world.network.heal(model.node.name, "store"));
+    parts.world.clock.startTimer(drawMs(parts, 20, 400), model.node.startSidecar);
+}
+
+/** Requests with keys minted now, each sent several times, through either entry. */
+function resendAround(parts: RunParts, count: number): void {
+    for (let sent = 0; sent < count; sent++) {
+        void parts.caller.sendOne(false, 3);
+    }
+}
+
+/** The owner's way to the object API is cut, so that another takes over while it lives and is reachable. */
+function makeTwoOwners(parts: RunParts): void {
+    const { network, clock, random } = parts.world;
+    const owner = findOwner(parts);
+    if (owner === undefined || network.isCut(owner.name, "store")) {
+        return;
+    }
+    const number = owner.ownedFencing();
+    const isLong = random.nextUnit() < 0.3;
+    const durationMs = isLong ? longCutMs : drawMs(parts, 5_000, 8_000);
+    network.cut(owner.name, "store");
+    parts.holdHealingFor(durationMs);
+    clock.startTimer(durationMs, () => network.heal(owner.name, "store"));
+    if (isLong) {
+        // By then keys are minted that only the newer owner of their range may run.
+        clock.startTimer(durationMs - 1_500, () => resendAround(parts, 6));
+    }
+    function look(): void {
+        const others = parts.entries.filter(entry => entry !== owner && entry.ownedFencing() !== undefined);
+        if (others.length > 0 && owner?.ownedFencing() === number) {
+            parts.struck("twoOwners");
+            restartSampler(parts);
+        }
+        else if (network.isCut(owner!.name, "store")) {
+            clock.startTimer(lookForOwnersMs, look);
+        }
+    }
+    look();
+}
+
+function disorder(parts: RunParts): void {
+    const { network, clock } = parts.world;
+    parts.struck("disorder");
+    network.setDisorder(drawMs(parts, 100, 700));
+    clock.startTimer(drawMs(parts, 1_000, 3_000), () => network.setDisorder(0));
+}
+
+function crashEngine(parts: RunParts): void {
+    const model = pickOne(parts, parts.models)!;
+    if (model.control().isUp()) {
+        model.control().crash();
+        parts.struck("engineCrash");
+    }
+}
+
+/** The engine comes back with weights nobody ordered, or they change under it without a restart. */
+function changeWeights(parts: RunParts): void {
+    const model = pickOne(parts, parts.models)!;
+    const control = model.control();
+    const published = parts.trainer.trainer.publishedVersion();
+    const other = Math.max(0, published - 3 + parts.world.random.nextInt(3)) as WeightVersion;
+    if (!control.isUp()) {
+        return;
+    }
+    parts.struck("engineOtherWeights");
+    if (parts.world.random.nextUnit() < 0.5) {
+        control.serveSilently(policy, other);
+    }
+    else {
+        control.crash();
+        control.restart([{ policy, version: other }]);
+    }
+}
+
+function failSwap(parts: RunParts): void {
+    const model = pickOne(parts, parts.models)!;
+    const leaves = (["old", "new"] as const)[parts.world.random.nextInt(2)]!;
+    const published = parts.trainer.trainer.publishedVersion();
+    const left = parts.world.random.nextUnit() < 0.4 ? Math.max(0, published - 2) as WeightVersion : leaves;
+    parts.struck("swapFails");
+    model.control().failNextLoad(left);
+}
+
+/** Half of the time right after it has carried out a call whose answer is lost, so that nobody can vouch for it. */
+function killSidecar(parts: RunParts): void {
+    const { network, clock, random } = parts.world;
+    const node = pickOne(parts, [...parts.models.map(model => model.node), ...plainNodes(parts)])!;
+    function kill(): void {
+        if (node.sidecar() !== undefined) {
+            node.killSidecar();
+            parts.struck("sidecarKill");
+            clock.startTimer(drawMs(parts, 50, 1_500), node.startSidecar);
+        }
+    }
+    if (random.nextUnit() < 0.5) {
+        kill();
+        return;
+    }
+    network.strikeNext("answerLost", node.name, undefined, () =>
+        clock.startTimer(afterAnswerMs, () => {
+            node.killSidecar();
+            parts.struck("sidecarKill");
+            node.startSidecar();
+        }));
+}
+
+/** A VM leaves, and for a while the reports of its sidecar do not get through. */
+function leaveVm(parts: RunParts): void {
+    const { network, clock } = parts.world;
+    const node = pickOne(parts, [...parts.models.map(model => model.node), ...plainNodes(parts)])!;
+    if (node.sidecar() === undefined) {
+        return;
+    }
+    parts.struck("vmLeaving");
+    node.leave(drawMs(parts, 4_000, 6_000));
+    const deaf = pickOne(parts, parts.entries)!;
+    clock.startTimer(drawMs(parts, 1_800, 2_600), () => network.cut(`${node.name}#reports`, deaf.name));
+    clock.startTimer(drawMs(parts, 5_000, 7_000), () => network.heal(`${node.name}#reports`, deaf.name));
+}
+
+function shutDownEntry(parts: RunParts): void {
+    const entry = pickOne(parts, parts.entries.filter(each => each.running() !== undefined));
+    const others = parts.entries.filter(each => each !== entry && each.running() !== undefined);
+    if (entry === undefined || others.length === 0 || entry.running()!.process.isPaused()) {
+        return;
+    }
+    parts.struck("entryShutdown");
+    void entry.shutDown(3_000).then(() => restartLater(parts, entry));
+}
+
+/** Half of the time right before an order that is on its way arrives. */
+function shutDownSidecar(parts: RunParts): void {
+    const node = pickOne(parts, [...parts.models.map(model => model.node), ...plainNodes(parts)])!;
+    function shutDown(): void {
+        if (node.sidecar() !== undefined && node.sidecar()?.shutdownAtMs === undefined) {
+            parts.struck("sidecarShutdown");
+            void node.shutDown(2_000);
+        }
+    }
+    if (parts.world.random.nextUnit() < 0.5) {
+        shutDown();
+        return;
+    }
+    node.beforeNextOrder(shutDown);
+}
+
+/** A content that kills every engine that runs it, sent again and again under new ids. */
+async function sendPoison(parts: RunParts): Promise<void> {
+    const { clock } = parts.world;
+    const content = "poison";
+    const request = createPoisonRequest(content);
+    parts.poisonDigests.add(digestRequest(request));
+    for (let sent = 0; sent < 4; sent++) {
+        const entry = pickOne(parts, parts.entries)!;
+        const crashes = (): number => parts.models.reduce((sum, model) => sum + model.control().crashes(), 0);
+        const before = crashes();
+        const call = entry.enter(present => present.call(request, new AbortController().signal));
+        await Promise.race([call.catch(() => undefined), clock.sleep(1_500)]);
+        if (crashes() > before) {
+            parts.struck("poisonRequest");
+        }
+        await clock.sleep(700);
+    }
+}
+
+/** Two operators publish against the same version; one wins, the other is told. A third one's manifest has faults. */
+async function raceOperators(parts: RunParts): Promise<void> {
+    const { store, random, violations } = parts.world;
+    parts.struck("operatorsRace");
+    const standing = await store.read(manifestKey).catch(() => undefined);
+    const expected = standing?.version ?? 0 as ObjectVersion;
+    const manifests = [createManifest(random.nextInt(1_000)), createManifest(1_000 + random.nextInt(1_000))];
+    if (random.nextUnit() < 0.3) {
+        manifests.push({ ...createManifest(0), teams: [] });
+    }
+    const outcomes = await Promise.all(
+        manifests.map(manifest => store.write(manifestKey, manifest, expected).catch(() => undefined)),
+    );
+    if (outcomes.filter(outcome => outcome?.kind === "written").length > 1) {
+        violations.add("configReverted", "two operators won against one version");
+    }
+}
+
+function partitionEntry(parts: RunParts): void {
+    const { network, clock } = parts.world;
+    const entry = pickOne(parts, parts.entries)!;
+    const nodes = [...parts.models.map(model => model.node), ...plainNodes(parts)]
+        .filter(() => parts.world.random.nextUnit() < 0.5);
+    parts.struck("entrySidecarPartition");
+    nodes.forEach(node => network.cut(entry.name, node.name));
+    clock.startTimer(drawMs(parts, 1_000, 5_000), () => {
+        nodes.forEach(node => network.heal(entry.name, node.name));
+    });
+}
+
+/**
+ * A non-idempotent request is sent several times. Either the answer of the sidecar is lost, or that of the entry,
+ * which then dies, and the request comes again once its key range has another owner.
+ */
+function resendNonIdempotent(parts: RunParts): void {
+    const { network, random, clock } = parts.world;
+    if (random.nextUnit() < 0.5) {
+        const target = pickOne(parts, plainNodes(parts))!;
+        network.strikeNext("answerLost", target.name, undefined, () => parts.struck("nonIdempotentResend"));
+        resendAround(parts, 1);
+        return;
+    }
+    const entry = pickOne(parts, parts.entries)!;
+    const other = parts.entries.find(each => each !== entry);
+    network.strikeNext("answerLost", entry.name, "caller", () => {
+        if (other?.running()?.process.isPaused() === false) {
+            clock.startTimer(afterAnswerMs, () => {
+                parts.struck("nonIdempotentResend");
+                entry.kill();
+                restartLater(parts, entry);
+            });
+        }
+    });
+    for (let sent = 0; sent < 3; sent++) {
+        void parts.caller.sendOne(false, 2, takeoverMs);
+    }
+}
+
+/** An entry sleeps past the sidecars' memory right after the answer to one of its requests was lost. */
+function freezeSender(parts: RunParts): void {
+    const { network, clock, random } = parts.world;
+    if (random.nextUnit() < 0.3) {
+        sleepAll(parts);
+        return;
+    }
+    const entry = pickOne(parts, parts.entries)!;
+    const target = pickOne(parts, plainNodes(parts))!;
+    network.strikeNext("answerLost", target.name, entry.name, () => {
+        const running = entry.running();
+        const others = parts.entries.filter(each => each !== entry);
+        const isOtherAwake = others.some(each => each.running()?.process.isPaused() === false);
+        if (running !== undefined && !running.process.isPaused() && isOtherAwake && !parts.isFrozen()) {
+            parts.struck("senderFreeze");
+            running.process.pause();
+            parts.noteFrozen(freezeMs);
+            clock.startTimer(freezeMs, running.process.resume);
+            clock.startTimer(forgetTurnMs, () => sendDirectly(parts, target, 1_000));
+            clock.startTimer(2 * forgetTurnMs, () => sendDirectly(parts, target, 1_000));
+        }
+    });
+    resendAround(parts, 2);
+}
+
+/** Every process sleeps for longer than the entries remember keys; requests from before come again after it. */
+function sleepAll(parts: RunParts): void {
+    const { clock } = parts.world;
+    const listProcesses = (): (TestProcess | undefined)[] => {
+        const nodes = [...parts.models.map(model => model.node), ...plainNodes(parts)];
+        return [...parts.entries.map(entry => entry.running()), ...nodes.map(node => node.sidecar())]
+            .map(each => each?.process);
+    };
+    const areAwake = (): boolean =>
+        listProcesses().every(process => process !== undefined && !process.isPaused());
+    if (parts.isFrozen() || !areAwake()) {
+        return;
+    }
+    parts.struck("senderFreeze");
+    for (let sent = 0; sent < 4; sent++) {
+        void parts.caller.sendOne(false, 2, allAsleepMs + 4_000);
+    }
+    clock.startTimer(beforeSleepMs, () => {
+        if (!areAwake()) {
+            parts.caller.endLongWaits();
+            return;
+        }
+        const processes = listProcesses();
+        processes.forEach(process => process!.pause());
+        parts.noteFrozen(0);
+        parts.holdHealingFor(allAsleepMs + 1_000);
+        clock.startTimer(allAsleepMs, () => processes.forEach(process => process!.resume()));
+    });
+}
+
+/** A request of one of the many other entries that a fleet has. */
+function sendDirectly(parts: RunParts, node: SamplerNode, budgetMs: number): void {
+    const { world } = parts;
+    const request: PlainRequest = {
+        attempt: world.random.nextId() as AttemptId,
+        service: "tiles" as ServiceId,
+        team: "humoboira" as TeamId,
+        method: "GET",
+        path: "/tiles/other",
+        headers: {},
+        body: new Uint8Array(),
+        idempotent: true,
+        digest: "other" as ContentDigest,
+        budgetMs,
+    };
+    const { signal } = new AbortController();
+    const call = (): ReturnType<SidecarPort["callPlain"]> => node.port().callPlain(request, signal);
+    void world.network.exchange("other-entry", node.name, call).catch(() => undefined);
+}
+
+/** Many entries send to one sampler at once; its queue stays bounded and says so. */
+function burst(parts: RunParts): void {
+    const { world } = parts;
+    const plain = pickOne(parts, parts.plains)!;
+    if (plain.node.sidecar() === undefined) {
+        return;
+    }
+    parts.struck("requestBurst");
+    plain.setLatencyMs(400);
+    world.clock.startTimer(1_000, () => plain.setLatencyMs(20));
+    for (let sent = 0; sent < burstRequests; sent++) {
+        sendDirectly(parts, plain.node, sent < burstRunning ? 2_000 : 300);
+    }
+    world.clock.startTimer(burstLookMs, () => {
+        const report = plain.node.gate()?.report();
+        const waiting = report?.waiting ?? 0;
+        // Before it has a manifest a sidecar knows no bound of the manifest's.
+        if (report?.configVersion !== 0 && waiting > maxQueuedPerTeam) {
+            world.violations.add("queueUnbounded", `${plain.node.name}: ${waiting} waiting`);
+        }
+    });
+}
+
+/** Several versions in quick order, while an order for the first is late on its way. */
+function publishBurst(parts: RunParts): void {
+    const { network, random } = parts.world;
+    const count = 2 + random.nextInt(2);
+    parts.trainer.publishMore(count, () => {
+        parts.struck("publishBurst");
+        if (random.nextUnit() < 0.5) {
+            network.strikeNext("requestLate", pickOne(parts, parts.models)!.node.name);
+        }
+    });
+}
+
+/** Strikes one fault of the kind, if it finds something to strike. */
+export function strikeFault(parts: RunParts, kind: FaultKind): void {
+    const strikes: Record<FaultKind, () => void> = {
+        ownerKill: () => killOwner(parts),
+        ownerPause: () => pauseOwner(parts),
+        twoOwners: () => makeTwoOwners(parts),
+        storeOutage: () => strikeStore(parts, "storeOutage"),
+        storeSlow: () => strikeStore(parts, "storeSlow"),
+        storeAnswerLost: () => strikeStore(parts, "storeAnswerLost"),
+        storeStaleRead: () => strikeStore(parts, "storeStaleRead"),
+        cutBeforeSend: () => strikeSidecarCall(parts, "cutBeforeSend", "noConnection"),
+        cutAfterSend: () => strikeSidecarCall(parts, "cutAfterSend", "answerLost"),
+        lateArrival: () => strikeSidecarCall(parts, "lateArrival", lateFault(parts)),
+        disorder: () => disorder(parts),
+        engineCrash: () => crashEngine(parts),
+        engineOtherWeights: () => changeWeights(parts),
+        swapFails: () => failSwap(parts),
+        sidecarKill: () => killSidecar(parts),
+        vmLeaving: () => leaveVm(parts),
+        entryShutdown: () => shutDownEntry(parts),
+        sidecarShutdown: () => shutDownSidecar(parts),
+        poisonRequest: () => void sendPoison(parts),
+        trainerAnswerLost: () => parts.trainer.loseAnswers(2, () => parts.struck("trainerAnswerLost")),
+        operatorsRace: () => void raceOperators(parts),
+        entrySidecarPartition: () => partitionEntry(parts),
+        nonIdempotentResend: () => resendNonIdempotent(parts),
+        senderFreeze: () => freezeSender(parts),
+        requestBurst: () => burst(parts),
+        publishBurst: () => publishBurst(parts),
+        spoiltAnswer: () => parts.world.spoilNextAnswer(() => parts.struck("spoiltAnswer")),
+        hostileCursor: () => parts.trainer.forgeNextCursor(() => parts.struck("hostileCursor")),
+    };
+    strikes[kind]();
+}
+
+function lateFault(parts: RunParts): NetworkFault {
+    return parts.world.random.nextUnit() < 0.7 ? "requestLate" : "requestTwice";
+}
--- /dev/null
+++ b/packages/bench/src/faults/strikeStore.ts
@@ -0,0 +1,46 @@
+import type { RunParts } from "./RunParts.js";
+
+/** Faults of the object API as a whole. */
+type StoreFault = "storeOutage" | "storeSlow" | "storeAnswerLost" | "storeStaleRead";
+
+/** Milliseconds between two bounds. */
+function drawMs(parts: RunParts, minMs: number, maxMs: number): number {
+    return minMs + parts.world.random.nextUnit() * (maxMs - minMs);
+}
+
+function failStore(parts: RunParts): void {
+    const { storeFaults, clock } = parts.world;
+    parts.struck("storeOutage");
+    storeFaults.setOutage(true);
+    clock.startTimer(drawMs(parts, 500, 6_000), () => storeFaults.setOutage(false));
+}
+
+function slowStore(parts: RunParts): void {
+    const { storeFaults, clock } = parts.world;
+    parts.struck("storeSlow");
+    storeFaults.setSlow(drawMs(parts, 200, 2_500));
+    clock.startTimer(drawMs(parts, 500, 5_000), () => storeFaults.setSlow(0));
+}
+
+function loseStoreAnswers(parts: RunParts): void {
+    parts.struck("storeAnswerLost");
+    parts.world.storeControl.loseAnswers(1 + parts.world.random.nextInt(3));
+}
+
+function staleStore(parts: RunParts): void {
+    const { storeControl, clock, random } = parts.world;
+    parts.struck("storeStaleRead");
+    storeControl.setStaleReads(1 + random.nextInt(12));
+    clock.startTimer(drawMs(parts, 500, 4_000), () => storeControl.setStaleReads(0));
+}
+
+/** Strikes the object API. */
+export function strikeStore(parts: RunParts, fault: StoreFault): void {
+    const strikes: Record<StoreFault, (parts: RunParts) => void> = {
+        storeOutage: failStore,
+        storeSlow: slowStore,
+        storeAnswerLost: loseStoreAnswers,
+        storeStaleRead: staleStore,
+    };
+    strikes[fault](parts);
+}
--- /dev/null
+++ b/packages/bench/src/policy/BenchPolicy.ts
@@ -0,0 +1,9 @@
+import type { DispatchPolicy } from "@auburnarch/dispatch/DispatchPolicy";
+import type { SwapPlanner } from "@auburnarch/swap/SwapPlanner";
+
+/** Everything that one policy of the bench decides with. */
+export interface BenchPolicy {
+    name: string;
+    dispatch: DispatchPolicy;
+    planSwaps: SwapPlanner;
+}
--- /dev/null
+++ b/packages/bench/src/policy/PolicyMedians.ts
@@ -0,0 +1,13 @@
+import type { RunResult } from "./RunResult.js";
+
+/** Medians over the seeds of one policy on one scenario. */
+export type PolicyMedians =
+    & {
+        [Key in keyof RunResult as RunResult[Key] extends number ? Key : never]: number;
+    }
+    & {
+        policy: string;
+        runs: number;
+        finishedRuns: number;
+        biasedRuns: number;
+    };
--- /dev/null
+++ b/packages/bench/src/policy/benchPolicies.ts
@@ -0,0 +1,55 @@
+import { createBaselinePolicy } from "@auburnarch/dispatch/createBaselinePolicy";
+import { createPromptLengthModel } from "@auburnarch/dispatch/createPromptLengthModel";
+import { defaultDispatchPolicy } from "@auburnarch/dispatch/defaultDispatchPolicy";
+import type { DispatchPolicy } from "@auburnarch/dispatch/DispatchPolicy";
+import { holdNever } from "@auburnarch/dispatch/holdNever";
+import { moveNever } from "@auburnarch/dispatch/moveNever";
+import { priorityByNeed } from "@auburnarch/dispatch/priorityByNeed";
+import { roomWithinLimit } from "@auburnarch/dispatch/roomWithinLimit";
+import { thinNever } from "@auburnarch/dispatch/thinNever";
+import { pickLeastFinish } from "@auburnarch/pick/pickLeastFinish";
+import { pickLeastReported } from "@auburnarch/pick/pickLeastReported";
+import { pickRandom } from "@auburnarch/pick/pickRandom";
+import { pickRoundRobin } from "@auburnarch/pick/pickRoundRobin";
+import { pickTwoChoices } from "@auburnarch/pick/pickTwoChoices";
+import { orderByLatestStart } from "@auburnarch/queue/orderByLatestStart";
+import { orderByStepAndLength } from "@auburnarch/queue/orderByStepAndLength";
+import { planSwaps } from "@auburnarch/swap/planSwaps";
+import type { BenchPolicy } from "./BenchPolicy.js";
+
+/** Late binding within each sampler's limit, the oldest step's longest sample first. */
+const first: DispatchPolicy = {
+    name: "ours-1",
+    order: orderByStepAndLength,
+    pick: pickLeastFinish,
+    hold: holdNever,
+    room: roomWithinLimit,
+    thin: thinNever,
+    move: moveNever,
+    priority: priorityByNeed,
+    createLengthModel: createPromptLengthModel,
+};
+
+/** The first with the order by latest start. */
+const second: DispatchPolicy = { ...first, name: "ours-2", order: orderByLatestStart };
+
+/** Waits for faster samplers, leaves room beside other jobs, moves stragglers; holds nothing for freshness. */
+const third: DispatchPolicy = {
+    ...defaultDispatchPolicy,
+    name: "ours-3",
+    hold: holdNever,
+    thin: thinNever,
+    priority: priorityByNeed,
+};
+
+/** The policies that are compared, baselines first. Earlier versions of ours stay here by name. */
+export const benchPolicies: BenchPolicy[] = [
+    { name: "random", dispatch: createBaselinePolicy("random", pickRandom), planSwaps },
+    { name: "roundRobin", dispatch: createBaselinePolicy("roundRobin", pickRoundRobin), planSwaps },
+    { name: "leastReported", dispatch: createBaselinePolicy("leastReported", pickLeastReported), planSwaps },
+    { name: "twoChoices", dispatch: createBaselinePolicy("twoChoices", pickTwoChoices), planSwaps },
+    { name: "ours-1", dispatch: first, planSwaps },
+    { name: "ours-2", dispatch: second, planSwaps },
+    { name: "ours-3", dispatch: third, planSwaps },
+    { name: "ours", dispatch: defaultDispatchPolicy, planSwaps },
+];
--- /dev/null
+++ b/packages/bench/src/policy/createReportFeed.ts
@@ -0,0 +1,66 @@
+import type { Gate } from "@auburnarch/gate/Gate";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Random } from "@auburnarch/types/Random";
+import type { SamplerReport } from "@auburnarch/types/SamplerReport";
+import type { SamplerView } from "@auburnarch/types/SamplerView";
+import type { Scenario } from "./Scenario.js";
+
+/** The reports of one sampler as they reach the entries: late and with gaps. */
+interface ReportFeed {
+    /** Undefined until the first report has arrived. */
+    view(): SamplerView | undefined;
+    stop(): void;
+}
+
+/** Reports missed in a row until a sampler is suspected down. */
+const missedUntilSuspected = 4;
+
+/** Starts the feed of a gate; `isSilent` holds while the VM sends nothing. */
+export function createReportFeed(
+    gate: Gate,
+    clock: Clock,
+    random: Random,
+    reports: Scenario["reports"],
+    isSilent: () => boolean,
+): ReportFeed {
+    let latest: SamplerReport | undefined;
+    let madeAtMs = 0;
+    let cancelBeat = (): void => {};
+
+    function send(): void {
+        if (isSilent() || random.nextUnit() < reports.lossRatio) {
+            return;
+        }
+        const report = gate.report();
+        const sentAtMs = clock.monotonicMs();
+        clock.startTimer(reports.lagMs, () => {
+            latest = report;
+            madeAtMs = sentAtMs;
+        });
+    }
+
+    function beat(): void {
+        send();
+        cancelBeat = clock.startTimer(reports.intervalMs, beat);
+    }
+
+    cancelBeat = clock.startTimer(random.nextUnit() * reports.intervalMs, beat);
+    const suspectedAfterMs = missedUntilSuspected * reports.intervalMs + reports.lagMs;
+    return {
+        view: () => {
+            if (latest === undefined) {
+                return undefined;
+            }
+            const reportAgeMs = clock.monotonicMs() - madeAtMs;
+            return {
+                report: latest,
+                reportAgeMs,
+                sentAttempts: 0,
+                sentTokens: 0,
+                sentSinceReport: 0,
+                suspected: reportAgeMs > suspectedAfterMs,
+            };
+        },
+        stop: () => cancelBeat(),
+    };
+}
--- /dev/null
+++ b/packages/bench/src/policy/createTrainerLoop.ts
@@ -0,0 +1,180 @@
+import { createDispatcher } from "@auburnarch/dispatch/createDispatcher";
+import type { Dispatcher } from "@auburnarch/dispatch/Dispatcher";
+import type { Metrics } from "@auburnarch/metrics/Metrics";
+import { createSwapRoller } from "@auburnarch/swap/createSwapRoller";
+import type { SwapRoller } from "@auburnarch/swap/SwapRoller";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import type { JobManifest } from "@auburnarch/types/JobManifest";
+import type { LimitsManifest } from "@auburnarch/types/LimitsManifest";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { MadeSample } from "@auburnarch/types/MadeSample";
+import type { Random } from "@auburnarch/types/Random";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import type { BenchPolicy } from "./BenchPolicy.js";
+import type { createFleet } from "./createFleet.js";
+import { createJobMeasures } from "./createJobMeasures.js";
+import { createStepLedger } from "./createStepLedger.js";
+import type { JobMeasures } from "./JobMeasures.js";
+import { noteDelivered } from "./noteDelivered.js";
+import type { Scenario } from "./Scenario.js";
+import { toTasks } from "./toTasks.js";
+import type { Workload } from "./Workload.js";
+
+interface TrainerLoopDeps {
+    scenario: Scenario["jobs"][number];
+    manifest: JobManifest;
+    limits: LimitsManifest;
+    workload: Workload["jobs"][number];
+    policy: BenchPolicy;
+    fleet: ReturnType<typeof createFleet>;
+    clock: Clock;
+    random: Random;
+    /** Time until every sampler has been heard of. */
+    warmUpMs: number;
+    logger: Logger;
+    metrics: Metrics;
+}
+
+interface TrainerLoop {
+    measures: JobMeasures;
+    /** Samples opened and not made yet. */
+    unmade(): number;
+    stop(): Promise<void>;
+}
+
+const fencing = 1 as FencingNumber;
+
+/** Starts one job: its dispatcher, its swap roller, and a trainer that reads, trains and publishes. */
+export function createTrainerLoop(deps: TrainerLoopDeps): TrainerLoop {
+    const { scenario, manifest, workload, policy, fleet, clock, random, logger, metrics } = deps;
+    const ledger = createStepLedger();
+    const publishedAtMs: number[] = [];
+    const openedAtMs: number[] = [];
+    const unmadeOf: number[] = [];
+    let published = 0 as WeightVersion;
+    const bound = scenario.maxStalenessVersions;
+    let wakeTrainer = (): void => {};
+    const measures = createJobMeasures(scenario.job, scenario.team);
+
+    const minVersion = (): WeightVersion =>
+        Math.max(0, published - scenario.maxStalenessVersions) as WeightVersion;
+
+    const common = {
+        fencing,
+        clock,
+        random: random.fork(),
+        logger,
+        metrics,
+        limits: () => deps.limits,
+        listSamplers: fleet.listSamplers,
+        sidecar: fleet.sidecar,
+        mayAct: () => true,
+    };
+    const roller: SwapRoller = createSwapRoller({
+        ...common,
+        job: manifest.job,
+        policy: manifest.policy,
+        minVersion,
+        plan: policy.planSwaps,
+    });
+    const dispatcher: Dispatcher = createDispatcher({
+        ...common,
+        job: () => manifest,
+        isAboutToSwap: roller.isAboutToSwap,
+        onMade: take,
+    }, policy.dispatch);
+
+    function take(made: MadeSample): void {
+        const step = made.task.step;
+        ledger.take(made);
+        unmadeOf[step]!--;
+        if (unmadeOf[step] === 0) {
+            measures.stepMs[step] = clock.monotonicMs() - openedAtMs[step]!;
+        }
+        wakeTrainer();
+    }
+
+    function openStep(step: number): void {
+        const needAtMs = clock.monotonicMs() + scenario.stepNeedMs;
+        const tasks = toTasks(scenario.job, step, workload.steps[step]!.groups, {
+            maxTokens: scenario.length.maxTokens,
+            needAtMs,
+            minVersion: minVersion(),
+        });
+        openedAtMs[step] = clock.monotonicMs();
+        unmadeOf[step] = tasks.length;
+        ledger.open(tasks);
+        dispatcher.submit(tasks);
+    }
+
+    function publish(version: number): void {
+        published = version as WeightVersion;
+        publishedAtMs[version] = clock.monotonicMs();
+        roller.publish({ policy: manifest.policy, version: published, location: `weights/${version}` });
+        dispatcher.raiseMinVersion(published, minVersion());
+    }
+
+    function deliver(step: number): void {
+        const { delivered, remake } = ledger.deliver(step, minVersion());
+        const nowMs = clock.monotonicMs();
+        delivered.forEach(made => noteDelivered(measures, made, { published, publishedAtMs, nowMs, bound }));
+        measures.remade += remake.length;
+        if (remake.length > 0) {
+            unmadeOf[step]! += remake.length;
+            dispatcher.submit(remake);
+        }
+    }
+
+    async function awaitStep(step: number): Promise<void> {
+        deliver(step);
+        while (!ledger.isDelivered(step)) {
+            await new Promise<void>(resolve => {
+                wakeTrainer = resolve;
+            });
+            deliver(step);
+        }
+    }
+
+    async function train(step: number): Promise<void> {
+        const { trainerMs, publishesPerStep } = scenario;
+        for (let part = 1; part <= publishesPerStep; part++) {
+            await clock.sleep(trainerMs / publishesPerStep);
+            publish(step * publishesPerStep + part);
+        }
+    }
+
+    async function run(): Promise<void> {
+        await clock.sleep(scenario.startMs + deps.warmUpMs);
+        publish(0);
+        const last = scenario.steps - 1;
+        let firstTrainedMs = 0;
+        for (let step = 0; step <= last; step++) {
+            const readyAtMs = clock.monotonicMs();
+            while (openedAtMs.length <= Math.min(last, step + scenario.stepsAhead)) {
+                openStep(openedAtMs.length);
+            }
+            await awaitStep(step);
+            measures.waitedMs.push(clock.monotonicMs() - readyAtMs);
+            if (step === 0) {
+                firstTrainedMs = clock.monotonicMs();
+            }
+            else {
+                measures.idleMs += clock.monotonicMs() - readyAtMs;
+            }
+            await train(step);
+            measures.spanMs = clock.monotonicMs() - firstTrainedMs;
+        }
+        measures.isFinished = true;
+    }
+
+    void run();
+    return {
+        measures,
+        unmade: ledger.unmade,
+        stop: async () => {
+            roller.stop();
+            await dispatcher.stop();
+        },
+    };
+}
--- /dev/null
+++ b/packages/bench/src/policy/noteDelivered.ts
@@ -0,0 +1,24 @@
+import type { MadeSample } from "@auburnarch/types/MadeSample";
+import type { JobMeasures } from "./JobMeasures.js";
+
+interface Delivery {
+    published: number;
+    /** Publishing time by version. */
+    publishedAtMs: number[];
+    nowMs: number;
+    /** Most versions behind that the job allows. */
+    bound: number;
+}
+
+/** Adds a delivered sample to the measures of its job. */
+export function noteDelivered(measures: JobMeasures, made: MadeSample, delivery: Delivery): void {
+    const { spans } = made.answer;
+    const oldest = Math.min(...spans.map(span => span.version));
+    const staleness = delivery.published - oldest;
+    const supersededAtMs = delivery.publishedAtMs[oldest + 1];
+    measures.stalenessVersions.push(staleness);
+    measures.stalenessMs.push(supersededAtMs === undefined ? 0 : delivery.nowMs - supersededAtMs);
+    measures.overBound += staleness > delivery.bound ? 1 : 0;
+    measures.delivered++;
+    measures.deliveredTokens.push(spans.reduce((sum, span) => sum + span.tokens, 0));
+}
--- /dev/null
+++ b/packages/bench/src/policy/startFaults.ts
@@ -0,0 +1,24 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import { match } from "ts-pattern";
+import type { createFleet } from "./createFleet.js";
+import type { Scenario } from "./Scenario.js";
+
+/** Sets the timers of a scenario's faults. */
+export function startFaults(scenario: Scenario, clock: Clock, fleet: ReturnType<typeof createFleet>): void {
+    for (const fault of scenario.faults) {
+        const sampler = fleet.samplers[fault.sampler];
+        if (sampler === undefined) {
+            throw new Error(`a fault names sampler ${fault.sampler}, there are ${fleet.samplers.length}`);
+        }
+        clock.startTimer(fault.atMs, () =>
+            match(fault)
+                .with({ kind: "engineCrash" }, crash => {
+                    sampler.control.crash();
+                    clock.startTimer(crash.downMs, () => sampler.control.restart([]));
+                })
+                .with({ kind: "vmLost" }, () => sampler.gate.kill())
+                .with({ kind: "freeze" }, freeze => sampler.freezeUntil(clock.monotonicMs() + freeze.forMs))
+                .with({ kind: "swapFailure" }, () => sampler.control.failNextLoad("old"))
+                .exhaustive());
+    }
+}
