Tell VMs apart by their name, and believe a replaced VM's answer

Cause: (1) a fresh VM took the leaving mark of the sampler's former VM, which the lagging list still shows, for its own and refused work for good; (2) the answer of a replaced VM to an order was thrown away, so the roller ordered about 1,000 times a second until its first report came. Change: the row is found by VM; an answer of another incarnation counts if it came after the view's report.

--- a/packages/bench/src/faults/createWorld.ts
+++ b/packages/bench/src/faults/createWorld.ts
@@ -4,6 +4,7 @@
 import { createFakeVmList } from "@auburnarch/fakes/createFakeVmList";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { Logger } from "@auburnarch/types/Logger";
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
 import { createJudgedStore } from "./createJudgedStore.js";
 import { createNetwork } from "./createNetwork.js";
 import { createQuietLogger } from "./createQuietLogger.js";
@@ -45,6 +46,17 @@
     /** Last time at which something kept a process, or all, from the store. */
     const hamperedAtMs = new Map<string, number>();
 
+    /** Contents with a death that has been in the quarantine list for long enough to be known everywhere. */
+    function listSuspects(): Set<string> {
+        const stored = control.peek("quarantine") as { records: QuarantineRecord[]; } | undefined;
+        const knownBeforeMs = clock.wallMs() - reportedWithinMs;
+        const known = (stored?.records ?? []).filter(record => {
+            const counted = record.deaths.filter(death => death.atMs > (record.liftedAtMs ?? 0));
+            return counted.some(death => death.atMs < knownBeforeMs);
+        });
+        return new Set(known.map(record => record.digest));
+    }
+
     function poisonOf(prompt: string): { vms: Set<string>; runs: number; } {
         const known = poison.get(prompt) ?? { vms: new Set<string>(), runs: 0 };
         poison.set(prompt, known);
@@ -97,7 +109,7 @@
         vmList,
         vms,
         violations,
-        witness: createWitness(clock, violations),
+        witness: createWitness(clock, violations, listSuspects),
         trueFencing: judged.trueFencing,
         storeReachableForMs,
         notePoison: prompt => {
--- a/packages/membership/src/createReporter.ts
+++ b/packages/membership/src/createReporter.ts
@@ -39,7 +39,7 @@
     async function readVmList(): Promise<void> {
         try {
             const listed = await deps.vmList();
-            if (isOwnVmLeaving(deps.sampler, listed)) {
+            if (isOwnVmLeaving(deps.report().vm, listed)) {
                 deps.onLeaving();
             }
             learn(listEntryTargets(listed));
--- a/packages/swap/src/createSwapRoller.ts
+++ b/packages/swap/src/createSwapRoller.ts
@@ -26,7 +26,7 @@
     const ordered = new Set<SamplerId>();
     const backoff = createSwapBackoff(clock, deps.random);
     const downloads = createDownloadLimit();
-    const answered = createAnsweredReports();
+    const answered = createAnsweredReports(clock);
     let target: PublishedWeights | undefined;
     let lastPlan: SwapPlan = { orders: [], waiting: [] };
     let isStopped = false;
