--- a/packages/daemon/src/runDemo.ts
+++ b/packages/daemon/src/runDemo.ts
@@ -4,11 +4,11 @@
 import type { OperatorStatus } from "@auburnarch/types/OperatorStatus";
 import { readFile, writeFile } from "node:fs/promises";
 import { Agent } from "node:http";
-import { v7 as newKey } from "uuid";
 import { callEntry } from "./callEntry.js";
 import { createTrainerClient } from "./createTrainerClient.js";
 import type { DemoSummary } from "./DemoSummary.js";
 import type { ProcessContext } from "./ProcessContext.js";
+import { sendAlerts } from "./sendAlerts.js";
 import type { Standalone } from "./Standalone.js";
 
 const steps = 3;
@@ -16,7 +16,6 @@
 const maxTokens = 256;
 const timeLimitMs = 32_000;
 const pollMs = 200;
-const alertEveryMs = 250;
 const callTimeoutMs = 5_000;
 const changedShare = 0.5;
 
@@ -85,29 +84,6 @@
         return version;
     }
 
-    /** Alerts must not go out twice: each has a key and is sent again with it when its fate is unknown. */
-    async function sendAlerts(token: string): Promise<void> {
-        while (!ended.signal.aborted) {
-            const key = newKey();
-            const address = addresses[alerts.length % addresses.length]!;
-            const call = { agent, address, method: "POST", path: "/v1/services/tiles/alerts", token };
-            const headers = { "idempotency-key": key };
-            try {
-                await callEntry({
-                    ...call,
-                    headers,
-                    body: { alert: alerts.length },
-                    timeoutMs: callTimeoutMs,
-                });
-                alerts.push(key);
-            }
-            catch (error) {
-                tell(`alert not sent: ${String(error)}`);
-            }
-            await clock.sleep(alertEveryMs, ended.signal);
-        }
-    }
-
     function train(job: JobManifest): Promise<TrainerReport> {
         const token = tokens.get(job.team)!;
         const trainer = createFakeTrainer({
@@ -138,7 +114,15 @@
     tell(
         `${system.entries.length} entries and ${system.sidecars.length} sidecars ready, manifest version ${firstVersion}`,
     );
-    const alerting = sendAlerts(tokens.get(jobs[0]!.team)!);
+    const alerting = sendAlerts({
+        clock,
+        agent,
+        addresses,
+        token: tokens.get(jobs[0]!.team)!,
+        onSent: key => alerts.push(key),
+        tell,
+        signal: ended.signal,
+    });
     const changing = clock.sleep(steps * trainMs / 2).then(() => changeManifest(firstVersion));
     const reports = await Promise.all(jobs.map(train));
     const configVersion = await changing;
--- /dev/null
+++ b/packages/daemon/src/sendAlerts.ts
@@ -0,0 +1,63 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Agent } from "node:http";
+import { v7 as newKey } from "uuid";
+import { callEntry } from "./callEntry.js";
+
+const everyMs = 250;
+const timeoutMs = 5_000;
+const path = "/v1/services/tiles/alerts";
+/** Result codes from 2000 on say that the request did not run. */
+const notRunFamily = 2;
+
+interface AlertOptions {
+    clock: Clock;
+    agent: Agent;
+    /** Any entry answers; calls go to them in turn. */
+    addresses: string[];
+    token: string;
+    /** Hears the key of each alert that was answered. */
+    onSent: (key: string) => void;
+    tell: (line: string) => void;
+    signal: AbortSignal;
+}
+
+/** Sends alerts that must not go out twice until `signal` is aborted. */
+export async function sendAlerts(options: AlertOptions): Promise<void> {
+    const { clock, agent, addresses, token, tell, signal } = options;
+    let calls = 0;
+
+    /** Sends one alert until its fate is known; sent again, it keeps its key, so that it cannot go out twice. */
+    async function sendOne(key: string): Promise<void> {
+        const headers = { "idempotency-key": key };
+        while (!signal.aborted) {
+            const address = addresses[calls++ % addresses.length]!;
+            try {
+                await callEntry({
+                    agent,
+                    address,
+                    method: "POST",
+                    path,
+                    token,
+                    headers,
+                    body: { key },
+                    timeoutMs,
+                });
+                options.onSent(key);
+                return;
+            }
+            catch (error) {
+                if (Math.floor(codeOf(error).number / 1_000) !== notRunFamily) {
+                    tell(`alert without an answer: ${String(error)}`);
+                    return;
+                }
+            }
+            await clock.sleep(everyMs, signal);
+        }
+    }
+
+    while (!signal.aborted) {
+        await sendOne(newKey());
+        await clock.sleep(everyMs, signal);
+    }
+}
