--- a/packages/bench/src/slopes/projectCapacity.ts
+++ b/packages/bench/src/slopes/projectCapacity.ts
@@ -47,6 +47,31 @@
     return Math.max(...waits);
 }
 
+/** Bytes and processor time for control, which every process has a budget of. */
+function controlRows(
+    common: Pick<CapacityRow, "role" | "measured" | "extrapolated">,
+    bytes: number,
+    cpuUs: number,
+    target: Target,
+): CapacityRow[] {
+    return [
+        {
+            ...common,
+            quantity: "bytes for control, sent and received",
+            projected: bytes,
+            budget: target.budget.bytesPerSecond,
+            unit: "B/s",
+        },
+        {
+            ...common,
+            quantity: "processor for control",
+            projected: cpuUs / usPerSecond * 100,
+            budget: target.budget.coreRatio * 100,
+            unit: "% of a core",
+        },
+    ];
+}
+
 function entryRows(figures: SlopesFigures, target: Target): CapacityRow[] {
     const { steady, call, change, baseRssBytes } = figures;
     const scaled = large(figures.scaled);
@@ -67,20 +92,7 @@
     const heap = fitLine(scaled.map(point => [point.entries, point.heapBytes])).slope;
     const common = { role: "entry", measured, extrapolated: true };
     return [
-        {
-            ...common,
-            quantity: "bytes for control, sent and received",
-            projected: bytes,
-            budget: target.budget.bytesPerSecond,
-            unit: "B/s",
-        },
-        {
-            ...common,
-            quantity: "processor for control",
-            projected: cpuUs / usPerSecond * 100,
-            budget: target.budget.coreRatio * 100,
-            unit: "% of a core",
-        },
+        ...controlRows(common, bytes, cpuUs, target),
         {
             ...common,
             quantity: "memory, base and control state",
@@ -103,20 +115,7 @@
     const cpuUs = largest.sidecarCallsPerSecond * call.cpuUs / 2 + changesPerSecond * takeCpuUs;
     const common = { role: "sidecar", measured, extrapolated: true };
     return [
-        {
-            ...common,
-            quantity: "bytes for control, sent and received",
-            projected: bytes,
-            budget: target.budget.bytesPerSecond,
-            unit: "B/s",
-        },
-        {
-            ...common,
-            quantity: "processor for control",
-            projected: cpuUs / usPerSecond * 100,
-            budget: target.budget.coreRatio * 100,
-            unit: "% of a core",
-        },
+        ...controlRows(common, bytes, cpuUs, target),
         {
             ...common,
             quantity: "memory, base and documents",
