--- /dev/null
+++ b/packages/config/src/roleSettingsSchema.ts
@@ -0,0 +1,23 @@
+import { z } from "zod";
+
+const port = z.int().min(1).max(65_535);
+const address = z.string().regex(/^[^:\s]+:\d{1,5}$/u, "Expected `ip:port`.");
+const milliseconds = z.int().min(0);
+
+/** Shape of the settings of a gateway or a runner; `docs/settings.md` says what each means. */
+export const roleSettingsSchema = z.strictObject({
+    name: z.string().min(1),
+    role: z.enum(["gateway", "runner"]),
+    failureDomain: z.string().min(1),
+    region: z.string(),
+    internalHost: z.string().min(1),
+    /** First and last port of the range for the system's own use. */
+    internalPorts: z.tuple([port, port]),
+    storeAddress: address,
+    clientAddress: address.optional(),
+    readyAddress: address.optional(),
+    orderHandOverMs: milliseconds,
+    gracePeriodMs: milliseconds,
+    maxLoadingSamplers: z.int().min(1).default(2),
+    logLevel: z.enum(["info", "warn", "error"]).default("info"),
+});
--- /dev/null
+++ b/packages/config/src/validateRoleSettings.ts
@@ -0,0 +1,21 @@
+import type { ConfigFault } from "@auburnarch/types/ConfigFault";
+import { listFaults } from "./listFaults.js";
+import type { RoleSettings } from "./RoleSettings.js";
+import { roleSettingsSchema } from "./roleSettingsSchema.js";
+
+type Checked = { kind: "valid"; settings: RoleSettings; } | { kind: "invalid"; faults: ConfigFault[]; };
+
+const neededByGateway = ["clientAddress", "readyAddress"] as const;
+
+/** Checks the settings of a gateway or a runner and fills in the defaults; names every fault. */
+export function validateRoleSettings(json: unknown): Checked {
+    const faults = listFaults(roleSettingsSchema, json);
+    if (faults.length > 0) {
+        return { kind: "invalid", faults };
+    }
+    const settings = roleSettingsSchema.parse(json);
+    const missing = settings.role === "gateway" ? neededByGateway.filter(key => settings[key] === undefined) : [];
+    return missing.length > 0
+        ? { kind: "invalid", faults: missing.map(path => ({ path, message: "A gateway needs it." })) }
+        : { kind: "valid", settings };
+}
--- /dev/null
+++ b/packages/daemon/src/startCommon.ts
@@ -0,0 +1,56 @@
+import { createRoutingView } from "@auburnarch/discovery/createRoutingView";
+import { createSamplerDirectory } from "@auburnarch/discovery/createSamplerDirectory";
+import type { RoutingView } from "@auburnarch/discovery/RoutingView";
+import type { SamplerDirectory } from "@auburnarch/discovery/SamplerDirectory";
+import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
+import { watchKind } from "@auburnarch/discovery/watchKind";
+import { createCallSampler } from "@auburnarch/platform/createCallSampler";
+import { createPlatformStore } from "@auburnarch/platform/createPlatformStore";
+import { createSamplerAgents } from "@auburnarch/platform/createSamplerAgents";
+import { decodeConfiguration } from "@auburnarch/platform/decodeConfiguration";
+import { decodeSampler } from "@auburnarch/platform/decodeSampler";
+import { platformKinds } from "@auburnarch/platform/platformKinds";
+import { splitAddress } from "@auburnarch/platform/splitAddress";
+import type { CallSampler } from "@auburnarch/relay/CallSampler";
+import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import { createStoreHealth } from "./createStoreHealth.js";
+import type { RoleContext } from "./RoleContext.js";
+
+interface Common {
+    store: ObjectStore;
+    storeSilentMs: () => number;
+    tables: WatchedKind<RoutingTable>;
+    routing: RoutingView;
+    directory: SamplerDirectory;
+    callSampler: CallSampler;
+    agentFor: ReturnType<typeof createSamplerAgents>;
+}
+
+/**
+ * Changes of samplers close together (loads of weights show as changes) are taken by one call of the watch. Well below
+ * the two seconds in which a draining sampler's entry has to be heeded.
+ */
+const samplerGatherMs = 150;
+
+/** Starts what gateways and runners share: the store, the configuration, the samplers. */
+export function startCommon(context: RoleContext): Common {
+    const { settings, clock, logger, metrics } = context;
+    const storeAddress = splitAddress(settings.storeAddress)!;
+    const health = createStoreHealth(createPlatformStore({ ...storeAddress, clock }), clock, metrics);
+    const { store } = health;
+    const watched = { store, clock, logger };
+    const decodeTable = (_name: string, value: unknown): RoutingTable | undefined => decodeConfiguration(value);
+    const tables = watchKind({ ...watched, kind: platformKinds.configuration, decode: decodeTable });
+    const samplers = watchKind({ ...watched, kind: platformKinds.samplers, decode: decodeSampler, gatherMs: samplerGatherMs });
+    const agentFor = createSamplerAgents();
+    return {
+        store,
+        storeSilentMs: health.silentMs,
+        tables,
+        routing: createRoutingView(tables, logger),
+        directory: createSamplerDirectory(samplers, clock, logger),
+        callSampler: createCallSampler(clock, agentFor),
+        agentFor,
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/startGateway.ts
@@ -0,0 +1,75 @@
+import { createGateway } from "@auburnarch/gateway/createGateway";
+import { createLotReader } from "@auburnarch/lots/createLotReader";
+import { createLotStore } from "@auburnarch/lots/createLotStore";
+import { decodeLot } from "@auburnarch/platform/decodeLot";
+import { serveClients } from "@auburnarch/platform/serveClients";
+import { splitAddress } from "@auburnarch/platform/splitAddress";
+import { createRelay } from "@auburnarch/relay/createRelay";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { RoleContext } from "./RoleContext.js";
+import type { RunningRole } from "./RunningRole.js";
+import { serveInternal } from "./serveInternal.js";
+import { startCommon } from "./startCommon.js";
+
+/**
+ * The platform's balancer takes a process out after two missed probes a second apart; until then new connections
+ * still arrive and are served.
+ */
+const balancerNoticesMs = 2_600;
+const pollMs = 100;
+/** Left at the end of the grace period for the process to end by itself. */
+const exitSlackMs = 700;
+
+/** Starts a gateway and resolves once it listens. */
+export async function startGateway(context: RoleContext): Promise<RunningRole> {
+    const { settings, clock, random, logger, metrics } = context;
+    const common = startCommon(context);
+    const lots = createLotStore(common.store);
+    const relay = createRelay({
+        ...common,
+        clock,
+        random: random.fork(),
+        logger,
+        metrics,
+        failureDomain: settings.failureDomain as FailureDomain,
+    });
+    const gateway = createGateway({
+        ...common,
+        relay,
+        lots,
+        reader: createLotReader(lots, clock),
+        decodeLot,
+        clock,
+        logger,
+        metrics,
+    });
+    const served = await serveClients({
+        gateway,
+        clients: splitAddress(settings.clientAddress!)!,
+        ready: splitAddress(settings.readyAddress!)!,
+        clock,
+        logger,
+    });
+    common.tables.onChange(() => {
+        const table = common.routing();
+        if (table !== undefined) {
+            served.setLimits(table.clientLimits);
+        }
+    });
+    const internal = await serveInternal(context, async () => ({}));
+
+    return {
+        shutdown: async () => {
+            gateway.leave();
+            served.leave();
+            const endMs = clock.monotonicMs() + settings.gracePeriodMs - exitSlackMs;
+            await clock.sleep(balancerNoticesMs);
+            while (served.active() > 0 && clock.monotonicMs() < endMs) {
+                await clock.sleep(pollMs);
+            }
+            logger.info("gatewayLeft", { active: served.active() });
+            served.close();
+            internal.close();
+        },
+    };
+}
--- /dev/null
+++ b/packages/discovery/src/SamplerDirectory.ts
@@ -0,0 +1,12 @@
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { ServiceId } from "@auburnarch/types/ServiceId";
+import type { KnownSampler } from "./KnownSampler.js";
+
+/** The samplers that may get new work now. */
+export interface SamplerDirectory {
+    /** False until the samplers were listed once. */
+    isKnown(): boolean;
+    /** Those of a service that neither drain nor are gone. */
+    serving(service: ServiceId): KnownSampler[];
+    find(incarnation: IncarnationId): KnownSampler | undefined;
+}
--- /dev/null
+++ b/packages/discovery/src/createRoutingView.ts
@@ -0,0 +1,29 @@
+import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { RoutingView } from "./RoutingView.js";
+import type { WatchedKind } from "./WatchedKind.js";
+
+/**
+ * Follows the configuration forward only. A store that answers from an older state must not take a route back that
+ * requests were already served by; a lower version is therefore logged and left.
+ */
+export function createRoutingView(tables: WatchedKind<RoutingTable>, logger: Logger): RoutingView {
+    let inForce: RoutingTable | undefined;
+
+    function refresh(): void {
+        for (const table of tables.objects()?.values() ?? []) {
+            const version = inForce?.version ?? -1;
+            if (table.version > version) {
+                logger.info("configInForce", { version: table.version, before: inForce?.version, routes: table.routes.length });
+                inForce = table;
+            }
+            else if (table.version < version) {
+                logger.warn("configOlderIgnored", { version: table.version, inForce: version });
+            }
+        }
+    }
+
+    refresh();
+    tables.onChange(refresh);
+    return () => inForce;
+}
--- /dev/null
+++ b/packages/discovery/src/watchKind.ts
@@ -0,0 +1,139 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { StoredChange } from "@auburnarch/types/StoredChange";
+import type { StoredObject } from "@auburnarch/types/StoredObject";
+import type { WatchedKind } from "./WatchedKind.js";
+
+interface WatchKindOptions<T> {
+    store: ObjectStore;
+    clock: Clock;
+    logger: Logger;
+    /** All objects whose key begins with this and a slash. */
+    kind: string;
+    /** Undefined drops the object: it is not one of ours to understand, and the log names it. */
+    decode: (name: string, value: unknown) => T | undefined;
+    /** Pause after each answered watch, so that changes close together cost one call. */
+    gatherMs?: number;
+}
+
+/**
+ * Longest wait of one watch. A connection may fall silent without a reset; it is noticed once a watch is overdue, so
+ * this bounds how long a change can go unseen. Below the four seconds that machines have to learn of a change after
+ * such a fault (three until they count as healthy again, and two to take the change, less a second in hand).
+ */
+const watchWaitMs = 3_500;
+/** After a failed call. Short, because outages end without notice and changes are due within two seconds. */
+const retryMs = 150;
+
+/**
+ * Keeps a copy of one kind by list and watch. A watch whose history is gone comes back as a full list. What the
+ * store removed while it could not be reached shows in the next list.
+ */
+export function watchKind<T>(options: WatchKindOptions<T>): WatchedKind<T> {
+    const { store, clock, logger, kind, decode, gatherMs = 0 } = options;
+    const prefix = `${kind}/`;
+    const objects = new Map<string, T>();
+    const listeners = new Set<() => void>();
+    const stopped = new AbortController();
+    let revision: ObjectVersion | undefined;
+    let confirmedAtMs = -Infinity;
+    let isReachable = true;
+    let regainedAtMs: number | undefined;
+
+    function take(key: string, value: unknown): void {
+        const name = key.slice(prefix.length);
+        const decoded = value === undefined ? undefined : decode(name, value);
+        if (decoded === undefined) {
+            if (value !== undefined) {
+                logger.warn("objectNotUnderstood", { kind, object: name });
+            }
+            objects.delete(name);
+            return;
+        }
+        objects.set(name, decoded);
+    }
+
+    function replaceAll(found: Pick<StoredObject, "key" | "value">[]): void {
+        objects.clear();
+        found.forEach(object => take(object.key, object.value));
+    }
+
+    function applyChanges(changes: StoredChange[]): void {
+        changes.forEach(change => take(change.key, change.value));
+    }
+
+    async function listOnce(): Promise<void> {
+        const sentAtMs = clock.monotonicMs();
+        const found = await store.list(prefix);
+        noteReached();
+        replaceAll(found.objects);
+        revision = found.revision;
+        confirmedAtMs = sentAtMs;
+        logger.info("kindListed", { kind, objects: objects.size, revision });
+    }
+
+    async function watchOnce(since: ObjectVersion): Promise<boolean> {
+        const sentAtMs = clock.monotonicMs();
+        const found = await store.watch(prefix, since, watchWaitMs);
+        noteReached();
+        revision = found.revision;
+        confirmedAtMs = sentAtMs;
+        if (found.relisted === true) {
+            replaceAll(found.changes);
+            return true;
+        }
+        applyChanges(found.changes);
+        return found.changes.length > 0;
+    }
+
+    function noteReached(): void {
+        if (!isReachable) {
+            isReachable = true;
+            regainedAtMs = clock.monotonicMs();
+            logger.info("storeRegained", { kind, revision });
+        }
+    }
+
+    function noteFailed(error: unknown): void {
+        if (isReachable) {
+            isReachable = false;
+            const { number, name } = codeOf(error);
+            logger.warn("storeLost", { kind, code: number, name, copyAgeMs: Math.round(clock.monotonicMs() - confirmedAtMs) });
+        }
+    }
+
+    async function round(): Promise<void> {
+        try {
+            const isChanged = revision === undefined ? await listOnce().then(() => true) : await watchOnce(revision);
+            if (isChanged && !stopped.signal.aborted) {
+                listeners.forEach(listener => listener());
+                await clock.sleep(gatherMs, stopped.signal);
+            }
+        }
+        catch (error) {
+            noteFailed(error);
+            await clock.sleep(retryMs, stopped.signal);
+        }
+    }
+
+    async function run(): Promise<void> {
+        while (!stopped.signal.aborted) {
+            await round();
+        }
+    }
+
+    void run();
+    return {
+        objects: () => revision === undefined ? undefined : objects,
+        ageMs: () => clock.monotonicMs() - confirmedAtMs,
+        regainedAtMs: () => regainedAtMs,
+        onChange: listener => {
+            listeners.add(listener);
+            return () => void listeners.delete(listener);
+        },
+        stop: () => stopped.abort(),
+    };
+}
--- a/packages/errors/src/resultCodes.ts
+++ b/packages/errors/src/resultCodes.ts
@@ -118,6 +118,20 @@
         "The key was minted outside the answer window.",
         "Mint a new key if the request was never sent before.",
     ),
+    unknownRoute: define(
+        1015,
+        "unknownRoute",
+        404,
+        "No route of the configuration takes this host and path.",
+        "Check host and path against the routes of the configuration.",
+    ),
+    unknownLot: define(
+        1016,
+        "unknownLot",
+        404,
+        "There is no such batch job, or no such item in it.",
+        "Submit the job first.",
+    ),
     overloaded: define(
         2000,
         "overloaded",
@@ -260,6 +274,13 @@
         "The caller went away while it ran.",
         "Repeat only if the request is idempotent.",
     ),
+    acceptanceUnknown: define(
+        3006,
+        "acceptanceUnknown",
+        502,
+        "The store did not say whether it keeps the batch job; it may run.",
+        "Submit the same job again; it is accepted only once.",
+    ),
     storeUnavailable: define(
         4000,
         "storeUnavailable",
--- /dev/null
+++ b/packages/gateway/src/ClientAnswer.ts
@@ -0,0 +1,11 @@
+import type { LotPage } from "@auburnarch/lots/LotPage";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+
+/** What a client gets. */
+export type ClientAnswer =
+    | { kind: "relayed"; status: number; headers: Record<string, string>; body: AsyncIterable<Uint8Array>; }
+    | { kind: "lotAccepted"; }
+    | { kind: "lotPage"; page: LotPage; }
+    | { kind: "lotItem"; body: Uint8Array; }
+    | { kind: "lotEnded"; }
+    | { kind: "failed"; code: ResultCode; detail: string; retryAfterMs: number | undefined; };
--- /dev/null
+++ b/packages/lots/src/Lot.ts
@@ -0,0 +1,18 @@
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { StepNumber } from "@auburnarch/types/StepNumber";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import type { LotId } from "./LotId.js";
+import type { LotItem } from "./LotItem.js";
+
+/** A batch job as it was submitted. */
+export interface Lot {
+    lot: LotId;
+    host: string;
+    path: string;
+    step: StepNumber;
+    /** Undefined where any weights will do. */
+    policy: PolicyId | undefined;
+    /** Oldest version that may generate its tokens. */
+    minVersion: WeightVersion;
+    items: LotItem[];
+}
--- /dev/null
+++ b/packages/lots/src/LotEntry.ts
@@ -0,0 +1,11 @@
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+
+/** What is small about an accepted batch job; runners watch these. */
+export interface LotEntry {
+    total: number;
+    /** Wall time of the acceptance. */
+    submittedAtMs: number;
+    policy: PolicyId | undefined;
+    /** The client has ended it: nothing of it may run any more. */
+    isEnded: boolean;
+}
--- /dev/null
+++ b/packages/lots/src/LotReader.ts
@@ -0,0 +1,14 @@
+import type { LotId } from "./LotId.js";
+import type { LotItem } from "./LotItem.js";
+import type { LotPage } from "./LotPage.js";
+
+/** Answers readers of batch jobs. Every call may reject as the store does. */
+export interface LotReader {
+    /**
+     * Results from position `after` on, waiting up to `waitMs` for the first of them; undefined if there is no such
+     * job.
+     */
+    read(lot: LotId, after: number, waitMs: number, signal: AbortSignal): Promise<LotPage | undefined>;
+    /** An item as it was submitted; undefined if there is none. */
+    readItem(lot: LotId, item: string): Promise<LotItem | undefined>;
+}
--- /dev/null
+++ b/packages/lots/src/LotResult.ts
@@ -0,0 +1,14 @@
+import type { SampleId } from "@auburnarch/types/SampleId";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+
+/** The final result of one item. */
+export interface LotResult {
+    item: SampleId;
+    state: "completed" | "terminated";
+    /** Data of all events in order, joined by line feeds. */
+    output: string;
+    /** Versions that generated the output, each once, in order of appearance. */
+    versions: WeightVersion[];
+    /** Signature of the scoring service's answer; undefined where no reward was asked for or none came. */
+    score: string | undefined;
+}
--- /dev/null
+++ b/packages/lots/src/ResultChunk.ts
@@ -0,0 +1,10 @@
+import type { LotResult } from "./LotResult.js";
+
+/** Results at consecutive positions. Created once in the store and never changed. */
+export interface ResultChunk {
+    /** Position of the first result. */
+    from: number;
+    results: LotResult[];
+    /** Unique to the append, so that a writer recognises its own chunk when an answer was lost. */
+    writer: string;
+}
--- /dev/null
+++ b/packages/lots/src/createLotStore.ts
@@ -0,0 +1,85 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { z } from "zod";
+import type { LotEntry } from "./LotEntry.js";
+import type { LotId } from "./LotId.js";
+import { lotKinds } from "./lotKinds.js";
+import { lotSchemas } from "./lotSchemas.js";
+import type { LotStore } from "./LotStore.js";
+
+const absent = 0 as ObjectVersion;
+/** Tries to mark a job as ended while another writer changes its entry. */
+const endTries = 3;
+
+function parse<T>(schema: z.ZodType<T>, key: string, value: unknown): T {
+    const parsed = schema.safeParse(value);
+    if (!parsed.success) {
+        throw new ResultError(resultCodes.recordTorn, `${key}: ${parsed.error.issues[0]?.message ?? "not understood"}`);
+    }
+    return parsed.data;
+}
+
+/** Makes the batch jobs' part of the store. Everything but an entry's end is created once and never changed. */
+export function createLotStore(store: ObjectStore): LotStore {
+    const entryKey = (lot: LotId): string => `${lotKinds.entries}/${lot}`;
+    const bodyKey = (lot: LotId): string => `${lotKinds.bodies}/${lot}`;
+    const chunkKey = (lot: LotId, number: number): string => `${lotKinds.results}/${lot}.${number}`;
+
+    async function readAs<T>(schema: z.ZodType<T>, key: string): Promise<T | undefined> {
+        const object = await store.read(key);
+        return object === undefined ? undefined : parse(schema, key, object.value);
+    }
+
+    /** The entry makes a job exist, so its lost answer is resolved; a body without an entry is only litter. */
+    async function createEntry(lot: LotId, entry: LotEntry): Promise<void> {
+        try {
+            await store.write(entryKey(lot), entry, absent);
+        }
+        catch (error) {
+            if (codeOf(error) !== resultCodes.storeUnavailable || await store.read(entryKey(lot)) === undefined) {
+                throw error;
+            }
+        }
+    }
+
+    async function tryEnd(lot: LotId): Promise<"done" | "unknown" | "raced"> {
+        const object = await store.read(entryKey(lot));
+        if (object === undefined) {
+            return "unknown";
+        }
+        const entry = parse(lotSchemas.entry, object.key, object.value);
+        if (entry.isEnded) {
+            return "done";
+        }
+        const outcome = await store.write(object.key, { ...entry, isEnded: true }, object.version);
+        return outcome.kind === "written" ? "done" : "raced";
+    }
+
+    return {
+        accept: async (lot, submittedAtMs) => {
+            await store.write(bodyKey(lot.lot), lot, absent);
+            const { items, policy } = lot;
+            await createEntry(lot.lot, { total: items.length, submittedAtMs, policy, isEnded: false });
+        },
+        readEntry: lot => readAs(lotSchemas.entry, entryKey(lot)),
+        readLot: lot => readAs(lotSchemas.lot, bodyKey(lot)),
+        readChunk: (lot, number) => readAs(lotSchemas.chunk, chunkKey(lot, number)),
+        appendChunk: async (lot, number, chunk) => {
+            const key = chunkKey(lot, number);
+            const outcome = await store.write(key, chunk, absent);
+            return outcome.kind === "written" ? chunk : parse(lotSchemas.chunk, key, outcome.current?.value);
+        },
+        end: async lot => {
+            for (let tries = 0; tries < endTries; tries++) {
+                const ended = await tryEnd(lot);
+                if (ended !== "raced") {
+                    return ended === "done";
+                }
+            }
+            throw new ResultError(resultCodes.storeThrottled, `${entryKey(lot)} keeps changing`);
+        },
+    };
+}
--- /dev/null
+++ b/packages/lots/src/lotSchemas.ts
@@ -0,0 +1,50 @@
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { SampleId } from "@auburnarch/types/SampleId";
+import type { StepNumber } from "@auburnarch/types/StepNumber";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import { z } from "zod";
+import type { LotId } from "./LotId.js";
+
+const count = z.number().int().nonnegative();
+const version = count.transform(value => value as WeightVersion);
+const policy = z.string().transform(value => value as PolicyId).optional();
+const sample = z.string().transform(value => value as SampleId);
+const reward = z.object({ requestId: z.string(), host: z.string(), path: z.string(), bodyBase64: z.string() });
+
+const item = z.object({
+    item: sample,
+    group: z.string().optional(),
+    path: z.string(),
+    headers: z.record(z.string(), z.string()),
+    bodyBase64: z.string(),
+    maxTokens: z.number(),
+    reward: reward.optional(),
+}).transform(value => ({ ...value, group: value.group, reward: value.reward }));
+
+/** How batch jobs stand in the store. */
+export const lotSchemas = {
+    entry: z.object({ total: count, submittedAtMs: z.number(), policy, isEnded: z.boolean() })
+        .transform(value => ({ ...value, policy: value.policy })),
+    lot: z.object({
+        lot: z.string().transform(value => value as LotId),
+        host: z.string(),
+        path: z.string(),
+        step: count.transform(value => value as StepNumber),
+        policy,
+        minVersion: version,
+        items: z.array(item),
+    }).transform(value => ({ ...value, policy: value.policy })),
+    chunk: z.object({
+        from: count,
+        writer: z.string(),
+        results: z.array(
+            z.object({
+                item: sample,
+                state: z.enum(["completed", "terminated"]),
+                output: z.string(),
+                versions: z.array(version),
+                score: z.string().optional(),
+            }).transform(value => ({ ...value, score: value.score })),
+        ),
+    }),
+};
--- /dev/null
+++ b/packages/relay/src/RelayDeps.ts
@@ -0,0 +1,19 @@
+import type { SamplerDirectory } from "@auburnarch/discovery/SamplerDirectory";
+import type { Metrics } from "@auburnarch/metrics/Metrics";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { Random } from "@auburnarch/types/Random";
+import type { CallSampler } from "./CallSampler.js";
+
+/** What a relay is built from. */
+export interface RelayDeps {
+    callSampler: CallSampler;
+    directory: SamplerDirectory;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    metrics: Metrics;
+    /** Own failure domain; samplers in it are preferred. */
+    failureDomain: FailureDomain;
+}
--- /dev/null
+++ b/packages/relay/src/RelayRequest.ts
@@ -0,0 +1,14 @@
+import type { Route } from "@auburnarch/routing/Route";
+
+/** A caller's request with its route. */
+export interface RelayRequest {
+    requestId: string;
+    route: Route;
+    method: string;
+    host: string;
+    path: string;
+    headers: Record<string, string>;
+    body: Uint8Array;
+    /** Time the caller still waits; undefined if it does not say. */
+    deadlineMs: number | undefined;
+}
--- /dev/null
+++ b/packages/relay/src/createSamplerRecords.ts
@@ -0,0 +1,22 @@
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { SamplerRecord } from "./SamplerRecord.js";
+
+/** Records kept at most; the oldest go first. Samplers that left are never asked for again. */
+const maxRecords = 4_096;
+
+/** Makes the memory of samplers by incarnation. */
+export function createSamplerRecords(): (incarnation: IncarnationId) => SamplerRecord {
+    const records = new Map<IncarnationId, SamplerRecord>();
+    return incarnation => {
+        const present = records.get(incarnation);
+        if (present !== undefined) {
+            return present;
+        }
+        const fresh: SamplerRecord = { sentAtMs: new Set(), latencyMs: undefined, failedAtMs: -Infinity };
+        records.set(incarnation, fresh);
+        if (records.size > maxRecords) {
+            records.delete(records.keys().next().value!);
+        }
+        return fresh;
+    };
+}
--- /dev/null
+++ b/packages/runner/src/EngineStatus.ts
@@ -0,0 +1,11 @@
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+
+/** What a sampler says of its engine, as of some hundred milliseconds ago. */
+export interface EngineStatus {
+    served: { policy: PolicyId; version: WeightVersion; }[];
+    /** An order is being carried out. */
+    isBusy: boolean;
+    /** Orders accepted since its start; an order may name the count it expects. */
+    orders: number;
+}
--- /dev/null
+++ b/packages/runner/src/ItemDispatch.ts
@@ -0,0 +1,13 @@
+import type { Dispatcher } from "@auburnarch/dispatch/Dispatcher";
+import type { Lot } from "@auburnarch/lots/Lot";
+import type { MadeSample } from "@auburnarch/types/MadeSample";
+import type { SampleId } from "@auburnarch/types/SampleId";
+import type { ItemRun } from "./ItemRun.js";
+
+/** The dispatchers of one runner and the items they have in hand. */
+export interface ItemDispatch {
+    dispatcherFor(lot: Lot): Dispatcher;
+    register(item: SampleId, run: ItemRun, onMade: (made: MadeSample) => void): void;
+    forget(item: SampleId): void;
+    stop(): Promise<void>;
+}
--- /dev/null
+++ b/packages/runner/src/ItemRun.ts
@@ -0,0 +1,12 @@
+import type { Lot } from "@auburnarch/lots/Lot";
+import type { LotItem } from "@auburnarch/lots/LotItem";
+
+/** An item that is to be run, with what its earlier runs came to. */
+export interface ItemRun {
+    lot: Lot;
+    item: LotItem;
+    /** Answers of 500 so far. */
+    failures: number;
+    /** Gives the item up for good. */
+    terminate: (reason: string) => void;
+}
--- /dev/null
+++ b/packages/runner/src/LotRun.ts
@@ -0,0 +1,7 @@
+/** One job while this runner runs it. */
+export interface LotRun {
+    /** Every item is recorded. */
+    isComplete(): boolean;
+    /** Ends its runs; what is made already is still recorded if `isHandedOver`. */
+    stop(isHandedOver: boolean): Promise<void>;
+}
--- /dev/null
+++ b/packages/runner/src/LotRunDeps.ts
@@ -0,0 +1,34 @@
+import type { Dispatcher } from "@auburnarch/dispatch/Dispatcher";
+import type { Invariants } from "@auburnarch/invariants/Invariants";
+import type { Lot } from "@auburnarch/lots/Lot";
+import type { LotEntry } from "@auburnarch/lots/LotEntry";
+import type { LotId } from "@auburnarch/lots/LotId";
+import type { LotStore } from "@auburnarch/lots/LotStore";
+import type { Metrics } from "@auburnarch/metrics/Metrics";
+import type { Route } from "@auburnarch/routing/Route";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { MadeSample } from "@auburnarch/types/MadeSample";
+import type { Random } from "@auburnarch/types/Random";
+import type { SampleId } from "@auburnarch/types/SampleId";
+import type { ItemRun } from "./ItemRun.js";
+import type { ScoreItem } from "./ScoreItem.js";
+
+/** What the run of one job is built from. */
+export interface LotRunDeps {
+    lot: LotId;
+    entry: LotEntry;
+    lots: LotStore;
+    /** The dispatcher for a job's items; the same one for all jobs of a trainer. */
+    dispatcherFor: (lot: Lot) => Dispatcher;
+    findRoute: (host: string, path: string) => Route | undefined;
+    scoreItem: ScoreItem;
+    /** Makes an item known to the sidecars, and who takes its text. */
+    register: (item: SampleId, run: ItemRun, onMade: (made: MadeSample) => void) => void;
+    forget: (item: SampleId) => void;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    metrics: Metrics;
+    invariants: Invariants;
+}
--- /dev/null
+++ b/packages/runner/src/PeerView.ts
@@ -0,0 +1,10 @@
+import type { RunnerStatus } from "./RunnerStatus.js";
+
+/** A peer as this runner sees it. */
+export interface PeerView {
+    name: string;
+    /** False once probes have failed for too long. */
+    isAlive: boolean;
+    /** Its last answer; undefined until the first one. */
+    status: RunnerStatus | undefined;
+}
--- /dev/null
+++ b/packages/runner/src/Recorder.ts
@@ -0,0 +1,16 @@
+import type { LotResult } from "@auburnarch/lots/LotResult";
+import type { SampleId } from "@auburnarch/types/SampleId";
+
+/** Puts the results of one job into the store, each item once, at positions that never change. */
+export interface Recorder {
+    /** Reads what is recorded already. Rejects as the store does; may be called again. */
+    load(): Promise<void>;
+    add(result: LotResult): void;
+    isRecorded(item: SampleId): boolean;
+    recorded(): number;
+    /** Records what waits now, without gathering further results. */
+    hurry(): void;
+    /** Resolves once nothing waits any more, or the recorder is stopped. */
+    drained(): Promise<void>;
+    stop(): void;
+}
--- /dev/null
+++ b/packages/runner/src/RunnerAddress.ts
@@ -0,0 +1,5 @@
+/** Where a runner's peers reach it, as registered in the store. */
+export interface RunnerAddress {
+    host: string;
+    port: number;
+}
--- /dev/null
+++ b/packages/runner/src/RunnerDeps.ts
@@ -0,0 +1,45 @@
+import type { Invariants } from "@auburnarch/invariants/Invariants";
+import type { RoutingView } from "@auburnarch/discovery/RoutingView";
+import type { SamplerDirectory } from "@auburnarch/discovery/SamplerDirectory";
+import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
+import type { LotEntry } from "@auburnarch/lots/LotEntry";
+import type { Metrics } from "@auburnarch/metrics/Metrics";
+import type { CallSampler } from "@auburnarch/relay/CallSampler";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { Random } from "@auburnarch/types/Random";
+import type { EngineOrders } from "./EngineOrders.js";
+import type { NamedVersion } from "./NamedVersion.js";
+import type { ReadItemEvents } from "./ReadItemEvents.js";
+import type { RunnerAddress } from "./RunnerAddress.js";
+import type { RunnerStatus } from "./RunnerStatus.js";
+
+/** What a runner is built from. */
+export interface RunnerDeps {
+    name: string;
+    /** Unique to this start of the process. */
+    incarnation: string;
+    failureDomain: FailureDomain;
+    store: ObjectStore;
+    storeSilentMs: () => number;
+    routing: RoutingView;
+    directory: SamplerDirectory;
+    entries: WatchedKind<LotEntry>;
+    registered: WatchedKind<RunnerAddress>;
+    watchVersions: () => WatchedKind<NamedVersion>;
+    callSampler: CallSampler;
+    readEvents: ReadItemEvents;
+    orders: EngineOrders;
+    probe: (address: RunnerAddress, timeoutMs: number) => Promise<RunnerStatus>;
+    /** Samplers must not get orders of two holders within this time. */
+    orderHandOverMs: number;
+    /** Samplers that load weights at once without slowing each other. */
+    maxLoading: number;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    metrics: Metrics;
+    invariants: Invariants;
+}
--- /dev/null
+++ b/packages/runner/src/RunnerStatus.ts
@@ -0,0 +1,13 @@
+import type { LotId } from "@auburnarch/lots/LotId";
+
+/** What a runner tells its peers when they probe it. */
+export interface RunnerStatus {
+    /** Unique to one start of the process. */
+    incarnation: string;
+    /** Jobs whose items it runs. */
+    running: LotId[];
+    /** It shuts down, or its VM is to be emptied: others take its jobs. */
+    isLeaving: boolean;
+    /** Milliseconds since it could last use the store; it records nothing meanwhile. */
+    storeSilentMs: number;
+}
--- /dev/null
+++ b/packages/runner/src/createItemSidecar.ts
@@ -0,0 +1,157 @@
+import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { CallSampler } from "@auburnarch/relay/CallSampler";
+import type { SamplerReply } from "@auburnarch/relay/SamplerReply";
+import type { Route } from "@auburnarch/routing/Route";
+import { readWhole } from "@auburnarch/send/readWhole";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { SampleAnswer } from "@auburnarch/types/SampleAnswer";
+import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import type { SampleId } from "@auburnarch/types/SampleId";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import type { ItemRun } from "./ItemRun.js";
+import type { ReadItemEvents } from "./ReadItemEvents.js";
+import type { SamplerEvidence } from "./SamplerEvidence.js";
+
+interface ItemSidecarDeps {
+    findRun: (item: SampleId) => ItemRun | undefined;
+    /** The route of an item's path in the configuration in force. */
+    findRoute: (run: ItemRun) => Route | undefined;
+    findSampler: (sampler: SamplerId) => KnownSampler | undefined;
+    callSampler: CallSampler;
+    readEvents: ReadItemEvents;
+    evidence: SamplerEvidence;
+    logger: Logger;
+}
+
+type RunSample = SidecarPort["runSample"];
+type Ended = AttemptOutcome<SampleAnswer>;
+
+/** Time for one run; far above the longest item, since a slow run is moved and not cut off. */
+const runBudgetMs = 30_000;
+/** Pause before a sampler that refused is asked again: a load of weights takes 900 ms, a full queue less. */
+const refusedPauseMs = 150;
+const maxFailureBytes = 1_048_576;
+const itemFailedStatus = 500;
+const itemImpossibleStatus = 422;
+
+const countEvents = (spans: TokenSpan[]): number => spans.reduce((sum, span) => sum + span.tokens, 0);
+
+/**
+ * Runs a dispatcher's attempts on a sampler directly: one span an event, so that a run is resumed behind the number
+ * of events that are there. Reads 500 as a failed run and 422 as an item that can never be made.
+ */
+export function createItemSidecar(deps: ItemSidecarDeps, samplerId: SamplerId): Pick<SidecarPort, "runSample"> {
+    const { evidence, logger } = deps;
+
+    async function readRun(
+        attempt: SampleAttempt,
+        reply: Extract<SamplerReply, { kind: "answered"; }>,
+        sampler: KnownSampler,
+        onSpan: (span: TokenSpan) => void,
+        spans: TokenSpan[],
+    ): Promise<Ended> {
+        let version = reply.weightVersion ?? attempt.minVersion;
+        let next = countEvents(spans) + 1;
+        for await (const event of deps.readEvents(reply.body)) {
+            evidence.noteHeard(sampler.incarnation);
+            if (event.number !== next) {
+                return { kind: "unknown", code: resultCodes.answerMixed };
+            }
+            next++;
+            version = event.weightVersion ?? version;
+            const span = { version, tokens: 1, text: `${event.data}\n` };
+            spans.push(span);
+            onSpan(span);
+        }
+        return toAnswer(attempt, spans, true);
+    }
+
+    function toAnswer(attempt: SampleAttempt, spans: TokenSpan[], complete: boolean): Ended {
+        const answer = { attempt: attempt.attempt, sampler: samplerId, spans, complete };
+        return { kind: "ran", answer: { ...answer, engineMs: 0, cachedPromptTokens: 0 } };
+    }
+
+    function takeFailure(run: ItemRun, status: number, route: Route): Ended {
+        if (status === itemImpossibleStatus) {
+            run.terminate("impossible");
+            return { kind: "unknown", code: resultCodes.badRequest };
+        }
+        if (status === itemFailedStatus) {
+            run.failures++;
+            if (run.failures >= route.maxAttempts) {
+                run.terminate("failedEveryTime");
+            }
+        }
+        return { kind: "unknown", code: resultCodes.engineCrashed };
+    }
+
+    async function runOnce(
+        attempt: SampleAttempt,
+        run: ItemRun,
+        route: Route,
+        sampler: KnownSampler,
+        onSpan: (span: TokenSpan) => void,
+        signal: AbortSignal,
+        spans: TokenSpan[],
+    ): Promise<Ended> {
+        const { lot, item } = run;
+        const made = countEvents(attempt.resume);
+        const reply = await deps.callSampler({
+            sampler,
+            requestId: item.item,
+            method: "POST",
+            host: lot.host,
+            path: item.path,
+            headers: item.headers,
+            body: Buffer.from(item.bodyBase64, "base64"),
+            budgetMs: runBudgetMs,
+            ...(made > 0 ? { lastEventNumber: made } : {}),
+        }, signal);
+        if (reply.kind === "notRun") {
+            evidence.noteHeard(sampler.incarnation);
+            return { kind: "notRun", code: reply.code, retryAfterMs: refusedPauseMs };
+        }
+        if (reply.kind === "unknown") {
+            return { kind: "unknown", code: reply.code };
+        }
+        evidence.noteHeard(sampler.incarnation);
+        if (reply.status >= 300) {
+            await readWhole(reply.body, maxFailureBytes);
+            return takeFailure(run, reply.status, route);
+        }
+        return readRun(attempt, reply, sampler, onSpan, spans);
+    }
+
+    const runSample: RunSample = async (attempt, onSpan, signal) => {
+        const run = deps.findRun(attempt.sample);
+        const sampler = deps.findSampler(samplerId);
+        const route = run === undefined ? undefined : deps.findRoute(run);
+        if (run === undefined || sampler === undefined || route === undefined) {
+            return { kind: "notRun", code: resultCodes.noSampler, retryAfterMs: refusedPauseMs };
+        }
+        evidence.noteSent(sampler.incarnation);
+        const spans = [...attempt.resume];
+        let ended: Ended;
+        try {
+            ended = await runOnce(attempt, run, route, sampler, onSpan, signal, spans);
+        }
+        catch (error) {
+            const detail = error instanceof Error ? error.message : String(error);
+            logger.info("runBroken", { item: attempt.sample, attempt: attempt.attempt, sampler: samplerId, detail });
+            ended = { kind: "unknown", code: resultCodes.connectionBroken };
+        }
+        evidence.noteEnded(sampler.incarnation);
+        if (signal.aborted && ended.kind === "unknown") {
+            return toAnswer(attempt, spans, false);
+        }
+        if (ended.kind === "unknown" && ended.code === resultCodes.connectionBroken) {
+            evidence.noteFailed(sampler.incarnation);
+        }
+        return ended;
+    };
+    return { runSample };
+}
--- /dev/null
+++ b/packages/runner/src/createLotBoard.ts
@@ -0,0 +1,104 @@
+import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
+import type { LotEntry } from "@auburnarch/lots/LotEntry";
+import type { LotId } from "@auburnarch/lots/LotId";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+import { chooseOwner } from "./chooseOwner.js";
+import type { LotBoard } from "./LotBoard.js";
+import type { LotRun } from "./LotRun.js";
+import type { PeerBook } from "./PeerBook.js";
+
+interface LotBoardDeps {
+    self: string;
+    entries: WatchedKind<LotEntry>;
+    peers: PeerBook;
+    /** False until configuration and samplers are known. */
+    mayStart: () => boolean;
+    isStoreHere: () => boolean;
+    startRun: (lot: LotId, entry: LotEntry) => LotRun;
+    clock: Clock;
+    logger: Logger;
+}
+
+const tickMs = 200;
+/** A job this old is of no use to its trainer any more, even if nobody ended it. */
+const maxAgeMs = 180_000;
+
+/** Decides which jobs run here: at every change of a job or a peer, and a few times a second. */
+export function createLotBoard(deps: LotBoardDeps): LotBoard {
+    const { clock, logger } = deps;
+    const runs = new Map<LotId, LotRun>();
+    const finished = new Set<LotId>();
+    let isLeaving = false;
+
+    function stopRun(lot: LotId, reason: string): void {
+        const run = runs.get(lot);
+        runs.delete(lot);
+        logger.info("lotLeft", { lot, reason });
+        void run?.stop(false);
+    }
+
+    function dropEnded(entries: ReadonlyMap<string, LotEntry>): void {
+        for (const [lot, run] of runs) {
+            const entry = entries.get(lot);
+            if (entry === undefined || entry.isEnded) {
+                stopRun(lot, entry === undefined ? "removed" : "ended");
+            }
+            else if (run.isComplete()) {
+                finished.add(lot);
+                stopRun(lot, "complete");
+            }
+        }
+        for (const lot of finished) {
+            if (!entries.has(lot)) {
+                finished.delete(lot);
+            }
+        }
+    }
+
+    function isOpen(lot: LotId, entry: LotEntry): boolean {
+        const isCurrent = clock.wallMs() - entry.submittedAtMs < maxAgeMs;
+        return !entry.isEnded && isCurrent && !runs.has(lot) && !finished.has(lot);
+    }
+
+    function refresh(): void {
+        const entries = deps.entries.objects();
+        if (entries === undefined || isLeaving) {
+            return;
+        }
+        dropEnded(entries);
+        if (!deps.mayStart() || !deps.peers.isSettled()) {
+            return;
+        }
+        for (const [name, entry] of entries) {
+            const lot = name as LotId;
+            if (!isOpen(lot, entry)) {
+                continue;
+            }
+            const owner = chooseOwner(lot, deps.self, deps.peers.peers(), deps.isStoreHere());
+            if (owner === deps.self) {
+                logger.info("lotTaken", { lot, total: entry.total, ageMs: Math.round(clock.wallMs() - entry.submittedAtMs) });
+                runs.set(lot, deps.startRun(lot, entry));
+            }
+        }
+    }
+
+    function tick(): void {
+        refresh();
+        cancelTick = clock.startTimer(tickMs, tick);
+    }
+
+    let cancelTick = clock.startTimer(tickMs, tick);
+    deps.entries.onChange(refresh);
+    return {
+        running: () => [...runs.keys()],
+        refresh,
+        leave: async () => {
+            isLeaving = true;
+            cancelTick();
+            const leaving = [...runs.values()];
+            runs.clear();
+            await Promise.all(leaving.map(run => run.stop(true)));
+        },
+    };
+}
--- /dev/null
+++ b/packages/runner/src/createRecorder.ts
@@ -0,0 +1,136 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { Invariants } from "@auburnarch/invariants/Invariants";
+import type { LotId } from "@auburnarch/lots/LotId";
+import type { LotResult } from "@auburnarch/lots/LotResult";
+import type { LotStore } from "@auburnarch/lots/LotStore";
+import type { ResultChunk } from "@auburnarch/lots/ResultChunk";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { Random } from "@auburnarch/types/Random";
+import type { SampleId } from "@auburnarch/types/SampleId";
+import type { Recorder } from "./Recorder.js";
+
+interface RecorderDeps {
+    lot: LotId;
+    lots: LotStore;
+    /** Called for each item that stands in the store now, whoever made it. */
+    onRecorded: (item: SampleId) => void;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    invariants: Invariants;
+}
+
+/**
+ * Results gather for this long before they are recorded together: each record is a call to the store, and a trainer
+ * waits for whole groups, whose items end within seconds of each other.
+ */
+const gatherMs = 250;
+const retryMs = 200;
+/** Outputs in one record, in characters; a stored value may have a megabyte, and quoting may double a character. */
+const maxChunkChars = 400_000;
+
+/**
+ * Makes the recorder of one job. Record k + 1 is created only after record k, and a record that another runner
+ * created first is taken over as it is: so two runners of one job list no item twice and no position changes.
+ */
+export function createRecorder(deps: RecorderDeps): Recorder {
+    const { lot, lots, clock, logger } = deps;
+    const done = new Set<SampleId>();
+    const stopped = new AbortController();
+    const hurry = new AbortController();
+    let waiting: LotResult[] = [];
+    let chunks = 0;
+    let loop: Promise<void> | undefined;
+
+    function take(chunk: ResultChunk): void {
+        const isNext = chunk.from === done.size;
+        deps.invariants.check(resultCodes.deliveredTwice, isNext, { lot, chunk: chunks, from: chunk.from });
+        for (const { item } of chunk.results) {
+            const isFirst = !done.has(item);
+            deps.invariants.check(resultCodes.deliveredTwice, isFirst, { lot, item });
+            done.add(item);
+            deps.onRecorded(item);
+        }
+        chunks++;
+        waiting = waiting.filter(result => !done.has(result.item));
+    }
+
+    function takeFirst(): LotResult[] {
+        let chars = 0;
+        const first = waiting.findIndex(result => (chars += result.output.length) > maxChunkChars);
+        return first < 0 ? waiting : waiting.slice(0, Math.max(1, first));
+    }
+
+    async function recordOnce(): Promise<void> {
+        const sentAtMs = clock.monotonicMs();
+        const mine: ResultChunk = { from: done.size, results: takeFirst(), writer: deps.random.nextId() };
+        const standing = await lots.appendChunk(lot, chunks, mine);
+        const isOwn = standing.writer === mine.writer;
+        logger.info("resultsRecorded", {
+            lot,
+            chunk: chunks,
+            own: isOwn,
+            results: standing.results.length,
+            recorded: done.size + standing.results.length,
+            tookMs: Math.round(clock.monotonicMs() - sentAtMs),
+        });
+        take(standing);
+    }
+
+    async function run(): Promise<void> {
+        while (waiting.length > 0 && !stopped.signal.aborted) {
+            await clock.sleep(gatherMs, hurry.signal);
+            try {
+                if (waiting.length > 0 && !stopped.signal.aborted) {
+                    await recordOnce();
+                }
+            }
+            catch (error) {
+                // The same record is tried again: if the lost answer was a success, it comes back as standing.
+                const { number, name } = codeOf(error);
+                logger.warn("recordingFailed", { lot, chunk: chunks, code: number, name, waiting: waiting.length });
+                await clock.sleep(retryMs, stopped.signal);
+            }
+        }
+    }
+
+    function start(): void {
+        loop ??= run().finally(() => {
+            loop = undefined;
+        });
+    }
+
+    return {
+        load: async () => {
+            for (;;) {
+                const chunk = await lots.readChunk(lot, chunks);
+                if (chunk === undefined) {
+                    return;
+                }
+                take(chunk);
+            }
+        },
+        add: result => {
+            if (!done.has(result.item) && !waiting.some(each => each.item === result.item)) {
+                waiting.push(result);
+                start();
+            }
+        },
+        isRecorded: item => done.has(item),
+        recorded: () => done.size,
+        hurry: () => {
+            hurry.abort();
+        },
+        drained: async () => {
+            while (loop !== undefined) {
+                await loop;
+            }
+        },
+        stop: () => {
+            stopped.abort();
+            hurry.abort();
+        },
+    };
+}
--- /dev/null
+++ b/packages/runner/src/createRunner.ts
@@ -0,0 +1,86 @@
+import { createLeaseKeeper } from "@auburnarch/lease/createLeaseKeeper";
+import { createLotStore } from "@auburnarch/lots/createLotStore";
+import { createRelay } from "@auburnarch/relay/createRelay";
+import { findRoute } from "@auburnarch/routing/findRoute";
+import { createAwakeGuard } from "./createAwakeGuard.js";
+import { createItemDispatch } from "./createItemDispatch.js";
+import { createLotBoard } from "./createLotBoard.js";
+import { createLotRun } from "./createLotRun.js";
+import { createPeerBook } from "./createPeerBook.js";
+import { createSamplerEvidence } from "./createSamplerEvidence.js";
+import { createScoreItem } from "./createScoreItem.js";
+import { createWeightsDuty } from "./createWeightsDuty.js";
+import type { LotBoard } from "./LotBoard.js";
+import type { Runner } from "./Runner.js";
+import type { RunnerDeps } from "./RunnerDeps.js";
+
+/** Without renewal another runner takes the orders over after this time; a renewal costs a call each third of it. */
+const leaseTtlMs = 4_000;
+/** A call that fails for this long means that the store is away. */
+const storeHereMs = 600;
+
+/** Puts a runner together and starts it. */
+export function createRunner(deps: RunnerDeps): Runner {
+    const { clock, random, logger, routing, directory } = deps;
+    const lots = createLotStore(deps.store);
+    const evidence = createSamplerEvidence(clock);
+    const relay = createRelay({ ...deps, random: random.fork() });
+    const scoreItem = createScoreItem({ relay, routing, clock, logger });
+    const dispatch = createItemDispatch({ ...deps, random: random.fork(), evidence });
+    const leases = createLeaseKeeper({ ...deps, random: random.fork(), holder: deps.name, ttlMs: leaseTtlMs });
+    const awake = createAwakeGuard(clock, logger, leaseTtlMs / 2);
+    let isLeaving = false;
+
+    const peers = createPeerBook({
+        self: deps.name,
+        registered: deps.registered,
+        probe: deps.probe,
+        onChange: () => board?.refresh(),
+        clock,
+        logger,
+    });
+    const board: LotBoard | undefined = createLotBoard({
+        self: deps.name,
+        entries: deps.entries,
+        peers,
+        mayStart: () => routing() !== undefined && directory.isKnown(),
+        isStoreHere: () => deps.storeSilentMs() < storeHereMs,
+        startRun: (lot, entry) =>
+            createLotRun({
+                ...deps,
+                lot,
+                entry,
+                lots,
+                dispatcherFor: dispatch.dispatcherFor,
+                register: dispatch.register,
+                forget: dispatch.forget,
+                scoreItem,
+                findRoute: (host, path) => {
+                    const table = routing();
+                    return table === undefined ? undefined : findRoute(table, host, path);
+                },
+                random: random.fork(),
+            }),
+        clock,
+        logger,
+    });
+    const duty = createWeightsDuty({ ...deps, self: deps.name, leases, awake, handOverMs: deps.orderHandOverMs });
+
+    return {
+        status: () => ({
+            incarnation: deps.incarnation,
+            running: board.running(),
+            isLeaving,
+            storeSilentMs: Math.round(deps.storeSilentMs()),
+        }),
+        leave: async limitMs => {
+            isLeaving = true;
+            const left = Promise.all([board.leave(), duty.stop()]).then(() => dispatch.stop());
+            peers.poke();
+            const limit = new AbortController();
+            await Promise.race([left, clock.sleep(limitMs, limit.signal)]);
+            limit.abort();
+            peers.stop();
+        },
+    };
+}
--- /dev/null
+++ b/packages/runner/src/createSamplerEvidence.ts
@@ -0,0 +1,62 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { SamplerEvidence } from "./SamplerEvidence.js";
+
+interface Evidence {
+    running: number;
+    heardAtMs: number;
+    failedAtMs: number;
+}
+
+/**
+ * Events of one run come every 40 to 200 ms, on slow samplers too, and a load of weights holds them up for about
+ * 900 ms. A sampler whose runs are all silent for longer is taken to be dead before its entry lapses.
+ */
+const silentMs = 1_300;
+/** A crashed sampler is back after some seconds, under another incarnation. */
+const failureMemoryMs = 1_000;
+const maxSamplers = 4_096;
+
+/** Makes the evidence of one process. */
+export function createSamplerEvidence(clock: Clock): SamplerEvidence {
+    const samplers = new Map<IncarnationId, Evidence>();
+
+    function of(sampler: IncarnationId): Evidence {
+        let known = samplers.get(sampler);
+        if (known === undefined) {
+            known = { running: 0, heardAtMs: -Infinity, failedAtMs: -Infinity };
+            samplers.set(sampler, known);
+            if (samplers.size > maxSamplers) {
+                samplers.delete(samplers.keys().next().value!);
+            }
+        }
+        return known;
+    }
+
+    return {
+        noteSent: sampler => {
+            const known = of(sampler);
+            if (known.running === 0) {
+                known.heardAtMs = clock.monotonicMs();
+            }
+            known.running++;
+        },
+        noteHeard: sampler => {
+            of(sampler).heardAtMs = clock.monotonicMs();
+        },
+        noteFailed: sampler => {
+            of(sampler).failedAtMs = clock.monotonicMs();
+        },
+        noteEnded: sampler => {
+            of(sampler).running--;
+        },
+        running: sampler => samplers.get(sampler)?.running ?? 0,
+        isSuspected: sampler => {
+            const known = samplers.get(sampler);
+            const nowMs = clock.monotonicMs();
+            return known !== undefined
+                && (nowMs - known.failedAtMs < failureMemoryMs
+                    || (known.running > 0 && nowMs - known.heardAtMs > silentMs));
+        },
+    };
+}
--- /dev/null
+++ b/packages/runner/src/createScoreItem.ts
@@ -0,0 +1,62 @@
+import type { RoutingView } from "@auburnarch/discovery/RoutingView";
+import type { Relay } from "@auburnarch/relay/Relay";
+import type { RelayOutcome } from "@auburnarch/relay/RelayOutcome";
+import { findRoute } from "@auburnarch/routing/findRoute";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ScoreItem } from "./ScoreItem.js";
+
+interface ScoreItemDeps {
+    relay: Relay;
+    routing: RoutingView;
+    clock: Clock;
+    logger: Logger;
+}
+
+/** Time of one reward call, retries at other samplers included; the slowest ones of the service take 600 ms. */
+const rewardBudgetMs = 1_500;
+const firstPauseMs = 50;
+const maxPauseMs = 800;
+const failedStatus = 500;
+
+async function drain(outcome: Extract<RelayOutcome, { kind: "answered"; }>): Promise<void> {
+    for await (const _chunk of outcome.body) {
+        // Only the signature counts.
+    }
+}
+
+/**
+ * Makes the caller of the scoring services. A reward call may be repeated; only answers of 500 count towards giving
+ * it up, since every other failure says nothing about the item.
+ */
+export function createScoreItem(deps: ScoreItemDeps): ScoreItem {
+    return async (call, headers, attempts, signal) => {
+        let failures = 0;
+        let pauseMs = firstPauseMs;
+        while (!signal.aborted) {
+            const table = deps.routing();
+            const route = table === undefined ? undefined : findRoute(table, call.host, call.path);
+            const needed = Math.max(attempts, route?.maxAttempts ?? 1);
+            if (route !== undefined) {
+                const { requestId, host, path } = call;
+                const body = Buffer.from(call.bodyBase64, "base64");
+                const request = { requestId, route, method: "POST", host, path, headers, body, deadlineMs: rewardBudgetMs };
+                const outcome = await deps.relay(request, signal);
+                if (outcome.kind === "answered") {
+                    await drain(outcome);
+                    if (outcome.status < 300 && outcome.signature !== undefined) {
+                        return { kind: "scored", score: outcome.signature };
+                    }
+                    failures += outcome.status === failedStatus ? 1 : 0;
+                }
+            }
+            if (failures >= needed) {
+                deps.logger.warn("rewardFailed", { request: call.requestId, failures });
+                return { kind: "failed" };
+            }
+            await deps.clock.sleep(pauseMs, signal);
+            pauseMs = Math.min(maxPauseMs, pauseMs * 2);
+        }
+        return undefined;
+    };
+}
