--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -178,8 +178,10 @@
             /** A promise that nothing ran holds only while no try is out or of unknown outcome. */
             function giveUp(code: typeof resultCodes.noSampler, detail: string): RelayOutcome {
                 const hasRun = mayHaveRun || underWay > 0;
+                const isLate = leftMs() < leastBudgetMs;
+                const ranCode = isLate ? resultCodes.deadlineWhileRunning : resultCodes.connectionBroken;
                 return hasRun
-                    ? { kind: "failed", code: code.number < 3_000 ? resultCodes.connectionBroken : code, detail }
+                    ? { kind: "failed", code: code.number < 3_000 ? ranCode : code, detail }
                     : { kind: "failed", code: code.number < 3_000 ? code : resultCodes.deadlinePassed, detail, retryAfterMs };
             }
 
--- a/packages/runner/src/createLotRun.ts
+++ b/packages/runner/src/createLotRun.ts
@@ -1,3 +1,4 @@
+import { createStopController } from "@auburnarch/clock/createStopController";
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import type { Lot } from "@auburnarch/lots/Lot";
@@ -31,7 +32,7 @@
 /** Starts to run a job: reads it, submits the items that have no result yet, records results as they come. */
 export function createLotRun(deps: LotRunDeps): LotRun {
     const { lot: lotId, entry, lots, clock, logger, metrics } = deps;
-    const stopped = new AbortController();
+    const stopped = createStopController();
     const startedAtMs = clock.monotonicMs();
     const open = new Set<SampleId>();
     let lot: Lot | undefined;
--- a/packages/runner/src/createRecorder.ts
+++ b/packages/runner/src/createRecorder.ts
@@ -57,10 +57,14 @@
         waiting = waiting.filter(result => !done.has(result.item));
     }
 
+    /**
+     * A copy: results that come while the record is on its way belong to the next one. Taken for recorded with this
+     * one, they would stand nowhere, and their groups would never be whole.
+     */
     function takeFirst(): LotResult[] {
         let chars = 0;
         const first = waiting.findIndex(result => (chars += result.output.length) > maxChunkChars);
-        return first < 0 ? waiting : waiting.slice(0, Math.max(1, first));
+        return first < 0 ? [...waiting] : waiting.slice(0, Math.max(1, first));
     }
 
     async function recordOnce(): Promise<void> {
