Go on behind the texts of items that come again

Cause: groups that were not whole when their step ended come back in the next step under the same ids, and were made anew.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,5 +1,6 @@
 import type { SampleId } from "@auburnarch/types/SampleId";
 import type { SampleTask } from "@auburnarch/types/SampleTask";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
 
 /**
@@ -10,6 +11,8 @@
     submit(tasks: SampleTask[]): void;
     /** Ends tasks whose samples are no longer wanted; their engine time is overhead. */
     withdraw(samples: SampleId[]): void;
+    /** What is made of a wanted sample so far; empty for one that is not wanted. */
+    textOf(sample: SampleId): TokenSpan[];
     /** Tells of a newly published version and the oldest version that may still be used from now on. */
     raiseMinVersion(published: WeightVersion, minVersion: WeightVersion): void;
     waiting(): number;
--- a/packages/dispatch/src/createDispatcher.ts
+++ b/packages/dispatch/src/createDispatcher.ts
@@ -1,6 +1,7 @@
 import type { SampleTask } from "@auburnarch/types/SampleTask";
 import type { TokenSpan } from "@auburnarch/types/TokenSpan";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import { countTokens } from "./countTokens.js";
 import { createAttemptRunner } from "./createAttemptRunner.js";
 import { createDispatchState } from "./createDispatchState.js";
 import { createOutcomes } from "./createOutcomes.js";
@@ -11,6 +12,7 @@
 import type { DispatcherDeps } from "./DispatcherDeps.js";
 import type { DispatchPolicy } from "./DispatchPolicy.js";
 import { estimateWork } from "./estimateWork.js";
+import { joinSpans } from "./joinSpans.js";
 import { oldestStep } from "./oldestStep.js";
 import type { Work } from "./Work.js";
 
@@ -28,7 +30,7 @@
     latestStartMs: 0,
     notBeforeMs: 0,
     minVersion,
-    resume: [],
+    resume: task.resume ?? [],
     failures: 0,
     attemptsSent: 0,
     moves: 0,
@@ -36,6 +38,16 @@
     running: new Set(),
 });
 
+/** The longer of what is kept of ended attempts and what a running one has made. */
+function longestText(work: Work | undefined): TokenSpan[] {
+    let longest = work?.resume ?? [];
+    for (const attempt of work?.running ?? []) {
+        const spans = joinSpans(attempt.resumed, attempt.spans);
+        longest = countTokens(spans) > countTokens(longest) ? spans : longest;
+    }
+    return longest;
+}
+
 const higher = (a: WeightVersion, b: WeightVersion): WeightVersion => a > b ? a : b;
 
 /** Makes the dispatcher of one job under one fencing number; see `Dispatcher`. */
@@ -145,6 +157,7 @@
                 work.running.forEach(attempt => runner.end(attempt, "withdrawn"));
             }
         },
+        textOf: sample => longestText(state.wanted.get(sample)),
         raiseMinVersion,
         waiting: () => state.queue.size(),
         running: () => state.attempts.size,
--- a/packages/dispatch/src/createOutcomes.ts
+++ b/packages/dispatch/src/createOutcomes.ts
@@ -34,6 +34,14 @@
     sampler: attempt.sampler,
 });
 
+/** Keeps what an ended attempt made if all of it may still be used and it is more than what is there. */
+function keepSpans(work: Work, spans: TokenSpan[]): void {
+    const isFresh = spans.every(span => span.version >= work.minVersion);
+    if (isFresh && countTokens(spans) >= countTokens(work.resume)) {
+        work.resume = spans;
+    }
+}
+
 /** Makes the outcome rules of one dispatcher. `enqueue` puts a sample back into the queue after a delay. */
 export function createOutcomes(
     deps: DispatcherDeps,
@@ -53,14 +61,6 @@
         }
     }
 
-    /** Keeps what an ended attempt made if all of it may still be used and it is more than what is there. */
-    function keepSpans(work: Work, spans: TokenSpan[]): void {
-        const isFresh = spans.every(span => span.version >= work.minVersion);
-        if (isFresh && countTokens(spans) >= countTokens(work.resume)) {
-            work.resume = spans;
-        }
-    }
-
     function finish(work: Work, answer: SampleAnswer): void {
         state.wanted.delete(work.task.sample);
         state.queue.remove(work);
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -1,7 +1,6 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
-import type { LotId } from "@auburnarch/lots/LotId";
 import { findRoute } from "@auburnarch/routing/findRoute";
 import type { Route } from "@auburnarch/routing/Route";
 import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
@@ -9,6 +8,7 @@
 import type { ClientAnswer } from "./ClientAnswer.js";
 import type { ClientCall } from "./ClientCall.js";
 import type { ClientRequest } from "./ClientRequest.js";
+import { createLotDesk } from "./createLotDesk.js";
 import type { Gateway } from "./Gateway.js";
 import type { GatewayDeps } from "./GatewayDeps.js";
 
@@ -18,6 +18,7 @@
 /** Makes the gateway of one process. */
 export function createGateway(deps: GatewayDeps): Gateway {
     const { clock, logger, metrics, routing } = deps;
+    const lots = createLotDesk(deps);
     let isLeaving = false;
 
     function fail(error: unknown): ClientAnswer {
@@ -42,31 +43,6 @@
         return request.requestId;
     }
 
-    async function acceptLot(request: ClientRequest, table: RoutingTable): Promise<ClientAnswer> {
-        const startedAtMs = clock.monotonicMs();
-        const id = requireRequestId(request) as LotId;
-        const body = await request.readBody(table.clientLimits.maxBodyBytes);
-        const lot = deps.decodeLot(id, request.host, request.path, body);
-        try {
-            await deps.lots.accept(lot, clock.wallMs());
-        }
-        catch (error) {
-            const isUnknown = codeOf(error) === resultCodes.storeUnavailable;
-            throw isUnknown ? new ResultError(resultCodes.acceptanceUnknown, String(error)) : error;
-        }
-        logger.info("lotAccepted", {
-            lot: id,
-            policy: lot.policy,
-            step: lot.step,
-            minVersion: lot.minVersion,
-            items: lot.items.length,
-            bytes: body.length,
-            configVersion: table.version,
-            tookMs: Math.round(clock.monotonicMs() - startedAtMs),
-        });
-        return { kind: "lotAccepted" };
-    }
-
     async function relayRequest(
         request: ClientRequest,
         route: Route,
@@ -103,45 +79,16 @@
             );
         }
         return route.kind === "rollout" && request.method === "POST"
-            ? acceptLot(request, table)
+            ? lots.accept(requireRequestId(request), request, table)
             : relayRequest(request, route, table, signal);
     }
 
-    async function readLot(
-        lot: LotId,
-        after: number,
-        waitMs: number,
-        signal: AbortSignal,
-    ): Promise<ClientAnswer> {
-        const page = await deps.reader.read(lot, after, waitMs, signal);
-        if (page === undefined) {
-            throw new ResultError(resultCodes.unknownLot, lot);
-        }
-        return { kind: "lotPage", page };
-    }
-
-    async function readItem(lot: LotId, item: string): Promise<ClientAnswer> {
-        const found = await deps.reader.readItem(lot, item);
-        if (found === undefined) {
-            throw new ResultError(resultCodes.unknownLot, `${lot} item ${item}`);
-        }
-        return { kind: "lotItem", body: Buffer.from(found.bodyBase64, "base64") };
-    }
-
-    async function endLot(lot: LotId): Promise<ClientAnswer> {
-        if (!await deps.lots.end(lot)) {
-            throw new ResultError(resultCodes.unknownLot, lot);
-        }
-        logger.info("lotEnded", { lot });
-        return { kind: "lotEnded" };
-    }
-
     function dispatch(call: ClientCall, signal: AbortSignal): Promise<ClientAnswer> {
         return match(call)
             .with({ kind: "request" }, ({ request }) => takeRequest(request, signal))
-            .with({ kind: "readLot" }, ({ lot, after, waitMs }) => readLot(lot, after, waitMs, signal))
-            .with({ kind: "readItem" }, ({ lot, item }) => readItem(lot, item))
-            .with({ kind: "endLot" }, ({ lot }) => endLot(lot))
+            .with({ kind: "readLot" }, ({ lot, after, waitMs }) => lots.read(lot, after, waitMs, signal))
+            .with({ kind: "readItem" }, ({ lot, item }) => lots.readItem(lot, item))
+            .with({ kind: "endLot" }, ({ lot }) => lots.end(lot))
             .exhaustive();
     }
 
--- /dev/null
+++ b/packages/gateway/src/createLotDesk.ts
@@ -0,0 +1,76 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { LotId } from "@auburnarch/lots/LotId";
+import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
+import type { ClientAnswer } from "./ClientAnswer.js";
+import type { ClientRequest } from "./ClientRequest.js";
+import type { GatewayDeps } from "./GatewayDeps.js";
+
+/** Answers what concerns batch jobs. Every call may reject with a `ResultError`. */
+interface LotDesk {
+    accept(id: string, request: ClientRequest, table: RoutingTable): Promise<ClientAnswer>;
+    read(lot: LotId, after: number, waitMs: number, signal: AbortSignal): Promise<ClientAnswer>;
+    readItem(lot: LotId, item: string): Promise<ClientAnswer>;
+    end(lot: LotId): Promise<ClientAnswer>;
+}
+
+/** Makes the desk of one gateway. */
+export function createLotDesk(deps: GatewayDeps): LotDesk {
+    const { clock, logger } = deps;
+
+    async function accept(id: string, request: ClientRequest, table: RoutingTable): Promise<ClientAnswer> {
+        const startedAtMs = clock.monotonicMs();
+        const body = await request.readBody(table.clientLimits.maxBodyBytes);
+        const lot = deps.decodeLot(id as LotId, request.host, request.path, body);
+        try {
+            await deps.lots.accept(lot, clock.wallMs());
+        }
+        catch (error) {
+            const isUnknown = codeOf(error) === resultCodes.storeUnavailable;
+            throw isUnknown ? new ResultError(resultCodes.acceptanceUnknown, String(error)) : error;
+        }
+        logger.info("lotAccepted", {
+            lot: id,
+            policy: lot.policy,
+            step: lot.step,
+            minVersion: lot.minVersion,
+            items: lot.items.length,
+            bytes: body.length,
+            configVersion: table.version,
+            tookMs: Math.round(clock.monotonicMs() - startedAtMs),
+        });
+        return { kind: "lotAccepted" };
+    }
+
+    async function read(
+        lot: LotId,
+        after: number,
+        waitMs: number,
+        signal: AbortSignal,
+    ): Promise<ClientAnswer> {
+        const page = await deps.reader.read(lot, after, waitMs, signal);
+        if (page === undefined) {
+            throw new ResultError(resultCodes.unknownLot, lot);
+        }
+        return { kind: "lotPage", page };
+    }
+
+    async function readItem(lot: LotId, item: string): Promise<ClientAnswer> {
+        const found = await deps.reader.readItem(lot, item);
+        if (found === undefined) {
+            throw new ResultError(resultCodes.unknownLot, `${lot} item ${item}`);
+        }
+        return { kind: "lotItem", body: Buffer.from(found.bodyBase64, "base64") };
+    }
+
+    async function end(lot: LotId): Promise<ClientAnswer> {
+        if (!await deps.lots.end(lot)) {
+            throw new ResultError(resultCodes.unknownLot, lot);
+        }
+        logger.info("lotEnded", { lot });
+        return { kind: "lotEnded" };
+    }
+
+    return { accept, read, readItem, end };
+}
--- a/packages/lease/src/createLeaseKeeper.ts
+++ b/packages/lease/src/createLeaseKeeper.ts
@@ -26,6 +26,16 @@
 const defaultTtlMs = 10_000;
 const absent = 0 as ObjectVersion;
 
+function foundIn(object: StoredObject | undefined, isOwnEarlier: boolean): Acquiring["found"] {
+    if (object === undefined) {
+        return "nothing";
+    }
+    if (isOwnEarlier) {
+        return "ownEarlier";
+    }
+    return parseLeaseValue(object.value)?.holder === undefined ? "released" : "lapsed";
+}
+
 /** Makes the keeper of a process's leases over the object API; see `docs/design/03-leases.md`. */
 export function createLeaseKeeper(deps: LeaseDeps): LeaseKeeper {
     const { store, clock, random, logger, invariants } = deps;
@@ -136,16 +146,6 @@
         return writeOrReadBack(key, known.object?.version ?? absent, foundIn(known.object, isOwnEarlier));
     }
 
-    function foundIn(object: StoredObject | undefined, isOwnEarlier: boolean): Acquiring["found"] {
-        if (object === undefined) {
-            return "nothing";
-        }
-        if (isOwnEarlier) {
-            return "ownEarlier";
-        }
-        return parseLeaseValue(object.value)?.holder === undefined ? "released" : "lapsed";
-    }
-
     /** Two tries at once in one process would race each other for nothing. */
     function tryAcquire(key: string): Promise<Lease | undefined> {
         const present = tries.get(key);
--- a/packages/relay/src/RelayRequest.ts
+++ b/packages/relay/src/RelayRequest.ts
@@ -11,4 +11,6 @@
     body: Uint8Array;
     /** Time the caller still waits; undefined if it does not say. */
     deadlineMs: number | undefined;
+    /** Time without an answer after which an idempotent request is tried elsewhere too; by default from its route. */
+    hedgeMs?: number;
 }
--- /dev/null
+++ b/packages/relay/src/createSamplerTries.ts
@@ -0,0 +1,103 @@
+import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { chooseService } from "@auburnarch/routing/chooseService";
+import { readWhole } from "@auburnarch/send/readWhole";
+import { createSamplerRecords } from "./createSamplerRecords.js";
+import { estimateWaitMs } from "./estimateWaitMs.js";
+import type { RelayDeps } from "./RelayDeps.js";
+import type { SamplerRecord } from "./SamplerRecord.js";
+import type { SamplerReply } from "./SamplerReply.js";
+import type { SamplerTries } from "./SamplerTries.js";
+import type { Tried } from "./Tried.js";
+
+type Answered = Extract<SamplerReply, { kind: "answered"; }>;
+
+const latencySmoothing = 0.2;
+const maxAnswerBytes = 33_554_432;
+
+const chunkOf = (whole: Uint8Array): AsyncIterable<Uint8Array> => ({
+    async *[Symbol.asyncIterator]() {
+        yield whole;
+    },
+});
+
+/** Reads an answer to its end, so that one that breaks off can be asked for elsewhere before a byte goes on. */
+async function readAnswer(answer: Answered): Promise<Tried> {
+    try {
+        const whole = await readWhole(answer.body, maxAnswerBytes);
+        return { kind: "done", answer: { ...answer, body: chunkOf(whole) } };
+    }
+    catch (error) {
+        const detail = error instanceof Error ? error.message : "cut short";
+        return { kind: "unknown", code: resultCodes.connectionBroken, detail };
+    }
+}
+
+/** Notes a start; distinct even for two requests of one millisecond, since the clock counts fractions. */
+function noteStart(record: SamplerRecord, nowMs: number): number {
+    let sentAtMs = nowMs;
+    while (record.sentAtMs.has(sentAtMs)) {
+        sentAtMs += 0.001;
+    }
+    record.sentAtMs.add(sentAtMs);
+    return sentAtMs;
+}
+
+/** Makes the tries of one process; what it learns of a sampler serves all its requests. */
+export function createSamplerTries(deps: RelayDeps): SamplerTries {
+    const { clock, random, metrics, directory } = deps;
+    const recordOf = createSamplerRecords();
+
+    function noteEnd(sampler: KnownSampler, tried: Tried, tookMs: number, isCancelled: boolean): void {
+        const record = recordOf(sampler.incarnation);
+        const result = tried.kind === "done" ? String(tried.answer.status) : tried.kind;
+        metrics.observeMs("relay_try_ms", { service: sampler.service, result }, tookMs);
+        if (tried.kind === "done") {
+            const before = record.latencyMs ?? tookMs;
+            record.latencyMs = before + latencySmoothing * (tookMs - before);
+        }
+        else if (!isCancelled) {
+            record.failedAtMs = clock.monotonicMs();
+        }
+    }
+
+    return {
+        pick: (request, tried) => {
+            const service = chooseService(request.route, random);
+            if (service === undefined) {
+                return undefined;
+            }
+            const nowMs = clock.monotonicMs();
+            let best: KnownSampler | undefined;
+            let bestMs = Infinity;
+            for (const sampler of directory.serving(service)) {
+                const record = recordOf(sampler.incarnation);
+                const waitMs = estimateWaitMs(sampler, record, deps.failureDomain, nowMs);
+                if (!tried.has(sampler.incarnation) && waitMs < bestMs) {
+                    best = sampler;
+                    bestMs = waitMs;
+                }
+            }
+            return best;
+        },
+        run: async (request, sampler, budgetMs, signal) => {
+            const record = recordOf(sampler.incarnation);
+            const sentAtMs = noteStart(record, clock.monotonicMs());
+            const { requestId, method, host, path, headers, body, route } = request;
+            const sent = { sampler, requestId, method, host, path, headers, body, budgetMs };
+            const reply = await deps.callSampler(sent, signal);
+            let tried: Tried;
+            if (reply.kind !== "answered") {
+                tried = reply;
+            }
+            else {
+                tried = route.kind === "idempotent"
+                    ? await readAnswer(reply)
+                    : { kind: "done", answer: reply };
+            }
+            record.sentAtMs.delete(sentAtMs);
+            noteEnd(sampler, tried, clock.monotonicMs() - sentAtMs, signal.aborted);
+            return tried;
+        },
+    };
+}
--- /dev/null
+++ b/packages/relay/src/startRelayCall.ts
@@ -0,0 +1,156 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
+import type { RelayDeps } from "./RelayDeps.js";
+import type { RelayOutcome } from "./RelayOutcome.js";
+import type { RelayRequest } from "./RelayRequest.js";
+import type { SamplerTries } from "./SamplerTries.js";
+import type { Tried } from "./Tried.js";
+
+/** Used where neither caller nor route bounds the time. */
+const defaultBudgetMs = 10_000;
+/** A second try of an idempotent request starts after this part of the target latency without an answer. */
+const hedgePart = 0.45;
+const leastHedgeMs = 60;
+const defaultTargetMs = 200;
+/** Less than this is not worth sending: no sampler answers in it. */
+const leastBudgetMs = 5;
+/** A try that lost to another is cancelled after this time; until then its connection stays useful. */
+const loserGraceMs = 250;
+/** When a refused caller should come back; about the time in which a queued request of another ends. */
+const retryAfterMs = 100;
+
+const describeTry = (sampler: IncarnationId, tried: Tried): string =>
+    `${sampler}:${tried.kind === "done" ? tried.answer.status : tried.kind}`;
+
+/** Runs one request to its outcome: `settle` is called exactly once. */
+export function startRelayCall(
+    deps: Pick<RelayDeps, "clock" | "logger">,
+    samplers: SamplerTries,
+    request: RelayRequest,
+    signal: AbortSignal,
+    settle: (outcome: RelayOutcome) => void,
+): void {
+    const { clock, logger } = deps;
+    const { route } = request;
+    const startedAtMs = clock.monotonicMs();
+    const limitMs = Math.min(request.deadlineMs ?? defaultBudgetMs, route.timeoutMs ?? defaultBudgetMs);
+    const hedgeMs = request.hedgeMs
+        ?? Math.max(leastHedgeMs, hedgePart * (route.targetLatencyMs ?? defaultTargetMs));
+    const isRepeatable = route.kind === "idempotent";
+    const tried = new Set<IncarnationId>();
+    const cancel = new AbortController();
+    const ended: string[] = [];
+    let underWay = 0;
+    let mayHaveRun = false;
+    let lastAnswer: Extract<RelayOutcome, { kind: "answered"; }> | undefined;
+    let isSettled = false;
+    let cancelHedge = (): void => {};
+
+    const leftMs = (): number => limitMs - (clock.monotonicMs() - startedAtMs);
+    const cancelAll = (): void => cancel.abort();
+    const cancelTimeout = clock.startTimer(
+        limitMs,
+        () => finish(failure(resultCodes.deadlinePassed, "time limit")),
+    );
+    signal.addEventListener("abort", cancelAll, { once: true });
+
+    /** A promise that nothing ran holds only while no try is out or of unknown outcome. */
+    function failure(notRun: ResultCode, detail: string): RelayOutcome {
+        if (!mayHaveRun && underWay === 0) {
+            return { kind: "failed", code: notRun, detail, retryAfterMs };
+        }
+        const isLate = leftMs() < leastBudgetMs;
+        return {
+            kind: "failed",
+            code: isLate ? resultCodes.deadlineWhileRunning : resultCodes.connectionBroken,
+            detail,
+        };
+    }
+
+    function logOutcome(outcome: RelayOutcome): void {
+        const failed = outcome.kind === "failed" ? outcome : undefined;
+        logger.info("requestRelayed", {
+            request: request.requestId,
+            route: route.name,
+            kind: route.kind,
+            tries: ended.join(","),
+            underWay,
+            status: outcome.kind === "answered" ? outcome.status : undefined,
+            code: failed?.code.number,
+            name: failed?.code.name,
+            detail: failed?.detail,
+            mayHaveRun: mayHaveRun || underWay > 0,
+            tookMs: Math.round(clock.monotonicMs() - startedAtMs),
+            limitMs: Math.round(limitMs),
+        });
+    }
+
+    function finish(outcome: RelayOutcome): void {
+        if (isSettled) {
+            return;
+        }
+        isSettled = true;
+        cancelTimeout();
+        cancelHedge();
+        logOutcome(outcome);
+        if (outcome.kind === "failed") {
+            cancelAll();
+        }
+        else if (underWay > 0) {
+            clock.startTimer(loserGraceMs, cancelAll);
+        }
+        settle(outcome);
+    }
+
+    function scheduleHedge(): void {
+        cancelHedge();
+        if (isRepeatable) {
+            cancelHedge = clock.startTimer(hedgeMs, () => void start());
+        }
+    }
+
+    async function start(): Promise<void> {
+        const sampler = tried.size < route.maxAttempts ? samplers.pick(request, tried) : undefined;
+        const budgetMs = Math.floor(leftMs());
+        if (sampler === undefined || budgetMs < leastBudgetMs) {
+            if (underWay === 0) {
+                finish(lastAnswer ?? failure(resultCodes.noSampler, `${tried.size} tried`));
+            }
+            return;
+        }
+        tried.add(sampler.incarnation);
+        underWay++;
+        scheduleHedge();
+        const outcome = await samplers.run(request, sampler, budgetMs, cancel.signal);
+        underWay--;
+        ended.push(describeTry(sampler.incarnation, outcome));
+        take(outcome);
+    }
+
+    function take(outcome: Tried): void {
+        mayHaveRun ||= outcome.kind !== "notRun";
+        lastAnswer = outcome.kind === "done" ? outcome.answer : lastAnswer;
+        if (isSettled) {
+            return;
+        }
+        if (signal.aborted) {
+            finish({ kind: "failed", code: resultCodes.cancelled, detail: "the caller left" });
+        }
+        else if (outcome.kind === "done" && (!isRepeatable || outcome.answer.status < 500)) {
+            finish(outcome.answer);
+        }
+        else if (isRepeatable || outcome.kind === "notRun") {
+            void start();
+        }
+        else {
+            finish(failure(resultCodes.noSampler, outcome.kind === "unknown" ? outcome.detail : ""));
+        }
+    }
+
+    if (signal.aborted) {
+        finish({ kind: "failed", code: resultCodes.cancelled, detail: "the caller left" });
+        return;
+    }
+    void start();
+}
--- a/packages/runner/src/ItemDispatch.ts
+++ b/packages/runner/src/ItemDispatch.ts
@@ -7,7 +7,7 @@
 /** The dispatchers of one runner and the items they have in hand. */
 export interface ItemDispatch {
     dispatcherFor(lot: Lot): Dispatcher;
-    register(item: SampleId, run: ItemRun, onMade: (made: MadeSample) => void): void;
-    forget(item: SampleId): void;
+    register(task: SampleId, run: ItemRun, onMade: (made: MadeSample) => void): void;
+    forget(task: SampleId): void;
     stop(): Promise<void>;
 }
--- /dev/null
+++ b/packages/runner/src/LotItems.ts
@@ -0,0 +1,16 @@
+import type { Lot } from "@auburnarch/lots/Lot";
+import type { SampleId } from "@auburnarch/types/SampleId";
+
+/** The items of one job that have no result yet. */
+export interface LotItems {
+    /** Starts those that have none; tells how many of them are run and how many go on behind an earlier text. */
+    start(lot: Lot): { runs: number; resumed: number; };
+    /** The item stands in the store. */
+    close(item: SampleId): void;
+    /** Gives up all that are open. */
+    terminateAll(reason: string): void;
+    /** Ends their runs and keeps what was made, since items may come again in a later job. */
+    withdrawAll(): void;
+    /** Nothing of them is of use any more. */
+    forgetAll(): void;
+}
--- a/packages/runner/src/LotRunDeps.ts
+++ b/packages/runner/src/LotRunDeps.ts
@@ -13,6 +13,7 @@
 import type { SampleId } from "@auburnarch/types/SampleId";
 import type { ItemRun } from "./ItemRun.js";
 import type { ScoreItem } from "./ScoreItem.js";
+import type { TextShelf } from "./TextShelf.js";
 
 /** What the run of one job is built from. */
 export interface LotRunDeps {
@@ -25,9 +26,10 @@
     /** Tokens in one event of the engines that a job runs on. */
     tokensPerEvent: (lot: Lot) => number;
     scoreItem: ScoreItem;
-    /** Makes an item known to the sidecars, and who takes its text. */
-    register: (item: SampleId, run: ItemRun, onMade: (made: MadeSample) => void) => void;
-    forget: (item: SampleId) => void;
+    /** Makes a task known to the sidecars, and who takes its text. */
+    register: (task: SampleId, run: ItemRun, onMade: (made: MadeSample) => void) => void;
+    forget: (task: SampleId) => void;
+    shelf: TextShelf;
     clock: Clock;
     random: Random;
     logger: Logger;
--- /dev/null
+++ b/packages/runner/src/TextShelf.ts
@@ -0,0 +1,20 @@
+import type { SampleId } from "@auburnarch/types/SampleId";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+
+/** What was made of an item. */
+interface KeptText {
+    spans: TokenSpan[];
+    /** It has its last event. */
+    isWhole: boolean;
+}
+
+/**
+ * Texts of items that may be asked for again: items of a group that was not whole when its job ended come back in a
+ * later job under the same ids.
+ */
+export interface TextShelf {
+    keep(item: SampleId, text: KeptText): void;
+    /** The kept text if all of it is of `minVersion` or newer. */
+    find(item: SampleId, minVersion: WeightVersion): KeptText | undefined;
+}
--- a/packages/runner/src/createItemDispatch.ts
+++ b/packages/runner/src/createItemDispatch.ts
@@ -42,7 +42,7 @@
     logger: Logger;
     metrics: Metrics;
     /** Made from the expected events of an item; `createItemPolicy` by default. */
-    createPolicy?: (hintOf: (item: string) => number | undefined) => DispatchPolicy;
+    createPolicy?: (hintOf: (task: string) => number | undefined) => DispatchPolicy;
 }
 
 interface Registered {
@@ -72,12 +72,12 @@
 /** Makes the dispatchers: one for each path and policy, since a trainer's jobs share what is learnt of lengths. */
 export function createItemDispatch(deps: ItemDispatchDeps): ItemDispatch {
     const { routing, directory, evidence } = deps;
-    const items = new Map<SampleId, Registered>();
+    const tasks = new Map<SampleId, Registered>();
     const dispatchers = new Map<string, Dispatcher>();
     const sidecars = new Map<SamplerId, Pick<SidecarPort, "runSample">>();
 
     const policy = (deps.createPolicy ?? createItemPolicy)(item =>
-        items.get(item as SampleId)?.run.expectedEvents
+        tasks.get(item as SampleId)?.run.expectedEvents
     );
 
     const routeOf = (host: string, path: string): ReturnType<typeof findRoute> => {
@@ -90,7 +90,7 @@
         if (known === undefined) {
             known = createItemSidecar({
                 ...deps,
-                findRun: item => items.get(item)?.run,
+                findRun: task => tasks.get(task)?.run,
                 findRoute: ({ lot, item }) => routeOf(lot.host, item.path),
                 findSampler: id => directory.find(id as string as IncarnationId),
             }, sampler);
@@ -151,7 +151,7 @@
                 listSamplers: () => listSamplers(lot),
                 sidecar,
                 mayAct: () => true,
-                onMade: made => items.get(made.task.sample)?.onMade(made),
+                onMade: made => tasks.get(made.task.sample)?.onMade(made),
                 takeRetry: alwaysRetry,
                 paceOf: sampler => evidence.eventsPerSecond(sampler as string as IncarnationId),
                 stallMs,
@@ -163,8 +163,8 @@
 
     return {
         dispatcherFor,
-        register: (item, run, onMade) => void items.set(item, { run, onMade }),
-        forget: item => void items.delete(item),
+        register: (task, run, onMade) => void tasks.set(task, { run, onMade }),
+        forget: task => void tasks.delete(task),
         stop: async () => {
             await Promise.all([...dispatchers.values()].map(dispatcher => dispatcher.stop()));
         },
--- /dev/null
+++ b/packages/runner/src/createItemFinisher.ts
@@ -0,0 +1,44 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { Lot } from "@auburnarch/lots/Lot";
+import type { LotItem } from "@auburnarch/lots/LotItem";
+import type { LotResult } from "@auburnarch/lots/LotResult";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import type { LotRunDeps } from "./LotRunDeps.js";
+
+/** Turns an item's text into its result: undefined if the job has ended meanwhile. */
+type FinishItem = (
+    lot: Lot,
+    item: LotItem,
+    spans: TokenSpan[],
+    signal: AbortSignal,
+) => Promise<LotResult | undefined>;
+
+/** Versions of a text, each once, in order of appearance. */
+const versionsOf = (spans: TokenSpan[]): WeightVersion[] => [...new Set(spans.map(span => span.version))];
+
+/** Each event's data ends with a line feed here; between events it belongs, behind the last one it does not. */
+const textOf = (spans: TokenSpan[]): string => spans.map(span => span.text).join("").slice(0, -1);
+
+/** Makes what finishes items: it asks for the reward, which only a whole text may be sent for. */
+export function createItemFinisher(
+    deps: Pick<LotRunDeps, "invariants" | "findRoute" | "scoreItem">,
+): FinishItem {
+    return async (lot, item, spans, signal) => {
+        const versions = versionsOf(spans);
+        const isFresh = versions.every(version => version >= lot.minVersion);
+        deps.invariants.check(resultCodes.staleDelivered, isFresh, { lot: lot.lot, item: item.item });
+        const made = { item: item.item, output: textOf(spans), versions };
+        if (item.reward === undefined) {
+            return { ...made, state: "completed", score: undefined };
+        }
+        const attempts = deps.findRoute(lot.host, item.path)?.maxAttempts ?? 1;
+        const scored = await deps.scoreItem(item.reward, {}, attempts, signal);
+        if (scored === undefined) {
+            return undefined;
+        }
+        return scored.kind === "scored"
+            ? { ...made, state: "completed", score: scored.score }
+            : { item: item.item, state: "terminated", output: "", versions: [], score: undefined };
+    };
+}
--- a/packages/runner/src/createScoreItem.ts
+++ b/packages/runner/src/createScoreItem.ts
@@ -15,6 +15,8 @@
 
 /** Time of one reward call, retries at other samplers included; the slowest ones of the service take 600 ms. */
 const rewardBudgetMs = 1_500;
+/** A second try costs the service as much as the first, so only the slowest hundredth gets one. */
+const rewardHedgeMs = 400;
 const firstPauseMs = 50;
 const maxPauseMs = 800;
 const failedStatus = 500;
@@ -49,6 +51,7 @@
                     headers,
                     body,
                     deadlineMs: rewardBudgetMs,
+                    hedgeMs: rewardHedgeMs,
                 };
                 const outcome = await deps.relay(request, signal);
                 if (outcome.kind === "answered") {
--- /dev/null
+++ b/packages/runner/src/createTextShelf.ts
@@ -0,0 +1,41 @@
+import type { SampleId } from "@auburnarch/types/SampleId";
+import type { TextShelf } from "./TextShelf.js";
+
+type KeptText = Parameters<TextShelf["keep"]>[1];
+
+/** In characters; some thousand items, a tenth of the smallest VM's memory. The oldest go first. */
+const maxKeptChars = 10_000_000;
+
+const charsOf = ({ spans }: KeptText): number => spans.reduce((sum, span) => sum + span.text.length, 0);
+
+/** Makes an empty shelf. */
+export function createTextShelf(): TextShelf {
+    const texts = new Map<SampleId, KeptText>();
+    let chars = 0;
+
+    function drop(item: SampleId): void {
+        const text = texts.get(item);
+        if (text !== undefined) {
+            chars -= charsOf(text);
+            texts.delete(item);
+        }
+    }
+
+    return {
+        keep: (item, text) => {
+            if (text.spans.length === 0) {
+                return;
+            }
+            drop(item);
+            texts.set(item, text);
+            chars += charsOf(text);
+            while (chars > maxKeptChars) {
+                drop(texts.keys().next().value!);
+            }
+        },
+        find: (item, minVersion) => {
+            const text = texts.get(item);
+            return text?.spans.every(span => span.version >= minVersion) === true ? text : undefined;
+        },
+    };
+}
--- /dev/null
+++ b/packages/runner/src/toSampleTask.ts
@@ -0,0 +1,35 @@
+import type { Lot } from "@auburnarch/lots/Lot";
+import type { LotItem } from "@auburnarch/lots/LotItem";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { SampleId } from "@auburnarch/types/SampleId";
+import type { SampleTask } from "@auburnarch/types/SampleTask";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+
+interface TaskDetails {
+    /** Unique over jobs: an item may come again in a later one. */
+    task: SampleId;
+    index: number;
+    /** Position of the item's group in its job. */
+    group: number;
+    needAtMs: number;
+    maxEvents: number;
+    resume: TokenSpan[];
+}
+
+/** An item in the terms of the dispatcher. Its own id stands for its prompt, since its length is its own. */
+export function toSampleTask(lot: Lot, item: LotItem, details: TaskDetails): SampleTask {
+    const { task, index, group, needAtMs, maxEvents, resume } = details;
+    return {
+        sample: task,
+        step: lot.step,
+        group,
+        index,
+        prompt: task,
+        maxTokens: maxEvents,
+        seed: 0,
+        digest: "" as ContentDigest,
+        needAtMs,
+        resume,
+        minVersion: lot.minVersion,
+    };
+}
