Keep unfinished texts on the runners' disks

Cause: after all processes died, items that had run for up to six seconds began anew, and every step open at that moment was late.

--- a/packages/config/src/roleSettingsSchema.ts
+++ b/packages/config/src/roleSettingsSchema.ts
@@ -16,6 +16,8 @@
     storeAddress: address,
     clientAddress: address.optional(),
     readyAddress: address.optional(),
+    /** Folder for unfinished texts; left out, nothing is kept on disk. */
+    dataFolder: z.string().min(1).optional(),
     orderHandOverMs: milliseconds,
     gracePeriodMs: milliseconds,
     maxLoadingSamplers: z.int().min(1).default(2),
--- a/packages/daemon/src/startRunner.ts
+++ b/packages/daemon/src/startRunner.ts
@@ -12,6 +12,7 @@
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import { Agent } from "node:http";
 import { z } from "zod";
+import { openTextShelf } from "./openTextShelf.js";
 import { registerRunner } from "./registerRunner.js";
 import type { RoleContext } from "./RoleContext.js";
 import type { RunningRole } from "./RunningRole.js";
@@ -45,6 +46,7 @@
     };
 
     const registration = `${runnersKind}/${settings.name}`;
+    const { shelf, flush } = await openTextShelf(context);
     const internal = await serveInternal(context, async () => runner.status());
     const runner = createRunner({
         ...common,
@@ -61,6 +63,7 @@
                 kind: platformKinds.namedVersions,
                 decode: (_name, value) => decodeNamedVersion(value),
             }),
+        shelf,
         readEvents: readItemEvents,
         orders: createEngineOrders(clock, common.agentFor),
         probe,
@@ -78,6 +81,7 @@
         shutdown: async () => {
             registered.stop();
             await runner.leave(settings.gracePeriodMs - exitSlackMs);
+            await flush();
             internal.close();
         },
     };
--- /dev/null
+++ b/packages/keep/src/createTextJournal.test.ts
@@ -0,0 +1,122 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import { mkdtemp, readdir, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, expect, test } from "vitest";
+import { createTextJournal } from "./createTextJournal.js";
+import { nodeFileOperations } from "./nodeFileOperations.js";
+
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
+const span = (version: number, ...words: string[]): TokenSpan => ({
+    version: version as TokenSpan["version"],
+    tokens: words.length,
+    text: words.map(word => `${word}\n`).join(""),
+});
+const textOf = (spans: TokenSpan[] | undefined): string | undefined => spans?.map(each => each.text).join("");
+const folders: string[] = [];
+
+async function createFixture() {
+    const folder = await mkdtemp(join(tmpdir(), "journal-"));
+    folders.push(folder);
+    const clock = createFakeClock();
+    const open = (files = nodeFileOperations, maxFileBytes?: number) =>
+        createTextJournal({ folder, clock, logger: silent, files, maxFileBytes });
+    const openAndLoad = async (files = nodeFileOperations, maxFileBytes?: number) => {
+        const journal = open(files, maxFileBytes);
+        return { journal, texts: await journal.load() };
+    };
+    return { folder, openAndLoad };
+}
+
+afterEach(async () => {
+    await Promise.all(folders.splice(0).map(folder => rm(folder, { recursive: true })));
+});
+
+test("a process goes on behind the texts of the one before, also over several lives", async () => {
+    const { openAndLoad } = await createFixture();
+    const { journal } = await openAndLoad();
+    journal.note("a", [span(1, "one", "two")]);
+    await journal.flush();
+    journal.note("a", [span(1, "one", "two"), span(2, "three")]);
+    journal.note("b", [span(1, "x")]);
+    await journal.flush();
+    const second = await openAndLoad();
+    expect(second.texts.get("a")?.map(each => [each.version, each.tokens])).toEqual([[1, 2], [2, 1]]);
+    expect(textOf(second.texts.get("a"))).toBe("one\ntwo\nthree\n");
+    second.journal.note("b", [span(1, "x", "y")]);
+    await second.journal.flush();
+    const third = await openAndLoad();
+    expect([...third.texts].map(([item, spans]) => [item, textOf(spans)])).toEqual([
+        ["a", "one\ntwo\nthree\n"],
+        ["b", "x\ny\n"],
+    ]);
+});
+
+test("a text that was begun anew replaces the one before", async () => {
+    const { openAndLoad } = await createFixture();
+    const { journal } = await openAndLoad();
+    journal.note("a", [span(1, "old", "text")]);
+    await journal.flush();
+    journal.note("a", [span(3, "new")]);
+    await journal.flush();
+    const { texts } = await openAndLoad();
+    expect(texts.get("a")).toEqual([span(3, "new")]);
+});
+
+test("after a power loss a text is shorter or missing, and never joined over a gap", async () => {
+    // Symptom: a text with an event missing in its middle. Sequence: three records of an item are written; the power
+    // fails; the first and the third survive, the second is torn. Cause: records joined without a look at what is
+    // between them.
+    const { folder, openAndLoad } = await createFixture();
+    const { journal } = await openAndLoad();
+    for (const words of [["one"], ["one", "two"], ["one", "two", "three"]]) {
+        journal.note("a", [span(1, ...words)]);
+        journal.note("b", [span(1, ...words)]);
+        await journal.flush();
+    }
+    const [name] = await readdir(folder);
+    const lines = (await readFile(join(folder, name!), "utf8")).split("\n");
+    const kept = lines.map((line, index) => index === 2 ? line.slice(0, -4) : line);
+    await writeFile(join(folder, name!), kept.join("\n"));
+    const { texts } = await openAndLoad();
+    expect(textOf(texts.get("a"))).toBeUndefined();
+    expect(textOf(texts.get("b"))).toBe("one\ntwo\nthree\n");
+});
+
+test("a disk that refuses writes costs texts and nothing else", async () => {
+    const { openAndLoad } = await createFixture();
+    let isFull = true;
+    const files = {
+        ...nodeFileOperations,
+        appendSynced: async (path: string, text: string) => {
+            if (isFull) {
+                throw Object.assign(new Error("no space"), { code: "ENOSPC" });
+            }
+            await nodeFileOperations.appendSynced(path, text);
+        },
+    };
+    const { journal } = await openAndLoad(files);
+    journal.note("a", [span(1, "one")]);
+    await journal.flush();
+    isFull = false;
+    journal.note("a", [span(1, "one", "two")]);
+    await journal.flush();
+    const { texts } = await openAndLoad();
+    expect(textOf(texts.get("a"))).toBe("one\ntwo\n");
+});
+
+test("the files stay within their bound, and the newest texts are there", async () => {
+    const { folder, openAndLoad } = await createFixture();
+    const { journal } = await openAndLoad(nodeFileOperations, 2_000);
+    for (let index = 0; index < 60; index++) {
+        journal.note(`item-${index}`, [span(1, "x".repeat(100))]);
+        await journal.flush();
+    }
+    const sizes = (await nodeFileOperations.list(folder)).map(file => file.bytes);
+    expect(Math.max(...sizes)).toBeLessThan(2_500);
+    const { texts } = await openAndLoad();
+    expect(texts.has("item-59")).toBe(true);
+    expect(texts.has("item-0")).toBe(false);
+});
--- a/packages/keep/src/nodeFileOperations.ts
+++ b/packages/keep/src/nodeFileOperations.ts
@@ -1,4 +1,4 @@
-import { appendFile, mkdir, readdir, readFile, rm, stat, truncate } from "node:fs/promises";
+import { appendFile, mkdir, open, readdir, readFile, rm, stat, truncate } from "node:fs/promises";
 import { join } from "node:path";
 import type { FileOperations } from "./FileOperations.js";
 import { replaceFile } from "./replaceFile.js";
@@ -6,6 +6,16 @@
 /** The file system of the machine. */
 export const nodeFileOperations: FileOperations = {
     append: (path, text) => appendFile(path, text),
+    appendSynced: async (path, text) => {
+        const file = await open(path, "a");
+        try {
+            await file.appendFile(text);
+            await file.datasync();
+        }
+        finally {
+            await file.close();
+        }
+    },
     read: path => readFile(path),
     replace: replaceFile,
     truncate,
--- a/packages/runner/src/LotItems.ts
+++ b/packages/runner/src/LotItems.ts
@@ -9,6 +9,8 @@
     close(item: SampleId): void;
     /** Gives up all that are open. */
     terminateAll(reason: string): void;
+    /** Keeps what is made of those that run, for a process that comes after this one. */
+    keepTexts(): void;
     /** Ends their runs and keeps what was made, since items may come again in a later job. */
     withdrawAll(): void;
     /** Nothing of them is of use any more. */
--- a/packages/runner/src/LotRun.ts
+++ b/packages/runner/src/LotRun.ts
@@ -2,6 +2,8 @@
 export interface LotRun {
     /** Every item is recorded. */
     isComplete(): boolean;
+    /** Keeps unfinished texts, where they outlive the process. */
+    keepTexts(): void;
     /** Ends its runs; what is made already is still recorded if `isHandedOver`. */
     stop(isHandedOver: boolean): Promise<void>;
 }
--- a/packages/runner/src/RunnerDeps.ts
+++ b/packages/runner/src/RunnerDeps.ts
@@ -15,6 +15,7 @@
 import type { ReadItemEvents } from "./ReadItemEvents.js";
 import type { RunnerAddress } from "./RunnerAddress.js";
 import type { RunnerStatus } from "./RunnerStatus.js";
+import type { TextShelf } from "./TextShelf.js";
 
 /** What a runner is built from. */
 export interface RunnerDeps {
@@ -37,6 +38,8 @@
     readEvents: ReadItemEvents;
     orders: EngineOrders;
     probe: (address: RunnerAddress, timeoutMs: number) => Promise<RunnerStatus>;
+    /** Unfinished texts, in memory or on a disk. */
+    shelf: TextShelf;
     /** Samplers must not get orders of two holders within this time. */
     orderHandOverMs: number;
     /** Samplers that load weights at once without slowing each other. */
--- a/packages/runner/src/TextShelf.ts
+++ b/packages/runner/src/TextShelf.ts
@@ -14,6 +14,8 @@
  * later job under the same ids.
  */
 export interface TextShelf {
+    /** Texts outlive the process, so that it is worth keeping unfinished ones too. */
+    isLasting: boolean;
     keep(item: SampleId, text: KeptText): void;
     /** The kept text if all of it is of `minVersion` or newer. */
     find(item: SampleId, minVersion: WeightVersion): KeptText | undefined;
--- a/packages/runner/src/createLotBoard.ts
+++ b/packages/runner/src/createLotBoard.ts
@@ -102,6 +102,7 @@
 
     function tick(): void {
         refresh();
+        runs.forEach(run => run.keepTexts());
         cancelTick = clock.startTimer(tickMs, tick);
     }
 
--- a/packages/runner/src/createLotItems.ts
+++ b/packages/runner/src/createLotItems.ts
@@ -1,3 +1,4 @@
+import { countTokens } from "@auburnarch/dispatch/countTokens";
 import type { Lot } from "@auburnarch/lots/Lot";
 import type { LotItem } from "@auburnarch/lots/LotItem";
 import type { SampleId } from "@auburnarch/types/SampleId";
@@ -11,6 +12,8 @@
 
 /** A trainer's step is due this long after it was asked for. */
 const stepDueMs = 7_500;
+/** What takes less than half a second to make again is not worth a place on the disk. */
+const leastLastingEvents = 10;
 
 /** Makes the items of one job; `signal` is aborted once the job is not run here any more. */
 export function createLotItems(deps: LotRunDeps, recorder: Recorder, signal: AbortSignal): LotItems {
@@ -90,11 +93,13 @@
         return { runs: tasks.length, resumed: tasks.filter(task => task.resume!.length > 0).length };
     }
 
-    function shelve(source: Lot): void {
+    function shelve(source: Lot, leastEvents: number): void {
         const dispatcher = deps.dispatcherFor(source);
         for (const item of open) {
-            if (shelf.find(item, source.minVersion)?.isWhole !== true) {
-                shelf.keep(item, { spans: dispatcher.textOf(taskOf(item)), isWhole: false });
+            const spans = dispatcher.textOf(taskOf(item));
+            const isShort = countTokens(spans) < leastEvents;
+            if (!isShort && shelf.find(item, source.minVersion)?.isWhole !== true) {
+                shelf.keep(item, { spans, isWhole: false });
             }
         }
     }
@@ -107,9 +112,14 @@
             withdraw([item]);
         },
         terminateAll: reason => [...open].forEach(item => terminate(item, reason)),
+        keepTexts: () => {
+            if (lot !== undefined && shelf.isLasting) {
+                shelve(lot, leastLastingEvents);
+            }
+        },
         withdrawAll: () => {
             if (lot !== undefined) {
-                shelve(lot);
+                shelve(lot, 1);
             }
             withdraw([...open]);
         },
--- a/packages/runner/src/createLotRun.ts
+++ b/packages/runner/src/createLotRun.ts
@@ -73,6 +73,7 @@
     void start();
     return {
         isComplete: () => recorder.recorded() >= entry.total,
+        keepTexts: items.keepTexts,
         stop: async isHandedOver => {
             cancelExpiry();
             items.withdrawAll();
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -10,7 +10,6 @@
 import { createPeerBook } from "./createPeerBook.js";
 import { createSamplerEvidence } from "./createSamplerEvidence.js";
 import { createScoreItem } from "./createScoreItem.js";
-import { createTextShelf } from "./createTextShelf.js";
 import { createWeightsDuty } from "./createWeightsDuty.js";
 import type { LotBoard } from "./LotBoard.js";
 import type { Runner } from "./Runner.js";
@@ -38,7 +37,6 @@
         resumesOwn: true,
     });
     const awake = createAwakeGuard(clock, logger, leaseTtlMs / 2);
-    const shelf = createTextShelf();
     let isLeaving = false;
     let storeCheckedAtMs = -Infinity;
 
@@ -83,7 +81,7 @@
                 register: dispatch.register,
                 forget: dispatch.forget,
                 scoreItem,
-                shelf,
+                shelf: deps.shelf,
                 findRoute: routeOf,
                 tokensPerEvent: ({ host, path }) => {
                     const service = routeOf(host, path)?.backends[0]?.service;
--- a/packages/runner/src/createTextShelf.ts
+++ b/packages/runner/src/createTextShelf.ts
@@ -1,4 +1,5 @@
 import type { SampleId } from "@auburnarch/types/SampleId";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
 import type { TextShelf } from "./TextShelf.js";
 
 type KeptText = Parameters<TextShelf["keep"]>[1];
@@ -8,8 +9,15 @@
 
 const charsOf = ({ spans }: KeptText): number => spans.reduce((sum, span) => sum + span.text.length, 0);
 
-/** Makes an empty shelf. */
-export function createTextShelf(): TextShelf {
+interface TextShelfOptions {
+    /** Texts that an earlier process was at work on. */
+    earlier?: ReadonlyMap<string, TokenSpan[]>;
+    /** Takes each text that is kept, so that a later process has it. */
+    note?: (item: SampleId, spans: TokenSpan[]) => void;
+}
+
+/** Makes a shelf. */
+export function createTextShelf({ earlier, note }: TextShelfOptions = {}): TextShelf {
     const texts = new Map<SampleId, KeptText>();
     let chars = 0;
 
@@ -21,7 +29,13 @@
         }
     }
 
+    for (const [item, spans] of earlier ?? []) {
+        const text = { spans, isWhole: false };
+        texts.set(item as SampleId, text);
+        chars += charsOf(text);
+    }
     return {
+        isLasting: note !== undefined,
         keep: (item, text) => {
             if (text.spans.length === 0) {
                 return;
@@ -32,6 +46,7 @@
             while (chars > maxKeptChars) {
                 drop(texts.keys().next().value!);
             }
+            note?.(item, text.spans);
         },
         find: (item, minVersion) => {
             const text = texts.get(item);
