--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -18,6 +18,8 @@
 import type { RoleContext } from "./RoleContext.js";
 
 interface Common {
+    /** Sets the status of an object of the platform's. */
+    writeStatus: (key: string, value: unknown) => Promise<void>;
     store: ObjectStore;
     storeSilentMs: () => number;
     storeHeardMs: () => number;
@@ -38,7 +40,8 @@
 export function startCommon(context: RoleContext): Common {
     const { settings, clock, logger, metrics } = context;
     const storeAddress = splitAddress(settings.storeAddress)!;
-    const health = createStoreHealth(createPlatformStore({ ...storeAddress, clock }), clock, metrics);
+    const platformStore = createPlatformStore({ ...storeAddress, clock });
+    const health = createStoreHealth(platformStore, clock, metrics);
     const { store } = health;
     const watched = { store, clock, logger };
     const decodeTable = (_name: string, value: unknown): RoutingTable | undefined =>
@@ -52,6 +55,7 @@
     });
     const agentFor = createSamplerAgents();
     return {
+        writeStatus: platformStore.writeStatus,
         store,
         storeSilentMs: health.silentMs,
         storeHeardMs: health.heardMs,
--- a/packages/daemon/src/startRunner.ts
+++ b/packages/daemon/src/startRunner.ts
@@ -3,6 +3,7 @@
 import { lotSchemas } from "@auburnarch/lots/lotSchemas";
 import { createEngineOrders } from "@auburnarch/platform/createEngineOrders";
 import { decodeNamedVersion } from "@auburnarch/platform/decodeNamedVersion";
+import { decodeRetirement } from "@auburnarch/platform/decodeRetirement";
 import { platformKinds } from "@auburnarch/platform/platformKinds";
 import { readItemEvents } from "@auburnarch/platform/readItemEvents";
 import { createRunner } from "@auburnarch/runner/createRunner";
@@ -63,6 +64,12 @@
                 kind: platformKinds.namedVersions,
                 decode: (_name, value) => decodeNamedVersion(value),
             }),
+        retirements: watchKind({
+            ...watched,
+            kind: platformKinds.retirements,
+            decode: (_name, value) => decodeRetirement(value),
+        }),
+        reportRetirement: state => common.writeStatus(`${platformKinds.retirements}/${settings.name}`, { state }),
         shelf,
         readEvents: readItemEvents,
         orders: createEngineOrders(clock, common.agentFor),
--- a/packages/gateway/src/GatewayDeps.ts
+++ b/packages/gateway/src/GatewayDeps.ts
@@ -16,6 +16,8 @@
     lots: LotStore;
     reader: LotReader;
     decodeLot: DecodeLot;
+    /** Milliseconds since the first of the calls to the store that have all failed since; 0 while calls succeed. */
+    storeSilentMs: () => number;
     clock: Clock;
     logger: Logger;
     metrics: Metrics;
--- /dev/null
+++ b/packages/gateway/src/createGateway.test.ts
@@ -0,0 +1,184 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
+import { createLotReader } from "@auburnarch/lots/createLotReader";
+import { createLotStore } from "@auburnarch/lots/createLotStore";
+import type { Lot } from "@auburnarch/lots/Lot";
+import type { LotId } from "@auburnarch/lots/LotId";
+import type { LotStore } from "@auburnarch/lots/LotStore";
+import { createMetrics } from "@auburnarch/metrics/createMetrics";
+import type { RelayOutcome } from "@auburnarch/relay/RelayOutcome";
+import type { Route } from "@auburnarch/routing/Route";
+import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
+import type { ConfigVersion } from "@auburnarch/types/ConfigVersion";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { SampleId } from "@auburnarch/types/SampleId";
+import { expect, test } from "vitest";
+import type { ClientAnswer } from "./ClientAnswer.js";
+import type { ClientCall } from "./ClientCall.js";
+import { createGateway } from "./createGateway.js";
+
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
+const route = (over: Partial<Route>): Route => ({
+    name: "tiles",
+    host: "a.example",
+    pathPrefix: "/tiles/",
+    kind: "idempotent",
+    isResumable: false,
+    timeoutMs: 1_000,
+    targetLatencyMs: 100,
+    backends: [],
+    maxAttempts: 2,
+    deadlineMs: undefined,
+    itemTtlMs: undefined,
+    isSingleVersion: false,
+    ...over,
+});
+const table: RoutingTable = {
+    version: 3 as ConfigVersion,
+    routes: [route({}), route({ name: "plume", pathPrefix: "/plume/", kind: "rollout" })],
+    services: new Map(),
+    clientLimits: { maxHeaderBytes: 1_000, maxBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+};
+const lotOf = (id: LotId): Lot => ({
+    lot: id,
+    host: "a.example",
+    path: "/plume/1",
+    step: 0 as Lot["step"],
+    policy: undefined,
+    minVersion: 0 as Lot["minVersion"],
+    items: [{
+        item: "item-1" as SampleId,
+        group: undefined,
+        path: "/plume/1/1",
+        headers: {},
+        bodyBase64: Buffer.from("prompt").toString("base64"),
+        maxOutputTokens: 10,
+        expectedOutputTokens: undefined,
+        reward: undefined,
+    }],
+});
+
+function createFixture(over: { lots?: (real: LotStore) => LotStore; routing?: () => RoutingTable | undefined; } = {}) {
+    const clock = createFakeClock();
+    const { store, control } = createFakeObjectStore({ clock, random: createRandom(1) });
+    const real = createLotStore(store);
+    const lots = over.lots?.(real) ?? real;
+    const state = { storeSilentMs: 0, isKnown: true };
+    const relayed: RelayOutcome = { kind: "failed", code: resultCodes.noSampler, detail: "", retryAfterMs: 100 };
+    const gateway = createGateway({
+        routing: over.routing ?? (() => table),
+        directory: { isKnown: () => state.isKnown, serving: () => [], find: () => undefined },
+        relay: async () => relayed,
+        lots,
+        reader: createLotReader(lots, clock),
+        decodeLot: id => lotOf(id),
+        storeSilentMs: () => state.storeSilentMs,
+        clock,
+        logger: silent,
+        metrics: createMetrics(),
+    });
+    const ask = async (call: ClientCall): Promise<string> => {
+        const answering = gateway.answer(call, new AbortController().signal);
+        await clock.advance(5_000);
+        return show(await answering);
+    };
+    const post = (path: string, requestId = "r-1"): Promise<string> =>
+        ask({
+            kind: "request",
+            request: {
+                requestId: requestId === "" ? undefined : requestId,
+                method: "POST",
+                host: "a.example",
+                path,
+                headers: {},
+                deadlineMs: 1_000,
+                readBody: async () => new Uint8Array(),
+            },
+        });
+    return { gateway, state, control, ask, post };
+}
+
+const show = (answer: ClientAnswer): string => {
+    if (answer.kind === "failed") {
+        return `${answer.code.httpStatus} ${answer.code.name} ${answer.retryAfterMs ?? "-"}`;
+    }
+    return answer.kind === "lotPage" ? `page ${answer.page.results.length} of ${answer.page.total}` : answer.kind;
+};
+const lot = "r-1" as LotId;
+
+test("a job is accepted, read, its item shown, and ended, each as often as it is asked for", async () => {
+    const { post, ask } = createFixture();
+    const answers = [
+        await post("/plume/1"),
+        await post("/plume/1"),
+        await ask({ kind: "readLot", lot, after: 0, waitMs: 0 }),
+        await ask({ kind: "readItem", lot, item: "item-1" }),
+        await ask({ kind: "endLot", lot }),
+        await ask({ kind: "endLot", lot }),
+    ];
+    expect(answers).toEqual(["lotAccepted", "lotAccepted", "page 0 of 1", "lotItem", "lotEnded", "lotEnded"]);
+});
+
+test("what is unknown is refused by what is known", async () => {
+    const { post, ask } = createFixture();
+    const none = createFixture({ routing: () => undefined });
+    expect({
+        route: await post("/other/1"),
+        lot: await ask({ kind: "readLot", lot: "r-9" as LotId, after: 0, waitMs: 0 }),
+        id: await post("/plume/1", ""),
+        noConfiguration: await none.post("/tiles/1"),
+        noSampler: await post("/tiles/1"),
+    }).toMatchInlineSnapshot(`
+      {
+        "id": "400 badRequest -",
+        "lot": "404 unknownLot -",
+        "noConfiguration": "503 notReady 250",
+        "noSampler": "503 noSampler 100",
+        "route": "404 unknownRoute -",
+      }
+    `);
+});
+
+test("while the store is away a job is not called unknown", async () => {
+    // Symptom: a reader was told that its job does not exist. Sequence: a job is accepted; the store goes down; it is
+    // read at a process that has no copy. Cause: no answer taken for "no such object".
+    const { post, ask, control } = createFixture();
+    await post("/plume/1");
+    control.setOutage(true);
+    expect(await ask({ kind: "readLot", lot, after: 0, waitMs: 0 })).toBe("503 storeUnavailable 250");
+});
+
+test("a job whose acceptance is not known is not refused with a promise", async () => {
+    // Symptom: items ran of a job that was answered 503 at every try. Sequence: the entry's write is on its way, its
+    // answer is lost; the client is told "not run" and gives up; the write takes effect. Cause: a lost answer taken
+    // for a refusal.
+    const lose = (real: LotStore): LotStore => ({
+        ...real,
+        accept: async (...args) => {
+            await real.accept(...args);
+            throw new ResultError(resultCodes.storeUnavailable, "answer lost");
+        },
+    });
+    const { post } = createFixture({ lots: lose });
+    expect(await post("/plume/1")).toBe("502 acceptanceUnknown -");
+});
+
+test("a gateway without configuration, samplers or store is not ready, and none that leaves", async () => {
+    // Symptom: for nine seconds every job of one failure domain was lost. Sequence: the store turns one gateway away
+    // and serves the others; the balancer goes on sending it clients. Cause: readiness said nothing of the store.
+    const { gateway, state } = createFixture();
+    const seen = [gateway.isReady()];
+    state.storeSilentMs = 1_000;
+    seen.push(gateway.isReady());
+    state.storeSilentMs = 0;
+    state.isKnown = false;
+    seen.push(gateway.isReady());
+    state.isKnown = true;
+    seen.push(gateway.isReady());
+    gateway.leave();
+    seen.push(gateway.isReady());
+    expect(seen).toEqual([true, false, false, true, false]);
+});
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -15,6 +15,12 @@
 /** When a client should come back that was refused because the store is away or nothing is known yet. */
 const retryAfterMs = 250;
 
+/**
+ * A gateway that the store turns away can neither take batch jobs nor read them, though others may. Where the store is
+ * away for all, none is ready and the balancer uses all of them again.
+ */
+const storeSilenceMs = 700;
+
 /** Makes the gateway of one process. */
 export function createGateway(deps: GatewayDeps): Gateway {
     const { clock, logger, metrics, routing } = deps;
@@ -116,7 +122,10 @@
             }
             return answer;
         },
-        isReady: () => !isLeaving && routing() !== undefined && deps.directory.isKnown(),
+        isReady: () => {
+            const hasStore = deps.storeSilentMs() < storeSilenceMs;
+            return !isLeaving && hasStore && routing() !== undefined && deps.directory.isKnown();
+        },
         leave: () => {
             isLeaving = true;
         },
--- a/packages/runner/src/RunnerDeps.ts
+++ b/packages/runner/src/RunnerDeps.ts
@@ -13,6 +13,7 @@
 import type { EngineOrders } from "./EngineOrders.js";
 import type { NamedVersion } from "./NamedVersion.js";
 import type { ReadItemEvents } from "./ReadItemEvents.js";
+import type { RetirementRequest } from "./RetirementRequest.js";
 import type { RunnerAddress } from "./RunnerAddress.js";
 import type { RunnerStatus } from "./RunnerStatus.js";
 import type { TextShelf } from "./TextShelf.js";
@@ -38,6 +39,8 @@
     readEvents: ReadItemEvents;
     orders: EngineOrders;
     probe: (address: RunnerAddress, timeoutMs: number) => Promise<RunnerStatus>;
+    retirements: WatchedKind<RetirementRequest>;
+    reportRetirement: (state: "running" | "completed") => Promise<void>;
     /** Unfinished texts, in memory or on a disk. */
     shelf: TextShelf;
     /** Samplers must not get orders of two holders within this time. */
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -11,6 +11,7 @@
 import { createSamplerEvidence } from "./createSamplerEvidence.js";
 import { createScoreItem } from "./createScoreItem.js";
 import { createWeightsDuty } from "./createWeightsDuty.js";
+import { followRetirement } from "./followRetirement.js";
 import type { LotBoard } from "./LotBoard.js";
 import type { Runner } from "./Runner.js";
 import type { RunnerDeps } from "./RunnerDeps.js";
@@ -103,6 +104,22 @@
         handOverMs: deps.orderHandOverMs,
     });
 
+    async function handOver(): Promise<void> {
+        isLeaving = true;
+        const left = Promise.all([board.leave(), duty.stop()]);
+        peers.poke();
+        await left;
+    }
+
+    const retirement = followRetirement({
+        self: deps.name,
+        requests: deps.retirements,
+        report: deps.reportRetirement,
+        handOver,
+        clock,
+        logger,
+    });
+
     return {
         status: () => ({
             incarnation: deps.incarnation,
@@ -111,9 +128,8 @@
             storeSilentMs: Math.round(deps.storeSilentMs()),
         }),
         leave: async limitMs => {
-            isLeaving = true;
-            const left = Promise.all([board.leave(), duty.stop()]).then(() => dispatch.stop());
-            peers.poke();
+            retirement.stop();
+            const left = handOver().then(() => dispatch.stop());
             const limit = new AbortController();
             await Promise.race([left, clock.sleep(limitMs, limit.signal)]);
             limit.abort();
