Assign loads by what is served; take silence of 700 ms for death; forget removed peers sooner

Change: the plan begins from the versions served; unheard peers are given up after 600 ms; silence 700 ms.

--- a/packages/daemon/src/createStoreHealth.ts
+++ b/packages/daemon/src/createStoreHealth.ts
@@ -1,6 +1,7 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import type { Metrics } from "@auburnarch/metrics/Metrics";
 import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
 
 interface StoreHealth {
@@ -11,14 +12,24 @@
     heardMs(): number;
 }
 
+/** Every call is charged; this line tells which ones. */
+const reportIntervalMs = 10_000;
+
 /** Counts calls to the store and notes whether it answers. */
-export function createStoreHealth(inner: ObjectStore, clock: Clock, metrics: Metrics): StoreHealth {
+export function createStoreHealth(
+    inner: ObjectStore,
+    clock: Clock,
+    metrics: Metrics,
+    logger: Logger,
+): StoreHealth {
+    const counts = new Map<string, number>();
     let failingSinceMs: number | undefined;
     let heardAtMs = -Infinity;
 
     async function note<T>(call: string, key: string, run: () => Promise<T>): Promise<T> {
         const kind = key.slice(0, Math.max(0, key.indexOf("/")));
         const startedAtMs = clock.monotonicMs();
+        counts.set(`${call}:${kind}`, (counts.get(`${call}:${kind}`) ?? 0) + 1);
         try {
             const result = await run();
             failingSinceMs = undefined;
@@ -41,6 +52,16 @@
         }
     }
 
+    function report(): void {
+        if (counts.size > 0) {
+            const calls = [...counts].map(([call, count]) => `${call}=${count}`).join(",");
+            logger.info("storeCalls", { periodMs: reportIntervalMs, calls });
+            counts.clear();
+        }
+        clock.startTimer(reportIntervalMs, report);
+    }
+
+    clock.startTimer(reportIntervalMs, report);
     return {
         store: {
             read: key => note("read", key, () => inner.read(key)),
--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -41,7 +41,7 @@
     const { settings, clock, logger, metrics } = context;
     const storeAddress = splitAddress(settings.storeAddress)!;
     const platformStore = createPlatformStore({ ...storeAddress, clock });
-    const health = createStoreHealth(platformStore, clock, metrics);
+    const health = createStoreHealth(platformStore, clock, metrics, logger);
     const { store } = health;
     const watched = { store, clock, logger };
     const decodeTable = (_name: string, value: unknown): RoutingTable | undefined =>
--- a/packages/runner/src/createItemDispatch.ts
+++ b/packages/runner/src/createItemDispatch.ts
@@ -53,8 +53,8 @@
 /** Trainers ask for a step about this often; only a first guess, the dispatcher learns the rhythm. */
 const stepRhythmMs = 4_000;
 const anyPriority = 5;
-/** A suspected sampler has been silent for longer already. */
-const stallMs = 600;
+/** A suspected sampler has been silent for longer already; a run just sent gets this long for its first event. */
+const stallMs = 400;
 const noFencing = 0 as FencingNumber;
 /** Bounds that only the product's own interface sets; items have their own. */
 const limits: LimitsManifest = {
--- a/packages/runner/src/createPeerBook.ts
+++ b/packages/runner/src/createPeerBook.ts
@@ -20,7 +20,6 @@
 
 interface Peer extends PeerView {
     address: RunnerAddress;
-    firstProbeAtMs: number;
     heardAtMs: number;
     isProbing: boolean;
 }
@@ -30,6 +29,11 @@
 const probeTimeoutMs = 350;
 /** Three probes in a row may be lost before a peer counts as dead: a short stop of a process is no death. */
 const deadAfterMs = 1_300;
+/**
+ * A registered peer that has not answered since this process started is taken to be gone after two probes: jobs wait
+ * until each peer has answered or is given up, and a VM that was removed leaves its registration behind.
+ */
+const unheardMs = 600;
 /** A stopped process hears nobody; after a gap like this between two of its own rounds it trusts no silence. */
 const ownGapMs = 1_000;
 
@@ -47,7 +51,7 @@
             const isSame = known?.address.host === address.host && known.address.port === address.port;
             if (name !== deps.self && !isSame) {
                 const nowMs = clock.monotonicMs();
-                const fresh = { firstProbeAtMs: nowMs, heardAtMs: nowMs, isProbing: false };
+                const fresh = { heardAtMs: nowMs, isProbing: false };
                 book.set(name, { name, address, isAlive: true, status: undefined, ...fresh });
             }
         }
@@ -75,7 +79,8 @@
 
     function noteSilence(peer: Peer): void {
         const silentMs = clock.monotonicMs() - peer.heardAtMs;
-        if (peer.isAlive && silentMs > deadAfterMs) {
+        const patienceMs = peer.status === undefined ? unheardMs : deadAfterMs;
+        if (peer.isAlive && silentMs > patienceMs) {
             peer.isAlive = false;
             logger.warn("runnerDead", {
                 runner: peer.name,
@@ -129,10 +134,7 @@
     return {
         isSettled: () =>
             deps.registered.objects() !== undefined
-            && [...book.values()].every(peer =>
-                peer.status !== undefined || !peer.isAlive
-                || clock.monotonicMs() - peer.firstProbeAtMs > deadAfterMs
-            ),
+            && [...book.values()].every(peer => peer.status !== undefined || !peer.isAlive),
         peers: () => [...book.values()],
         poke: round,
         stop: () => stopped.abort(),
--- a/packages/runner/src/createSamplerEvidence.ts
+++ b/packages/runner/src/createSamplerEvidence.ts
@@ -11,14 +11,14 @@
 
 /** Weight of a new gap between events; a sampler that turns slow shows after three or four events of its runs. */
 const gapSmoothing = 0.15;
-/** A longer pause is a load of weights or a fault, and says nothing about the pace after it. */
+/** A longer pause is a fault, and says nothing about the pace after it. */
 const longestGapMs = 400;
 
 /**
- * Events of one run come every 40 to 200 ms, on slow samplers too, and a load of weights holds them up for about
- * 900 ms. A sampler whose runs are all silent for longer is taken to be dead before its entry lapses.
+ * Events of one run come every 40 ms, on slow samplers every 140 to 300 ms, and a load of weights does not hold them
+ * up. A sampler whose runs are all silent for longer is taken to be dead, seconds before its entry lapses.
  */
-const silentMs = 1_300;
+const silentMs = 700;
 /** A crashed sampler is back after some seconds, under another incarnation. */
 const failureMemoryMs = 1_000;
 const maxSamplers = 4_096;
--- a/packages/runner/src/planLoads.test.ts
+++ b/packages/runner/src/planLoads.test.ts
@@ -96,3 +96,24 @@
     expect(next).toHaveLength(1);
     expect(shown(first)).not.toContain(shown(next)[0]);
 });
+
+test("a new holder of the duty goes on with the samplers that serve the newest versions", () => {
+    // Symptom: after the holder was cut off its successor loaded every policy on other samplers, and the steps that
+    // were open waited for them. Sequence: the holder dies; the successor plans without having planned before. Cause:
+    // the plan began from nothing instead of from what the samplers serve.
+    const serving = [
+        sampler("a", [1, 4, 1]),
+        sampler("b", [5, 1, 1]),
+        sampler("c", [1, 1, 6]),
+        sampler("d", [5, 1, 1]),
+        sampler("e", [1, 3, 1]),
+        sampler("f", [1, 1, 6]),
+    ];
+    const assigned = new Map<PolicyId, Set<IncarnationId>>();
+    createPlan(assigned)({ samplers: serving });
+    expect([...assigned].map(([policy, own]) => `${policy} ${[...own].sort().join(" ")}`)).toEqual([
+        "plume b d",
+        "ridge a e",
+        "valley c f",
+    ]);
+});
--- a/packages/runner/src/planLoads.ts
+++ b/packages/runner/src/planLoads.ts
@@ -44,9 +44,23 @@
  */
 const latestAfterNamedMs = 2_500;
 
+/** Every sampler starts with it, so it says nothing about who serves the policy. */
+const firstVersion = 1;
+
 const versionOf = (sampler: KnownSampler, policy: PolicyId): number =>
     sampler.served.find(served => served.policy === policy)?.version ?? -1;
 
+/**
+ * Where an earlier holder of the duty had loaded the policy, newest version first. A new holder that chose anew would
+ * leave the samplers that serve the next step and load others.
+ */
+function listServing(samplers: KnownSampler[], policy: PolicyId): IncarnationId[] {
+    return samplers
+        .filter(sampler => versionOf(sampler, policy) > firstVersion)
+        .sort((a, b) => versionOf(b, policy) - versionOf(a, policy))
+        .map(sampler => sampler.incarnation);
+}
+
 /** Gives each policy the same number of samplers, and each sampler about as many policies as any other. */
 function assign({ samplers, needs, assigned }: PlanLoadsInput): void {
     const share = Math.ceil(samplers.length / Math.max(1, needs.length));
@@ -55,7 +69,7 @@
     const load = new Map<IncarnationId, number>();
     const take = (sampler: IncarnationId): void => void load.set(sampler, (load.get(sampler) ?? 0) + 1);
     for (const { policy } of needs) {
-        const kept = [...assigned.get(policy) ?? []]
+        const kept = [...assigned.get(policy) ?? listServing(samplers, policy)]
             .filter(each => present.has(each) && (load.get(each) ?? 0) < most)
             .slice(0, share);
         kept.forEach(take);
