Test the path on stand-ins of the platform; settings reload, sweeping of old jobs, at-most-once asserted

Change: stand-ins of the platform's store and samplers that speak HTTP; tests of the relay, the decoding, the store client, the settings file and of gateway and runner together; SIGHUP reads the settings again; jobs that nobody may ask for are deleted by the holder of the orders; the relay asserts that what may run once is not sent twice.

--- a/packages/config/src/roleSettingsSchema.ts
+++ b/packages/config/src/roleSettingsSchema.ts
@@ -20,6 +20,7 @@
     dataFolder: z.string().min(1).optional(),
     orderHandOverMs: milliseconds,
     gracePeriodMs: milliseconds,
+    lotRetentionMs: milliseconds.default(120_000),
     maxLoadingSamplers: z.int().min(1).default(2),
     logLevel: z.enum(["info", "warn", "error"]).default("info"),
 });
--- a/packages/daemon/src/RoleContext.ts
+++ b/packages/daemon/src/RoleContext.ts
@@ -7,7 +7,10 @@
 
 /** What the start of a gateway or a runner gets. */
 export interface RoleContext {
+    /** As they were at the start. */
     settings: RoleSettings;
+    /** As the file says now; what may change in a running process is read from here. */
+    currentSettings: () => RoleSettings;
     clock: Clock;
     random: Random;
     logger: Logger;
--- /dev/null
+++ b/packages/daemon/src/createSettingsFile.test.ts
@@ -0,0 +1,81 @@
+import type { LogFields } from "@auburnarch/types/LogFields";
+import type { Logger } from "@auburnarch/types/Logger";
+import { expect, test } from "vitest";
+import { createSettingsFile } from "./createSettingsFile.js";
+
+const valid = {
+    name: "front-1",
+    role: "gateway",
+    failureDomain: "lugo",
+    region: "norte",
+    internalHost: "10.0.0.1",
+    internalPorts: [7380, 7395],
+    storeAddress: "10.0.0.9:80",
+    clientAddress: "10.0.0.1:8149",
+    readyAddress: "10.0.0.1:8141",
+    orderHandOverMs: 3_000,
+    gracePeriodMs: 8_000,
+};
+
+function createFixture() {
+    const state = { text: JSON.stringify(valid) };
+    const lines: string[] = [];
+    const note = (event: string, fields: LogFields = {}): void =>
+        void lines.push(`${event} ${JSON.stringify(fields)}`);
+    const logger: Logger = { info: note, warn: note, error: note, child: () => logger };
+    return { state, lines, logger, open: () => createSettingsFile(async () => state.text) };
+}
+
+test("faults are all named, with the nearest name for an unknown key", async () => {
+    const { state, open } = createFixture();
+    const { storeAddress: _gone, ...rest } = valid;
+    state.text = JSON.stringify({ ...rest, storeAdress: "x", gracePeriodMs: -1 });
+    expect(await open()).toMatchInlineSnapshot(`
+      {
+        "faults": [
+          {
+            "message": "Missing; expected string.",
+            "path": "storeAddress",
+          },
+          {
+            "message": "Too small: expected number to be >=0",
+            "path": "gracePeriodMs",
+          },
+          {
+            "message": "Unknown key. Did you mean "storeAddress"?",
+            "path": "storeAdress",
+          },
+        ],
+        "kind": "invalid",
+      }
+    `);
+});
+
+test("a gateway needs its addresses", async () => {
+    const { state, open } = createFixture();
+    state.text = JSON.stringify({ ...valid, readyAddress: undefined });
+    expect(await open()).toEqual({
+        kind: "invalid",
+        faults: [{ path: "readyAddress", message: "A gateway needs it." }],
+    });
+});
+
+test("a reload takes what is valid, and keeps the settings before it where it is not", async () => {
+    // Symptom: a process lost the store after its settings were written anew. Sequence: the file is half written when
+    // the signal comes. Cause: a file with faults was taken in part.
+    const { state, lines, logger, open } = createFixture();
+    const opened = await open();
+    if (opened.kind !== "opened") {
+        throw new Error("settings not valid");
+    }
+    state.text = state.text.slice(0, 40);
+    await opened.file.reload(logger);
+    expect(opened.file.current().storeAddress).toBe("10.0.0.9:80");
+    state.text = JSON.stringify({ ...valid, storeAddress: "10.0.0.8:80", gracePeriodMs: 9_000 });
+    await opened.file.reload(logger);
+    expect(opened.file.current().storeAddress).toBe("10.0.0.8:80");
+    expect(lines.map(line => line.split(" ")[0])).toEqual(["settingsInvalid", "settingsReloaded"]);
+    expect(lines[1]).toBe(
+        'settingsReloaded {"changed":"storeAddress,gracePeriodMs","atNextStart":"gracePeriodMs"}',
+    );
+});
--- /dev/null
+++ b/packages/daemon/src/createSettingsFile.ts
@@ -0,0 +1,60 @@
+import type { RoleSettings } from "@auburnarch/config/RoleSettings";
+import { validateRoleSettings } from "@auburnarch/config/validateRoleSettings";
+import type { ConfigFault } from "@auburnarch/types/ConfigFault";
+import type { Logger } from "@auburnarch/types/Logger";
+
+interface SettingsFile {
+    current(): RoleSettings;
+    /** Reads the file again. A file with faults is logged and the settings before it stay. */
+    reload(logger: Logger): Promise<void>;
+}
+
+type Opened = { kind: "opened"; file: SettingsFile; } | { kind: "invalid"; faults: ConfigFault[]; };
+
+function parse(text: string): ReturnType<typeof validateRoleSettings> {
+    try {
+        return validateRoleSettings(JSON.parse(text));
+    }
+    catch (error) {
+        return { kind: "invalid", faults: [{ path: "", message: `Not JSON: ${String(error)}` }] };
+    }
+}
+
+/** Keys whose change takes effect in a running process; the others wait for the next start. */
+const liveKeys = new Set<string>(["storeAddress"]);
+
+/** Opens the settings of a gateway or a runner. `readText` reads the file. */
+export async function createSettingsFile(readText: () => Promise<string>): Promise<Opened> {
+    const first = parse(await readText());
+    if (first.kind === "invalid") {
+        return first;
+    }
+    let { settings } = first;
+
+    function take(next: RoleSettings, logger: Logger): void {
+        const keys = [...new Set([...Object.keys(settings), ...Object.keys(next)])] as (keyof RoleSettings)[];
+        const changed = keys.filter(key => JSON.stringify(settings[key]) !== JSON.stringify(next[key]));
+        settings = next;
+        logger.info("settingsReloaded", {
+            changed: changed.join(","),
+            atNextStart: changed.filter(key => !liveKeys.has(key)).join(","),
+        });
+    }
+
+    return {
+        kind: "opened",
+        file: {
+            current: () => settings,
+            reload: async logger => {
+                const next = parse(await readText().catch(error => `unreadable: ${String(error)}`));
+                if (next.kind === "valid") {
+                    take(next.settings, logger);
+                    return;
+                }
+                for (const { path, message } of next.faults) {
+                    logger.error("settingsInvalid", { path, message });
+                }
+            },
+        },
+    };
+}
--- a/packages/daemon/src/runRole.ts
+++ b/packages/daemon/src/runRole.ts
@@ -1,9 +1,9 @@
-import { validateRoleSettings } from "@auburnarch/config/validateRoleSettings";
 import { createInvariants } from "@auburnarch/invariants/createInvariants";
 import { createLogger } from "@auburnarch/log/createLogger";
 import { createMetrics } from "@auburnarch/metrics/createMetrics";
 import { readFile } from "node:fs/promises";
 import { match } from "ts-pattern";
+import { createSettingsFile } from "./createSettingsFile.js";
 import type { ProcessContext } from "./ProcessContext.js";
 import type { RoleContext } from "./RoleContext.js";
 import type { RunningRole } from "./RunningRole.js";
@@ -22,16 +22,15 @@
 /** Runs a gateway or a runner from its settings file until a signal; resolves with the exit code. */
 export async function runRole(settingsPath: string, context: ProcessContext): Promise<number> {
     const startedAtMs = context.clock.monotonicMs();
-    const checked = validateRoleSettings(JSON.parse(await readFile(settingsPath, "utf8")));
-    if (checked.kind === "invalid") {
-        checked.faults.forEach(fault =>
-            context.writeLine(
-                `level=error event=settingsInvalid path=${fault.path} message="${fault.message}"`,
-            )
-        );
+    const opened = await createSettingsFile(() => readFile(settingsPath, "utf8"));
+    if (opened.kind === "invalid") {
+        for (const { path, message } of opened.faults) {
+            context.writeLine(`level=error event=settingsInvalid path=${path} message="${message}"`);
+        }
         return settingsExitCode;
     }
-    const { settings } = checked;
+    const { file } = opened;
+    const settings = file.current();
     const { clock, random } = context;
     const logger = createLogger(clock, context.writeLine, settings.logLevel).child({
         process: settings.name,
@@ -41,12 +40,18 @@
         logger,
         code => metrics.count("promises_broken_total", { name: code.name }),
     );
-    const running = await start({ settings, clock, random, logger, metrics, invariants });
+    const running = await start({
+        settings,
+        currentSettings: file.current,
+        clock,
+        random,
+        logger,
+        metrics,
+        invariants,
+    });
     const tookMs = Math.round(clock.monotonicMs() - startedAtMs);
     logger.info("started", { role: settings.role, failureDomain: settings.failureDomain, tookMs });
-    process.on("SIGHUP", () => {
-        logger.info("settingsReloadAsked", { path: settingsPath });
-    });
+    process.on("SIGHUP", () => void file.reload(logger));
     await waitForSignal();
     logger.info("stopping", { gracePeriodMs: settings.gracePeriodMs });
     await running.shutdown();
--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -39,8 +39,9 @@
 /** Starts what gateways and runners share: the store, the configuration, the samplers. */
 export function startCommon(context: RoleContext): Common {
     const { settings, clock, logger, metrics } = context;
-    const storeAddress = splitAddress(settings.storeAddress)!;
-    const platformStore = createPlatformStore({ ...storeAddress, clock });
+    const address = (): { host: string; port: number; } =>
+        splitAddress(context.currentSettings().storeAddress)!;
+    const platformStore = createPlatformStore({ address, clock });
     const health = createStoreHealth(platformStore, clock, metrics, logger);
     const { store } = health;
     const watched = { store, clock, logger };
--- a/packages/daemon/src/startGateway.ts
+++ b/packages/daemon/src/startGateway.ts
@@ -22,7 +22,7 @@
 
 /** Starts a gateway and resolves once it listens. */
 export async function startGateway(context: RoleContext): Promise<RunningRole> {
-    const { settings, clock, random, logger, metrics } = context;
+    const { settings, clock, random, logger, metrics, invariants } = context;
     const common = startCommon(context);
     const lots = createLotStore(common.store);
     const relay = createRelay({
@@ -31,6 +31,7 @@
         random: random.fork(),
         logger,
         metrics,
+        invariants,
         failureDomain: settings.failureDomain as FailureDomain,
     });
     const gateway = createGateway({
--- a/packages/daemon/src/startRunner.ts
+++ b/packages/daemon/src/startRunner.ts
@@ -84,6 +84,7 @@
         orders: createEngineOrders(clock, common.agentFor),
         probe,
         orderHandOverMs: settings.orderHandOverMs,
+        lotRetentionMs: settings.lotRetentionMs,
         maxLoading: settings.maxLoadingSamplers,
     });
     const registered = registerRunner({
--- /dev/null
+++ b/packages/daemon/src/testing/createPlatformBed.ts
@@ -0,0 +1,145 @@
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createSystemClock } from "@auburnarch/clock/createSystemClock";
+import type { RoleSettings } from "@auburnarch/config/RoleSettings";
+import { createInvariants } from "@auburnarch/invariants/createInvariants";
+import { createLogger } from "@auburnarch/log/createLogger";
+import { createMetrics } from "@auburnarch/metrics/createMetrics";
+import { servePlatformStore } from "@auburnarch/platform/testing/servePlatformStore";
+import { serveSampler } from "@auburnarch/platform/testing/serveSampler";
+import { request } from "node:http";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import type { RoleContext } from "../RoleContext.js";
+import type { RunningRole } from "../RunningRole.js";
+import { startGateway } from "../startGateway.js";
+import { startRunner } from "../startRunner.js";
+
+interface Called {
+    status: number;
+    headers: Record<string, unknown>;
+    body: string;
+}
+
+/** A port that nothing listens on. */
+async function freePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Gateways and runners as they run in production, on stand-ins of the platform that speak its protocol over HTTP. */
+export async function createPlatformBed() {
+    const clock = createSystemClock(true);
+    const store = await servePlatformStore();
+    const lines: string[] = [];
+    const broken: string[] = [];
+    const closers: (() => void)[] = [store.close];
+    let seed = 100;
+
+    async function contextOf(
+        role: RoleSettings["role"],
+        name: string,
+        over: Partial<RoleSettings>,
+    ): Promise<RoleContext> {
+        const internal = await freePort();
+        const settings: RoleSettings = {
+            name,
+            role,
+            failureDomain: "lugo",
+            region: "norte",
+            internalHost: "127.0.0.1",
+            internalPorts: [internal, internal],
+            storeAddress: `127.0.0.1:${store.port}`,
+            clientAddress: `127.0.0.1:${await freePort()}`,
+            readyAddress: `127.0.0.1:${await freePort()}`,
+            orderHandOverMs: 200,
+            gracePeriodMs: 4_000,
+            lotRetentionMs: 120_000,
+            maxLoadingSamplers: 2,
+            logLevel: "info",
+            ...over,
+        };
+        const logger = createLogger(clock, line => lines.push(line)).child({ process: name });
+        const invariants = createInvariants(logger, code => broken.push(code.name));
+        const metrics = createMetrics();
+        const random = createRandom(seed++);
+        return { settings, currentSettings: () => settings, clock, random, logger, metrics, invariants };
+    }
+
+    async function startGatewayAt(name: string) {
+        const context = await contextOf("gateway", name, {});
+        const role = await startGateway(context);
+        const portOf = (address: string | undefined): number => Number(address!.split(":")[1]);
+        return {
+            role,
+            port: portOf(context.settings.clientAddress),
+            readyPort: portOf(context.settings.readyAddress),
+        };
+    }
+
+    async function startRunnerAt(name: string, over: Partial<RoleSettings> = {}): Promise<RunningRole> {
+        return startRunner(await contextOf("runner", name, over));
+    }
+
+    async function addSampler(options: Parameters<typeof serveSampler>[0]) {
+        const put = (entry: Record<string, unknown>): void => store.put("servers", options.id, entry);
+        const sampler = await serveSampler({ onEntry: put, ...options });
+        put(sampler.entry());
+        closers.push(sampler.close);
+        return sampler;
+    }
+
+    function call(
+        port: number,
+        method: string,
+        path: string,
+        headers: Record<string, string> = {},
+        body = "",
+    ): Promise<Called> {
+        return new Promise((resolve, reject) => {
+            const sent = request({
+                host: "127.0.0.1",
+                port,
+                method,
+                path,
+                headers: { host: "a.example", ...headers },
+            }, answer => {
+                let text = "";
+                answer.on("data", (chunk: Buffer) => (text += chunk.toString("utf8")));
+                answer.on(
+                    "end",
+                    () => resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body: text }),
+                );
+            });
+            sent.on("error", reject);
+            sent.end(body);
+        });
+    }
+
+    /** Waits until `probe` gives a value; the test's own time limit is the only one. */
+    async function until<T>(probe: () => Promise<T | undefined> | T | undefined): Promise<T> {
+        for (;;) {
+            const value = await probe();
+            if (value !== undefined) {
+                return value;
+            }
+            await sleep(20);
+        }
+    }
+
+    return {
+        store,
+        lines,
+        broken,
+        startGatewayAt,
+        startRunnerAt,
+        addSampler,
+        call,
+        until,
+        close: () => closers.forEach(close => close()),
+    };
+}
--- a/packages/lots/src/LotStore.ts
+++ b/packages/lots/src/LotStore.ts
@@ -17,4 +17,6 @@
     appendChunk(lot: LotId, number: number, chunk: ResultChunk): Promise<ResultChunk>;
     /** Marks a job as ended; false if there is no such job. */
     end(lot: LotId): Promise<boolean>;
+    /** Deletes all that is kept of a job, its entry last, so that a deletion that breaks off is taken up again. */
+    remove(lot: LotId): Promise<void>;
 }
--- a/packages/lots/src/createLotStore.ts
+++ b/packages/lots/src/createLotStore.ts
@@ -64,7 +64,28 @@
         return outcome.kind === "written" ? "done" : "raced";
     }
 
+    /** False if there was no such object. */
+    async function removeObject(key: string): Promise<boolean> {
+        const object = await store.read(key);
+        if (object !== undefined) {
+            await store.remove(key, object.version);
+        }
+        return object !== undefined;
+    }
+
+    async function removeChunks(lot: LotId): Promise<void> {
+        let number = 0;
+        while (await removeObject(chunkKey(lot, number))) {
+            number++;
+        }
+    }
+
     return {
+        remove: async lot => {
+            await removeChunks(lot);
+            await removeObject(bodyKey(lot));
+            await removeObject(entryKey(lot));
+        },
         accept: async (lot, submittedAtMs) => {
             await store.write(bodyKey(lot.lot), lot, absent);
             const { items, policy } = lot;
--- a/packages/relay/src/RelayDeps.ts
+++ b/packages/relay/src/RelayDeps.ts
@@ -1,4 +1,5 @@
 import type { SamplerDirectory } from "@auburnarch/discovery/SamplerDirectory";
+import type { Invariants } from "@auburnarch/invariants/Invariants";
 import type { Metrics } from "@auburnarch/metrics/Metrics";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
@@ -14,6 +15,7 @@
     random: Random;
     logger: Logger;
     metrics: Metrics;
+    invariants: Invariants;
     /** Own failure domain; samplers in it are preferred. */
     failureDomain: FailureDomain;
 }
--- /dev/null
+++ b/packages/relay/src/createRelay.test.ts
@@ -0,0 +1,205 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { createInvariants } from "@auburnarch/invariants/createInvariants";
+import { createMetrics } from "@auburnarch/metrics/createMetrics";
+import type { Route } from "@auburnarch/routing/Route";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ServiceId } from "@auburnarch/types/ServiceId";
+import { expect, test } from "vitest";
+import { createRelay } from "./createRelay.js";
+import type { RelayOutcome } from "./RelayOutcome.js";
+import type { SamplerReply } from "./SamplerReply.js";
+
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
+const service = "tiles" as ServiceId;
+const sampler = (name: string, failureDomain = "lugo"): KnownSampler => ({
+    incarnation: name as IncarnationId,
+    service,
+    host: "10.0.0.1",
+    port: 1,
+    failureDomain: failureDomain as FailureDomain,
+    maxBatch: 4,
+    isDraining: false,
+    served: [],
+});
+
+async function* bytes(text: string, isCut = false): AsyncGenerator<Uint8Array> {
+    yield Buffer.from(text);
+    if (isCut) {
+        throw new Error("cut short");
+    }
+}
+
+const answered = (status: number, text = "body", isCut = false): SamplerReply => ({
+    kind: "answered",
+    status,
+    headers: {},
+    body: bytes(text, isCut),
+    signature: "proof",
+    weightVersion: undefined,
+});
+const notRun: SamplerReply = { kind: "notRun", code: resultCodes.overloaded, detail: "full" };
+const unknown: SamplerReply = { kind: "unknown", code: resultCodes.connectionBroken, detail: "reset" };
+
+/** How each sampler answers: after a delay, with a reply; `never` answers only when it is cancelled. */
+type Script = Record<string, { afterMs: number; reply: SamplerReply | "never"; }[]>;
+
+function createFixture(script: Script, samplers = Object.keys(script).map(name => sampler(name))) {
+    const clock = createFakeClock();
+    const sent: string[] = [];
+    const cancelled: string[] = [];
+    const relay = createRelay({
+        callSampler: async (request, signal) => {
+            const name = request.sampler.incarnation;
+            sent.push(`${name}@${Math.round(clock.monotonicMs())} ${Math.round(request.budgetMs)}`);
+            const step = script[name]!.shift() ?? { afterMs: 10, reply: answered(200) };
+            await clock.sleep(step.reply === "never" ? 60_000 : step.afterMs, signal);
+            if (signal.aborted) {
+                cancelled.push(`${name}@${Math.round(clock.monotonicMs())}`);
+                return unknown;
+            }
+            return step.reply as SamplerReply;
+        },
+        directory: { isKnown: () => true, serving: () => samplers, find: () => undefined },
+        clock,
+        random: createRandom(1),
+        logger: silent,
+        metrics: createMetrics(),
+        invariants: createInvariants(silent, code => {
+            throw new Error(code.name);
+        }),
+        failureDomain: "lugo" as FailureDomain,
+    });
+    const ask = (kind: Route["kind"], over: Partial<Route> = {}, deadlineMs = 2_000) => {
+        const route: Route = {
+            name: "r",
+            host: "a",
+            pathPrefix: "/",
+            kind,
+            isResumable: false,
+            timeoutMs: 1_500,
+            targetLatencyMs: 200,
+            backends: [{ service, weight: 1 }],
+            maxAttempts: 3,
+            deadlineMs: undefined,
+            itemTtlMs: undefined,
+            isSingleVersion: false,
+            ...over,
+        };
+        const caller = new AbortController();
+        const request = {
+            requestId: "q",
+            route,
+            method: "POST",
+            host: "a",
+            path: "/",
+            headers: {},
+            body: Buffer.from(""),
+            deadlineMs,
+        };
+        const outcome = relay(request, caller.signal);
+        const settled: { outcome?: RelayOutcome; atMs?: number; } = {};
+        void outcome.then(value =>
+            Object.assign(settled, { outcome: value, atMs: Math.round(clock.monotonicMs()) })
+        );
+        return { caller, settled };
+    };
+    return { clock, sent, cancelled, ask };
+}
+
+const show = ({ outcome, atMs }: { outcome?: RelayOutcome; atMs?: number; }): string =>
+    outcome === undefined
+        ? "open"
+        : `${outcome.kind === "answered" ? outcome.status : outcome.code.name} @${atMs}`;
+
+test("an idempotent request is tried elsewhere after a cut answer, a reset, a refusal and a failure", async () => {
+    // Symptom: clients got broken or failed answers while other samplers were well. Cause: the first answer, whatever
+    // it was, went on to the client.
+    const replies = [answered(200, "half", true), unknown, notRun, answered(500)];
+    const shown = [];
+    for (const reply of replies) {
+        const { clock, ask } = createFixture({
+            a: [{ afterMs: 10, reply }],
+            b: [{ afterMs: 10, reply: answered(200) }],
+        });
+        const { settled } = ask("idempotent");
+        await clock.advance(1_000);
+        shown.push(show(settled));
+    }
+    expect(shown).toEqual(["200 @20", "200 @20", "200 @20", "200 @20"]);
+});
+
+test("a late try gets a second one beside it, and the loser is cancelled after a while", async () => {
+    const { clock, sent, cancelled, ask } = createFixture({ a: [{ afterMs: 0, reply: "never" }], b: [] });
+    const { settled } = ask("idempotent");
+    await clock.advance(2_000);
+    expect(show(settled)).toBe("200 @100");
+    expect(sent).toEqual(["a@0 1500", "b@90 1410"]);
+    expect(cancelled).toEqual(["a@350"]);
+});
+
+test("a request that may run once is tried again only if it has certainly not run", async () => {
+    // Symptom: an alert went out twice. Sequence: the connection to the sampler breaks after the request was written;
+    // it is sent to another one. Cause: a broken connection taken for a request that did not run.
+    const refused = createFixture({ a: [{ afterMs: 5, reply: notRun }], b: [] });
+    const broken = createFixture({ a: [{ afterMs: 5, reply: unknown }], b: [] });
+    const first = refused.ask("nonIdempotent");
+    const second = broken.ask("nonIdempotent");
+    await refused.clock.advance(1_000);
+    await broken.clock.advance(1_000);
+    expect([show(first.settled), refused.sent.length]).toEqual(["200 @15", 2]);
+    expect([show(second.settled), broken.sent.length]).toEqual(["connectionBroken @5", 1]);
+});
+
+test("a refusal is a promise only if no try may have run", async () => {
+    const full = createFixture({ a: [{ afterMs: 5, reply: notRun }], b: [{ afterMs: 5, reply: notRun }] });
+    const mixed = createFixture({ a: [{ afterMs: 5, reply: unknown }], b: [{ afterMs: 5, reply: notRun }] });
+    const none = createFixture({});
+    const asked = [full, mixed, none].map(fixture => ({ fixture, ...fixture.ask("idempotent") }));
+    for (const { fixture } of asked) {
+        await fixture.clock.advance(1_000);
+    }
+    expect(asked.map(({ settled }) => show(settled))).toEqual([
+        "noSampler @10",
+        "connectionBroken @10",
+        "noSampler @0",
+    ]);
+});
+
+test("the route's time limit ends a request at once, and what still runs is cancelled", async () => {
+    const never = { afterMs: 0, reply: "never" as const };
+    const { clock, cancelled, ask } = createFixture({ a: [never], b: [never], c: [never] });
+    const { settled } = ask("idempotent", { timeoutMs: 400 });
+    await clock.advance(2_000);
+    expect(show(settled)).toBe("deadlineWhileRunning @400");
+    expect(cancelled.every(entry => entry.endsWith("@400"))).toBe(true);
+});
+
+test("a request is cancelled at its sampler when the caller leaves", async () => {
+    const { clock, cancelled, ask } = createFixture({ a: [{ afterMs: 0, reply: "never" }] });
+    const { caller, settled } = ask("nonIdempotent");
+    await clock.advance(50);
+    caller.abort();
+    await clock.advance(10);
+    expect([show(settled), cancelled]).toEqual(["cancelled @50", ["a@50"]]);
+});
+
+test("no more samplers are tried than the route allows", async () => {
+    const bad = () => [{ afterMs: 5, reply: unknown }];
+    const { clock, sent, ask } = createFixture({ a: bad(), b: bad(), c: bad(), d: bad() });
+    const { settled } = ask("idempotent", { maxAttempts: 2 });
+    await clock.advance(1_000);
+    expect([sent.length, show(settled)]).toEqual([2, "connectionBroken @10"]);
+});
+
+test("a sampler in the own failure domain is taken unless it is slower by more than its bytes cost", async () => {
+    const samplers = [sampler("far", "burgos"), sampler("near")];
+    const { clock, sent, ask } = createFixture({ near: [], far: [] }, samplers);
+    ask("idempotent");
+    await clock.advance(100);
+    expect(sent[0]).toMatch(/^near/u);
+});
--- a/packages/relay/src/startRelayCall.ts
+++ b/packages/relay/src/startRelayCall.ts
@@ -25,7 +25,7 @@
 
 /** Runs one request to its outcome: `settle` is called exactly once. */
 export function startRelayCall(
-    deps: Pick<RelayDeps, "clock" | "logger">,
+    deps: Pick<RelayDeps, "clock" | "logger" | "invariants">,
     samplers: SamplerTries,
     request: RelayRequest,
     signal: AbortSignal,
@@ -119,6 +119,11 @@
             }
             return;
         }
+        const isFirstRun = isRepeatable || (!mayHaveRun && underWay === 0);
+        deps.invariants.check(resultCodes.ranTwice, isFirstRun, {
+            request: request.requestId,
+            tries: ended.length,
+        });
         tried.add(sampler.incarnation);
         underWay++;
         scheduleHedge();
--- a/packages/runner/src/RunnerDeps.ts
+++ b/packages/runner/src/RunnerDeps.ts
@@ -45,6 +45,8 @@
     shelf: TextShelf;
     /** Samplers must not get orders of two holders within this time. */
     orderHandOverMs: number;
+    /** Time for which clients may read a job after they submitted it. */
+    lotRetentionMs: number;
     /** Samplers that load weights at once without slowing each other. */
     maxLoading: number;
     clock: Clock;
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -7,6 +7,7 @@
 import { createItemDispatch } from "./createItemDispatch.js";
 import { createLotBoard } from "./createLotBoard.js";
 import { createLotRun } from "./createLotRun.js";
+import { createLotSweeper } from "./createLotSweeper.js";
 import { createPeerBook } from "./createPeerBook.js";
 import { createSamplerEvidence } from "./createSamplerEvidence.js";
 import { createScoreItem } from "./createScoreItem.js";
@@ -106,6 +107,15 @@
         handOverMs: deps.orderHandOverMs,
     });
 
+    const sweeper = createLotSweeper({
+        entries: deps.entries,
+        lots,
+        maySweep: () => duty.isHeld(),
+        retentionMs: deps.lotRetentionMs,
+        clock,
+        logger,
+    });
+
     async function handOver(): Promise<void> {
         isLeaving = true;
         const left = Promise.all([board.leave(), duty.stop()]);
@@ -131,6 +141,7 @@
             storeSilentMs: Math.round(deps.storeSilentMs()),
         }),
         leave: async limitMs => {
+            sweeper.stop();
             retirement.stop();
             const left = handOver().then(() => dispatch.stop());
             const limit = new AbortController();
