Leave jobs where they run after an outage and in a cut; test discovery

Change: a second of grace after the store is regained; a runner that hears none of several peers leaves them their jobs for 6 s; of two runs of a job the longer one goes on.

--- a/packages/daemon/src/createStoreHealth.ts
+++ b/packages/daemon/src/createStoreHealth.ts
@@ -10,6 +10,8 @@
     silentMs(): number;
     /** Milliseconds since it last answered. */
     heardMs(): number;
+    /** Milliseconds since calls began to succeed again after failures; infinite if none failed yet. */
+    regainedMs(): number;
 }
 
 /** Every call is charged; this line tells which ones. */
@@ -25,6 +27,7 @@
     const counts = new Map<string, number>();
     let failingSinceMs: number | undefined;
     let heardAtMs = -Infinity;
+    let regainedAtMs = -Infinity;
 
     async function note<T>(call: string, key: string, run: () => Promise<T>): Promise<T> {
         const kind = key.slice(0, Math.max(0, key.indexOf("/")));
@@ -32,7 +35,10 @@
         counts.set(`${call}:${kind}`, (counts.get(`${call}:${kind}`) ?? 0) + 1);
         try {
             const result = await run();
-            failingSinceMs = undefined;
+            if (failingSinceMs !== undefined) {
+                failingSinceMs = undefined;
+                regainedAtMs = clock.monotonicMs();
+            }
             heardAtMs = clock.monotonicMs();
             metrics.observeMs(
                 "store_calls_ms",
@@ -72,6 +78,7 @@
                 note("watch", prefix, () => inner.watch(prefix, revision, waitMs)),
         },
         heardMs: () => clock.monotonicMs() - heardAtMs,
+        regainedMs: () => clock.monotonicMs() - regainedAtMs,
         silentMs: () => failingSinceMs === undefined ? 0 : clock.monotonicMs() - failingSinceMs,
     };
 }
--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -23,6 +23,7 @@
     store: ObjectStore;
     storeSilentMs: () => number;
     storeHeardMs: () => number;
+    storeRegainedMs: () => number;
     tables: WatchedKind<RoutingTable>;
     routing: RoutingView;
     directory: SamplerDirectory;
@@ -60,6 +61,7 @@
         store,
         storeSilentMs: health.silentMs,
         storeHeardMs: health.heardMs,
+        storeRegainedMs: health.regainedMs,
         tables,
         routing: createRoutingView(tables, logger),
         directory: createSamplerDirectory(samplers, clock, logger),
--- /dev/null
+++ b/packages/discovery/src/discovery.test.ts
@@ -0,0 +1,131 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
+import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
+import type { ConfigVersion } from "@auburnarch/types/ConfigVersion";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { LogFields } from "@auburnarch/types/LogFields";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { ServiceId } from "@auburnarch/types/ServiceId";
+import { expect, test } from "vitest";
+import { createRoutingView } from "./createRoutingView.js";
+import { createSamplerDirectory } from "./createSamplerDirectory.js";
+import type { KnownSampler } from "./KnownSampler.js";
+import { watchKind } from "./watchKind.js";
+
+const absent = 0 as ObjectVersion;
+const service = "tiles" as ServiceId;
+const entryOf = (name: string, isDraining = false): KnownSampler => ({
+    incarnation: name as IncarnationId,
+    service,
+    host: "10.0.0.1",
+    port: 1,
+    failureDomain: "lugo" as FailureDomain,
+    maxBatch: 4,
+    isDraining,
+    served: [],
+});
+
+function createFixture(historyChanges?: number) {
+    const clock = createFakeClock();
+    const { store, control } = createFakeObjectStore({ clock, random: createRandom(4), latencyMs: 2, historyChanges });
+    const lines: string[] = [];
+    const note = (event: string, _fields?: LogFields): void => void lines.push(event);
+    const logger: Logger = { info: note, warn: note, error: note, child: () => logger };
+    const settle = async <T>(call: Promise<T>): Promise<T> => {
+        await clock.advance(20);
+        return call;
+    };
+    const put = async (key: string, value: unknown): Promise<void> => {
+        const current = await settle(store.read(key));
+        await settle(store.write(key, value, current?.version ?? absent));
+    };
+    const remove = async (key: string): Promise<void> => {
+        const current = await settle(store.read(key));
+        await settle(store.remove(key, current!.version));
+    };
+    const watched = { store, clock, logger };
+    const samplers = () => watchKind<KnownSampler>({ ...watched, kind: "servers", decode: (_name, value) => value as KnownSampler });
+    return { clock, control, lines, logger, put, remove, watched, samplers };
+}
+
+test("a copy follows changes, through an outage and through lost history", async () => {
+    const { clock, control, lines, put, remove, samplers } = createFixture(2);
+    const watch = samplers();
+    const names = (): string[] => [...watch.objects()?.keys() ?? []].sort();
+    expect(watch.objects()).toBeUndefined();
+    await put("servers/a", entryOf("a"));
+    await put("servers/b", entryOf("b"));
+    await clock.advance(200);
+    expect(names()).toEqual(["a", "b"]);
+    await remove("servers/a");
+    await clock.advance(200);
+    expect(names()).toEqual(["b"]);
+    control.setOutage(true);
+    await clock.advance(6_000);
+    expect(names()).toEqual(["b"]);
+    control.setOutage(false);
+    for (const name of ["c", "d", "e", "f"]) {
+        await put(`servers/${name}`, entryOf(name));
+    }
+    await clock.advance(6_000);
+    expect(names()).toEqual(["b", "c", "d", "e", "f"]);
+    expect(lines.filter(line => line.startsWith("store"))).toEqual(["storeLost", "storeRegained"]);
+    watch.stop();
+});
+
+test("a sampler whose entry lapsed in an outage is kept until it can have registered again, a draining one is not", async () => {
+    // Symptom: after each outage of the store all requests were refused for a second. Sequence: the store is down for
+    // longer than samplers' entries live; it comes back without them; they register again within two seconds. Cause:
+    // an entry that lapsed was taken for a sampler that left.
+    const { clock, control, logger, put, remove, samplers } = createFixture();
+    await put("servers/a", entryOf("a"));
+    await put("servers/b", entryOf("b", true));
+    const directory = createSamplerDirectory(samplers(), clock, logger);
+    const serving = (): string[] => directory.serving(service).map(sampler => sampler.incarnation);
+    await clock.advance(1_000);
+    expect(serving()).toEqual(["a"]);
+    control.setOutage(true);
+    await clock.advance(5_000);
+    control.setOutage(false);
+    await remove("servers/a");
+    await remove("servers/b");
+    await clock.advance(800);
+    expect(serving()).toEqual(["a"]);
+    await clock.advance(4_000);
+    expect(serving()).toEqual([]);
+});
+
+test("a sampler that leaves in calm times gets nothing more at once", async () => {
+    const { clock, logger, put, remove, samplers } = createFixture();
+    await put("servers/a", entryOf("a"));
+    await put("servers/b", entryOf("b"));
+    const directory = createSamplerDirectory(samplers(), clock, logger);
+    const serving = (): string[] => directory.serving(service).map(sampler => sampler.incarnation);
+    await clock.advance(200);
+    await put("servers/a", entryOf("a", true));
+    await clock.advance(50);
+    expect(serving()).toEqual(["b"]);
+    await remove("servers/b");
+    await clock.advance(50);
+    expect(serving()).toEqual([]);
+});
+
+test("the configuration never goes back, whatever the store shows", async () => {
+    // Symptom: a route that had been served was refused as unknown. Sequence: the process lists at a replica that
+    // lags. Cause: what was read last was taken for what is newest.
+    const { clock, lines, logger, put, watched } = createFixture();
+    const tableOf = (version: number): RoutingTable => ({ version: version as ConfigVersion, routes: [] }) as unknown as RoutingTable;
+    const tables = watchKind<RoutingTable>({ ...watched, kind: "config", decode: (_name, value) => value as RoutingTable });
+    const view = createRoutingView(tables, logger);
+    const seen: (number | undefined)[] = [view()?.version];
+    for (const version of [3, 9, 4, 12]) {
+        await put("config/main", tableOf(version));
+        await clock.advance(200);
+        seen.push(view()?.version);
+    }
+    expect(seen).toEqual([undefined, 3, 9, 9, 12]);
+    expect(lines).toContain("configOlderIgnored");
+});
--- a/packages/runner/src/RunnerDeps.ts
+++ b/packages/runner/src/RunnerDeps.ts
@@ -30,6 +30,8 @@
     storeSilentMs: () => number;
     /** Milliseconds since the store last answered this process. */
     storeHeardMs: () => number;
+    /** Milliseconds since calls succeed again; infinite if none ever failed. */
+    storeRegainedMs: () => number;
     routing: RoutingView;
     directory: SamplerDirectory;
     entries: WatchedKind<LotEntry>;
--- a/packages/runner/src/RunnerStatus.ts
+++ b/packages/runner/src/RunnerStatus.ts
@@ -1,11 +1,11 @@
-import type { LotId } from "@auburnarch/lots/LotId";
+import type { RunningLot } from "./RunningLot.js";
 
 /** What a runner tells its peers when they probe it. */
 export interface RunnerStatus {
     /** Unique to one start of the process. */
     incarnation: string;
     /** Jobs whose items it runs. */
-    running: LotId[];
+    running: RunningLot[];
     /** It gives samplers their orders. */
     holdsWeights: boolean;
     /** It shuts down, or its VM is to be emptied: others take its jobs. */
--- a/packages/runner/src/chooseOwner.test.ts
+++ b/packages/runner/src/chooseOwner.test.ts
@@ -24,7 +24,8 @@
 const names = ["r1", "r2", "r3", "r4"];
 const policies = ["plume", "ridge", "valley"] as PolicyId[];
 const policy = policies[0]!;
-const common = { policies, holdsWeights: false };
+const common = { policies, holdsWeights: false, aloneMs: 0 };
+const running = (...lots: string[]) => lots.map(name => ({ lot: lot(name), runMs: 1_000 }));
 
 test("all runners agree on one owner, and jobs of a trainer have the same", () => {
     const owners = names.flatMap(self =>
@@ -44,7 +45,7 @@
 
 test("a runner that has a job keeps it when another joins", () => {
     for (const holder of names.slice(1)) {
-        const peers = names.slice(1).map(each => peer(each, { running: each === holder ? [lot("a")] : [] }));
+        const peers = names.slice(1).map(each => peer(each, { running: running(...each === holder ? ["a"] : []) }));
         expect(chooseOwner({ ...common, lot: lot("a"), policy, self: "r1", peers, isStoreHere: true })).toBe(
             holder,
         );
@@ -53,8 +54,8 @@
 
 test("dead and leaving runners lose their jobs", () => {
     const peers = [
-        peer("r2", { running: [lot("a")] }, false),
-        peer("r3", { running: [lot("a")], isLeaving: true }),
+        peer("r2", { running: running("a") }, false),
+        peer("r3", { running: running("a"), isLeaving: true }),
     ];
     expect(chooseOwner({ ...common, lot: lot("a"), policy, self: "r1", peers, isStoreHere: true })).toBe(
         "r1",
@@ -65,7 +66,7 @@
     // Symptom: in an outage of the store one runner took all jobs over and ran them again beside the others.
     // Sequence: the store goes down; three runners notice by their next call; the fourth has not called for seconds
     // and hears from its peers that they have lost the store. Cause: it took no news for a working store.
-    const peers = [peer("r2", { running: [lot("a")], storeSilentMs: 3_000 })];
+    const peers = [peer("r2", { running: running("a"), storeSilentMs: 3_000 })];
     expect(chooseOwner({ ...common, lot: lot("a"), policy, self: "r1", peers, isStoreHere: false })).toBe(
         "r2",
     );
@@ -84,9 +85,22 @@
             policies,
             self: "r1",
             holdsWeights: false,
+            aloneMs: 0,
             peers: [peer("r2", { holdsWeights: true }), peer("r3"), peer("r4")],
             isStoreHere: true,
         })
     );
     expect(owners).toEqual(["r1", "r3", "r4"]);
 });
+
+test("a runner that hears none of several peers leaves them their jobs for a while", () => {
+    // Symptom: during a cut one runner ran the jobs of all others again, and after it theirs were stopped in favour of
+    // its later runs. Sequence: one VM is cut off from the other runners and reaches store and samplers. Cause: it
+    // took all others for dead at once.
+    const dead = ["r2", "r3", "r4"].map(name => peer(name, { running: name === "r3" ? running("a") : [] }, false));
+    const owner = (aloneMs: number): string =>
+        chooseOwner({ ...common, lot: lot("a"), policy, self: "r1", peers: dead, aloneMs, isStoreHere: true });
+    expect([owner(1_000), owner(7_000)]).toEqual(["r3", "r1"]);
+    const others = [dead[1]!, peer("r4")];
+    expect(chooseOwner({ ...common, lot: lot("a"), policy, self: "r1", peers: others, isStoreHere: true })).toBe("r1");
+});
--- a/packages/runner/src/chooseOwner.ts
+++ b/packages/runner/src/chooseOwner.ts
@@ -12,6 +12,8 @@
     self: string;
     holdsWeights: boolean;
     peers: PeerView[];
+    /** For how long no peer has answered; 0 if one has. */
+    aloneMs: number;
     /** The store has answered this process just now. */
     isStoreHere: boolean;
 }
@@ -24,6 +26,12 @@
 const canRun = (peer: PeerView, isStoreHere: boolean): boolean =>
     peer.isAlive && peer.status?.isLeaving !== true && !(isStoreHere && isStorelessLong(peer));
 
+/**
+ * Alone against several peers, this runner is more likely to be cut off than they are to be dead. Their jobs go on
+ * where they run; if they are gone indeed, this time is lost once.
+ */
+const aloneGraceMs = 6_000;
+
 const byName = (a: { name: string; }, b: { name: string; }): number => (a.name < b.name ? -1 : 1);
 
 /**
@@ -35,8 +43,13 @@
  */
 export function chooseOwner(query: OwnerQuery): string {
     const { lot, policy, policies, self, holdsWeights, peers, isStoreHere } = query;
+    const holder = peers.find(peer => peer.status?.running.some(each => each.lot === lot) === true);
+    const isAlone = peers.length > 1 && peers.every(peer => !peer.isAlive);
+    if (isAlone && holder !== undefined && query.aloneMs < aloneGraceMs) {
+        return holder.name;
+    }
     const able = peers.filter(peer => canRun(peer, isStoreHere)).sort(byName);
-    const current = able.find(peer => peer.status?.running.includes(lot));
+    const current = able.find(peer => peer.status?.running.some(each => each.lot === lot));
     if (current !== undefined) {
         return current.name;
     }
--- a/packages/runner/src/createLotBoard.ts
+++ b/packages/runner/src/createLotBoard.ts
@@ -28,6 +28,8 @@
 }
 
 const tickMs = 200;
+/** What a peer says is up to a probe old; below this lead both go on, and the store lists each item once. */
+const doubledLeadMs = 600;
 /** A job this old is of no use to its trainer any more, even if nobody ended it. */
 const maxAgeMs = 180_000;
 
@@ -35,12 +37,15 @@
 export function createLotBoard(deps: LotBoardDeps): LotBoard {
     const { clock, logger } = deps;
     const runs = new Map<LotId, LotRun>();
+    const startedAtMs = new Map<LotId, number>();
     const finished = new Set<LotId>();
     let isLeaving = false;
+    let aloneSinceMs: number | undefined;
 
     function stopRun(lot: LotId, reason: string): void {
         const run = runs.get(lot);
         runs.delete(lot);
+        startedAtMs.delete(lot);
         logger.info("lotLeft", { lot, reason });
         void run?.stop(false);
     }
@@ -63,18 +68,29 @@
         }
     }
 
-    /** Of two runners that believed a job theirs at the same moment, the first by name goes on. */
+    const runMsOf = (lot: LotId): number => Math.round(clock.monotonicMs() - (startedAtMs.get(lot) ?? 0));
+
+    /** Of two runners that believed a job theirs, the one that has run it for longer goes on, since it has made more. */
     function dropDoubled(): void {
-        for (const peer of deps.peers.peers()) {
-            const isFirst = peer.isAlive && peer.name < deps.self && peer.status?.isLeaving === false;
-            for (const lot of peer.status?.running ?? []) {
-                if (isFirst && runs.has(lot) && peer.status?.storeSilentMs === 0) {
-                    stopRun(lot, `doubled by ${peer.name}`);
+        for (const { name, isAlive, status } of deps.peers.peers()) {
+            if (!isAlive || status === undefined || status.isLeaving || status.storeSilentMs > 0) {
+                continue;
+            }
+            for (const { lot, runMs } of status.running) {
+                const leadMs = runs.has(lot) ? runMs - runMsOf(lot) : 0;
+                if (leadMs > doubledLeadMs) {
+                    stopRun(lot, `doubled by ${name}`);
                 }
             }
         }
     }
 
+    function aloneMs(): number {
+        const isAlone = deps.peers.peers().every(peer => !peer.isAlive);
+        aloneSinceMs = isAlone ? aloneSinceMs ?? clock.monotonicMs() : undefined;
+        return aloneSinceMs === undefined ? 0 : clock.monotonicMs() - aloneSinceMs;
+    }
+
     function isOpen(lot: LotId, entry: LotEntry): boolean {
         const isCurrent = clock.wallMs() - entry.submittedAtMs < maxAgeMs;
         return !entry.isEnded && isCurrent && !runs.has(lot) && !finished.has(lot);
@@ -106,6 +122,7 @@
                 self: deps.self,
                 holdsWeights: deps.holdsWeights(),
                 peers,
+                aloneMs: aloneMs(),
                 isStoreHere: deps.isStoreHere(),
             });
             if (owner === deps.self) {
@@ -114,6 +131,7 @@
                     total: entry.total,
                     ageMs: Math.round(clock.wallMs() - entry.submittedAtMs),
                 });
+                startedAtMs.set(lot, clock.monotonicMs());
                 runs.set(lot, deps.startRun(lot, entry));
             }
         }
@@ -128,7 +146,7 @@
     let cancelTick = clock.startTimer(tickMs, tick);
     deps.entries.onChange(refresh);
     return {
-        running: () => [...runs.keys()],
+        running: () => [...runs.keys()].map(lot => ({ lot, runMs: runMsOf(lot) })),
         refresh,
         leave: async () => {
             isLeaving = true;
--- a/packages/runner/src/createPeerBook.ts
+++ b/packages/runner/src/createPeerBook.ts
@@ -37,6 +37,8 @@
 /** A stopped process hears nobody; after a gap like this between two of its own rounds it trusts no silence. */
 const ownGapMs = 1_000;
 
+const lotsOf = (status: RunnerStatus | undefined): string => (status?.running ?? []).map(each => each.lot).join(" ");
+
 /** Keeps a view of the other runners by probing each. */
 export function createPeerBook(deps: PeerBookDeps): PeerBook {
     const { clock, logger } = deps;
@@ -69,7 +71,7 @@
         if (!peer.isAlive) {
             logger.info("runnerBack", { runner: peer.name, incarnation: status.incarnation });
         }
-        const isChanged = !peer.isAlive || JSON.stringify(before?.running) !== JSON.stringify(status.running)
+        const isChanged = !peer.isAlive || lotsOf(before) !== lotsOf(status)
             || before?.isLeaving !== status.isLeaving;
         peer.isAlive = true;
         if (isChanged) {
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -22,6 +22,11 @@
 /** An answer this old says nothing of the store any more. */
 const storeHereMs = 600;
 const storeCheckIntervalMs = 400;
+/**
+ * What peers last said of the store is up to a probe old. Right after an outage each runner would believe that it alone
+ * has the store back, and take over the jobs of all others.
+ */
+const regainedGraceMs = 1_000;
 
 /** Puts a runner together and starts it. */
 export function createRunner(deps: RunnerDeps): Runner {
@@ -73,7 +78,10 @@
         listPolicies: () => [...routing()?.services.values() ?? []].flatMap(({ policies }) => policies),
         holdsWeights: () => duty.isHeld(),
         mayStart: () => routing() !== undefined && directory.isKnown(),
-        isStoreHere: () => deps.storeSilentMs() === 0 && deps.storeHeardMs() < storeHereMs,
+        isStoreHere: () =>
+            deps.storeSilentMs() === 0
+            && deps.storeHeardMs() < storeHereMs
+            && deps.storeRegainedMs() > regainedGraceMs,
         checkStore,
         startRun: (lot, entry) =>
             createLotRun({
