Record and look for the last results of a job sooner

Cause: the last quarter of a step waited up to 350 ms to be recorded and 500 ms to be looked for; a trainer's cycle of two steps is 8 s. Change: 80 ms and 200 ms there.

--- a/packages/lots/src/createLotReader.ts
+++ b/packages/lots/src/createLotReader.ts
@@ -20,6 +20,9 @@
  * all calls of a calm day (1,360 of 3,162, counted by kind). A step takes seconds.
  */
 const lookIntervalMs = 500;
+/** The last third of a job is what its trainer waits for. */
+const lastLookIntervalMs = 200;
+const lastPart = 0.67;
 /** Results in one answer, in characters; the platform's bound is a megabyte, and quoting may double a character. */
 const maxPageChars = 400_000;
 /** Memory for results of all jobs together, in characters. The jobs read longest ago go first. */
@@ -135,7 +138,8 @@
                 if (copy.results.length > after || leftMs <= 0 || signal.aborted) {
                     break;
                 }
-                await clock.sleep(Math.min(lookIntervalMs, leftMs), signal);
+                const isLast = copy.results.length > lastPart * copy.total;
+                await clock.sleep(Math.min(isLast ? lastLookIntervalMs : lookIntervalMs, leftMs), signal);
             }
             return pageOf(copy, after);
         },
--- a/packages/runner/src/createLotRun.ts
+++ b/packages/runner/src/createLotRun.ts
@@ -14,7 +14,7 @@
 export function createLotRun(deps: LotRunDeps): LotRun {
     const { lot: lotId, entry, lots, clock, logger } = deps;
     const stopped = createStopController();
-    const recorder = createRecorder({ ...deps, onRecorded: item => items.close(item) });
+    const recorder = createRecorder({ ...deps, total: entry.total, onRecorded: item => items.close(item) });
     const items = createLotItems(deps, recorder, stopped.signal);
     let cancelExpiry = (): void => {};
 
--- a/packages/runner/src/createRecorder.ts
+++ b/packages/runner/src/createRecorder.ts
@@ -14,6 +14,8 @@
 interface RecorderDeps {
     lot: LotId;
     lots: LotStore;
+    /** Items of the job. */
+    total: number;
     /** Called for each item that stands in the store now, whoever made it. */
     onRecorded: (item: SampleId) => void;
     clock: Clock;
@@ -27,6 +29,12 @@
  * waits for whole groups, whose items end within seconds of each other.
  */
 const gatherMs = 350;
+/**
+ * The last quarter of a job is what its trainer waits for: there a result is recorded soon. At 350 ms for all a step
+ * took up to 0.3 s longer, one part in 28 of a trainer's cycle.
+ */
+const lastGatherMs = 80;
+const lastPart = 0.75;
 const retryMs = 200;
 /** Outputs in one record, in characters; a stored value may have a megabyte, and quoting may double a character. */
 const maxChunkChars = 400_000;
@@ -85,7 +93,8 @@
 
     async function run(): Promise<void> {
         while (waiting.length > 0 && !stopped.signal.aborted) {
-            await clock.sleep(gatherMs, hurry.signal);
+            const isLast = done.size + waiting.length > lastPart * deps.total;
+            await clock.sleep(isLast ? lastGatherMs : gatherMs, hurry.signal);
             try {
                 if (waiting.length > 0 && !stopped.signal.aborted) {
                     await recordOnce();
