Give each policy half more samplers; runners tell each other what they have out

Cause: a step of 36 to 56 items had 24 places, so items whose hint was too low began a second or two late and the step ended with them. Change: shares of 1.5; room is what neither this runner nor its peers have filled; an overdue load goes to the next sampler where the first is taken.

--- a/packages/runner/src/RunnerStatus.ts
+++ b/packages/runner/src/RunnerStatus.ts
@@ -6,6 +6,8 @@
     incarnation: string;
     /** Jobs whose items it runs. */
     running: RunningLot[];
+    /** Runs that it has out, by the incarnation of their sampler. */
+    sent: Record<string, number>;
     /** It gives samplers their orders. */
     holdsWeights: boolean;
     /** It shuts down, or its VM is to be emptied: others take its jobs. */
--- a/packages/runner/src/SamplerEvidence.ts
+++ b/packages/runner/src/SamplerEvidence.ts
@@ -11,6 +11,8 @@
     noteEnded(sampler: IncarnationId): void;
     /** Runs of this process there. */
     running(sampler: IncarnationId): number;
+    /** All runs of this process, by sampler. */
+    allRunning(): Record<string, number>;
     /** It failed lately, or is silent though runs are there. */
     isSuspected(sampler: IncarnationId): boolean;
 }
--- a/packages/runner/src/createItemDispatch.ts
+++ b/packages/runner/src/createItemDispatch.ts
@@ -37,6 +37,8 @@
     callSampler: CallSampler;
     readEvents: ReadItemEvents;
     evidence: SamplerEvidence;
+    /** Runs that other runners have at a sampler, as of their last answer. */
+    sentByPeers: (sampler: IncarnationId) => number;
     clock: Clock;
     random: Random;
     logger: Logger;
@@ -116,7 +118,8 @@
 
     function describeForPolicy(lot: Lot, incarnation: IncarnationId): SamplerView["report"] {
         const sampler = directory.find(incarnation)!;
-        const report = describeSampler(sampler, evidence.running(incarnation));
+        const running = evidence.running(incarnation) + deps.sentByPeers(incarnation);
+        const report = describeSampler(sampler, running);
         return lot.policy === undefined
             ? { ...report, served: [{ policy: anyPolicy, version: lot.minVersion }] }
             : report;
--- a/packages/runner/src/createItemPolicy.ts
+++ b/packages/runner/src/createItemPolicy.ts
@@ -3,11 +3,11 @@
 import { hasShownPace } from "@auburnarch/dispatch/hasShownPace";
 import { holdNever } from "@auburnarch/dispatch/holdNever";
 import { priorityFixed } from "@auburnarch/dispatch/priorityFixed";
-import { roomWithinLimit } from "@auburnarch/dispatch/roomWithinLimit";
 import { thinNever } from "@auburnarch/dispatch/thinNever";
 import { pickEarliestFinish } from "@auburnarch/pick/pickEarliestFinish";
 import { orderByStepAndLength } from "@auburnarch/queue/orderByStepAndLength";
 import { createHintedLengthModel } from "./createHintedLengthModel.js";
+import { roomBesidePeers } from "./roomBesidePeers.js";
 
 /**
  * A run moves for 30 % and 300 ms of its time left. Reading a prompt of a thousand tokens and what was made costs 3 to
@@ -31,7 +31,7 @@
         order: orderByStepAndLength,
         pick: pickEarliestFinish,
         hold: holdNever,
-        room: roomWithinLimit,
+        room: roomBesidePeers,
         thin: thinNever,
         movable: hasShownPace,
         move: moveRule,
--- a/packages/runner/src/createPeerBook.ts
+++ b/packages/runner/src/createPeerBook.ts
@@ -37,7 +37,8 @@
 /** A stopped process hears nobody; after a gap like this between two of its own rounds it trusts no silence. */
 const ownGapMs = 1_000;
 
-const lotsOf = (status: RunnerStatus | undefined): string => (status?.running ?? []).map(each => each.lot).join(" ");
+const lotsOf = (status: RunnerStatus | undefined): string =>
+    (status?.running ?? []).map(each => each.lot).join(" ");
 
 /** Keeps a view of the other runners by probing each. */
 export function createPeerBook(deps: PeerBookDeps): PeerBook {
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -3,6 +3,7 @@
 import { createRelay } from "@auburnarch/relay/createRelay";
 import { findRoute } from "@auburnarch/routing/findRoute";
 import type { Route } from "@auburnarch/routing/Route";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import { createAwakeGuard } from "./createAwakeGuard.js";
 import { createItemDispatch } from "./createItemDispatch.js";
 import { createLotBoard } from "./createLotBoard.js";
@@ -35,7 +36,9 @@
     const evidence = createSamplerEvidence(clock);
     const relay = createRelay({ ...deps, random: random.fork() });
     const scoreItem = createScoreItem({ relay, routing, clock, logger });
-    const dispatch = createItemDispatch({ ...deps, random: random.fork(), evidence });
+    const sentByPeers = (sampler: IncarnationId): number =>
+        peers.peers().reduce((sum, peer) => sum + (peer.isAlive ? peer.status?.sent[sampler] ?? 0 : 0), 0);
+    const dispatch = createItemDispatch({ ...deps, random: random.fork(), evidence, sentByPeers });
     const leases = createLeaseKeeper({
         ...deps,
         random: random.fork(),
@@ -144,6 +147,7 @@
         status: () => ({
             incarnation: deps.incarnation,
             running: board.running(),
+            sent: evidence.allRunning(),
             holdsWeights: duty.isHeld(),
             isLeaving,
             storeSilentMs: Math.round(deps.storeSilentMs()),
--- a/packages/runner/src/createSamplerEvidence.ts
+++ b/packages/runner/src/createSamplerEvidence.ts
@@ -67,6 +67,10 @@
             of(sampler).running--;
         },
         running: sampler => samplers.get(sampler)?.running ?? 0,
+        allRunning: () => {
+            const busy = [...samplers].filter(([, known]) => known.running > 0);
+            return Object.fromEntries(busy.map(([sampler, known]) => [sampler, known.running]));
+        },
         isSuspected: sampler => {
             const known = samplers.get(sampler);
             const nowMs = clock.monotonicMs();
--- a/packages/runner/src/planLoads.ts
+++ b/packages/runner/src/planLoads.ts
@@ -36,6 +36,13 @@
     urgency: number;
 }
 
+/**
+ * Samplers of a policy, against an equal share without overlap. Runs of several policies share a sampler's places, and
+ * a step's items start at once more often; each further sampler costs a load for each version.
+ */
+const shareFactor = 1.5;
+/** Urgency of a load that is made while a job is open. */
+const overdue = 1;
 /** A step may be made of the version before the newest named one, and of no older. */
 const usableLag = 1;
 /**
@@ -63,7 +70,10 @@
 
 /** Gives each policy the same number of samplers, and each sampler about as many policies as any other. */
 function assign({ samplers, needs, assigned }: PlanLoadsInput): void {
-    const share = Math.ceil(samplers.length / Math.max(1, needs.length));
+    const share = Math.min(
+        samplers.length,
+        Math.ceil(samplers.length * shareFactor / Math.max(1, needs.length)),
+    );
     const most = Math.ceil(needs.length * share / Math.max(1, samplers.length));
     const present = new Set(samplers.map(sampler => sampler.incarnation));
     const load = new Map<IncarnationId, number>();
@@ -88,32 +98,26 @@
 }
 
 /** 3: of no use until loaded; 2: nobody is held up by it; 1: overdue, one sampler at a time; 0: not now. */
-function urgencyOf(need: PolicyNeed, served: number, isLoadingOne: boolean): number {
+function urgencyOf(need: PolicyNeed, served: number): number {
     if (served < (need.target ?? 0) - usableLag) {
         return 3;
     }
     if (need.isQuiet) {
         return 2;
     }
-    return need.namedMs > latestAfterNamedMs && !isLoadingOne ? 1 : 0;
+    return need.namedMs > latestAfterNamedMs ? overdue : 0;
 }
 
 function listDue(input: PlanLoadsInput): DueLoad[] {
     const due: DueLoad[] = [];
     for (const need of input.needs) {
         const { policy, target } = need;
-        let isLoadingOne = [...input.blocked.values()].includes(policy);
         for (const sampler of input.samplers) {
             const served = versionOf(sampler, policy);
             const isOwn = input.assigned.get(policy)!.has(sampler.incarnation);
-            if (
-                target === undefined || !isOwn || served >= target || input.blocked.has(sampler.incarnation)
-            ) {
-                continue;
-            }
-            const urgency = urgencyOf(need, served, isLoadingOne);
-            isLoadingOne ||= urgency === 1;
-            if (urgency > 0) {
+            const isFree = !input.blocked.has(sampler.incarnation);
+            const urgency = urgencyOf(need, served);
+            if (target !== undefined && isOwn && isFree && served < target && urgency > 0) {
                 due.push({ sampler, policy, version: target, urgency });
             }
         }
@@ -129,10 +133,13 @@
     assign(input);
     const chosen: Load[] = [];
     const taken = new Set<IncarnationId>();
-    for (const { sampler, policy, version } of listDue(input)) {
+    const loading = new Set(input.blocked.values());
+    for (const { sampler, policy, version, urgency } of listDue(input)) {
         const isRoom = input.loading + chosen.length < input.maxLoading;
-        if (isRoom && !taken.has(sampler.incarnation)) {
+        const isInTurn = urgency !== overdue || !loading.has(policy);
+        if (isRoom && isInTurn && !taken.has(sampler.incarnation)) {
             taken.add(sampler.incarnation);
+            loading.add(policy);
             chosen.push({ sampler, policy, version });
         }
     }
