Bound the loads at once by the size of the service; idle runners gather changes

Idle runners took each load's change by a call of their own. Change: one in 3.75 of the samplers, two at least; one sampler more than an equal share for each policy instead of half more, which is the same on six; runners without jobs and orders gather 800 ms.

--- a/packages/config/src/roleSettingsSchema.ts
+++ b/packages/config/src/roleSettingsSchema.ts
@@ -21,6 +21,6 @@
     orderHandOverMs: milliseconds,
     gracePeriodMs: milliseconds,
     lotRetentionMs: milliseconds.default(120_000),
-    maxLoadingSamplers: z.int().min(1).default(2),
+    maxLoadingSamplers: z.int().min(1).optional(),
     logLevel: z.enum(["info", "warn", "error"]).default("info"),
 });
--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -33,13 +33,17 @@
 
 /**
  * Changes of samplers close together (each load of weights shows as one) are taken by one call of the watch. Gateways
- * only need to know who drains, within two seconds; runners wait for the end of loads.
+ * and idle runners only need to know who drains, within two seconds; busy runners wait for the end of loads.
  */
-const samplerGatherMs = { gateway: 800, runner: 150 };
+const idleGatherMs = 800;
+const busyGatherMs = 150;
 
-/** Starts what gateways and runners share: the store, the configuration, the samplers. */
-export function startCommon(context: RoleContext): Common {
-    const { settings, clock, logger, metrics } = context;
+/**
+ * Starts what gateways and runners share: the store, the configuration, the samplers. `isBusy` is true while runs or
+ * loads here depend on what samplers serve.
+ */
+export function startCommon(context: RoleContext, isBusy: () => boolean): Common {
+    const { clock, logger, metrics } = context;
     const address = (): { host: string; port: number; } =>
         splitAddress(context.currentSettings().storeAddress)!;
     const platformStore = createPlatformStore({ address, clock });
@@ -53,7 +57,7 @@
         ...watched,
         kind: platformKinds.samplers,
         decode: decodeSampler,
-        gatherMs: samplerGatherMs[settings.role],
+        gatherMs: () => isBusy() ? busyGatherMs : idleGatherMs,
     });
     const agentFor = createSamplerAgents();
     return {
--- a/packages/daemon/src/startGateway.ts
+++ b/packages/daemon/src/startGateway.ts
@@ -23,7 +23,7 @@
 /** Starts a gateway and resolves once it listens. */
 export async function startGateway(context: RoleContext): Promise<RunningRole> {
     const { settings, clock, random, logger, metrics, invariants } = context;
-    const common = startCommon(context);
+    const common = startCommon(context, () => false);
     const lots = createLotStore(common.store);
     const relay = createRelay({
         ...common,
--- a/packages/daemon/src/startRunner.ts
+++ b/packages/daemon/src/startRunner.ts
@@ -38,7 +38,8 @@
 /** Starts a runner and resolves once its peers can reach it. */
 export async function startRunner(context: RoleContext): Promise<RunningRole> {
     const { settings, clock, random, logger } = context;
-    const common = startCommon(context);
+    let isBusy = (): boolean => false;
+    const common = startCommon(context, () => isBusy());
     const { store } = common;
     const watched = { store, clock, logger };
     const agent = new Agent({ keepAlive: true });
@@ -87,6 +88,10 @@
         lotRetentionMs: settings.lotRetentionMs,
         maxLoading: settings.maxLoadingSamplers,
     });
+    isBusy = () => {
+        const { running, holdsWeights } = runner.status();
+        return running.length > 0 || holdsWeights;
+    };
     const registered = registerRunner({
         store,
         clock,
--- a/packages/daemon/src/testing/createPlatformBed.ts
+++ b/packages/daemon/src/testing/createPlatformBed.ts
@@ -59,7 +59,6 @@
             orderHandOverMs: 200,
             gracePeriodMs: 4_000,
             lotRetentionMs: 120_000,
-            maxLoadingSamplers: 2,
             logLevel: "info",
             ...over,
         };
--- a/packages/discovery/src/watchKind.ts
+++ b/packages/discovery/src/watchKind.ts
@@ -18,7 +18,7 @@
     /** Longest wait of one watch; by default `defaultWaitMs`. */
     waitMs?: number;
     /** Pause after each answered watch, so that changes close together cost one call. */
-    gatherMs?: number;
+    gatherMs?: () => number;
 }
 
 /**
@@ -35,7 +35,7 @@
  * store removed while it could not be reached shows in the next list.
  */
 export function watchKind<T>(options: WatchKindOptions<T>): WatchedKind<T> {
-    const { store, clock, logger, kind, decode, gatherMs = 0, waitMs = defaultWaitMs } = options;
+    const { store, clock, logger, kind, decode, gatherMs = () => 0, waitMs = defaultWaitMs } = options;
     const prefix = `${kind}/`;
     const objects = new Map<string, T>();
     const listeners = new Set<() => void>();
@@ -119,7 +119,7 @@
                 : await watchOnce(revision);
             if (isChanged && !stopped.signal.aborted) {
                 listeners.forEach(listener => listener());
-                await clock.sleep(gatherMs, stopped.signal);
+                await clock.sleep(gatherMs(), stopped.signal);
             }
         }
         catch (error) {
--- a/packages/runner/src/LoadRollerDeps.ts
+++ b/packages/runner/src/LoadRollerDeps.ts
@@ -23,8 +23,8 @@
     routing: RoutingView;
     directory: SamplerDirectory;
     orders: EngineOrders;
-    /** Samplers that load at once without slowing each other. */
-    maxLoading: number;
+    /** Samplers that load at once; by default `loadsAtOnce`. */
+    maxLoading?: number;
     clock: Clock;
     logger: Logger;
     metrics: Metrics;
--- a/packages/runner/src/RunnerDeps.ts
+++ b/packages/runner/src/RunnerDeps.ts
@@ -50,7 +50,7 @@
     /** Time for which clients may read a job after they submitted it. */
     lotRetentionMs: number;
     /** Samplers that load weights at once without slowing each other. */
-    maxLoading: number;
+    maxLoading?: number;
     clock: Clock;
     random: Random;
     logger: Logger;
--- a/packages/runner/src/createLoadRoller.ts
+++ b/packages/runner/src/createLoadRoller.ts
@@ -3,6 +3,7 @@
 import type { PolicyId } from "@auburnarch/types/PolicyId";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
 import type { LoadRollerDeps } from "./LoadRollerDeps.js";
+import { loadsAtOnce } from "./loadsAtOnce.js";
 import type { OrderOutcome } from "./OrderOutcome.js";
 import { planLoads } from "./planLoads.js";
 
@@ -141,7 +142,7 @@
                 return { policy, target, namedMs: namedMs(policy, target), isQuiet: !open.has(policy) };
             });
             const samplers = directory.serving(service);
-            const { maxLoading } = deps;
+            const maxLoading = deps.maxLoading ?? loadsAtOnce(samplers.length);
             for (const due of planLoads({ samplers, needs, blocked, loading, maxLoading, assigned })) {
                 void run(due.sampler, due.policy, due.version);
             }
--- a/packages/runner/src/planLoads.ts
+++ b/packages/runner/src/planLoads.ts
@@ -37,10 +37,10 @@
 }
 
 /**
- * Samplers of a policy, against an equal share without overlap. Runs of several policies share a sampler's places, and
- * a step's items start at once more often; each further sampler costs a load for each version.
+ * Samplers of a policy beyond an equal share. Runs of several policies share a sampler's places, and a step's items
+ * start at once more often; each further sampler costs a load for each version.
  */
-const shareFactor = 1.5;
+const sharedSamplers = 1;
 /** Urgency of a load that is made while a job is open. */
 const overdue = 1;
 /** A step may be made of the version before the newest named one, and of no older. */
@@ -70,10 +70,8 @@
 
 /** Gives each policy the same number of samplers, and each sampler about as many policies as any other. */
 function assign({ samplers, needs, assigned }: PlanLoadsInput): void {
-    const share = Math.min(
-        samplers.length,
-        Math.ceil(samplers.length * shareFactor / Math.max(1, needs.length)),
-    );
+    const equalShare = Math.ceil(samplers.length / Math.max(1, needs.length));
+    const share = Math.min(samplers.length, equalShare + sharedSamplers);
     const most = Math.ceil(needs.length * share / Math.max(1, samplers.length));
     const present = new Set(samplers.map(sampler => sampler.incarnation));
     const load = new Map<IncarnationId, number>();
