Name the weights of each run from its own answer; serve metrics at a port of the deploy file

Cause: a run whose answer named no version was credited to the oldest allowed one; a 500 carried the code of a crash, after two of which the dispatcher pauses a sample for 10 s; the deploy file wants one metrics port, and the internal ports differ between deployments (7380, 7720).

--- a/packages/config/src/roleSettingsSchema.ts
+++ b/packages/config/src/roleSettingsSchema.ts
@@ -13,6 +13,8 @@
     internalHost: z.string().min(1),
     /** First and last port of the range for the system's own use. */
     internalPorts: z.tuple([port, port]),
+    /** Port at which metrics are served too; left out, only at the first internal port. */
+    metricsPort: port.optional(),
     storeAddress: address,
     clientAddress: address.optional(),
     readyAddress: address.optional(),
--- a/packages/daemon/src/serveInternal.ts
+++ b/packages/daemon/src/serveInternal.ts
@@ -1,6 +1,6 @@
 import { readRequest } from "@auburnarch/collect/readRequest";
 import { createPeerServer } from "@auburnarch/entry/createPeerServer";
-import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { RoleContext } from "./RoleContext.js";
 
 interface ServedInternal {
@@ -10,7 +10,7 @@
 
 const maxRpcBytes = 1_048_576;
 
-/** Serves metrics and the calls of peers at the first of the internal ports. */
+/** Serves metrics and the calls of peers at the first of the internal ports, and at the metrics port where one is set. */
 export async function serveInternal(
     { settings, logger, metrics }: RoleContext,
     receive: (method: string, params: unknown) => Promise<unknown>,
@@ -34,23 +34,46 @@
         response.end(text);
     }
 
-    const server = createServer((message, response) => {
-        handle(message, response).catch((error: unknown) => {
-            logger.warn("internalCallRefused", { detail: String(error) });
-            response.writeHead(400);
-            response.end();
+    async function listen(port: number): Promise<Server> {
+        const server = createServer((message, response) => {
+            handle(message, response).catch((error: unknown) => {
+                logger.warn("internalCallRefused", { detail: String(error) });
+                response.writeHead(400);
+                response.end();
+            });
         });
-    });
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(port, settings.internalHost, resolve);
+        });
+        return server;
+    }
+
+    /** Metrics are for people: a port that is taken costs them, and not the process. */
+    async function listenForMetrics(port: number): Promise<Server | undefined> {
+        try {
+            return await listen(port);
+        }
+        catch (error) {
+            logger.warn("metricsNotServed", { port, detail: String(error) });
+            return undefined;
+        }
+    }
+
     const [port] = settings.internalPorts;
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, settings.internalHost, resolve);
-    });
+    const { metricsPort } = settings;
+    const servers = [await listen(port)];
+    const forMetrics = metricsPort === undefined ? undefined : await listenForMetrics(metricsPort);
+    if (forMetrics !== undefined) {
+        servers.push(forMetrics);
+    }
     return {
         port,
         close: () => {
-            server.close();
-            server.closeAllConnections();
+            for (const server of servers) {
+                server.close();
+                server.closeAllConnections();
+            }
         },
     };
 }
--- /dev/null
+++ b/packages/runner/src/createItemSidecar.test.ts
@@ -0,0 +1,134 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { Lot } from "@auburnarch/lots/Lot";
+import type { SamplerReply } from "@auburnarch/relay/SamplerReply";
+import type { SamplerRequest } from "@auburnarch/relay/SamplerRequest";
+import type { Route } from "@auburnarch/routing/Route";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { SampleAnswer } from "@auburnarch/types/SampleAnswer";
+import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import type { SampleId } from "@auburnarch/types/SampleId";
+import type { SamplerId } from "@auburnarch/types/SamplerId";
+import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import { expect, test } from "vitest";
+import { createItemSidecar } from "./createItemSidecar.js";
+import { createSamplerEvidence } from "./createSamplerEvidence.js";
+import type { ItemEvent } from "./ItemEvent.js";
+import type { ItemRun } from "./ItemRun.js";
+
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
+const version = (value: number): WeightVersion => value as WeightVersion;
+const sampler = { incarnation: "s-1" as IncarnationId, served: [] } as unknown as KnownSampler;
+const event = (number: number, weightVersion?: number): ItemEvent => ({
+    number,
+    data: `e${number}`,
+    weightVersion: weightVersion === undefined ? undefined : version(weightVersion),
+});
+const span = (at: number, text: string): TokenSpan => ({ version: version(at), tokens: 1, text });
+const answered = (status: number, weightVersion: number | undefined = 4): SamplerReply => ({
+    kind: "answered",
+    status,
+    headers: {},
+    body: (async function*() {})(),
+    signature: "proof",
+    weightVersion: weightVersion === 0 ? undefined : version(weightVersion),
+});
+
+async function run(reply: SamplerReply, events: ItemEvent[], resume: TokenSpan[] = [], isCut = false) {
+    const terminated: string[] = [];
+    const sent: SamplerRequest[] = [];
+    const spans: TokenSpan[] = [];
+    const clock = createFakeClock();
+    const item: ItemRun = {
+        lot: { host: "a", policy: "m0" } as unknown as Lot,
+        item: {
+            item: "i1" as SampleId,
+            path: "/p",
+            headers: {},
+            bodyBase64: "",
+        } as unknown as ItemRun["item"],
+        expectedEvents: undefined,
+        failures: 2,
+        terminate: reason => terminated.push(reason),
+    };
+    const sidecar = createItemSidecar({
+        findRun: () => item,
+        findRoute: () => ({ maxAttempts: 3 }) as unknown as Route,
+        findSampler: () => sampler,
+        callSampler: async request => {
+            sent.push(request);
+            return reply;
+        },
+        readEvents: async function*() {
+            yield* events;
+            if (isCut) {
+                throw new Error("reset");
+            }
+        },
+        evidence: createSamplerEvidence(clock),
+        clock,
+        logger: silent,
+    }, "s-1" as SamplerId);
+    const attempt = {
+        attempt: "a",
+        sample: "l/i1",
+        minVersion: version(3),
+        resume,
+    } as unknown as SampleAttempt;
+    const outcome = await sidecar.runSample(attempt, each => spans.push(each), new AbortController().signal);
+    return {
+        outcome: show(outcome),
+        terminated,
+        sent,
+        spans: spans.map(each => `${each.version}:${each.text.trim()}`),
+    };
+}
+
+const show = (outcome: AttemptOutcome<SampleAnswer>): string =>
+    outcome.kind === "ran"
+        ? `ran ${outcome.answer.spans.map(each => `${each.version}:${each.text.trim()}`).join(" ")}`
+        : `${outcome.kind} ${outcome.code.name}`;
+
+test("each event names the weights that made it, also where they change within the run", async () => {
+    const { outcome } = await run(answered(200, 4), [event(1), event(2, 5), event(3)]);
+    expect(outcome).toBe("ran 4:e1 5:e2 5:e3");
+});
+
+test("a run goes on behind the events that are there, and asks the sampler for just that", async () => {
+    const { outcome, sent, spans } = await run(answered(200, 6), [event(3)], [
+        span(4, "e1\n"),
+        span(5, "e2\n"),
+    ]);
+    expect([outcome, sent[0]!.lastEventNumber, spans]).toEqual(["ran 4:e1 5:e2 6:e3", 2, ["6:e3"]]);
+});
+
+test("an event out of turn ends the run, and nothing of it counts", async () => {
+    // Symptom: a text with an event missing. Sequence: a sampler resumes behind another event than asked. Cause: events
+    // were joined by arrival instead of by number.
+    expect((await run(answered(200), [event(2)])).outcome).toBe("unknown answerMixed");
+    expect((await run(answered(200), [event(1), event(1)])).outcome).toBe("unknown answerMixed");
+});
+
+test("a stream that breaks off is unknown, with what arrived handed on", async () => {
+    const { outcome, spans } = await run(answered(200), [event(1), event(2)], [], true);
+    expect([outcome, spans]).toEqual(["unknown connectionBroken", ["4:e1", "4:e2"]]);
+});
+
+test("an answer that does not name its weights is not used", async () => {
+    // Symptom: a sample that names weights which did not make it. Sequence: a faulty sampler leaves the version out.
+    // Cause: the oldest version allowed was filled in.
+    expect((await run(answered(200, 0), [event(1)])).outcome).toBe("unknown provenanceMissing");
+});
+
+test("500 counts against the item up to the route's attempts, 422 ends it at once, other failures do neither", async () => {
+    const shown = await Promise.all(
+        [500, 422, 502].map(async status => (await run(answered(status), [])).terminated),
+    );
+    expect(shown).toEqual([["failedEveryTime"], ["impossible"], []]);
+    const refused = await run({ kind: "notRun", code: resultCodes.overloaded, detail: "full" }, []);
+    expect([refused.outcome, refused.terminated]).toEqual(["notRun overloaded", []]);
+});
--- a/packages/runner/src/createItemSidecar.ts
+++ b/packages/runner/src/createItemSidecar.ts
@@ -59,7 +59,11 @@
         onSpan: (span: TokenSpan) => void,
         spans: TokenSpan[],
     ): Promise<Ended> {
-        let version = reply.weightVersion ?? attempt.minVersion;
+        if (reply.weightVersion === undefined) {
+            // Without it the text could not name the weights that made it.
+            return { kind: "unknown", code: resultCodes.provenanceMissing };
+        }
+        let version = reply.weightVersion;
         let next = countEvents(spans) + 1;
         let lastEventAtMs: number | undefined;
         for await (const event of deps.readEvents(reply.body)) {
@@ -97,7 +101,8 @@
                 run.terminate("failedEveryTime");
             }
         }
-        return { kind: "unknown", code: resultCodes.engineCrashed };
+        // Not the code of a crash: after two of those the dispatcher pauses a sample for ten seconds.
+        return { kind: "unknown", code: resultCodes.engineUnreachable };
     }
 
     async function runOnce(
