Wait for the key ranges too before counting changes in the entry's tests

Ruled out: a change by a caller: the keys are leases of ranges only. Change: both tests wait for jobs and ranges.

--- a/packages/entry/src/serveEntry.test.ts
+++ b/packages/entry/src/serveEntry.test.ts
@@ -1,3 +1,4 @@
+import { rangeCount } from "@auburnarch/admit/rangeCount";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import type { GroupKeep } from "@auburnarch/types/GroupKeep";
 import fc from "fast-check";
@@ -62,19 +63,22 @@
     prompts: [{ prompt: "ridge", maxTokens: 5 }, { prompt: "x", maxTokens: 5 }],
 });
 
-/** The entry takes its jobs up in its own time; what it writes for that is no change by a caller. */
-async function waitForJobs(): Promise<void> {
-    const areOwned = (): boolean =>
-        ["forecast", "estimates"].every(job =>
-            [`jobs/${job}/checkpoint`, `jobs/${job}/weights`, `leases/job/${job}`].every(key =>
-                changes().includes(key)
-            )
-        );
-    await vi.waitUntil(areOwned, { timeout: 120_000 });
+/** The entry takes its jobs and key ranges up in its own time; what it writes for that is no change by a caller. */
+async function waitForOwnWrites(): Promise<void> {
+    const jobs = ["forecast", "estimates"];
+    const ofJobs = jobs.flatMap(
+        job => [`jobs/${job}/checkpoint`, `jobs/${job}/weights`, `leases/job/${job}`],
+    );
+    const ofRanges = Array.from({ length: rangeCount }, (_, range) => `leases/range/${range}`);
+    const areWritten = (): boolean => {
+        const keys = new Set(entry.control.keys());
+        return [...ofJobs, ...ofRanges].every(key => keys.has(key));
+    };
+    await vi.waitUntil(areWritten, { timeout: 120_000 });
 }
 
 test("every route refuses a missing and a wrong token, and nothing changes", async () => {
-    await waitForJobs();
+    await waitForOwnWrites();
     const before = changes();
     const { tokens } = entry;
     const team = [undefined, "", "wrong", tokens.operator, tokens.cluster];
@@ -225,7 +229,7 @@
 test("hostile bodies of teams and operators are refused with what to do, and nothing changes", async () => {
     // Symptom: on a busy machine this test saw changes. Sequence: the keys are noted; the entry takes its jobs up while
     // the hostile bodies are sent. Cause: the entry's own writes counted as theirs.
-    await waitForJobs();
+    await waitForOwnWrites();
     const before = changes();
     const { plume, operator } = entry.tokens;
     const routes: [string, string][] = [
