Tell results from runner to gateway instead of reading the store

Change: runners keep the chunks of their jobs in a book; a gateway asks any runner, which names the one that has the job, and waits there for the next chunk. That there is no further chunk is said only by a sole writer or after a look at the store. Without an answer the store is read as before.

Ruled out: a watch of lot-results by gateways (each would receive all results), reads that may be stale (seconds late).

--- a/packages/daemon/src/registerRunner.ts
+++ b/packages/daemon/src/registerRunner.ts
@@ -1,5 +1,5 @@
+import type { RunnerAddress } from "@auburnarch/discovery/RunnerAddress";
 import { codeOf } from "@auburnarch/errors/codeOf";
-import type { RunnerAddress } from "@auburnarch/runner/RunnerAddress";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
--- a/packages/daemon/src/startRunner.ts
+++ b/packages/daemon/src/startRunner.ts
@@ -1,3 +1,4 @@
+import type { RunnerAddress } from "@auburnarch/discovery/RunnerAddress";
 import { watchKind } from "@auburnarch/discovery/watchKind";
 import { lotKinds } from "@auburnarch/lots/lotKinds";
 import { lotSchemas } from "@auburnarch/lots/lotSchemas";
@@ -7,34 +8,25 @@
 import { platformKinds } from "@auburnarch/platform/platformKinds";
 import { readItemEvents } from "@auburnarch/platform/readItemEvents";
 import { createRunner } from "@auburnarch/runner/createRunner";
-import type { RunnerAddress } from "@auburnarch/runner/RunnerAddress";
 import type { RunnerStatus } from "@auburnarch/runner/RunnerStatus";
 import { createRpcClient } from "@auburnarch/send/createRpcClient";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import { Agent } from "node:http";
-import { z } from "zod";
+import { decodeWith } from "./decodeWith.js";
 import { openTextShelf } from "./openTextShelf.js";
 import { registerRunner } from "./registerRunner.js";
 import type { RoleContext } from "./RoleContext.js";
+import { rpcMethods } from "./rpcMethods.js";
+import { runnersKind } from "./runnersKind.js";
 import type { RunningRole } from "./RunningRole.js";
 import { serveInternal } from "./serveInternal.js";
+import { slowWaitMs } from "./slowWaitMs.js";
 import { startCommon } from "./startCommon.js";
+import { watchRunners } from "./watchRunners.js";
 
-const statusMethod = "runner.status";
-const runnersKind = "runners";
-const addressSchema = z.object({ host: z.string(), port: z.number() });
-/** Where some seconds more do no harm if a connection falls silent: new runners, and VMs that are to be emptied. */
-const slowWaitMs = 10_000;
 /** Left of the grace period when the hand-over is given up. */
 const exitSlackMs = 1_500;
 
-function decode<T>(schema: z.ZodType<T>): (name: string, value: unknown) => T | undefined {
-    return (_name, value) => {
-        const parsed = schema.safeParse(value);
-        return parsed.success ? parsed.data : undefined;
-    };
-}
-
 /** Starts a runner and resolves once its peers can reach it. */
 export async function startRunner(context: RoleContext): Promise<RunningRole> {
     const { settings, clock, random, logger } = context;
@@ -46,12 +38,19 @@
 
     const probe = async ({ host, port }: RunnerAddress, timeoutMs: number): Promise<RunnerStatus> => {
         const call = createRpcClient({ host, port, agent, clock });
-        return await call(statusMethod, {}, timeoutMs) as RunnerStatus;
+        return await call(rpcMethods.status, {}, timeoutMs) as RunnerStatus;
     };
 
     const registration = `${runnersKind}/${settings.name}`;
     const { shelf, flush } = await openTextShelf(context);
-    const internal = await serveInternal(context, async () => runner.status());
+    const answerPeer = async (method: string, params: unknown): Promise<unknown> => {
+        if (method !== rpcMethods.results) {
+            return runner.status();
+        }
+        const { lot, fromChunk, waitMs } = lotSchemas.resultsQuery.parse(params);
+        return runner.results(lot, fromChunk, waitMs);
+    };
+    const internal = await serveInternal(context, answerPeer);
     const runner = createRunner({
         ...common,
         ...context,
@@ -59,13 +58,8 @@
         registration,
         incarnation: random.nextId(),
         failureDomain: settings.failureDomain as FailureDomain,
-        entries: watchKind({ ...watched, kind: lotKinds.entries, decode: decode(lotSchemas.entry) }),
-        registered: watchKind({
-            ...watched,
-            kind: runnersKind,
-            decode: decode(addressSchema),
-            waitMs: slowWaitMs,
-        }),
+        entries: watchKind({ ...watched, kind: lotKinds.entries, decode: decodeWith(lotSchemas.entry) }),
+        registered: watchRunners(watched),
         watchVersions: () =>
             watchKind({
                 ...watched,
--- a/packages/gateway/src/createGateway.test.ts
+++ b/packages/gateway/src/createGateway.test.ts
@@ -85,7 +85,7 @@
         directory: { isKnown: () => state.isKnown, serving: () => [], find: () => undefined },
         relay: async () => relayed,
         lots,
-        reader: createLotReader(lots, clock),
+        reader: createLotReader(lots, clock, async () => undefined),
         decodeLot: id => lotOf(id),
         storeSilentMs: () => state.storeSilentMs,
         clock,
--- /dev/null
+++ b/packages/gateway/src/createRunnerResults.test.ts
@@ -0,0 +1,60 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import type { LotId } from "@auburnarch/lots/LotId";
+import type { ResultsAnswer } from "@auburnarch/lots/ResultsAnswer";
+import type { Logger } from "@auburnarch/types/Logger";
+import { expect, test } from "vitest";
+import { createRunnerResults } from "./createRunnerResults.js";
+
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
+const lot = "lot-1" as LotId;
+
+function createFixture(answerOf: (port: number) => ResultsAnswer) {
+    const clock = createFakeClock();
+    const asked: number[] = [];
+    const source = createRunnerResults({
+        self: "front-1",
+        runners: () => new Map([1, 2, 3].map(port => [`r${port}`, { host: "h", port }])),
+        ask: async ({ port }) => {
+            asked.push(port);
+            return answerOf(port);
+        },
+        clock,
+        logger: silent,
+    });
+    return { clock, asked, source };
+}
+
+const known: ResultsAnswer = { kind: "known", total: 4, chunks: [] };
+
+test("the runner that is named is asked, and from then on at once", async () => {
+    const { asked, source } = createFixture(port => port === 2 ? known : { kind: "elsewhere", runner: "r2" });
+    expect(await source(lot, 0, 0)).toEqual({ total: 4, chunks: [] });
+    const hops = asked.length;
+    await source(lot, 0, 500);
+    await source(lot, 1, 500);
+    expect([hops <= 2, asked.at(-1), asked.length - hops]).toEqual([true, 2, 2]);
+});
+
+test("a runner that does not answer is passed over, and the store is read meanwhile", async () => {
+    // Symptom: readers waited for a dead VM at each look. Sequence: a runner loses power; its connections hang until
+    // their time is up. Cause: the same runner asked again although it had not answered.
+    const { clock, asked, source } = createFixture(port => {
+        if (port === 2) {
+            throw new Error("no answer");
+        }
+        return { kind: "elsewhere", runner: "r2" };
+    });
+    const first = [await source(lot, 0, 500), await source(lot, 0, 500), await source(lot, 0, 500)];
+    expect([first, asked.filter(port => port === 2).length]).toEqual([[undefined, undefined, undefined], 1]);
+    await clock.advance(3_000);
+    await source(lot, 0, 500);
+    expect(asked.filter(port => port === 2).length).toBe(2);
+});
+
+test("two runners that name each other are not asked for ever", async () => {
+    const { asked, source } = createFixture(port => ({
+        kind: "elsewhere",
+        runner: port === 1 ? "r2" : "r1",
+    }));
+    expect([await source(lot, 0, 0), asked.length]).toEqual([undefined, 3]);
+});
--- /dev/null
+++ b/packages/lots/src/ResultsAnswer.ts
@@ -0,0 +1,10 @@
+import type { ResultChunk } from "./ResultChunk.js";
+
+/**
+ * What a runner says of a job's results: the chunks that stand in the store from the asked number on (none if there is
+ * no further one yet), which other runner has the job, or that it cannot tell.
+ */
+export type ResultsAnswer =
+    | { kind: "known"; total: number; chunks: ResultChunk[]; }
+    | { kind: "elsewhere"; runner: string; }
+    | { kind: "unsure"; };
--- /dev/null
+++ b/packages/lots/src/createLotReader.test.ts
@@ -0,0 +1,85 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { expect, test } from "vitest";
+import { createLotReader } from "./createLotReader.js";
+import type { LotId } from "./LotId.js";
+import type { LotPage } from "./LotPage.js";
+import type { LotResult } from "./LotResult.js";
+import type { LotStore } from "./LotStore.js";
+import type { ResultChunk } from "./ResultChunk.js";
+
+const lot = "lot-1" as LotId;
+const chunkOf = (from: number, item: string): ResultChunk => ({
+    from,
+    writer: "w",
+    results: [{ item, state: "completed", output: item, versions: [], score: "s" } as unknown as LotResult],
+});
+const signal = new AbortController().signal;
+const show = (page: LotPage | undefined): string =>
+    `${page?.results.map(each => each.item).join("") ?? "-"}>${page?.next}`;
+
+function createFixture() {
+    const clock = createFakeClock();
+    const state = { isRunnerThere: true, chunks: [] as ResultChunk[], reads: 0 };
+    const lots = {
+        readEntry: async () => {
+            state.reads++;
+            return { total: 3, submittedAtMs: 0, policy: undefined, isEnded: false };
+        },
+        readChunk: async (_lot: LotId, number: number) => {
+            state.reads++;
+            return state.chunks[number];
+        },
+    } as unknown as LotStore;
+    const reader = createLotReader(lots, clock, async (_lot, from, waitMs) => {
+        if (!state.isRunnerThere) {
+            return undefined;
+        }
+        for (let waited = 0; waited < waitMs && state.chunks.length <= from; waited += 50) {
+            await clock.sleep(50);
+        }
+        return { total: 3, chunks: state.chunks.slice(from) };
+    });
+    const read = async (after: number, waitMs: number): Promise<string> => {
+        const reading = reader.read(lot, after, waitMs, signal);
+        await clock.advance(waitMs + 100);
+        return show(await reading);
+    };
+    return { clock, state, reader, read };
+}
+
+test("results that a runner tells cost no call to the store", async () => {
+    // 4,188 of 8,959 calls of a calm day with 34 processes were reads of results before.
+    const { clock, state, reader, read } = createFixture();
+    state.chunks.push(chunkOf(0, "a"));
+    const seen = [await read(0, 0), await read(1, 400)];
+    const waiting = reader.read(lot, 1, 1_000, signal);
+    await clock.advance(200);
+    state.chunks.push(chunkOf(1, "b"));
+    await clock.advance(100);
+    seen.push(show(await waiting), await read(0, 1_000));
+    expect([seen, state.reads]).toEqual([["a>1", ">1", "b>2", "ab>2"], 0]);
+});
+
+test("without a runner the store is read, and nothing is listed twice when one is back", async () => {
+    const { state, read } = createFixture();
+    state.isRunnerThere = false;
+    state.chunks.push(chunkOf(0, "a"));
+    const seen = [await read(0, 1_000), await read(1, 1_000)];
+    state.isRunnerThere = true;
+    state.chunks.push(chunkOf(1, "b"), chunkOf(2, "c"));
+    seen.push(await read(1, 1_000), await read(0, 0));
+    expect([seen, state.reads > 0]).toEqual([["a>1", ">1", "bc>3", "abc>3"], true]);
+});
+
+test("readers who wait and readers who do not add each chunk once", async () => {
+    const { clock, state, reader } = createFixture();
+    const waiting = reader.read(lot, 0, 1_000, signal);
+    await clock.advance(100);
+    state.chunks.push(chunkOf(0, "a"));
+    const [now] = await Promise.all([reader.read(lot, 0, 0, signal), clock.advance(200)]);
+    expect([show(now), show(await waiting), show(await reader.read(lot, 0, 0, signal))]).toEqual([
+        "a>1",
+        "a>1",
+        "a>1",
+    ]);
+});
--- a/packages/lots/src/createLotReader.ts
+++ b/packages/lots/src/createLotReader.ts
@@ -5,6 +5,8 @@
 import type { LotReader } from "./LotReader.js";
 import type { LotResult } from "./LotResult.js";
 import type { LotStore } from "./LotStore.js";
+import type { ResultChunk } from "./ResultChunk.js";
+import type { ResultsSource } from "./ResultsSource.js";
 
 /** One job as far as it was read here. Results never change, so they are kept as they come. */
 interface Copy {
@@ -12,12 +14,20 @@
     results: LotResult[];
     /** Chunks read so far; the number of the next one. */
     chunks: number;
-    reading: Promise<void> | undefined;
+    /** A look that does not wait, shared by those who need one now. */
+    reading: Promise<LookedAt> | undefined;
+    /** A look that waits for the next chunk, shared by those who may wait. */
+    waiting: Promise<LookedAt> | undefined;
 }
 
+/** A runner waits for the next chunk itself; the store has to be asked again after a pause. */
+type LookedAt = "runner" | "store";
+
+/** Longest wait of one question to a runner: bounds how long its death goes unnoticed here. */
+const runnerWaitMs = 1_000;
 /**
- * How often a waiting reader looks for the next chunk. A look is a call to the store: at 300 ms they were two fifths of
- * all calls of a calm day (1,360 of 3,162, counted by kind). A step takes seconds.
+ * How often a waiting reader looks for the next chunk where no runner can tell. A look is a call to the store: at
+ * 300 ms they were two fifths of all calls of a calm day (1,360 of 3,162, counted by kind). A step takes seconds.
  */
 const lookIntervalMs = 500;
 /** The last third of a job is what its trainer waits for. */
@@ -47,10 +57,12 @@
 }
 
 /**
- * Makes the reader of one process. An empty page is given only after the store has said that there is no further
- * chunk: another process may have shown one already, and a position that was read once must not vanish.
+ * Makes the reader of one process. It asks the runner of a job first, which costs the store nothing: of 8,959 calls
+ * counted on a calm day with 34 processes, 4,188 were reads of results. An empty page is given only after that runner
+ * or the store has said that there is no further chunk: another process may have shown one already, and a position
+ * that was read once must not vanish.
  */
-export function createLotReader(lots: LotStore, clock: Clock): LotReader {
+export function createLotReader(lots: LotStore, clock: Clock, source: ResultsSource): LotReader {
     const copies = new Map<LotId, Copy>();
     const bodies = new Map<LotId, Lot>();
 
@@ -75,39 +87,63 @@
         if (present !== undefined) {
             return present;
         }
-        const entry = await lots.readEntry(lot);
-        if (entry === undefined) {
+        const told = await source(lot, 0, 0);
+        const total = told?.total ?? (await lots.readEntry(lot))?.total;
+        if (total === undefined) {
             return undefined;
         }
-        const fresh: Copy = { total: entry.total, results: [], chunks: 0, reading: undefined };
-        const raced = copies.get(lot);
-        if (raced === undefined) {
-            touch(lot, fresh);
+        let copy = copies.get(lot);
+        if (copy === undefined) {
+            copy = { total, results: [], chunks: 0, reading: undefined, waiting: undefined };
+            touch(lot, copy);
         }
-        return raced ?? fresh;
+        addChunks(copy, 0, told?.chunks ?? []);
+        return copy;
     }
 
-    async function readOn(lot: LotId, copy: Copy): Promise<void> {
-        for (;;) {
-            const chunk = await lots.readChunk(lot, copy.chunks);
-            if (chunk === undefined) {
-                return;
-            }
+    /** Looks overlap, so that some of the chunks may be known already. */
+    function addChunks(copy: Copy, first: number, chunks: ResultChunk[]): void {
+        for (const chunk of chunks.slice(Math.max(0, copy.chunks - first))) {
             copy.chunks++;
             copy.results.push(...chunk.results);
-            if (copy.results.length >= copy.total) {
+        }
+    }
+
+    async function readStore(lot: LotId, copy: Copy): Promise<void> {
+        while (copy.results.length < copy.total) {
+            const number = copy.chunks;
+            const chunk = await lots.readChunk(lot, number);
+            if (chunk === undefined) {
                 return;
             }
+            addChunks(copy, number, [chunk]);
+        }
+    }
+
+    async function readOn(lot: LotId, copy: Copy, waitMs: number): Promise<LookedAt> {
+        const first = copy.chunks;
+        const told = await source(lot, first, waitMs);
+        if (told !== undefined) {
+            addChunks(copy, first, told.chunks);
+            return "runner";
         }
+        await readStore(lot, copy);
+        return "store";
     }
 
-    /** Those who wait for the same job share one look at the store. */
-    function look(lot: LotId, copy: Copy): Promise<void> {
-        copy.reading ??= readOn(lot, copy).finally(() => {
-            copy.reading = undefined;
+    /** Those who want the same of a job share one look. */
+    function look(lot: LotId, copy: Copy, waitMs: number): Promise<LookedAt> {
+        const slot = waitMs > 0 ? "waiting" : "reading";
+        copy[slot] ??= readOn(lot, copy, waitMs).finally(() => {
+            copy[slot] = undefined;
             touch(lot, copy);
         });
-        return copy.reading;
+        return copy[slot];
+    }
+
+    function pauseMs(copy: Copy): number {
+        const isLast = copy.results.length > lastPart * copy.total;
+        return isLast ? lastLookIntervalMs : lookIntervalMs;
     }
 
     async function readLot(lot: LotId): Promise<Lot | undefined> {
@@ -133,13 +169,15 @@
             }
             const untilMs = clock.monotonicMs() + waitMs;
             while (copy.results.length <= after && copy.results.length < copy.total) {
-                await look(lot, copy);
+                const askMs = Math.max(0, Math.min(untilMs - clock.monotonicMs(), runnerWaitMs));
+                const lookedAt = await look(lot, copy, askMs);
                 const leftMs = untilMs - clock.monotonicMs();
                 if (copy.results.length > after || leftMs <= 0 || signal.aborted) {
                     break;
                 }
-                const isLast = copy.results.length > lastPart * copy.total;
-                await clock.sleep(Math.min(isLast ? lastLookIntervalMs : lookIntervalMs, leftMs), signal);
+                if (lookedAt === "store") {
+                    await clock.sleep(Math.min(pauseMs(copy), leftMs), signal);
+                }
             }
             return pageOf(copy, after);
         },
--- a/packages/lots/src/lotSchemas.ts
+++ b/packages/lots/src/lotSchemas.ts
@@ -32,7 +32,21 @@
     reward: value.reward,
 }));
 
-/** How batch jobs stand in the store. */
+const chunk = z.object({
+    from: count,
+    writer: z.string(),
+    results: z.array(
+        z.object({
+            item: sample,
+            state: z.enum(["completed", "terminated"]),
+            output: z.string(),
+            versions: z.array(version),
+            score: z.string().optional(),
+        }).transform(value => ({ ...value, score: value.score })),
+    ),
+});
+
+/** How batch jobs stand in the store, and how runners tell their results. */
 export const lotSchemas = {
     entry: z.object({ total: count, submittedAtMs: z.number(), policy, isEnded: z.boolean() })
         .transform(value => ({ ...value, policy: value.policy })),
@@ -45,17 +59,17 @@
         minVersion: version,
         items: z.array(item),
     }).transform(value => ({ ...value, policy: value.policy })),
-    chunk: z.object({
-        from: count,
-        writer: z.string(),
-        results: z.array(
-            z.object({
-                item: sample,
-                state: z.enum(["completed", "terminated"]),
-                output: z.string(),
-                versions: z.array(version),
-                score: z.string().optional(),
-            }).transform(value => ({ ...value, score: value.score })),
-        ),
+    chunk,
+    /** What a gateway asks a runner. */
+    resultsQuery: z.object({
+        lot: z.string().transform(value => value as LotId),
+        fromChunk: count,
+        waitMs: z.number().nonnegative(),
     }),
+    /** What a runner answers; see `ResultsAnswer`. */
+    resultsAnswer: z.discriminatedUnion("kind", [
+        z.object({ kind: z.literal("known"), total: count, chunks: z.array(chunk) }),
+        z.object({ kind: z.literal("elsewhere"), runner: z.string() }),
+        z.object({ kind: z.literal("unsure") }),
+    ]),
 };
--- a/packages/runner/src/LotRunDeps.ts
+++ b/packages/runner/src/LotRunDeps.ts
@@ -12,6 +12,7 @@
 import type { Random } from "@auburnarch/types/Random";
 import type { SampleId } from "@auburnarch/types/SampleId";
 import type { ItemRun } from "./ItemRun.js";
+import type { ResultBook } from "./ResultBook.js";
 import type { ScoreItem } from "./ScoreItem.js";
 import type { TextShelf } from "./TextShelf.js";
 
@@ -20,6 +21,7 @@
     lot: LotId;
     entry: LotEntry;
     lots: LotStore;
+    book: Pick<ResultBook, "open" | "note" | "markLoaded" | "close">;
     /** The dispatcher for a job's items; the same one for all jobs of a trainer. */
     dispatcherFor: (lot: Lot) => Dispatcher;
     findRoute: (host: string, path: string) => Route | undefined;
--- a/packages/runner/src/PeerView.ts
+++ b/packages/runner/src/PeerView.ts
@@ -5,6 +5,8 @@
     name: string;
     /** False once probes have failed for too long. */
     isAlive: boolean;
+    /** Milliseconds since its last answer, or since it was first seen registered. */
+    heardMs: number;
     /** Its last answer; undefined until the first one. */
     status: RunnerStatus | undefined;
 }
--- /dev/null
+++ b/packages/runner/src/ResultBook.ts
@@ -0,0 +1,16 @@
+import type { LotId } from "@auburnarch/lots/LotId";
+import type { ResultChunk } from "@auburnarch/lots/ResultChunk";
+import type { ResultsAnswer } from "@auburnarch/lots/ResultsAnswer";
+
+/** Results of the jobs that run or ran here, for gateways that ask. */
+export interface ResultBook {
+    /** A run of the job starts here; what stands in the store is not known yet. */
+    open(lot: LotId, total: number): void;
+    note(lot: LotId, number: number, chunk: ResultChunk): void;
+    /** All chunks that stood in the store when the run started have been noted. */
+    markLoaded(lot: LotId): void;
+    /** The job runs here no more. */
+    close(lot: LotId): void;
+    /** Chunks from `fromChunk` on, waiting up to `waitMs` for the first of them. */
+    answer(lot: LotId, fromChunk: number, waitMs: number): Promise<ResultsAnswer>;
+}
--- a/packages/runner/src/Runner.ts
+++ b/packages/runner/src/Runner.ts
@@ -1,8 +1,11 @@
+import type { ResultBook } from "./ResultBook.js";
 import type { RunnerStatus } from "./RunnerStatus.js";
 
 /** A process that runs the items of batch jobs. */
 export interface Runner {
     status(): RunnerStatus;
+    /** Results of a job that runs or ran here, from a chunk on, waiting up to `waitMs` for the first. */
+    results: ResultBook["answer"];
     /** Hands over its jobs and duties; resolves once what was made is recorded, or the time is up. */
     leave(limitMs: number): Promise<void>;
 }
--- a/packages/runner/src/RunnerDeps.ts
+++ b/packages/runner/src/RunnerDeps.ts
@@ -1,4 +1,5 @@
 import type { RoutingView } from "@auburnarch/discovery/RoutingView";
+import type { RunnerAddress } from "@auburnarch/discovery/RunnerAddress";
 import type { SamplerDirectory } from "@auburnarch/discovery/SamplerDirectory";
 import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
 import type { Invariants } from "@auburnarch/invariants/Invariants";
@@ -14,7 +15,6 @@
 import type { NamedVersion } from "./NamedVersion.js";
 import type { ReadItemEvents } from "./ReadItemEvents.js";
 import type { RetirementRequest } from "./RetirementRequest.js";
-import type { RunnerAddress } from "./RunnerAddress.js";
 import type { RunnerStatus } from "./RunnerStatus.js";
 import type { TextShelf } from "./TextShelf.js";
 
--- a/packages/runner/src/chooseOwner.test.ts
+++ b/packages/runner/src/chooseOwner.test.ts
@@ -12,6 +12,7 @@
 ): PeerView => ({
     name,
     isAlive,
+    heardMs: 0,
     status: {
         incarnation: name,
         running: [],
--- a/packages/runner/src/createLotRun.ts
+++ b/packages/runner/src/createLotRun.ts
@@ -12,9 +12,14 @@
 
 /** Starts to run a job: reads it, submits the items that have no result yet, records results as they come. */
 export function createLotRun(deps: LotRunDeps): LotRun {
-    const { lot: lotId, entry, lots, clock, logger } = deps;
+    const { lot: lotId, entry, lots, book, clock, logger } = deps;
     const stopped = createStopController();
-    const recorder = createRecorder({ ...deps, total: entry.total, onRecorded: item => items.close(item) });
+    const recorder = createRecorder({
+        ...deps,
+        total: entry.total,
+        onRecorded: item => items.close(item),
+        onChunk: (number, chunk) => book.note(lotId, number, chunk),
+    });
     const items = createLotItems(deps, recorder, stopped.signal);
     let cancelExpiry = (): void => {};
 
@@ -49,6 +54,7 @@
             return false;
         }
         await recorder.load();
+        book.markLoaded(lotId);
         if (!stopped.signal.aborted) {
             run(source);
         }
@@ -70,6 +76,7 @@
         }
     }
 
+    book.open(lotId, entry.total);
     void start();
     return {
         isComplete: () => recorder.recorded() >= entry.total,
@@ -84,6 +91,7 @@
             stopped.abort();
             recorder.stop();
             items.forgetAll();
+            book.close(lotId);
             const recorded = recorder.recorded();
             logger.info("lotStopped", { lot: lotId, recorded, total: entry.total, isHandedOver });
         },
--- a/packages/runner/src/createPeerBook.test.ts
+++ b/packages/runner/src/createPeerBook.test.ts
@@ -1,10 +1,10 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import type { RunnerAddress } from "@auburnarch/discovery/RunnerAddress";
 import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
 import type { LotId } from "@auburnarch/lots/LotId";
 import type { Logger } from "@auburnarch/types/Logger";
 import { expect, test } from "vitest";
 import { createPeerBook } from "./createPeerBook.js";
-import type { RunnerAddress } from "./RunnerAddress.js";
 import type { RunnerStatus } from "./RunnerStatus.js";
 
 const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
--- a/packages/runner/src/createPeerBook.ts
+++ b/packages/runner/src/createPeerBook.ts
@@ -1,9 +1,9 @@
+import type { RunnerAddress } from "@auburnarch/discovery/RunnerAddress";
 import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { PeerBook } from "./PeerBook.js";
 import type { PeerView } from "./PeerView.js";
-import type { RunnerAddress } from "./RunnerAddress.js";
 import type { RunnerStatus } from "./RunnerStatus.js";
 
 interface PeerBookDeps {
@@ -18,7 +18,7 @@
     logger: Logger;
 }
 
-interface Peer extends PeerView {
+interface Peer extends Omit<PeerView, "heardMs"> {
     address: RunnerAddress;
     heardAtMs: number;
     isProbing: boolean;
@@ -138,7 +138,15 @@
         isSettled: () =>
             deps.registered.objects() !== undefined
             && [...book.values()].every(peer => peer.status !== undefined || !peer.isAlive),
-        peers: () => [...book.values()],
+        peers: () => {
+            const nowMs = clock.monotonicMs();
+            return [...book.values()].map(({ name, isAlive, status, heardAtMs }) => ({
+                name,
+                isAlive,
+                status,
+                heardMs: nowMs - heardAtMs,
+            }));
+        },
         poke: round,
         stop: () => stopped.abort(),
     };
--- a/packages/runner/src/createRecorder.test.ts
+++ b/packages/runner/src/createRecorder.test.ts
@@ -34,6 +34,7 @@
             lots,
             total: 8,
             onRecorded: () => {},
+            onChunk: () => {},
             clock,
             random: random.fork(),
             logger,
--- a/packages/runner/src/createRecorder.ts
+++ b/packages/runner/src/createRecorder.ts
@@ -18,6 +18,8 @@
     total: number;
     /** Called for each item that stands in the store now, whoever made it. */
     onRecorded: (item: SampleId) => void;
+    /** Called for each record that stands in the store, in order, whoever made it. */
+    onChunk: (number: number, chunk: ResultChunk) => void;
     clock: Clock;
     random: Random;
     logger: Logger;
@@ -61,6 +63,7 @@
             done.add(item);
             deps.onRecorded(item);
         }
+        deps.onChunk(chunks, chunk);
         chunks++;
         waiting = waiting.filter(result => !done.has(result.item));
     }
--- /dev/null
+++ b/packages/runner/src/createResultBook.test.ts
@@ -0,0 +1,107 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { LotId } from "@auburnarch/lots/LotId";
+import type { LotResult } from "@auburnarch/lots/LotResult";
+import type { ResultChunk } from "@auburnarch/lots/ResultChunk";
+import type { ResultsAnswer } from "@auburnarch/lots/ResultsAnswer";
+import { expect, test } from "vitest";
+import { createResultBook } from "./createResultBook.js";
+
+const lot = "lot-1" as LotId;
+const chunkOf = (from: number, ...items: string[]): ResultChunk => ({
+    from,
+    writer: "w",
+    results: items.map(item =>
+        ({ item, state: "completed", output: item, versions: [], score: "s" }) as unknown as LotResult
+    ),
+});
+
+function createFixture() {
+    const clock = createFakeClock();
+    const state = {
+        isSoleWriter: true,
+        holder: undefined as string | undefined,
+        stored: [] as ResultChunk[],
+        isAway: false,
+        reads: 0,
+    };
+    const book = createResultBook({
+        lots: {
+            readChunk: async (_lot, number) => {
+                state.reads++;
+                if (state.isAway) {
+                    throw new ResultError(resultCodes.storeUnavailable, "away");
+                }
+                return state.stored[number];
+            },
+        },
+        isSoleWriter: () => state.isSoleWriter,
+        holderOf: () => state.holder,
+        clock,
+    });
+    const append = (...items: string[]): void => {
+        const chunk = chunkOf(state.stored.reduce((sum, each) => sum + each.results.length, 0), ...items);
+        state.stored.push(chunk);
+        book.note(lot, state.stored.length - 1, chunk);
+    };
+    const ask = async (fromChunk: number, waitMs = 0): Promise<string> => {
+        const asked = book.answer(lot, fromChunk, waitMs);
+        await clock.advance(waitMs);
+        return show(await asked);
+    };
+    return { clock, state, book, append, ask };
+}
+
+const show = (answer: ResultsAnswer): string =>
+    answer.kind === "known"
+        ? `${
+            answer.chunks.map(chunk => chunk.results.map(result => result.item).join("+")).join(",")
+        }/${answer.total}`
+        : JSON.stringify(answer);
+
+test("chunks are told from memory as they come, and the end of a job after its run", async () => {
+    const { clock, state, book, append, ask } = createFixture();
+    expect(await ask(0)).toBe('{"kind":"unsure"}');
+    book.open(lot, 3);
+    expect(await ask(0)).toBe('{"kind":"unsure"}');
+    book.markLoaded(lot);
+    append("a");
+    expect([await ask(0), await ask(1)]).toEqual(["a/3", "/3"]);
+    const waiting = book.answer(lot, 1, 1_000);
+    await clock.advance(300);
+    append("b", "c");
+    expect(show(await waiting)).toBe("b+c/3");
+    book.close(lot);
+    expect([await ask(0), await ask(2, 1_000), state.reads]).toEqual(["a,b+c/3", "/3", 0]);
+});
+
+test("a runner that another may have replaced asks the store before it says that there is nothing more", async () => {
+    // Symptom: a position that one gateway had shown was missing at another. Sequence: a runner is cut off from its
+    // peers but not from its gateways; a peer takes the job over and records a chunk, which a client reads; another
+    // client reads at a gateway that asks the first runner. Cause: its own last chunk taken for the last one.
+    const { clock, state, book, append, ask } = createFixture();
+    book.open(lot, 9);
+    book.markLoaded(lot);
+    append("a");
+    state.isSoleWriter = false;
+    state.stored.push(chunkOf(1, "b"));
+    expect(await ask(1)).toBe("b/9");
+    expect([await ask(2), await ask(2), state.reads]).toEqual(["/9", "/9", 2]);
+    await clock.advance(500);
+    expect([await ask(2), state.reads]).toEqual(["/9", 3]);
+    state.isAway = true;
+    await clock.advance(500);
+    expect(await ask(2)).toBe('{"kind":"unsure"}');
+});
+
+test("a job that another runner has is asked for there", async () => {
+    const { state, book, append, ask } = createFixture();
+    book.open(lot, 2);
+    book.markLoaded(lot);
+    append("a");
+    state.holder = "r2";
+    expect(await ask(0)).toBe("a/2");
+    book.close(lot);
+    expect(await ask(0)).toBe('{"kind":"elsewhere","runner":"r2"}');
+});
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -10,6 +10,7 @@
 import { createLotRun } from "./createLotRun.js";
 import { createLotSweeper } from "./createLotSweeper.js";
 import { createPeerBook } from "./createPeerBook.js";
+import { createResultBook } from "./createResultBook.js";
 import { createSamplerEvidence } from "./createSamplerEvidence.js";
 import { createScoreItem } from "./createScoreItem.js";
 import { createWeightsDuty } from "./createWeightsDuty.js";
@@ -29,6 +30,9 @@
  */
 const regainedGraceMs = 1_000;
 
+/** A peer that was heard this lately has not taken over a job and recorded results for it. Two probes and an answer. */
+const peerHeardMs = 900;
+
 /** Puts a runner together and starts it. */
 export function createRunner(deps: RunnerDeps): Runner {
     const { clock, random, logger, routing, directory } = deps;
@@ -66,6 +70,21 @@
         }
     }
 
+    const book = createResultBook({
+        lots,
+        holderOf: lot =>
+            peers.peers().find(peer =>
+                peer.isAlive && peer.status?.running.some(each => each.lot === lot) === true
+            )
+                ?.name,
+        isSoleWriter: lot =>
+            deps.storeSilentMs() === 0
+            && peers.peers().every(({ isAlive, heardMs, status }) =>
+                isAlive && heardMs < peerHeardMs && status?.running.some(each => each.lot === lot) !== true
+            ),
+        clock,
+    });
+
     const peers = createPeerBook({
         self: deps.name,
         registered: deps.registered,
@@ -92,6 +111,7 @@
                 lot,
                 entry,
                 lots,
+                book,
                 dispatcherFor: dispatch.dispatcherFor,
                 register: dispatch.register,
                 forget: dispatch.forget,
@@ -152,6 +172,7 @@
             isLeaving,
             storeSilentMs: Math.round(deps.storeSilentMs()),
         }),
+        results: book.answer,
         leave: async limitMs => {
             sweeper.stop();
             retirement.stop();
