Add a soak of the real programs under faults from outside

Gateways and runners as processes, stand-ins and loopback proxies around them, faults drawn by seed (links, signals, disks, store, samplers, configuration, weights), promises checked from what callers and samplers see.

--- /dev/null
+++ b/packages/soak/src/SoakBed.ts
@@ -0,0 +1,37 @@
+import type { PlatformStoreStandIn } from "@auburnarch/platform/testing/PlatformStoreStandIn";
+import type { SamplerStandIn } from "@auburnarch/platform/testing/SamplerStandIn";
+import type { LinkProxy } from "./LinkProxy.js";
+import type { Program } from "./Program.js";
+
+/** A sampler's place: the sampler that stands there now, behind its link. */
+interface SamplerPlace {
+    service: string;
+    link: LinkProxy;
+    current(): SamplerStandIn;
+    /** Puts a new sampler there; the old one goes on for a while, as a draining one does. */
+    replace(isAnnounced: boolean): Promise<void>;
+}
+
+/** The processes and stand-ins of one run. */
+export interface SoakBed {
+    models: string[];
+    /** Events of each item's text. */
+    eventsOfItem: number;
+    store: PlatformStoreStandIn;
+    gateways: Program[];
+    /** Gateways and runners. */
+    programs: Program[];
+    /** Way of each program to the store, by its name. */
+    storeLinks: Map<string, LinkProxy>;
+    places: SamplerPlace[];
+    /** Every sampler that ever stood anywhere. */
+    samplers: SamplerStandIn[];
+    /** When each sampler was first said to leave, by its id. */
+    leftAtMs: Map<string, number>;
+    /** Newest version that a trainer named, by model. */
+    versions: Map<string, number>;
+    nameVersion(model: string, version: number): void;
+    configVersion(): number;
+    changeConfiguration(): void;
+    close(): Promise<void>;
+}
--- /dev/null
+++ b/packages/soak/src/SoakFault.ts
@@ -0,0 +1,16 @@
+import type { LinkMode } from "./LinkMode.js";
+
+/** One fault; processes and samplers are named by their place in the run. */
+export type SoakFault =
+    | { kind: "storeMode"; mode: "busy" | "reset" | "loseAnswers"; forMs: number; }
+    | { kind: "storeHistory"; }
+    | { kind: "storeLink"; process: number; mode: LinkMode; forMs: number; }
+    | { kind: "samplerLink"; sampler: number; mode: LinkMode; forMs: number; }
+    | { kind: "kill"; process: number; downMs: number; disk: "kept" | "torn" | "wiped"; }
+    | { kind: "killAll"; downMs: number; }
+    | { kind: "pause"; process: number; forMs: number; }
+    | { kind: "terminate"; process: number; downMs: number; }
+    | { kind: "reload"; process: number; }
+    | { kind: "replaceSampler"; sampler: number; isAnnounced: boolean; }
+    | { kind: "breakStreams"; sampler: number; }
+    | { kind: "changeConfiguration"; };
--- /dev/null
+++ b/packages/soak/src/checks.test.ts
@@ -0,0 +1,137 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { expect, test } from "vitest";
+import { checkEnd } from "./checkEnd.js";
+import { checkPage } from "./checkPage.js";
+import { createWitness } from "./createWitness.js";
+import { drawFaults } from "./drawFaults.js";
+import type { SoakBed } from "./SoakBed.js";
+import type { StepRecord } from "./StepRecord.js";
+
+type Sampler = SoakBed["samplers"][number];
+
+const run = (id: string, atMs = 0, version = 2) => ({ id, after: 0, version, atMs });
+const order = (holder: string, atMs: number) => ({ model: "m", version: 2, holder, fence: 1, atMs });
+
+function bedOf(runs: ReturnType<Sampler["runs"]>, over: Partial<SoakBed> = {}): SoakBed {
+    const sampler = { id: "s-1", runs: () => runs, orders: () => [] as ReturnType<Sampler["orders"]> };
+    return { eventsOfItem: 2, samplers: [sampler], programs: [], ...over } as unknown as SoakBed;
+}
+
+const stepOf = (over: Partial<StepRecord> = {}): StepRecord => ({
+    lot: "l",
+    model: "m",
+    minVersion: 2,
+    items: ["a", "b"],
+    submissions: [202],
+    isAccepted: true,
+    positions: new Map(),
+    endedAtMs: undefined,
+    isEndAsked: false,
+    ...over,
+});
+const result = (id: string, over: Record<string, unknown> = {}) => ({
+    id,
+    state: "completed",
+    output: `${id}-1\n${id}-2`,
+    versions: [2],
+    score: `proof of score-${id}`,
+    ...over,
+});
+
+/** Promises broken by the pages of a job, read one after the other from the given positions. */
+function breachesOf(
+    pages: { after: number; results: unknown[]; atMs?: number; }[],
+    runs = [run("a"), run("b")],
+): string[] {
+    const witness = createWitness(createFakeClock());
+    const step = stepOf();
+    for (const { after, results, atMs = 0 } of pages) {
+        const body = JSON.stringify({ total: 2, next: after + results.length, results });
+        checkPage(bedOf(runs), witness, step, after, body, atMs);
+    }
+    return witness.breaches().map(breach => breach.promise);
+}
+
+test("a page that keeps every promise passes, and each broken one is named", () => {
+    const whole = [result("a"), result("b")];
+    expect({
+        good: breachesOf([{ after: 0, results: whole }, { after: 0, results: whole, atMs: 5_000 }]),
+        changed: breachesOf([{ after: 0, results: [result("a")] }, { after: 0, results: [result("b")] }]),
+        twice: breachesOf([{ after: 0, results: [result("a"), result("a")] }]),
+        gone: breachesOf([{ after: 0, results: whole }, { after: 1, results: [], atMs: 1_500 }]),
+        foreign: breachesOf([{ after: 0, results: [result("z")] }], [run("z")]),
+        cut: breachesOf([{ after: 0, results: [result("a", { output: "a-1" })] }]),
+        joined: breachesOf([{ after: 0, results: [result("a", { output: "a-2\na-1" })] }]),
+        stale: breachesOf([{ after: 0, results: [result("a", { versions: [1] })] }], [run("a", 0, 1)]),
+        misnamed: breachesOf([{ after: 0, results: [result("a", { versions: [7] })] }]),
+        unscored: breachesOf([{ after: 0, results: [result("a", { score: "" })] }]),
+        givenUp: breachesOf([{ after: 0, results: [result("a", { state: "terminated" })] }]),
+    }).toEqual({
+        good: [],
+        changed: ["a position never changes"],
+        twice: ["an item is listed once"],
+        gone: ["a position stays"],
+        foreign: ["an item is of its job"],
+        cut: ["a text ends with its last event"],
+        joined: ["a text is whole and in order"],
+        stale: ["no version is older than the bound"],
+        misnamed: ["versions are those that made the text"],
+        unscored: ["the score is the scoring service's"],
+        givenUp: ["an item is given up only for a reason"],
+    });
+});
+
+function endBreaches(bed: SoakBed, steps: StepRecord[] = [], status = 200): string[] {
+    const witness = createWitness(createFakeClock());
+    checkEnd(bed, witness, steps, [{ requestId: "q", isRepeatable: false, status }]);
+    return witness.breaches().map(breach => breach.promise);
+}
+
+test("what shows only in the end is named too", () => {
+    const orders = [order("r1", 0), order("r2", 1_000)];
+    const sampler = { id: "s-1", runs: () => [], orders: () => orders } as unknown as Sampler;
+    const program = { lines: () => ["event=promiseBroken"], ownExits: () => ["front-1: 1"] };
+    expect({
+        good: endBreaches(bedOf([run("q")])),
+        twice: endBreaches(bedOf([run("q"), run("q")])),
+        ranThough: endBreaches(bedOf([run("q")]), [], 503),
+        refusedRan: endBreaches(bedOf([run("a")]), [stepOf({ isAccepted: false, submissions: [503, 429] })]),
+        unknownRan: endBreaches(bedOf([run("a")]), [stepOf({ isAccepted: false, submissions: [503, 502] })]),
+        endedRan: endBreaches(bedOf([run("a", 9_000)]), [stepOf({ endedAtMs: 500 })]),
+        twoHolders: endBreaches(bedOf([], { samplers: [sampler] })),
+        process: endBreaches(bedOf([], { programs: [program] as unknown as SoakBed["programs"] })),
+    }).toEqual({
+        good: [],
+        twice: ["it runs once at most"],
+        ranThough: ["what was refused did not run"],
+        refusedRan: ["a refused job does not run"],
+        unknownRan: [],
+        endedRan: ["an ended job does not run"],
+        twoHolders: ["orders come from one holder"],
+        process: ["no assertion of the program failed", "no process ends by itself"],
+    });
+});
+
+test("a seed draws the same faults each time, of every kind over some seeds", () => {
+    const scene = { processes: 5, samplers: 7, lengthMs: 12_000, faults: 10 };
+    const draw = (seed: number) => drawFaults(createRandom(seed), scene);
+    expect(draw(7)).toEqual(draw(7));
+    const kinds = new Set(
+        Array.from({ length: 40 }, (_, seed) => draw(seed)).flat().map(each => each.fault.kind),
+    );
+    expect([...kinds].sort()).toEqual([
+        "breakStreams",
+        "changeConfiguration",
+        "kill",
+        "killAll",
+        "pause",
+        "reload",
+        "replaceSampler",
+        "samplerLink",
+        "storeHistory",
+        "storeLink",
+        "storeMode",
+        "terminate",
+    ]);
+});
--- /dev/null
+++ b/packages/soak/src/createProgram.ts
@@ -0,0 +1,127 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdir, readdir, rm, stat, truncate, writeFile } from "node:fs/promises";
+import { createRequire } from "node:module";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+import type { Program } from "./Program.js";
+
+interface ProgramOptions {
+    name: string;
+    role: "gateway" | "runner";
+    folder: string;
+    storePort: number;
+    clientPort: number;
+    readyPort: number;
+    internalPort: number;
+}
+
+/** Always the built program: run from its sources, a test resolves packages to theirs. */
+const binary = createRequire(import.meta.url).resolve("@auburnarch/daemon/roleMain")
+    .replace(/src([^/\\]*[/\\][^/\\]*)\.ts$/u, "dist$1.js");
+const gracePeriodMs = 4_000;
+const orderHandOverMs = 3_000;
+const lotRetentionMs = 120_000;
+/** A process that is still there after this is ended, whatever became of its run. */
+const lifetimeMs = 180_000;
+const keptLines = 40_000;
+const tornBytes = 40;
+
+/** Writes a process's settings and makes its handle; it is not started yet. */
+export async function createProgram(clock: Clock, options: ProgramOptions): Promise<Program> {
+    const { name, role, folder, clientPort, readyPort, internalPort } = options;
+    const dataFolder = join(folder, `${name}-data`);
+    const settingsPath = join(folder, `${name}.json`);
+    const lines: string[] = [];
+    const ownExits: string[] = [];
+    let incarnation = 0;
+    let child: ChildProcess | undefined;
+    let ended: Promise<void> = Promise.resolve();
+    let isAsked = false;
+
+    await mkdir(dataFolder, { recursive: true });
+    await writeFile(
+        settingsPath,
+        JSON.stringify({
+            name,
+            role,
+            failureDomain: "lugo",
+            region: "norte",
+            internalHost: "127.0.0.1",
+            internalPorts: [internalPort, internalPort],
+            storeAddress: `127.0.0.1:${options.storePort}`,
+            clientAddress: `127.0.0.1:${clientPort}`,
+            readyAddress: `127.0.0.1:${readyPort}`,
+            ...(role === "runner" ? { dataFolder } : {}),
+            orderHandOverMs,
+            lotRetentionMs,
+            gracePeriodMs,
+        }),
+    );
+
+    function noteLine(line: string): void {
+        lines.push(line);
+        if (lines.length > keptLines) {
+            lines.shift();
+        }
+    }
+
+    function start(): void {
+        incarnation++;
+        isAsked = false;
+        const started = spawn(process.execPath, [binary, settingsPath], {
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        const cancelLifetime = clock.startTimer(lifetimeMs, () => started.kill("SIGKILL"));
+        createInterface({ input: started.stdout! }).on("line", noteLine);
+        createInterface({ input: started.stderr! }).on("line", line => noteLine(`stderr ${line}`));
+        ended = new Promise(resolve => {
+            started.once("exit", (code, signal) => {
+                cancelLifetime();
+                if (!isAsked) {
+                    ownExits.push(`${name}: ${signal ?? code}`);
+                }
+                child = undefined;
+                resolve();
+            });
+        });
+        child = started;
+    }
+
+    async function tearNewest(): Promise<void> {
+        const files = await readdir(dataFolder);
+        for (const file of files) {
+            const path = join(dataFolder, file);
+            const { size } = await stat(path);
+            await truncate(path, Math.max(0, size - tornBytes));
+        }
+    }
+
+    return {
+        name,
+        role,
+        clientPort,
+        readyPort,
+        incarnation: () => incarnation,
+        isUp: () => child !== undefined,
+        lines: () => lines,
+        ownExits: () => ownExits,
+        start,
+        signal: signal => void child?.kill(signal),
+        end: async signal => {
+            isAsked = true;
+            // A stopped process takes no signal but this one.
+            child?.kill("SIGCONT");
+            child?.kill(signal);
+            await ended;
+        },
+        spoilDisk: async how => {
+            if (how === "torn") {
+                await tearNewest();
+                return;
+            }
+            await rm(dataFolder, { recursive: true, force: true });
+            await mkdir(dataFolder, { recursive: true });
+        },
+    };
+}
--- /dev/null
+++ b/packages/soak/src/createSoakBed.ts
@@ -0,0 +1,160 @@
+import { encodeStandInConfiguration } from "@auburnarch/platform/testing/encodeStandInConfiguration";
+import type { SamplerStandIn } from "@auburnarch/platform/testing/SamplerStandIn";
+import { servePlatformStore } from "@auburnarch/platform/testing/servePlatformStore";
+import { serveSampler } from "@auburnarch/platform/testing/serveSampler";
+import type { Clock } from "@auburnarch/types/Clock";
+import { mkdtemp, rm } from "node:fs/promises";
+import { type AddressInfo, createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createLinkProxy } from "./createLinkProxy.js";
+import { createProgram } from "./createProgram.js";
+import type { LinkProxy } from "./LinkProxy.js";
+import type { Program } from "./Program.js";
+import type { SoakBed } from "./SoakBed.js";
+
+interface SoakBedOptions {
+    gateways: number;
+    runners: number;
+    modelSamplers: number;
+    plainSamplers: number;
+    models: string[];
+}
+
+const eventsOfItem = 25;
+const eventIntervalMs = 20;
+/** A draining sampler serves on for this long. */
+const drainMs = 2_500;
+
+async function freePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+/** Starts the stand-ins and the programs of one run, with a link between each program and each of them. */
+export async function createSoakBed(clock: Clock, options: SoakBedOptions): Promise<SoakBed> {
+    const { models } = options;
+    const folder = await mkdtemp(join(tmpdir(), "auburnarch-soak-"));
+    const store = await servePlatformStore();
+    const storeLinks = new Map<string, LinkProxy>();
+    const programs: Program[] = [];
+    const samplers: SamplerStandIn[] = [];
+    const leftAtMs = new Map<string, number>();
+    const versions = new Map(models.map(model => [model, 1]));
+    const configVersions = [1];
+
+    function putConfiguration(): void {
+        const version = configVersions.at(-1)!;
+        const extraRoutes = configVersions.map(each => `v${each}`);
+        store.put("config", "main", encodeStandInConfiguration({ version, models, extraRoutes }));
+    }
+
+    async function startSampler(id: string, service: string, port: () => number): Promise<SamplerStandIn> {
+        const sampler = await serveSampler({
+            id,
+            service,
+            events: eventsOfItem,
+            eventIntervalMs,
+            models: service === "llm" ? models : [],
+            startVersions: versions,
+            registeredPort: port,
+            onEntry: entry => {
+                if (!leftAtMs.has(id)) {
+                    store.put("servers", id, entry);
+                }
+            },
+        });
+        samplers.push(sampler);
+        store.put("servers", id, sampler.entry());
+        return sampler;
+    }
+
+    async function createPlace(place: number, service: string): Promise<SoakBed["places"][number]> {
+        let number = 0;
+        // Known only once the sampler behind the link listens.
+        const now: { sampler?: SamplerStandIn; } = {};
+        const link = await createLinkProxy(clock, () => now.sampler!.port);
+        const next = (): Promise<SamplerStandIn> =>
+            startSampler(`${service}-${place}-${number++}`, service, () => link.port);
+        now.sampler = await next();
+        return {
+            service,
+            link,
+            current: () => now.sampler!,
+            replace: async isAnnounced => {
+                const old = now.sampler!;
+                leftAtMs.set(old.id, clock.monotonicMs());
+                if (isAnnounced) {
+                    store.put("servers", old.id, { ...old.entry(), state: "draining" });
+                }
+                await clock.sleep(isAnnounced ? drainMs : 0);
+                store.remove("servers", old.id);
+                now.sampler = await next();
+                old.close();
+            },
+        };
+    }
+
+    async function startProgram(name: string, role: Program["role"]): Promise<Program> {
+        const link = await createLinkProxy(clock, () => store.port);
+        storeLinks.set(name, link);
+        const program = await createProgram(clock, {
+            name,
+            role,
+            folder,
+            storePort: link.port,
+            clientPort: await freePort(),
+            readyPort: await freePort(),
+            internalPort: await freePort(),
+        });
+        programs.push(program);
+        program.start();
+        return program;
+    }
+
+    putConfiguration();
+    const places: SoakBed["places"] = [];
+    for (let index = 0; index < options.modelSamplers + options.plainSamplers; index++) {
+        places.push(await createPlace(index, index < options.modelSamplers ? "llm" : "tiles"));
+    }
+    const gateways: Program[] = [];
+    for (let index = 1; index <= options.gateways; index++) {
+        gateways.push(await startProgram(`front-${index}`, "gateway"));
+    }
+    for (let index = 1; index <= options.runners; index++) {
+        await startProgram(`storage-${index}`, "runner");
+    }
+
+    return {
+        models,
+        eventsOfItem,
+        store,
+        gateways,
+        programs,
+        storeLinks,
+        places,
+        samplers,
+        leftAtMs,
+        versions,
+        nameVersion: (model, version) => {
+            versions.set(model, version);
+            store.put("versions", model, { model, version });
+        },
+        configVersion: () => configVersions.at(-1)!,
+        changeConfiguration: () => {
+            configVersions.push(configVersions.at(-1)! + 3);
+            putConfiguration();
+        },
+        close: async () => {
+            await Promise.all(programs.map(program => program.end("SIGKILL")));
+            storeLinks.forEach(link => link.close());
+            places.forEach(place => place.link.close());
+            samplers.forEach(sampler => sampler.close());
+            store.close();
+            await rm(folder, { recursive: true, force: true });
+        },
+    };
+}
--- /dev/null
+++ b/packages/soak/src/runCaller.ts
@@ -0,0 +1,100 @@
+import { createClientStandIn } from "@auburnarch/platform/testing/createClientStandIn";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Random } from "@auburnarch/types/Random";
+import type { PlainCall } from "./PlainCall.js";
+import type { Program } from "./Program.js";
+import type { SoakBed } from "./SoakBed.js";
+import type { Witness } from "./Witness.js";
+
+interface CallerDeps {
+    bed: SoakBed;
+    clock: Clock;
+    random: Random;
+    witness: Witness;
+    name: string;
+}
+
+interface Caller {
+    /** Sends requests until the signal is aborted. */
+    run(signal: AbortSignal): Promise<void>;
+    /** Whether a gateway serves the newest route of the configuration. */
+    seesNewest(gateway: Program): Promise<boolean>;
+    calls(): PlainCall[];
+    close(): void;
+}
+
+const ok = 200;
+const notFound = 404;
+const pauseMs = 60;
+/** One call in this many asks for a route of a certain version of the configuration. */
+const versionCallOneIn = 5;
+const limitMs = 2_500;
+
+/** Makes one client of plain requests, which keeps its connections until they end. */
+export function runCaller({ bed, clock, random, witness, name }: CallerDeps): Caller {
+    const client = createClientStandIn();
+    const calls: PlainCall[] = [];
+    /** Newest version whose route each start of a gateway has served. */
+    const served = new Map<string, number>();
+
+    async function callPlain(gateway: Program): Promise<void> {
+        const isRepeatable = random.nextInt(2) === 0;
+        const requestId = `${name}-${calls.length}`;
+        const call: PlainCall = { requestId, isRepeatable, status: 0 };
+        calls.push(call);
+        const path = `/${isRepeatable ? "tiles" : "alerts"}/${calls.length}`;
+        const reply = await client.call(gateway.clientPort, {
+            method: "POST",
+            path,
+            requestId,
+            limitMs,
+            body: "x",
+        });
+        if (reply.kind !== "answered") {
+            return;
+        }
+        call.status = reply.status;
+        const detail = { requestId, gateway: gateway.name, reply };
+        const isOwn = reply.status !== ok || reply.body === "ok" && reply.proof === `proof of ${requestId}`;
+        witness.check(isOwn, "an answer is whole and belongs to its request", detail);
+        witness.check(reply.status !== notFound, "a known route is not refused", detail);
+    }
+
+    async function callVersion(gateway: Program, version: number): Promise<number> {
+        const startOf = (): string => `${gateway.name}.${gateway.incarnation()}`;
+        const start = startOf();
+        const newest = served.get(start) ?? 0;
+        const reply = await client.call(gateway.clientPort, {
+            method: "POST",
+            path: `/v${version}/x`,
+            requestId: `${name}-v${version}-${random.nextId()}`,
+            limitMs,
+            body: "x",
+        });
+        const status = reply.kind === "answered" ? reply.status : 0;
+        if (status === ok && startOf() === start) {
+            served.set(start, Math.max(newest, version));
+        }
+        const wentBack = status === notFound && version <= newest && startOf() === start;
+        witness.check(!wentBack, "the configuration goes forward only", { start, version, newest });
+        return status;
+    }
+
+    return {
+        run: async signal => {
+            while (!signal.aborted) {
+                const gateway = bed.gateways[random.nextInt(bed.gateways.length)]!;
+                if (random.nextInt(versionCallOneIn) === 0) {
+                    await callVersion(gateway, bed.configVersion());
+                }
+                else {
+                    await callPlain(gateway);
+                }
+                await clock.sleep(pauseMs, signal);
+            }
+        },
+        seesNewest: async gateway => await callVersion(gateway, bed.configVersion()) === ok,
+        calls: () => calls,
+        close: client.close,
+    };
+}
--- /dev/null
+++ b/packages/soak/src/runTrainer.ts
@@ -0,0 +1,154 @@
+import { createClientStandIn } from "@auburnarch/platform/testing/createClientStandIn";
+import { encodeStandInLot } from "@auburnarch/platform/testing/encodeStandInLot";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Random } from "@auburnarch/types/Random";
+import { checkPage } from "./checkPage.js";
+import type { Program } from "./Program.js";
+import type { SoakBed } from "./SoakBed.js";
+import type { StepRecord } from "./StepRecord.js";
+import type { Witness } from "./Witness.js";
+
+interface TrainerDeps {
+    bed: SoakBed;
+    clock: Clock;
+    random: Random;
+    witness: Witness;
+    model: string;
+}
+
+interface Trainer {
+    /** Runs one step and names the next version if it came whole; resolves with what was seen. */
+    runStep(limitMs: number): Promise<StepRecord>;
+    steps(): StepRecord[];
+    /** Reads a job from the start at one gateway; false if it was not answered. */
+    readAgain(step: StepRecord, gateway: Program): Promise<boolean>;
+    close(): void;
+}
+
+const itemsOfStep = 8;
+const groupSize = 4;
+const submitTries = 12;
+const endTries = 10;
+const retryMs = 150;
+const waitMs = 700;
+const accepted = 202;
+const ok = 200;
+const notFound = 404;
+/** A job must be known everywhere this long after it was accepted. */
+const settleMs = 1_000;
+
+/** Makes one trainer: it submits a step, reads it at any gateway from any position, ends it, and names a version. */
+export function runTrainer({ bed, clock, random, witness, model }: TrainerDeps): Trainer {
+    const client = createClientStandIn();
+    const steps: StepRecord[] = [];
+    const anyGateway = (): Program => bed.gateways[random.nextInt(bed.gateways.length)]!;
+
+    async function submit(step: StepRecord): Promise<void> {
+        const body = encodeStandInLot({ ...step, step: steps.length, groupSize });
+        for (let tries = 0; tries < submitTries && !step.isAccepted; tries++) {
+            const reply = await client.call(anyGateway().clientPort, {
+                method: "POST",
+                path: `/${model}/${step.lot}`,
+                requestId: step.lot,
+                body,
+            });
+            const status = reply.kind === "answered" ? reply.status : 0;
+            step.submissions.push(status);
+            step.isAccepted = status === accepted;
+            witness.check(status !== notFound, "a known route is not refused", { lot: step.lot });
+            await clock.sleep(step.isAccepted ? 0 : retryMs);
+        }
+    }
+
+    async function readOnce(
+        step: StepRecord,
+        gateway: Program,
+        after: number,
+        acceptedAtMs: number,
+    ): Promise<number> {
+        const reply = await client.call(gateway.clientPort, {
+            method: "GET",
+            path: `/v1/lots/${step.lot}?after=${after}`,
+            waitMs,
+        });
+        if (reply.kind !== "answered") {
+            return after;
+        }
+        const isSettled = clock.monotonicMs() - acceptedAtMs > settleMs;
+        witness.check(!isSettled || reply.status !== notFound, "an accepted job is known", {
+            lot: step.lot,
+            gateway: gateway.name,
+        });
+        return reply.status === ok
+            ? checkPage(bed, witness, step, after, reply.body, clock.monotonicMs()).next
+            : after;
+    }
+
+    async function readWhole(step: StepRecord, limitMs: number): Promise<void> {
+        const acceptedAtMs = clock.monotonicMs();
+        let next = 0;
+        while (step.positions.size < step.items.length && clock.monotonicMs() - acceptedAtMs < limitMs) {
+            const isEarlier = next > 0 && random.nextInt(4) === 0;
+            const from = isEarlier ? random.nextInt(next) : next;
+            next = Math.max(next, await readOnce(step, anyGateway(), from, acceptedAtMs));
+            await clock.sleep(100 + random.nextInt(300));
+        }
+    }
+
+    async function end(step: StepRecord): Promise<void> {
+        step.isEndAsked = true;
+        for (let tries = 0; tries < endTries && step.endedAtMs === undefined; tries++) {
+            const path = `/v1/lots/${step.lot}`;
+            const reply = await client.call(anyGateway().clientPort, { method: "DELETE", path });
+            if (reply.kind === "answered" && reply.status === ok) {
+                step.endedAtMs = clock.monotonicMs();
+            }
+            else {
+                await clock.sleep(retryMs);
+            }
+        }
+    }
+
+    return {
+        runStep: async limitMs => {
+            const lot = `${model}-${steps.length}`;
+            const version = bed.versions.get(model)!;
+            const step: StepRecord = {
+                lot,
+                model,
+                minVersion: Math.max(1, version - 1),
+                items: Array.from({ length: itemsOfStep }, (_, index) => `${lot}-i${index}`),
+                submissions: [],
+                isAccepted: false,
+                positions: new Map(),
+                endedAtMs: undefined,
+                isEndAsked: false,
+            };
+            steps.push(step);
+            await submit(step);
+            if (!step.isAccepted) {
+                return step;
+            }
+            await readWhole(step, limitMs);
+            const isWhole = step.positions.size === step.items.length;
+            await end(step);
+            if (isWhole) {
+                bed.nameVersion(model, version + 1);
+            }
+            return step;
+        },
+        steps: () => steps,
+        readAgain: async (step, gateway) => {
+            const reply = await client.call(gateway.clientPort, {
+                method: "GET",
+                path: `/v1/lots/${step.lot}?after=0`,
+            });
+            const isAnswered = reply.kind === "answered" && reply.status === ok;
+            if (isAnswered) {
+                checkPage(bed, witness, step, 0, reply.body, clock.monotonicMs());
+            }
+            return isAnswered;
+        },
+        close: client.close,
+    };
+}
--- /dev/null
+++ b/packages/soak/src/soak.test.ts
@@ -0,0 +1,15 @@
+import { createSystemClock } from "@auburnarch/clock/createSystemClock";
+import { expect, test } from "vitest";
+import { runSoak } from "./runSoak.js";
+
+test("the programs keep their promises under the faults of a short run", async () => {
+    const report = await runSoak(createSystemClock(), {
+        seed: 1,
+        lengthMs: 5_000,
+        faults: 5,
+        gateways: 2,
+        runners: 2,
+    });
+    expect(report.breaches).toEqual([]);
+    expect(report.steps).toBeGreaterThan(0);
+});
--- /dev/null
+++ b/packages/soak/src/soak.ts
@@ -0,0 +1,71 @@
+#!/usr/bin/env node
+import { createSystemClock } from "@auburnarch/clock/createSystemClock";
+import { defineCommand, runMain } from "citty";
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { runSoak } from "./runSoak.js";
+import type { SoakReport } from "./SoakReport.js";
+
+const clock = createSystemClock();
+
+async function writeLogs(folder: string, report: SoakReport): Promise<void> {
+    const own = join(folder, `seed-${report.seed}`);
+    await mkdir(own, { recursive: true });
+    for (const [name, lines] of report.logs) {
+        await writeFile(join(own, `${name}.log`), `${lines.join("\n")}\n`);
+    }
+    const { faults, breaches } = report;
+    await writeFile(join(own, "report.json"), JSON.stringify({ faults, breaches }, undefined, 2));
+}
+
+function printReport(report: SoakReport): void {
+    const { seed, steps, wholeSteps, plainCalls, servedPlainCalls, faults, breaches } = report;
+    const counts =
+        `steps=${wholeSteps}/${steps} plain=${servedPlainCalls}/${plainCalls} faults=${faults.length}`;
+    console.log(`seed=${seed} ${counts} breaches=${breaches.length}`);
+    for (const { atMs, promise, detail } of breaches) {
+        console.log(`  ${(atMs / 1_000).toFixed(1)} s: ${promise}: ${detail.slice(0, 600)}`);
+    }
+}
+
+await runMain(defineCommand({
+    meta: { name: "soak", description: "Runs the programs under randomised faults; ends by itself" },
+    args: {
+        seed: { type: "string", default: "1", description: "First seed" },
+        runs: { type: "string", default: "1", description: "Seeds to run, from the first one on" },
+        together: { type: "string", default: "2", description: "Runs at the same time" },
+        lengthMs: { type: "string", default: "12000", description: "Time in which faults strike" },
+        faults: { type: "string", default: "10", description: "Faults of a run, at least" },
+        gateways: { type: "string", default: "2", description: "Gateways" },
+        runners: { type: "string", default: "3", description: "Runners" },
+        logs: {
+            type: "string",
+            default: "soak-logs",
+            description: "Folder for the logs of runs with a breach",
+        },
+    },
+    run: async ({ args }) => {
+        const last = Number(args.seed) + Number(args.runs);
+        let next = Number(args.seed);
+        let failed = 0;
+        const runOnes = async (): Promise<void> => {
+            while (next < last) {
+                const report = await runSoak(clock, {
+                    seed: next++,
+                    lengthMs: Number(args.lengthMs),
+                    faults: Number(args.faults),
+                    gateways: Number(args.gateways),
+                    runners: Number(args.runners),
+                });
+                printReport(report);
+                if (report.breaches.length > 0) {
+                    failed++;
+                    await writeLogs(args.logs, report);
+                }
+            }
+        };
+        await Promise.all(Array.from({ length: Number(args.together) }, runOnes));
+        console.log(`${Number(args.runs)} runs, ${failed} with a breach`);
+        process.exitCode = failed === 0 ? 0 : 1;
+    },
+}));
--- /dev/null
+++ b/packages/soak/src/strikeFault.ts
@@ -0,0 +1,72 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import { match } from "ts-pattern";
+import type { LinkMode } from "./LinkMode.js";
+import type { LinkProxy } from "./LinkProxy.js";
+import type { Program } from "./Program.js";
+import type { SoakBed } from "./SoakBed.js";
+import type { SoakFault } from "./SoakFault.js";
+
+/** Strikes one fault; resolves once it is over. */
+export async function strikeFault(bed: SoakBed, clock: Clock, fault: SoakFault): Promise<void> {
+    const { programs, places, store } = bed;
+
+    async function harmLink(link: LinkProxy, mode: LinkMode, forMs: number): Promise<void> {
+        link.setMode(mode);
+        await clock.sleep(forMs);
+        link.setMode("well");
+    }
+
+    async function restart(program: Program, signal: "SIGKILL" | "SIGTERM", downMs: number): Promise<void> {
+        if (!program.isUp()) {
+            return;
+        }
+        await program.end(signal);
+        await clock.sleep(downMs);
+        // An overlapping fault may have started it already.
+        if (!program.isUp()) {
+            program.start();
+        }
+    }
+
+    async function kill({ process, downMs, disk }: Extract<SoakFault, { kind: "kill"; }>): Promise<void> {
+        const program = programs[process]!;
+        const restarted = restart(program, "SIGKILL", downMs);
+        if (disk !== "kept" && program.role === "runner") {
+            await program.spoilDisk(disk);
+        }
+        await restarted;
+    }
+
+    async function pause(program: Program, forMs: number): Promise<void> {
+        program.signal("SIGSTOP");
+        await clock.sleep(forMs);
+        program.signal("SIGCONT");
+    }
+
+    await match(fault)
+        .with({ kind: "storeMode" }, async ({ mode, forMs }) => {
+            store.setMode(mode);
+            await clock.sleep(forMs);
+            store.setMode("well");
+        })
+        .with({ kind: "storeHistory" }, async () => store.dropHistory())
+        .with(
+            { kind: "storeLink" },
+            ({ process, mode, forMs }) => harmLink(bed.storeLinks.get(programs[process]!.name)!, mode, forMs),
+        )
+        .with(
+            { kind: "samplerLink" },
+            ({ sampler, mode, forMs }) => harmLink(places[sampler]!.link, mode, forMs),
+        )
+        .with({ kind: "kill" }, kill)
+        .with({ kind: "killAll" }, async ({ downMs }) => {
+            await Promise.all(programs.map(program => restart(program, "SIGKILL", downMs)));
+        })
+        .with({ kind: "pause" }, ({ process, forMs }) => pause(programs[process]!, forMs))
+        .with({ kind: "terminate" }, ({ process, downMs }) => restart(programs[process]!, "SIGTERM", downMs))
+        .with({ kind: "reload" }, async ({ process }) => programs[process]!.signal("SIGHUP"))
+        .with({ kind: "replaceSampler" }, ({ sampler, isAnnounced }) => places[sampler]!.replace(isAnnounced))
+        .with({ kind: "breakStreams" }, async ({ sampler }) => places[sampler]!.current().breakStreams())
+        .with({ kind: "changeConfiguration" }, async () => bed.changeConfiguration())
+        .exhaustive();
+}
