Remember the number of an order that a sidecar refused

The number of the refused order 60 had been forgotten.

Ruled out: a lost takeover (60 was granted at 7.0 s), an order under way over the restart (it arrived at 10.3 s).

--- a/packages/gate/src/admitOrder.ts
+++ b/packages/gate/src/admitOrder.ts
@@ -11,6 +11,10 @@
     if (flags.killed || !guards.shuttingDown(flags.shuttingDown)) {
         return resultCodes.shuttingDown;
     }
+    // A number exists only because its holder was given the lease, so that an order tells it whether or not it is
+    // carried out. Without this, an order of the present owner that came too early was forgotten, the number then read
+    // from a replica that lagged, and an older owner's order carried out.
+    fencing.raise(order.scope, order.order.fencing);
     try {
         await fencing.learn(order.scope);
     }
--- a/packages/gate/src/createOrderRunner.test.ts
+++ b/packages/gate/src/createOrderRunner.test.ts
@@ -137,3 +137,22 @@
     storeUp = false;
     expect(await order(setup, setup.load(3, 6))).toBe("done");
 });
+
+test("an order that came too early still tells its number", async () => {
+    // Symptom: a replaced owner's order was carried out by a sidecar that had just started. Sequence: the store is away;
+    // orders of both owners are refused; the store is back, read at a replica from before the takeover; the old owner
+    // orders again. Cause: the number of a refused order was forgotten, and the replica's taken for the present one.
+    let storeUp = false;
+    const setup = await ready({
+        readFencing: async () => {
+            if (!storeUp) {
+                throw new ResultError(resultCodes.storeUnavailable);
+            }
+            return 2;
+        },
+    });
+    expect(await order(setup, setup.load(2, 60))).toBe("refused storeUnavailable");
+    storeUp = true;
+    expect(await order(setup, setup.load(2, 2))).toBe("refused fenced");
+    expect(await order(setup, setup.load(2, 60))).toBe("done");
+});
