Read all that stands of a job before a page ends

One answer of a runner holds a million characters, a step of the grown deployment has more, and the gateway took the first answer for all there is. On the small site a runner that is not the sole writer looked for one chunk behind its last, and that one was taken for the last.

Change: an answer says whether more stands, or may stand, behind it, and the gateway asks on. Also: the last three items of a job are recorded at once, only changes of samplers are gathered where the store is followed, and a client that reads from the same position again sees what has come since (found by a test of the path once results came one by one).

--- a/packages/daemon/src/startRunner.ts
+++ b/packages/daemon/src/startRunner.ts
@@ -22,6 +22,8 @@
 import { slowWaitMs } from "./slowWaitMs.js";
 import { startCommon } from "./startCommon.js";
 
+/** Each load of weights shows in a sampler's entry; those of one version come within 100 ms of each other. */
+const samplerGatherMs = 100;
 /** Left of the grace period when the hand-over is given up. */
 const exitSlackMs = 1_500;
 
@@ -78,6 +80,7 @@
         self: settings.name,
         feeder: runner.feeder,
         store: common.ownStore,
+        gatherMsOf: prefix => prefix === `${platformKinds.samplers}/` ? samplerGatherMs : 0,
         storeHeardMs: common.storeHeardMs,
         clock,
         logger,
--- a/packages/gateway/src/createRunnerResults.ts
+++ b/packages/gateway/src/createRunnerResults.ts
@@ -40,6 +40,7 @@
             return undefined;
         }
         remember(lot, found.runner);
-        return { total: found.answer.total, chunks: found.answer.chunks };
+        const { total, chunks, hasMore } = found.answer;
+        return { total, chunks, hasMore };
     };
 }
--- a/packages/lots/src/ResultsAnswer.ts
+++ b/packages/lots/src/ResultsAnswer.ts
@@ -2,9 +2,9 @@
 
 /**
  * What a runner says of a job's results: the chunks that stand in the store from the asked number on (none if there is
- * no further one yet), which other runner has the job, or that it cannot tell.
+ * no further one yet; `hasMore` if more stand there than one answer holds), which other runner has the job, or that it cannot tell.
  */
 export type ResultsAnswer =
-    | { kind: "known"; total: number; chunks: ResultChunk[]; }
+    | { kind: "known"; total: number; chunks: ResultChunk[]; hasMore: boolean; }
     | { kind: "elsewhere"; runner: string; }
     | { kind: "unsure"; };
--- a/packages/lots/src/ResultsSource.ts
+++ b/packages/lots/src/ResultsSource.ts
@@ -6,4 +6,4 @@
     lot: LotId,
     fromChunk: number,
     waitMs: number,
-) => Promise<{ total: number; chunks: ResultChunk[]; } | undefined>;
+) => Promise<{ total: number; chunks: ResultChunk[]; hasMore: boolean; } | undefined>;
--- a/packages/lots/src/createLotReader.test.ts
+++ b/packages/lots/src/createLotReader.test.ts
@@ -19,7 +19,7 @@
 
 function createFixture() {
     const clock = createFakeClock();
-    const state = { isRunnerThere: true, chunks: [] as ResultChunk[], reads: 0 };
+    const state = { isRunnerThere: true, chunks: [] as ResultChunk[], reads: 0, mostChunks: 100 };
     const lots = {
         readEntry: async () => {
             state.reads++;
@@ -37,7 +37,8 @@
         for (let waited = 0; waited < waitMs && state.chunks.length <= from; waited += 50) {
             await clock.sleep(50);
         }
-        return { total: 3, chunks: state.chunks.slice(from) };
+        const chunks = state.chunks.slice(from, from + state.mostChunks);
+        return { total: 3, chunks, hasMore: from + chunks.length < state.chunks.length };
     });
     const read = async (after: number, waitMs: number): Promise<string> => {
         const reading = reader.read(lot, after, waitMs, signal);
@@ -83,3 +84,25 @@
         "a>1",
     ]);
 });
+
+test("a client that reads from the start again sees what has come since", async () => {
+    // Symptom: a client that always read from position 0 saw one of two results for ever. Sequence: it reads while only
+    // the first is recorded; the second follows; it reads again. Cause: a copy with something to show was never
+    // brought up to date.
+    const { state, read } = createFixture();
+    state.chunks.push(chunkOf(0, "a"));
+    const seen = [await read(0, 0)];
+    state.chunks.push(chunkOf(1, "b"));
+    seen.push(await read(0, 600), await read(0, 0));
+    expect(seen).toEqual(["a>1", "a>1", "ab>2"]);
+});
+
+test("results that do not fit one answer of a runner are all read", async () => {
+    // Symptom: a position that had been read was missing at another gateway. Sequence: a job has more results than one
+    // answer of its runner holds; a client reads near their end at a gateway that has none of them yet. Cause: the
+    // first answer taken for all there is.
+    const { state, read } = createFixture();
+    state.chunks.push(chunkOf(0, "a"), chunkOf(1, "b"), chunkOf(2, "c"));
+    state.mostChunks = 1;
+    expect([await read(2, 0), await read(0, 0), state.reads]).toEqual(["c>3", "abc>3", 0]);
+});
--- a/packages/lots/src/createLotReader.ts
+++ b/packages/lots/src/createLotReader.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@auburnarch/types/Clock";
-import type { Lot } from "./Lot.js";
+import { createLotBodies } from "./createLotBodies.js";
 import type { LotId } from "./LotId.js";
 import type { LotPage } from "./LotPage.js";
 import type { LotReader } from "./LotReader.js";
@@ -14,6 +14,8 @@
     results: LotResult[];
     /** Chunks read so far; the number of the next one. */
     chunks: number;
+    /** When the last look ended. */
+    lookedAtMs: number;
     /** A look that does not wait, shared by those who need one now. */
     reading: Promise<LookedAt> | undefined;
     /** A look that waits for the next chunk, shared by those who may wait. */
@@ -37,7 +39,6 @@
 const maxPageChars = 400_000;
 /** Memory for results of all jobs together, in characters. The jobs read longest ago go first. */
 const maxCachedChars = 24_000_000;
-const maxCachedLots = 24;
 
 const charsOf = (results: LotResult[]): number =>
     results.reduce((sum, result) => sum + result.output.length, 0);
@@ -64,7 +65,7 @@
  */
 export function createLotReader(lots: LotStore, clock: Clock, source: ResultsSource): LotReader {
     const copies = new Map<LotId, Copy>();
-    const bodies = new Map<LotId, Lot>();
+    const readLot = createLotBodies(lots);
 
     function touch(lot: LotId, copy: Copy): void {
         copies.delete(lot);
@@ -94,7 +95,14 @@
         }
         let copy = copies.get(lot);
         if (copy === undefined) {
-            copy = { total, results: [], chunks: 0, reading: undefined, waiting: undefined };
+            copy = {
+                total,
+                results: [],
+                chunks: 0,
+                lookedAtMs: clock.monotonicMs(),
+                reading: undefined,
+                waiting: undefined,
+            };
             touch(lot, copy);
         }
         addChunks(copy, 0, told?.chunks ?? []);
@@ -121,14 +129,18 @@
     }
 
     async function readOn(lot: LotId, copy: Copy, waitMs: number): Promise<LookedAt> {
-        const first = copy.chunks;
-        const told = await source(lot, first, waitMs);
-        if (told !== undefined) {
+        // One answer may not hold all that stands; a page that ended with it would hide positions that were read before.
+        for (let hasMore = true, mayWaitMs = waitMs; hasMore; mayWaitMs = 0) {
+            const first = copy.chunks;
+            const told = await source(lot, first, mayWaitMs);
+            if (told === undefined) {
+                await readStore(lot, copy);
+                return "store";
+            }
             addChunks(copy, first, told.chunks);
-            return "runner";
+            hasMore = told.hasMore;
         }
-        await readStore(lot, copy);
-        return "store";
+        return "runner";
     }
 
     /** Those who want the same of a job share one look. */
@@ -136,31 +148,23 @@
         const slot = waitMs > 0 ? "waiting" : "reading";
         copy[slot] ??= readOn(lot, copy, waitMs).finally(() => {
             copy[slot] = undefined;
+            copy.lookedAtMs = clock.monotonicMs();
             touch(lot, copy);
         });
         return copy[slot];
     }
 
+    /** A client that reads from the same position again would see the same results for ever. */
+    function isBehind(copy: Copy): boolean {
+        const isComplete = copy.results.length >= copy.total;
+        return !isComplete && clock.monotonicMs() - copy.lookedAtMs > lookIntervalMs;
+    }
+
     function pauseMs(copy: Copy): number {
         const isLast = copy.results.length > lastPart * copy.total;
         return isLast ? lastLookIntervalMs : lookIntervalMs;
     }
 
-    async function readLot(lot: LotId): Promise<Lot | undefined> {
-        const present = bodies.get(lot);
-        if (present !== undefined) {
-            return present;
-        }
-        const found = await lots.readLot(lot);
-        if (found !== undefined) {
-            bodies.set(lot, found);
-            if (bodies.size > maxCachedLots) {
-                bodies.delete(bodies.keys().next().value!);
-            }
-        }
-        return found;
-    }
-
     return {
         read: async (lot, after, waitMs, signal) => {
             const copy = await open(lot);
@@ -168,6 +172,9 @@
                 return undefined;
             }
             const untilMs = clock.monotonicMs() + waitMs;
+            if (copy.results.length > after && isBehind(copy)) {
+                await look(lot, copy, 0);
+            }
             while (copy.results.length <= after && copy.results.length < copy.total) {
                 const askMs = Math.max(0, Math.min(untilMs - clock.monotonicMs(), runnerWaitMs));
                 const lookedAt = await look(lot, copy, askMs);
--- a/packages/lots/src/lotSchemas.ts
+++ b/packages/lots/src/lotSchemas.ts
@@ -68,7 +68,7 @@
     }),
     /** What a runner answers; see `ResultsAnswer`. */
     resultsAnswer: z.discriminatedUnion("kind", [
-        z.object({ kind: z.literal("known"), total: count, chunks: z.array(chunk) }),
+        z.object({ kind: z.literal("known"), total: count, chunks: z.array(chunk), hasMore: z.boolean() }),
         z.object({ kind: z.literal("elsewhere"), runner: z.string() }),
         z.object({ kind: z.literal("unsure") }),
     ]),
--- a/packages/peers/src/createFeedHub.test.ts
+++ b/packages/peers/src/createFeedHub.test.ts
@@ -43,6 +43,7 @@
         feeder: () => state.feeder,
         store: ofRunner,
         // The process touches the store twice a second.
+        gatherMsOf: () => 100,
         storeHeardMs: () => state.isCutOff ? clock.monotonicMs() - state.storeHeardAtMs : 0,
         clock,
         logger: silent,
--- a/packages/peers/src/createFeedHub.ts
+++ b/packages/peers/src/createFeedHub.ts
@@ -11,6 +11,8 @@
     /** The runner that hands changes on now, as this one believes; undefined if none can. */
     feeder: () => string | undefined;
     store: Pick<ObjectStore, "list" | "watch">;
+    /** Pause after a change of a kind, so that changes close together cost one call to the store. */
+    gatherMsOf: (prefix: string) => number;
     /** Milliseconds since the store last answered this process. */
     storeHeardMs: () => number;
     clock: Clock;
@@ -51,7 +53,13 @@
     const isFresh = (copy: KindCopy): boolean => isStoreHeard() && copy.ageMs() < followWaitMs + overdueMs;
 
     function follow(prefix: string): FollowedKind {
-        const copy = createKindCopy({ store, clock, prefix, waitMs: followWaitMs });
+        const copy = createKindCopy({
+            store,
+            clock,
+            prefix,
+            waitMs: followWaitMs,
+            gatherMs: deps.gatherMsOf(prefix),
+        });
         const kind = { copy, askedAtMs: clock.monotonicMs() };
         kinds.set(prefix, kind);
         logger.info("feedStarted", { kind: prefix });
--- a/packages/peers/src/createKindCopy.ts
+++ b/packages/peers/src/createKindCopy.ts
@@ -13,6 +13,8 @@
     prefix: string;
     /** Longest wait of one watch. */
     waitMs: number;
+    /** Pause after a change, so that changes close together cost one call to the store. */
+    gatherMs: number;
 }
 
 interface Batch {
@@ -20,13 +22,11 @@
     changes: StoredChange[];
 }
 
-/** Changes close together, such as the loads of a new version, cost one call to the store. */
-const gatherMs = 100;
 /** Changes kept for those who are behind; who is further behind gets all objects. */
 const maxBatches = 200;
 
 /** Follows a kind and keeps what it needs to hand the changes on. */
-export function createKindCopy({ store, clock, prefix, waitMs }: KindCopyOptions): KindCopy {
+export function createKindCopy({ store, clock, prefix, waitMs, gatherMs }: KindCopyOptions): KindCopy {
     let objects = new Map<string, StoredObject>();
     let revision: ObjectVersion | undefined;
     /** Oldest first; all changes after `keptSince`. */
--- a/packages/runner/src/createRecorder.test.ts
+++ b/packages/runner/src/createRecorder.test.ts
@@ -97,3 +97,19 @@
     await clock.advance(2_000);
     expect(await readItems()).toEqual(["a", "b"]);
 });
+
+test("the last items of a job are recorded as they come", async () => {
+    // A trainer waits for them, and nothing comes behind them that could share their record: 80 ms of a step before.
+    const { clock, start } = createFixture(5);
+    const recorder = start();
+    ["a", "b", "c", "d"].forEach(item => recorder.add(result(item)));
+    await clock.advance(1_000);
+    const seen = [recorder.recorded()];
+    recorder.add(result("e"));
+    await clock.advance(20);
+    seen.push(recorder.recorded());
+    recorder.add(result("f"));
+    await clock.advance(20);
+    seen.push(recorder.recorded());
+    expect(seen).toEqual([4, 5, 6]);
+});
--- a/packages/runner/src/createRecorder.ts
+++ b/packages/runner/src/createRecorder.ts
@@ -37,6 +37,8 @@
  */
 const lastGatherMs = 80;
 const lastPart = 0.75;
+/** Behind the last items nothing comes that could share their record: it leaves at once, 80 ms of a step of 7 s. */
+const lastItems = 3;
 const retryMs = 200;
 /** Outputs in one record, in characters; a stored value may have a megabyte, and quoting may double a character. */
 const maxChunkChars = 400_000;
@@ -94,10 +96,17 @@
         take(standing);
     }
 
+    function pauseMs(): number {
+        const made = done.size + waiting.length;
+        if (made >= deps.total - lastItems) {
+            return 0;
+        }
+        return made > lastPart * deps.total ? lastGatherMs : gatherMs;
+    }
+
     async function run(): Promise<void> {
         while (waiting.length > 0 && !stopped.signal.aborted) {
-            const isLast = done.size + waiting.length > lastPart * deps.total;
-            await clock.sleep(isLast ? lastGatherMs : gatherMs, hurry.signal);
+            await clock.sleep(pauseMs(), hurry.signal);
             try {
                 if (waiting.length > 0 && !stopped.signal.aborted) {
                     await recordOnce();
--- a/packages/runner/src/createResultBook.test.ts
+++ b/packages/runner/src/createResultBook.test.ts
@@ -53,12 +53,13 @@
     return { clock, state, book, append, ask };
 }
 
-const show = (answer: ResultsAnswer): string =>
-    answer.kind === "known"
-        ? `${
-            answer.chunks.map(chunk => chunk.results.map(result => result.item).join("+")).join(",")
-        }/${answer.total}`
-        : JSON.stringify(answer);
+function show(answer: ResultsAnswer): string {
+    if (answer.kind !== "known") {
+        return JSON.stringify(answer);
+    }
+    const items = answer.chunks.map(chunk => chunk.results.map(result => result.item).join("+"));
+    return `${answer.hasMore ? "part " : ""}${items.join(",")}/${answer.total}`;
+}
 
 test("chunks are told from memory as they come, and the end of a job after its run", async () => {
     const { clock, state, book, append, ask } = createFixture();
@@ -86,7 +87,7 @@
     append("a");
     state.isSoleWriter = false;
     state.stored.push(chunkOf(1, "b"));
-    expect(await ask(1)).toBe("b/9");
+    expect(await ask(1)).toBe("part b/9");
     expect([await ask(2), await ask(2), state.reads]).toEqual(["/9", "/9", 2]);
     await clock.advance(500);
     expect([await ask(2), state.reads]).toEqual(["/9", 3]);
@@ -105,3 +106,22 @@
     book.close(lot);
     expect(await ask(0)).toBe('{"kind":"elsewhere","runner":"r2"}');
 });
+
+test("several chunks that another runner recorded are all asked for", async () => {
+    // Symptom: the last position of a whole job was missing at one gateway. Sequence: a runner that lost its job to
+    // another one knows its first chunk; a gateway asks it for all. Cause: its first chunk, and then the one that it
+    // found behind it, told as all there is.
+    const { state, book, append, ask } = createFixture();
+    book.open(lot, 4);
+    book.markLoaded(lot);
+    append("a");
+    book.close(lot);
+    state.isSoleWriter = false;
+    state.stored.push(chunkOf(1, "b"), chunkOf(2, "c"));
+    expect([await ask(0), await ask(1), await ask(2), await ask(3)]).toEqual([
+        "part a/4",
+        "part b/4",
+        "part c/4",
+        "/4",
+    ]);
+});
--- a/packages/runner/src/createResultBook.ts
+++ b/packages/runner/src/createResultBook.ts
@@ -99,6 +99,7 @@
             }
             else {
                 add(page, number, chunk);
+                page.verifiedAtMs = -Infinity;
             }
             return true;
         }
@@ -108,10 +109,15 @@
         }
     }
 
-    /** True once it is known what stands behind the last chunk. */
-    async function isSure(lot: LotId, page: BookPage): Promise<boolean> {
+    /** Nothing stands behind the last chunk. */
+    function isEnd(lot: LotId, page: BookPage): boolean {
         const isFresh = clock.monotonicMs() - page.verifiedAtMs < verifiedForMs;
-        if (isFresh || isComplete(page) || page.isRunning && deps.isSoleWriter(lot)) {
+        return isFresh || isComplete(page) || page.isRunning && deps.isSoleWriter(lot);
+    }
+
+    /** Looks for one more chunk where there may be one; false if that cannot be told. */
+    async function lookBehind(lot: LotId, page: BookPage): Promise<boolean> {
+        if (isEnd(lot, page)) {
             return true;
         }
         page.verifying ??= readNext(lot, page).finally(() => {
@@ -176,10 +182,13 @@
                 return { kind: "unsure" };
             }
             await waitForChunk(page, fromChunk, waitMs);
-            if (page.chunks.length <= fromChunk && !await isSure(lot, page)) {
+            if (page.chunks.length <= fromChunk && !await lookBehind(lot, page)) {
                 return { kind: "unsure" };
             }
-            return { kind: "known", total: page.total, chunks: takeFitting(page.chunks.slice(fromChunk)) };
+            const standing = page.chunks.slice(fromChunk);
+            const chunks = takeFitting(standing);
+            const isLast = chunks.length === standing.length && (chunks.length === 0 || isEnd(lot, page));
+            return { kind: "known", total: page.total, chunks, hasMore: !isLast };
         },
     };
 }
