--- /dev/null
+++ b/packages/daemon/src/createPeerAnswers.test.ts
@@ -0,0 +1,39 @@
+import { codeOf } from "@auburnarch/errors/codeOf";
+import type { LotId } from "@auburnarch/lots/LotId";
+import type { RunnerStatus } from "@auburnarch/runner/RunnerStatus";
+import { expect, test } from "vitest";
+import { createPeerAnswers } from "./createPeerAnswers.js";
+import { rpcMethods } from "./rpcMethods.js";
+
+const asked: unknown[] = [];
+const answer = createPeerAnswers({
+    runner: () => ({
+        status: () => ({ incarnation: "r1" }) as RunnerStatus,
+        results: async (lot: LotId, fromChunk: number, waitMs: number) => {
+            asked.push([lot, fromChunk, waitMs]);
+            return { kind: "unsure" };
+        },
+    }),
+    hub: () => ({
+        answer: async query => {
+            asked.push(query);
+            return { kind: "elsewhere", runner: "r2" };
+        },
+    }),
+});
+
+test("each call reaches the part that answers it, and no other is answered", async () => {
+    expect([
+        await answer(rpcMethods.status, {}),
+        await answer(rpcMethods.results, { lot: "l", fromChunk: 2, waitMs: 50 }),
+        await answer(rpcMethods.feed, { prefix: "lots/", since: 7, waitMs: 100 }),
+        asked,
+    ]).toEqual([
+        { incarnation: "r1" },
+        { kind: "unsure" },
+        { kind: "elsewhere", runner: "r2" },
+        [["l", 2, 50], { prefix: "lots/", since: 7, waitMs: 100 }],
+    ]);
+    const refused = await answer("runner.unknown", {}).catch((error: unknown) => codeOf(error).name);
+    expect(refused).toBe("badRequest");
+});
--- a/packages/daemon/src/startRunner.ts
+++ b/packages/daemon/src/startRunner.ts
@@ -3,7 +3,6 @@
 import { lotSchemas } from "@auburnarch/lots/lotSchemas";
 import { createFeedHub } from "@auburnarch/peers/createFeedHub";
 import type { FeedHub } from "@auburnarch/peers/FeedHub";
-import { feedSchemas } from "@auburnarch/peers/feedSchemas";
 import { createEngineOrders } from "@auburnarch/platform/createEngineOrders";
 import { decodeNamedVersion } from "@auburnarch/platform/decodeNamedVersion";
 import { decodeRetirement } from "@auburnarch/platform/decodeRetirement";
@@ -11,11 +10,11 @@
 import { readItemEvents } from "@auburnarch/platform/readItemEvents";
 import { createRunner } from "@auburnarch/runner/createRunner";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import { createPeerAnswers } from "./createPeerAnswers.js";
 import { decodeWith } from "./decodeWith.js";
 import { openTextShelf } from "./openTextShelf.js";
 import { registerRunner } from "./registerRunner.js";
 import type { RoleContext } from "./RoleContext.js";
-import { rpcMethods } from "./rpcMethods.js";
 import { runnersKind } from "./runnersKind.js";
 import type { RunningRole } from "./RunningRole.js";
 import { serveInternal } from "./serveInternal.js";
@@ -37,14 +36,10 @@
     const watched = { store, clock, logger };
     const registration = `${runnersKind}/${settings.name}`;
     const { shelf, flush } = await openTextShelf(context);
-    const answerPeer = async (method: string, params: unknown): Promise<unknown> => {
-        if (method === rpcMethods.results) {
-            const { lot, fromChunk, waitMs } = lotSchemas.resultsQuery.parse(params);
-            return runner.results(lot, fromChunk, waitMs);
-        }
-        return method === rpcMethods.feed ? hub.answer(feedSchemas.query.parse(params)) : runner.status();
-    };
-    const internal = await serveInternal(context, answerPeer);
+    const internal = await serveInternal(
+        context,
+        createPeerAnswers({ runner: () => runner, hub: () => hub }),
+    );
     const runner = createRunner({
         ...common,
         ...context,
--- a/packages/daemon/src/testing/createPlatformBed.ts
+++ b/packages/daemon/src/testing/createPlatformBed.ts
@@ -4,11 +4,10 @@
 import { createInvariants } from "@auburnarch/invariants/createInvariants";
 import { createLogger } from "@auburnarch/log/createLogger";
 import { createMetrics } from "@auburnarch/metrics/createMetrics";
+import { findFreePort } from "@auburnarch/platform/testing/findFreePort";
 import { servePlatformStore } from "@auburnarch/platform/testing/servePlatformStore";
 import { serveSampler } from "@auburnarch/platform/testing/serveSampler";
 import { request } from "node:http";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import type { RoleContext } from "../RoleContext.js";
 import type { RunningRole } from "../RunningRole.js";
 import { startGateway } from "../startGateway.js";
@@ -20,15 +19,6 @@
     body: string;
 }
 
-/** A port that nothing listens on. */
-async function freePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-}
-
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
 /** Gateways and runners as they run in production, on stand-ins of the platform that speak its protocol over HTTP. */
@@ -45,7 +35,7 @@
         name: string,
         over: Partial<RoleSettings>,
     ): Promise<RoleContext> {
-        const internal = await freePort();
+        const internal = await findFreePort();
         const settings: RoleSettings = {
             name,
             role,
@@ -54,8 +44,8 @@
             internalHost: "127.0.0.1",
             internalPorts: [internal, internal],
             storeAddress: `127.0.0.1:${store.port}`,
-            clientAddress: `127.0.0.1:${await freePort()}`,
-            readyAddress: `127.0.0.1:${await freePort()}`,
+            clientAddress: `127.0.0.1:${await findFreePort()}`,
+            readyAddress: `127.0.0.1:${await findFreePort()}`,
             orderHandOverMs: 200,
             gracePeriodMs: 4_000,
             lotRetentionMs: 120_000,
--- a/packages/runner/src/chooseFeeder.test.ts
+++ b/packages/runner/src/chooseFeeder.test.ts
@@ -1,26 +1,6 @@
 import { expect, test } from "vitest";
 import { chooseFeeder } from "./chooseFeeder.js";
-import type { PeerView } from "./PeerView.js";
-
-const peer = (
-    name: string,
-    over: Partial<NonNullable<PeerView["status"]>> = {},
-    isAlive = true,
-): PeerView => ({
-    name,
-    isAlive,
-    heardMs: 0,
-    status: {
-        incarnation: name,
-        running: [],
-        keptLots: [],
-        sent: {},
-        holdsWeights: false,
-        isLeaving: false,
-        storeSilentMs: 0,
-        ...over,
-    },
-});
+import { createPeerView as peer } from "./testing/createPeerView.js";
 
 test("the first by name of those that live, stay and have the store feeds the others", () => {
     expect({
--- a/packages/runner/src/chooseOwner.test.ts
+++ b/packages/runner/src/chooseOwner.test.ts
@@ -2,28 +2,9 @@
 import type { PolicyId } from "@auburnarch/types/PolicyId";
 import { expect, test } from "vitest";
 import { chooseOwner } from "./chooseOwner.js";
-import type { PeerView } from "./PeerView.js";
+import { createPeerView as peer } from "./testing/createPeerView.js";
 
 const lot = (name: string): LotId => name as LotId;
-const peer = (
-    name: string,
-    over: Partial<NonNullable<PeerView["status"]>> = {},
-    isAlive = true,
-): PeerView => ({
-    name,
-    isAlive,
-    heardMs: 0,
-    status: {
-        incarnation: name,
-        running: [],
-        keptLots: [],
-        sent: {},
-        holdsWeights: false,
-        isLeaving: false,
-        storeSilentMs: 0,
-        ...over,
-    },
-});
 const names = ["r1", "r2", "r3", "r4"];
 const policies = ["plume", "ridge", "valley"] as PolicyId[];
 const policy = policies[0]!;
--- /dev/null
+++ b/packages/runner/src/testing/createPeerView.ts
@@ -0,0 +1,16 @@
+import type { PeerView } from "../PeerView.js";
+import type { RunnerStatus } from "../RunnerStatus.js";
+
+/** A peer that was heard just now and does nothing, but for what `over` says. */
+export function createPeerView(name: string, over: Partial<RunnerStatus> = {}, isAlive = true): PeerView {
+    const idle: RunnerStatus = {
+        incarnation: name,
+        running: [],
+        keptLots: [],
+        sent: {},
+        holdsWeights: false,
+        isLeaving: false,
+        storeSilentMs: 0,
+    };
+    return { name, isAlive, heardMs: 0, status: { ...idle, ...over } };
+}
--- a/packages/soak/src/createSoakBed.ts
+++ b/packages/soak/src/createSoakBed.ts
@@ -1,10 +1,10 @@
 import { encodeStandInConfiguration } from "@auburnarch/platform/testing/encodeStandInConfiguration";
+import { findFreePort } from "@auburnarch/platform/testing/findFreePort";
 import type { SamplerStandIn } from "@auburnarch/platform/testing/SamplerStandIn";
 import { servePlatformStore } from "@auburnarch/platform/testing/servePlatformStore";
 import { serveSampler } from "@auburnarch/platform/testing/serveSampler";
 import type { Clock } from "@auburnarch/types/Clock";
 import { mkdtemp, rm } from "node:fs/promises";
-import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createLinkProxy } from "./createLinkProxy.js";
@@ -26,14 +26,6 @@
 /** A draining sampler serves on for this long. */
 const drainMs = 2_500;
 
-async function freePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-}
-
 /** Starts the stand-ins and the programs of one run, with a link between each program and each of them. */
 export async function createSoakBed(clock: Clock, options: SoakBedOptions): Promise<SoakBed> {
     const { models } = options;
@@ -106,9 +98,9 @@
             role,
             folder,
             storePort: link.port,
-            clientPort: await freePort(),
-            readyPort: await freePort(),
-            internalPort: await freePort(),
+            clientPort: await findFreePort(),
+            readyPort: await findFreePort(),
+            internalPort: await findFreePort(),
         });
         programs.push(program);
         program.start();
