Keep the platform's names of the soak in its folder

Refactoring of the soak only: calls of clients and what operator, samplers and trainers write to the store are spelled beside the other stand-ins.

--- a/packages/soak/src/createSoakBed.ts
+++ b/packages/soak/src/createSoakBed.ts
@@ -1,3 +1,4 @@
+import { createPlatformWrites } from "@auburnarch/platform/testing/createPlatformWrites";
 import { encodeStandInConfiguration } from "@auburnarch/platform/testing/encodeStandInConfiguration";
 import { findFreePort } from "@auburnarch/platform/testing/findFreePort";
 import type { SamplerStandIn } from "@auburnarch/platform/testing/SamplerStandIn";
@@ -31,6 +32,7 @@
     const { models } = options;
     const folder = await mkdtemp(join(tmpdir(), "auburnarch-soak-"));
     const store = await servePlatformStore();
+    const writes = createPlatformWrites(store);
     const storeLinks = new Map<string, LinkProxy>();
     const programs: Program[] = [];
     const samplers: SamplerStandIn[] = [];
@@ -41,7 +43,7 @@
     function putConfiguration(): void {
         const version = configVersions.at(-1)!;
         const extraRoutes = configVersions.map(each => `v${each}`);
-        store.put("config", "main", encodeStandInConfiguration({ version, models, extraRoutes }));
+        writes.configure(encodeStandInConfiguration({ version, models, extraRoutes }));
     }
 
     async function startSampler(id: string, service: string, port: () => number): Promise<SamplerStandIn> {
@@ -55,12 +57,12 @@
             registeredPort: port,
             onEntry: entry => {
                 if (!leftAtMs.has(id)) {
-                    store.put("servers", id, entry);
+                    writes.registerSampler(id, entry);
                 }
             },
         });
         samplers.push(sampler);
-        store.put("servers", id, sampler.entry());
+        writes.registerSampler(id, sampler.entry());
         return sampler;
     }
 
@@ -80,10 +82,10 @@
                 const old = now.sampler!;
                 leftAtMs.set(old.id, clock.monotonicMs());
                 if (isAnnounced) {
-                    store.put("servers", old.id, { ...old.entry(), state: "draining" });
+                    writes.drainSampler(old.id, old.entry());
                 }
                 await clock.sleep(isAnnounced ? drainMs : 0);
-                store.remove("servers", old.id);
+                writes.removeSampler(old.id);
                 now.sampler = await next();
                 old.close();
             },
@@ -133,7 +135,7 @@
         versions,
         nameVersion: (model, version) => {
             versions.set(model, version);
-            store.put("versions", model, { model, version });
+            writes.nameVersion(model, version);
         },
         configVersion: () => configVersions.at(-1)!,
         changeConfiguration: () => {
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -1,4 +1,5 @@
 import { createRandom } from "@auburnarch/clock/createRandom";
+import { clientCalls } from "@auburnarch/platform/testing/clientCalls";
 import { createClientStandIn } from "@auburnarch/platform/testing/createClientStandIn";
 import type { Clock } from "@auburnarch/types/Clock";
 import { checkEnd } from "./checkEnd.js";
@@ -69,11 +70,7 @@
     const faults = drawFaults(random.fork(), { processes, samplers, lengthMs, faults: options.faults });
 
     const isReady = async (gateway: Program): Promise<boolean> => {
-        const reply = await probes.call(gateway.readyPort, {
-            method: "GET",
-            path: "/v1/ready",
-            limitMs: 1_000,
-        });
+        const reply = await probes.call(gateway.readyPort, { ...clientCalls.isReady(), limitMs: 1_000 });
         return reply.kind === "answered" && reply.status === ok;
     };
     const allReady = async (): Promise<boolean> =>
--- a/packages/soak/src/runTrainer.ts
+++ b/packages/soak/src/runTrainer.ts
@@ -1,3 +1,4 @@
+import { clientCalls } from "@auburnarch/platform/testing/clientCalls";
 import { createClientStandIn } from "@auburnarch/platform/testing/createClientStandIn";
 import { encodeStandInLot } from "@auburnarch/platform/testing/encodeStandInLot";
 import type { Clock } from "@auburnarch/types/Clock";
@@ -46,12 +47,8 @@
     async function submit(step: StepRecord): Promise<void> {
         const body = encodeStandInLot({ ...step, step: steps.length, groupSize });
         for (let tries = 0; tries < submitTries && !step.isAccepted; tries++) {
-            const reply = await client.call(anyGateway().clientPort, {
-                method: "POST",
-                path: `/${model}/${step.lot}`,
-                requestId: step.lot,
-                body,
-            });
+            const call = clientCalls.submit(model, step.lot, body);
+            const reply = await client.call(anyGateway().clientPort, call);
             const status = reply.kind === "answered" ? reply.status : 0;
             step.submissions.push(status);
             step.isAccepted = status === accepted;
@@ -66,11 +63,7 @@
         after: number,
         acceptedAtMs: number,
     ): Promise<number> {
-        const reply = await client.call(gateway.clientPort, {
-            method: "GET",
-            path: `/v1/lots/${step.lot}?after=${after}`,
-            waitMs,
-        });
+        const reply = await client.call(gateway.clientPort, { ...clientCalls.read(step.lot, after), waitMs });
         if (reply.kind !== "answered") {
             return after;
         }
@@ -98,8 +91,7 @@
     async function end(step: StepRecord): Promise<void> {
         step.isEndAsked = true;
         for (let tries = 0; tries < endTries && step.endedAtMs === undefined; tries++) {
-            const path = `/v1/lots/${step.lot}`;
-            const reply = await client.call(anyGateway().clientPort, { method: "DELETE", path });
+            const reply = await client.call(anyGateway().clientPort, clientCalls.end(step.lot));
             if (reply.kind === "answered" && reply.status === ok) {
                 step.endedAtMs = clock.monotonicMs();
             }
@@ -139,10 +131,7 @@
         },
         steps: () => steps,
         readAgain: async (step, gateway) => {
-            const reply = await client.call(gateway.clientPort, {
-                method: "GET",
-                path: `/v1/lots/${step.lot}?after=0`,
-            });
+            const reply = await client.call(gateway.clientPort, clientCalls.read(step.lot, 0));
             const isAnswered = reply.kind === "answered" && reply.status === ok;
             if (isAnswered) {
                 checkPage(bed, witness, step, 0, reply.body, clock.monotonicMs());
