List anew after a failed call, and where a process turns to the store itself

Cause: the store forgets its history a second after it fell silent on its watches, and cuts these. The hub's watch is cut, so it tells nobody anything; those it feeds turned to the store with a watch on their old revision, and one that arrives within some 30 ms of the cut hears nothing for its whole wait of 3.5 s (traced: begun at 8.21 s, answered at 11.73 s; one begun at 8.94 s was answered at once). Ruled out: a revision that ran ahead (all had 86). An older list takes nothing back.

--- a/packages/discovery/src/discovery.test.ts
+++ b/packages/discovery/src/discovery.test.ts
@@ -1,5 +1,7 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
 import { createRandom } from "@auburnarch/clock/createRandom";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
 import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
 import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
 import type { ConfigVersion } from "@auburnarch/types/ConfigVersion";
@@ -86,6 +88,63 @@
     watch.stop();
 });
 
+test("a change is seen at once though a watch on a forgotten history hears nothing", async () => {
+    // Symptom: a route was refused as unknown 4.2 s after the configuration that added it was acknowledged; 2 s are
+    // allowed. Sequence: the store forgets its history right after that change and cuts its watches; the next watch, on
+    // the old revision, is left waiting for its whole 3.5 s. Cause: after a cut the copy was watched on, not listed.
+    const { clock, put, watched } = createFixture();
+    let isForgotten = false;
+    const { store } = watched;
+    const watch: typeof store.watch = async (prefix, since, waitMs) => {
+        const isOld = isForgotten;
+        const found = await store.watch(prefix, since, waitMs);
+        if (isForgotten && !isOld) {
+            throw new ResultError(resultCodes.storeUnavailable);
+        }
+        if (isOld) {
+            await clock.sleep(waitMs);
+        }
+        return found;
+    };
+    const copy = watchKind<unknown>({
+        ...watched,
+        store: { ...store, watch },
+        kind: "config",
+        decode: (_name, value) => value,
+    });
+    await put("config/main", 1);
+    await clock.advance(400);
+    isForgotten = true;
+    await put("config/main", 2);
+    await clock.advance(900);
+    expect([...copy.objects()!.values()]).toEqual([2]);
+    copy.stop();
+});
+
+test("an older list takes nothing back", async () => {
+    // Symptom: a removed sampler got requests again. Sequence: a watch fails; the list after it comes from a process
+    // that is behind. Cause: what was read last was taken for what is newest.
+    const { clock, control, put, remove, samplers } = createFixture();
+    await put("servers/a", entryOf("a"));
+    await put("servers/b", entryOf("b"));
+    const watch = samplers();
+    const names = (): string[] => [...watch.objects()?.keys() ?? []];
+    await clock.advance(200);
+    await remove("servers/a");
+    await clock.advance(200);
+    control.setStaleReads(1);
+    control.setOutage(true);
+    await clock.advance(1_000);
+    control.setOutage(false);
+    await clock.advance(1_000);
+    expect(names()).toEqual(["b"]);
+    control.setStaleReads(0);
+    await put("servers/c", entryOf("c"));
+    await clock.advance(1_000);
+    expect(names()).toEqual(["b", "c"]);
+    watch.stop();
+});
+
 test("a sampler whose entry lapsed in an outage is kept until it can have registered again, a draining one is not", async () => {
     // Symptom: after each outage of the store all requests were refused for a second. Sequence: the store is down for
     // longer than samplers' entries live; it comes back without them; they register again within two seconds. Cause:
--- a/packages/discovery/src/followPrefix.ts
+++ b/packages/discovery/src/followPrefix.ts
@@ -27,16 +27,28 @@
 /** After a failed call. Short, because outages end without notice and changes are due within two seconds. */
 const retryMs = 150;
 
-/** Lists the objects under a prefix once and then follows their changes. The returned function ends it. */
+/**
+ * Lists the objects under a prefix and then follows their changes; after a failed call it lists anew. A store that
+ * forgets its history cuts its watches, and one begun at that moment on an old revision hears nothing for its whole
+ * wait: a change of the configuration was then in force 4.2 s after its acknowledgement, where 2 s are allowed. A list
+ * says what stands at once. The returned function ends it.
+ */
 export function followPrefix(options: FollowPrefixOptions): () => void {
     const { store, clock, prefix, waitMs, gatherMs } = options;
     const stopped = new AbortController();
     let revision: ObjectVersion | undefined;
+    let isListDue = true;
 
+    /** An older list, from a process that is behind, takes nothing back: the next one is asked for after a pause. */
     async function listOnce(): Promise<void> {
         const sentAtMs = clock.monotonicMs();
         const found = await store.list(prefix);
+        if (revision !== undefined && found.revision < revision) {
+            await clock.sleep(retryMs, stopped.signal);
+            return;
+        }
         revision = found.revision;
+        isListDue = false;
         options.onListed(found.objects, found.revision, sentAtMs);
     }
 
@@ -54,7 +66,7 @@
 
     async function round(): Promise<void> {
         try {
-            const isChanged = revision === undefined
+            const isChanged = revision === undefined || isListDue
                 ? await listOnce().then(() => true)
                 : await watchOnce(revision);
             if (isChanged) {
@@ -62,6 +74,7 @@
             }
         }
         catch (error) {
+            isListDue = true;
             options.onFailed(error);
             await clock.sleep(retryMs, stopped.signal);
         }
--- a/packages/peers/src/createFeedHub.test.ts
+++ b/packages/peers/src/createFeedHub.test.ts
@@ -19,6 +19,7 @@
     const state = {
         isCutOff: false,
         isFeederSilent: false,
+        isHistoryGoing: false,
         storeHeardAtMs: 0,
         feeder: "r1",
         direct: 0,
@@ -54,8 +55,11 @@
             state.direct++;
             return store.list(prefix);
         },
-        watch: (prefix, since, waitMs) => {
+        watch: async (prefix, since, waitMs) => {
             state.direct++;
+            if (state.isHistoryGoing) {
+                await clock.sleep(waitMs);
+            }
             return store.watch(prefix, since, waitMs);
         },
     };
@@ -154,6 +158,23 @@
     hub.stop();
 });
 
+test("a change is seen within two seconds though the store forgets its history as the runner falls silent on it", async () => {
+    // Symptom: a route was refused as unknown 4.2 s after the configuration that added it was acknowledged. Sequence:
+    // the store forgets its history, which cuts the watch of the runner that feeds; the others turn to the store, where
+    // a watch on the old revision hears nothing for its whole wait. Cause: the first call there was such a watch.
+    const { clock, state, hub, follow, put } = createFixture();
+    await put("servers/a");
+    const { watch, names } = follow();
+    await clock.advance(2_000);
+    state.isHistoryGoing = true;
+    state.isCutOff = true;
+    await put("servers/b");
+    await clock.advance(1_800);
+    expect(names()).toBe("ab");
+    watch.stop();
+    hub.stop();
+});
+
 test("a copy that is ahead of the runner that feeds is not taken back", async () => {
     // Symptom: a removed sampler got requests again. Sequence: a process is told of its end by one runner and then asks
     // another that lags. Cause: the other's older objects taken for the present ones.
