Count no death for a content that another suspect explains; let sidecars bring what no entry has

And entries that started while the object API held a manifest with faults had none and served nobody, though each sidecar worked by the last good one (): they learnt from the object API and from each other alone. Change: a death does not count where another content with deaths on two VMs was in flight; an entry that has no version of a document asks the sidecars that report to it.

--- a/packages/admit/src/countDeadVms.ts
+++ b/packages/admit/src/countDeadVms.ts
@@ -13,10 +13,15 @@
     return record.deaths.filter(death => death.atMs > liftedAtMs);
 }
 
+const countVms = (deaths: Death[]): number => new Set(deaths.map(death => death.vm)).size;
+
+const isSame = (a: Death, b: Death): boolean => a.vm === b.vm && a.bootId === b.bootId;
+
 /**
- * VMs whose death counts against a record. If another content was in flight at all the same deaths, one of the two
- * is a bystander and the deaths do not tell which: convicting both would refuse an innocent content everywhere. Only
- * one VM counts then, so that both stay suspects, which run apart from then on: the next death names one of them.
+ * VMs whose death counts against a record. A death is explained by another content that was in flight at it and has
+ * died on two VMs or more itself: one of the two is a bystander, and the death does not tell which. Counting it for
+ * both refuses an innocent content everywhere: one that was beside two different killers, or beside one of them and at
+ * a crash of another cause. Both then stay suspects, which run apart from then on: the next death names one of them.
  */
 export function countDeadVms(
     record: QuarantineRecord,
@@ -24,16 +29,16 @@
     nowMs: number,
 ): number {
     const deaths = countedDeaths(record, nowMs);
-    const vms = new Set(deaths.map(death => death.vm)).size;
+    const vms = countVms(deaths);
     if (vms <= 1 || vms >= beyondDoubtVms) {
         return vms;
     }
-    const isDoubtful = records.some(other => {
-        const others = other.digest === record.digest ? [] : countedDeaths(other, nowMs);
-        return others.length > 0
-            && deaths.every(death =>
-                others.some(each => each.vm === death.vm && each.bootId === death.bootId)
-            );
-    });
-    return isDoubtful ? 1 : vms;
+    const otherSuspects = records
+        .filter(other => other.digest !== record.digest)
+        .map(other => countedDeaths(other, nowMs))
+        .filter(others => countVms(others) > 1);
+    const unexplained = deaths.filter(death =>
+        !otherSuspects.some(others => others.some(other => isSame(death, other)))
+    );
+    return Math.max(1, countVms(unexplained));
 }
--- a/packages/bench/src/faults/createSidecarProcess.ts
+++ b/packages/bench/src/faults/createSidecarProcess.ts
@@ -130,6 +130,7 @@
         logger,
         report: gate.report,
         digest: follower.digest,
+        wholeDocuments: follower.wholeDocuments,
         onDocuments: follower.receive,
         onLeaving: gate.beginLeaving,
         vmList: process.connect(world.vmList),
--- a/packages/bench/src/slopes/createFleetEntry.ts
+++ b/packages/bench/src/slopes/createFleetEntry.ts
@@ -24,6 +24,8 @@
         seeds: [],
         exchange: (address, message) => network.call(from, address, "gossip", message),
         newerDocuments: theirs => spread.transfersFor(theirs),
+        absentDocuments: theirs => spread.absentFrom(theirs),
+        takeDocuments: documents => spread.takeAbsent(documents),
     });
     const spread: Spread = createSpread({
         ...deps,
--- a/packages/bench/src/slopes/createFleetSidecar.ts
+++ b/packages/bench/src/slopes/createFleetSidecar.ts
@@ -46,6 +46,7 @@
         sampler: `rollout-${at}` as SamplerId,
         report,
         digest: follower.digest,
+        wholeDocuments: follower.wholeDocuments,
         onDocuments: follower.receive,
         onLeaving: () => undefined,
         seeds: [],
--- a/packages/daemon/src/startSidecar.ts
+++ b/packages/daemon/src/startSidecar.ts
@@ -116,6 +116,7 @@
         logger,
         report: gate.report,
         digest: follower.digest,
+        wholeDocuments: follower.wholeDocuments,
         onDocuments: follower.receive,
         onLeaving: gate.beginLeaving,
         vmList: createHttpVmList(settings.vmListUrl),
--- a/packages/daemon/src/testing/createMemorySystem.ts
+++ b/packages/daemon/src/testing/createMemorySystem.ts
@@ -172,6 +172,7 @@
             logger: own.logger,
             report: gate.report,
             digest: follower.digest,
+            wholeDocuments: follower.wholeDocuments,
             onDocuments: follower.receive,
             onLeaving: gate.beginLeaving,
             vmList,
--- a/packages/entry/src/createFleet.ts
+++ b/packages/entry/src/createFleet.ts
@@ -28,6 +28,8 @@
         seeds: deps.seeds.filter(address => address !== self.address),
         exchange: (address, message) => callPeer(address, "gossip", message, exchangeTimeoutMs),
         newerDocuments: theirs => spread.transfersFor(theirs),
+        absentDocuments: theirs => spread.absentFrom(theirs),
+        takeDocuments: documents => spread.takeAbsent(documents),
         timing: deps.timing,
     });
     const spread = createSpread({
--- a/packages/membership/src/MembershipDeps.ts
+++ b/packages/membership/src/MembershipDeps.ts
@@ -21,5 +21,9 @@
     exchange: (address: string, message: GossipMessage) => Promise<unknown>;
     /** Documents newer than a sidecar's. */
     newerDocuments: (theirs: DocumentDigest) => DocumentTransfer[];
+    /** Names of the documents of `theirs` of which this entry has no version. */
+    absentDocuments: (theirs: DocumentDigest) => string[];
+    /** Documents that a sidecar sent because they are absent here. */
+    takeDocuments: (documents: DocumentTransfer[]) => void;
     timing?: Partial<MembershipTiming>;
 }
--- a/packages/membership/src/ReportAnswer.ts
+++ b/packages/membership/src/ReportAnswer.ts
@@ -5,6 +5,8 @@
 export interface ReportAnswer {
     /** Documents newer than the sidecar's. */
     documents: DocumentTransfer[];
+    /** Documents that the entry has no version of; the next report is to bring them. */
+    wanted?: string[];
     /** When this entry wants the next report. */
     nextReportMs: number;
     /** Other entries, while the sidecar knows few. */
--- a/packages/membership/src/ReportMessage.ts
+++ b/packages/membership/src/ReportMessage.ts
@@ -1,3 +1,4 @@
+import type { DocumentTransfer } from "@auburnarch/spread/DocumentTransfer";
 import type { DocumentDigest } from "@auburnarch/types/DocumentDigest";
 import type { SamplerReport } from "@auburnarch/types/SamplerReport";
 
@@ -8,4 +9,6 @@
     digest: DocumentDigest;
     /** Entries it knows of; while these are few, the answer names more. */
     knownEntries: number;
+    /** Documents that the entry's last answer asked for, whole. */
+    documents?: DocumentTransfer[];
 }
--- a/packages/membership/src/ReporterDeps.ts
+++ b/packages/membership/src/ReporterDeps.ts
@@ -19,6 +19,8 @@
     report: () => SamplerReport;
     /** Versions of the documents that the sidecar follows; 0 for one it lacks. */
     digest: () => DocumentDigest;
+    /** Those of the named documents that are held, whole. */
+    wholeDocuments: (names: string[]) => DocumentTransfer[];
     /** Documents of an answer, to be taken if newer. */
     onDocuments: (documents: DocumentTransfer[]) => void;
     /** The VM list says that this VM is leaving. */
--- a/packages/membership/src/createMembership.test.ts
+++ b/packages/membership/src/createMembership.test.ts
@@ -83,6 +83,8 @@
                 return JSON.parse(JSON.stringify(answer)) as unknown;
             },
             newerDocuments: () => [],
+            absentDocuments: () => [],
+            takeDocuments: () => undefined,
         });
         nodes.set(self.address, node);
         node.start();
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -113,12 +113,16 @@
     }
 
     function receiveReport(message: unknown): ReportAnswer {
-        const { report, digest, knownEntries } = parseWith<ReportMessage>(reportMessageSchema, message);
+        const parsed = parseWith<ReportMessage>(reportMessageSchema, message);
+        const { report, digest, knownEntries, documents = [] } = parsed;
+        deps.takeDocuments(documents);
         const nextReportMs = pacer.intervalMs(reports.size());
         reports.take(report, nextReportMs);
         pacer.note(message);
+        const wanted = deps.absentDocuments(digest);
         return {
             documents: deps.newerDocuments(digest),
+            ...(wanted.length > 0 ? { wanted } : {}),
             nextReportMs,
             entries: tellEntries(knownEntries),
             leaving: vmView.isLeaving(report.vm),
--- a/packages/membership/src/createReporter.test.ts
+++ b/packages/membership/src/createReporter.test.ts
@@ -50,6 +50,7 @@
             state: reported.state,
         } as SamplerReport),
         digest: () => ({ manifest: 0 }),
+        wholeDocuments: names => names.map(name => ({ kind: "whole", name, version: 3, value: "good" })),
         onDocuments: () => undefined,
         onLeaving: () => {
             state.leaving++;
@@ -68,6 +69,21 @@
 
 const fine = { documents: [], nextReportMs: 1_000, entries: [], leaving: false };
 
+test("an entry that has no version of a document gets the one held here with the next report, at once", async () => {
+    // Symptom: entries that started while the object API held a manifest with faults served nobody, though each sidecar
+    // worked by the last good one. Sequence: an operator's bad manifest; both entries start again. Cause: an entry
+    // learnt from the object API and from other entries alone.
+    const brought: unknown[] = [];
+    const { clock, reporter } = build((_address, message) => {
+        brought.push(...message.documents ?? []);
+        return Promise.resolve(brought.length > 0 ? fine : { ...fine, wanted: ["manifest"] });
+    });
+    reporter.start();
+    await clock.advance(100);
+    reporter.stop();
+    expect(brought).toContainEqual({ kind: "whole", name: "manifest", version: 3, value: "good" });
+});
+
 test("reports go to three entries in three failure domains, about once a second", async () => {
     const { clock, reporter, state } = build(() => Promise.resolve(fine));
     reporter.start();
--- a/packages/membership/src/createReporter.ts
+++ b/packages/membership/src/createReporter.ts
@@ -1,5 +1,6 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { callInTime } from "@auburnarch/spread/callInTime";
+import type { DocumentTransfer } from "@auburnarch/spread/DocumentTransfer";
 import { parseWith } from "@auburnarch/spread/parseWith";
 import type { DocumentDigest } from "@auburnarch/types/DocumentDigest";
 import { createEntryDirectory } from "./createEntryDirectory.js";
@@ -9,6 +10,7 @@
 import { isOwnVmLeaving } from "./isOwnVmLeaving.js";
 import { listEntryTargets } from "./listEntryTargets.js";
 import type { MembershipTiming } from "./MembershipTiming.js";
+import { planNextReportMs } from "./planNextReportMs.js";
 import type { ReportAnswer } from "./ReportAnswer.js";
 import { reportAnswerSchema } from "./reportAnswerSchema.js";
 import type { Reporter } from "./Reporter.js";
@@ -62,28 +64,27 @@
         }
     }
 
-    /**
-     * The next report to an entry: a part of the interval behind the last one planned. The reports to the entries
-     * chosen are so spread evenly, and a new document comes that much sooner than at the end of an interval.
-     */
     function nextReportAtMs(address: string, intervalMs: number): number {
-        const nowMs = clock.monotonicMs();
         const targets = chooser.choose();
-        const planned = targets
-            .filter(target => target.address !== address)
-            .map(target => dueAtMs.get(target.address) ?? 0);
-        const lastMs = Math.max(...planned, 0);
-        const wantedMs = lastMs > nowMs
-            ? lastMs + intervalMs / targets.length
-            : nowMs + intervalMs * (0.5 + ownPlace);
-        return Math.min(nowMs + 1.5 * intervalMs, Math.max(nowMs + 0.5 * intervalMs, wantedMs));
+        const others = targets.filter(target => target.address !== address);
+        return planNextReportMs({
+            nowMs: clock.monotonicMs(),
+            plannedMs: others.map(target => dueAtMs.get(target.address) ?? 0),
+            targets: targets.length,
+            intervalMs,
+            ownPlace,
+        });
     }
 
     function takeAnswer(address: string, answer: ReportAnswer, changesSent: number): void {
         directory.noteAnswered(address);
         answeredAtMs = clock.monotonicMs();
         learn(answer.entries);
-        if (changesSent === changes) {
+        const owed = deps.wholeDocuments(answer.wanted ?? []);
+        if (owed.length > 0) {
+            void reportTo(address, owed);
+        }
+        else if (changesSent === changes) {
             dueAtMs.set(address, nextReportAtMs(address, answer.nextReportMs));
         }
         else {
@@ -110,13 +111,14 @@
             : Object.fromEntries(Object.entries(digest).filter(([, version]) => version > 0));
     }
 
-    async function reportTo(address: string): Promise<void> {
+    async function reportTo(address: string, documents: DocumentTransfer[] = []): Promise<void> {
         inFlight.add(address);
         const changesSent = changes;
         const message = {
             report: deps.report(),
             digest: askOnce(),
             knownEntries: directory.countUsable(),
+            ...(documents.length > 0 ? { documents } : {}),
         };
         const call = (): Promise<ReportAnswer> =>
             deps.exchange(address, message).then(answer =>
--- a/packages/membership/src/reportAnswerSchema.ts
+++ b/packages/membership/src/reportAnswerSchema.ts
@@ -6,6 +6,7 @@
 /** Shape of a `ReportAnswer` as it comes from an entry. */
 export const reportAnswerSchema = z.strictObject({
     documents: z.array(documentTransferSchema).max(maxRows),
+    wanted: z.array(z.string().max(128)).max(maxRows).optional(),
     nextReportMs: z.number().min(0),
     entries: z.array(z.strictObject({
         address: z.string().min(1).max(256),
--- a/packages/spread/src/Spread.ts
+++ b/packages/spread/src/Spread.ts
@@ -15,6 +15,14 @@
     digest(): DocumentDigest;
     /** Documents newer here than in `theirs`, of the names in it; for the answer to a sidecar's report. */
     transfersFor(theirs: DocumentDigest): DocumentTransfer[];
+    /** Names of the documents of `theirs` of which no version is held here. */
+    absentFrom(theirs: DocumentDigest): string[];
+    /**
+     * Takes documents that a sidecar sent because they are absent here. Without it entries that start while the store
+     * holds a manifest with faults have none, though each sidecar still works by the last good one, and serve nobody
+     * until an operator mends it.
+     */
+    takeAbsent(transfers: DocumentTransfer[]): void;
     /** Answers a peer's message, unchecked as it came. Throws `badRequest` if it is malformed. */
     receive(message: unknown): SpreadMessage;
     /** True once a peer or the object API has told what it holds; a process serves nothing before. */
--- a/packages/spread/src/createDocumentSet.ts
+++ b/packages/spread/src/createDocumentSet.ts
@@ -66,7 +66,7 @@
         if (!guards.forwardOnly(before, version)) {
             return "notNewer";
         }
-        if (version <= (refusedVersions.get(name) ?? 0)) {
+        if (version === refusedVersions.get(name)) {
             return "refused";
         }
         const faults = deps.faultsOf(document);
--- a/packages/spread/src/createFollower.ts
+++ b/packages/spread/src/createFollower.ts
@@ -54,6 +54,9 @@
                 take(transfer);
             }
         },
+        wholeDocuments: names =>
+            names.filter(name => followedNames.includes(name))
+                .flatMap(name => documents.transfer(name, 0) ?? []),
         get: documents.get,
     };
 }
--- a/packages/spread/src/createSpread.ts
+++ b/packages/spread/src/createSpread.ts
@@ -108,6 +108,13 @@
             Object.entries(theirs)
                 .filter(([name, version]) => (documents.get(name)?.version ?? 0) > version)
                 .map(([name, version]) => documents.transfer(name, version)!),
+        absentFrom: theirs =>
+            Object.keys(theirs).filter(name =>
+                caughtUp && theirs[name]! > 0 && documents.get(name) === undefined
+            ),
+        takeAbsent: transfers => {
+            transfers.filter(({ name }) => documents.get(name) === undefined).forEach(documents.takeTransfer);
+        },
         receive: message => answerMessage(documents, parseWith<SpreadMessage>(spreadMessageSchema, message)),
         isCaughtUp: () => caughtUp,
     };
