--- a/packages/membership/src/createReporter.ts
+++ b/packages/membership/src/createReporter.ts
@@ -65,15 +65,10 @@
     }
 
     function nextReportAtMs(address: string, intervalMs: number): number {
-        const targets = chooser.choose();
-        const others = targets.filter(target => target.address !== address);
-        return planNextReportMs({
-            nowMs: clock.monotonicMs(),
-            plannedMs: others.map(target => dueAtMs.get(target.address) ?? 0),
-            targets: targets.length,
-            intervalMs,
-            ownPlace,
-        });
+        const targets = chooser.choose().map(target => target.address);
+        const plannedMs = targets.filter(each => each !== address).map(each => dueAtMs.get(each) ?? 0);
+        const nowMs = clock.monotonicMs();
+        return planNextReportMs({ nowMs, plannedMs, targets: targets.length, intervalMs, ownPlace });
     }
 
     function takeAnswer(address: string, answer: ReportAnswer, changesSent: number): void {
