Tell two starts of a sampler under one name apart; read items of the store one by one

Cause: a sampler may start again under its id. What was kept by that name (pace, suspicion, accepted orders, connections, what it serves) passed to the new start, and an entry that the earlier start wrote late was believed. Change: the incarnation is the id and the time of the start; the id alone goes on the wire. An earlier start never replaces a later one; a report of another start counts no orders. Items and events are parsed one by one; a bad one is logged once a revision, counted, and names nothing to use.

--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -63,7 +63,14 @@
     const { clock, logger, metrics } = context;
     const address = (): { host: string; port: number; } =>
         splitAddress(context.currentSettings().storeAddress)!;
-    const platformStore = createPlatformStore({ address, clock });
+    const platformStore = createPlatformStore({
+        address,
+        clock,
+        onUnreadable: ({ kind, name, revision, fault }) => {
+            logger.warn("objectUnreadable", { kind, object: name, revision, fault });
+            metrics.count("store_objects_unreadable_total", { kind });
+        },
+    });
     const health = createStoreHealth(platformStore, platformStore.touch, clock, metrics, logger);
     const links = createPeerLinks(clock);
     const known: { runners?: WatchedKind<RunnerAddress>; } = {};
--- a/packages/discovery/src/KnownSampler.ts
+++ b/packages/discovery/src/KnownSampler.ts
@@ -6,8 +6,12 @@
 
 /** A sampler as it registered itself. */
 export interface KnownSampler {
-    /** Names one start of the sampler; the next start registers anew. */
+    /** Names one start of the sampler, so that what is kept by it never passes to the next start. */
     incarnation: IncarnationId;
+    /** The name under which it registered and by which it checks what is sent to it; a next start may have the same. */
+    instance: string;
+    /** Wall time of this start, as the sampler says; undefined where it does not. */
+    bornAtMs: number | undefined;
     service: ServiceId;
     host: string;
     port: number;
--- a/packages/discovery/src/createSamplerDirectory.ts
+++ b/packages/discovery/src/createSamplerDirectory.ts
@@ -12,6 +12,9 @@
  */
 const returnGraceMs = 2_500;
 
+/** Names whose latest start is remembered; those seen last stay. */
+const maxNames = 8_192;
+
 const servedText = ({ served }: KnownSampler): string =>
     served.map(each => `${each.policy}:${each.version}`).join(",");
 
@@ -22,13 +25,19 @@
     logger: Logger,
 ): SamplerDirectory {
     let known = new Map<string, KnownSampler>();
+    /** The same by start; looked up at each event of a run. */
+    let byStart = new Map<IncarnationId, KnownSampler>();
+    /** Latest start seen under each name. */
+    const latestBorn = new Map<string, number>();
     const lapsed = new Map<string, { sampler: KnownSampler; untilMs: number; }>();
 
     const graceUntilMs = (): number => (entries.regainedAtMs() ?? -Infinity) + returnGraceMs;
 
     function refresh(): void {
         const nowMs = clock.monotonicMs();
-        const listed = new Map(entries.objects() ?? []);
+        const listed = new Map(
+            [...entries.objects() ?? []].map(([name, entry]) => [name, newest(name, entry)]),
+        );
         for (const [name, sampler] of known) {
             if (!listed.has(name) && nowMs < graceUntilMs() && !sampler.isDraining) {
                 lapsed.set(name, { sampler, untilMs: graceUntilMs() });
@@ -41,17 +50,41 @@
         }
         logChanges(listed);
         known = listed;
+        byStart = new Map([...known.values()].map(sampler => [sampler.incarnation, sampler]));
+    }
+
+    /**
+     * What an earlier start said of itself may be written after the later one has registered. Taken for the present it
+     * would bring back weights that are gone, or a drain that is over; the later start is known to hold.
+     */
+    function newest(name: string, entry: KnownSampler): KnownSampler {
+        const { bornAtMs } = entry;
+        const before = known.get(name);
+        if (bornAtMs === undefined) {
+            return entry;
+        }
+        if (bornAtMs < (latestBorn.get(name) ?? bornAtMs)) {
+            logger.warn("samplerEarlierStartIgnored", { sampler: name, bornAtMs });
+            return before ?? { ...entry, isDraining: true };
+        }
+        latestBorn.delete(name);
+        latestBorn.set(name, bornAtMs);
+        if (latestBorn.size > maxNames) {
+            latestBorn.delete(latestBorn.keys().next().value!);
+        }
+        return entry;
     }
 
     function logChanges(listed: Map<string, KnownSampler>): void {
         for (const [name, sampler] of listed) {
             const before = known.get(name);
             if (
-                before === undefined || before.isDraining !== sampler.isDraining
+                before?.incarnation !== sampler.incarnation || before.isDraining !== sampler.isDraining
                 || servedText(before) !== servedText(sampler)
             ) {
                 logger.info("samplerSeen", {
                     sampler: name,
+                    bornAtMs: sampler.bornAtMs,
                     service: sampler.service,
                     address: `${sampler.host}:${sampler.port}`,
                     draining: sampler.isDraining,
@@ -84,7 +117,9 @@
     return {
         isKnown: () => entries.objects() !== undefined,
         serving: service => [...everyOne()].filter(each => each.service === service && !each.isDraining),
-        find: (incarnation: IncarnationId) =>
-            known.get(incarnation) ?? [...everyOne()].find(each => each.incarnation === incarnation),
+        find: (incarnation: IncarnationId) => {
+            const found = byStart.get(incarnation);
+            return found ?? [...everyOne()].find(each => each.incarnation === incarnation);
+        },
     };
 }
--- a/packages/discovery/src/discovery.test.ts
+++ b/packages/discovery/src/discovery.test.ts
@@ -21,6 +21,8 @@
 const service = "tiles" as ServiceId;
 const entryOf = (name: string, isDraining = false): KnownSampler => ({
     incarnation: name as IncarnationId,
+    instance: name,
+    bornAtMs: undefined,
     service,
     host: "10.0.0.1",
     port: 1,
@@ -167,6 +169,56 @@
     expect(serving()).toEqual([]);
 });
 
+test("a sampler that starts again under its name is another one, and what its earlier start says late changes nothing", async () => {
+    // Symptom: a sampler that had started again was kept out as slow and suspected, and its drain of before was believed.
+    // Sequence: it crashes, registers under the name that it had, and a write of the earlier start arrives after that.
+    // Cause: what is kept was kept by the name.
+    const { clock, lines, logger, put, samplers } = createFixture();
+    const startOf = (bornAtMs: number, isDraining = false): KnownSampler => ({
+        ...entryOf("a", isDraining),
+        incarnation: `a@${bornAtMs}` as IncarnationId,
+        bornAtMs,
+    });
+    const directory = createSamplerDirectory(samplers(), clock, logger);
+    const serving = (): string[] => directory.serving(service).map(sampler => sampler.incarnation);
+    const seen: string[][] = [];
+    for (const entry of [startOf(1_000), startOf(2_000), startOf(1_000, true), startOf(2_000, true)]) {
+        await put("servers/a", entry);
+        await clock.advance(100);
+        seen.push(serving());
+    }
+    expect(seen).toEqual([["a@1000"], ["a@2000"], ["a@2000"], []]);
+    expect(directory.find("a@1000" as IncarnationId)).toBeUndefined();
+    expect(lines).toContain("samplerEarlierStartIgnored");
+});
+
+test("what is not understood is told once a revision, and costs nothing else", async () => {
+    // Symptom: a line for each answer, for as long as an entry of another writer stands there. Cause: each list and
+    // watch told it anew.
+    const { clock, control, lines, put, watched } = createFixture(1);
+    const copy = watchKind<number>({
+        ...watched,
+        kind: "servers",
+        decode: (_name, value) => typeof value === "number" ? value : undefined,
+    });
+    await put("servers/a", 1);
+    await put("servers/b", "?");
+    for (let round = 0; round < 3; round++) {
+        control.setOutage(true);
+        await clock.advance(1_000);
+        control.setOutage(false);
+        await clock.advance(1_000);
+    }
+    expect([[...copy.objects()!], lines.filter(line => line === "objectNotUnderstood").length]).toEqual([
+        [["a", 1]],
+        1,
+    ]);
+    await put("servers/b", "!");
+    await clock.advance(100);
+    expect(lines.filter(line => line === "objectNotUnderstood").length).toBe(2);
+    copy.stop();
+});
+
 test("a sampler that leaves in calm times gets nothing more at once", async () => {
     const { clock, logger, put, remove, samplers } = createFixture();
     await put("servers/a", entryOf("a"));
--- a/packages/discovery/src/watchKind.ts
+++ b/packages/discovery/src/watchKind.ts
@@ -4,7 +4,6 @@
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
 import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
 import type { StoredChange } from "@auburnarch/types/StoredChange";
-import type { StoredObject } from "@auburnarch/types/StoredObject";
 import { followPrefix } from "./followPrefix.js";
 import type { WatchedKind } from "./WatchedKind.js";
 
@@ -36,6 +35,8 @@
     const { store, clock, logger, kind, decode, gatherMs = () => 0, waitMs = defaultWaitMs } = options;
     const prefix = `${kind}/`;
     const objects = new Map<string, T>();
+    /** Objects that stand there and are none of ours to understand, by name. */
+    const notUnderstood = new Map<string, ObjectVersion>();
     const listeners = new Set<() => void>();
     let isStopped = false;
     let revision: ObjectVersion | undefined;
@@ -43,26 +44,38 @@
     let isReachable = true;
     let regainedAtMs: number | undefined;
 
-    function take(key: string, value: unknown): void {
+    /** Once a revision: a list that comes again says nothing new of what still stands there. */
+    function noteNotUnderstood(name: string, version: ObjectVersion): void {
+        if (notUnderstood.get(name) !== version) {
+            notUnderstood.set(name, version);
+            logger.warn("objectNotUnderstood", { kind, object: name, revision: version });
+        }
+    }
+
+    function take({ key, version, value }: StoredChange): void {
         const name = key.slice(prefix.length);
         const decoded = value === undefined ? undefined : decode(name, value);
-        if (decoded === undefined) {
-            if (value !== undefined) {
-                logger.warn("objectNotUnderstood", { kind, object: name });
-            }
-            objects.delete(name);
+        if (decoded !== undefined) {
+            objects.set(name, decoded);
+            notUnderstood.delete(name);
             return;
         }
-        objects.set(name, decoded);
+        objects.delete(name);
+        if (value === undefined) {
+            notUnderstood.delete(name);
+        }
+        else {
+            noteNotUnderstood(name, version);
+        }
     }
 
-    function replaceAll(found: Pick<StoredObject, "key" | "value">[]): void {
+    function replaceAll(found: StoredChange[]): void {
         objects.clear();
-        found.forEach(object => take(object.key, object.value));
-    }
-
-    function applyChanges(changes: StoredChange[]): void {
-        changes.forEach(change => take(change.key, change.value));
+        const present = new Set(found.map(object => object.key.slice(prefix.length)));
+        [...notUnderstood.keys()].filter(name => !present.has(name)).forEach(name =>
+            notUnderstood.delete(name)
+        );
+        found.forEach(take);
     }
 
     function noteReached(): void {
@@ -112,7 +125,7 @@
         },
         onChanged: (changes, at, sentAtMs) => {
             noteAnswer(at, sentAtMs);
-            applyChanges(changes);
+            changes.forEach(take);
             if (changes.length > 0) {
                 tellListeners();
             }
--- a/packages/relay/src/createRelay.test.ts
+++ b/packages/relay/src/createRelay.test.ts
@@ -18,6 +18,8 @@
 const service = "tiles" as ServiceId;
 const sampler = (name: string, failureDomain = "lugo"): KnownSampler => ({
     incarnation: name as IncarnationId,
+    instance: name,
+    bornAtMs: undefined,
     service,
     host: "10.0.0.1",
     port: 1,
--- a/packages/runner/src/EngineStatus.ts
+++ b/packages/runner/src/EngineStatus.ts
@@ -8,4 +8,6 @@
     isBusy: boolean;
     /** Orders accepted since its start; an order may name the count it expects. */
     orders: number;
+    /** Wall time of the start that this is about; undefined where the sampler does not say. */
+    bornAtMs: number | undefined;
 }
--- a/packages/runner/src/createLoadRoller.test.ts
+++ b/packages/runner/src/createLoadRoller.test.ts
@@ -37,11 +37,12 @@
     const accepted = new Map(names.map(name => [name, 0]));
     const named = new Map<string, NamedVersion>();
     const sent: string[] = [];
-    const state = { mayOrder: true, loading: 0, most: 0 };
+    const state = { mayOrder: true, loading: 0, most: 0, reportedBornAtMs: undefined as number | undefined };
 
     const samplerOf = (name: string): KnownSampler =>
         ({
             incarnation: name as IncarnationId,
+            bornAtMs: 1_000,
             service,
             served: [{ policy, version: versions.get(name)! as WeightVersion }],
         }) as unknown as KnownSampler;
@@ -64,6 +65,7 @@
                 served: [],
                 isBusy: false,
                 orders: accepted.get(sampler.incarnation)!,
+                bornAtMs: state.reportedBornAtMs,
             }),
             load: async (sampler, order) => {
                 const name = sampler.incarnation as string;
@@ -95,6 +97,21 @@
     return { state, sent, versions, name, tick, stop: roller.stop };
 }
 
+test("an order counts by what the start of the sampler says that it is meant for", async () => {
+    // Symptom: a load was never made, or never ordered. Sequence: a sampler starts again under its name; its report comes
+    // from the new start while the entry known is of the earlier one. Cause: the count of orders of one start taken for
+    // that of the other.
+    const { name, sent, state, tick, stop } = createFixture(["a"]);
+    state.reportedBornAtMs = 2_000;
+    name(2);
+    await tick(1_000);
+    expect(sent).toEqual([]);
+    state.reportedBornAtMs = 1_000;
+    await tick(1_000);
+    expect(sent).toEqual(["a v2 expects 0 accepted"]);
+    stop();
+});
+
 test("all samplers of a policy get the version named, two at a time, each order naming the count before it", async () => {
     const { state, sent, versions, name, tick, stop } = createFixture(["a", "b", "c", "d"]);
     name(2);
--- a/packages/runner/src/createLoadRoller.ts
+++ b/packages/runner/src/createLoadRoller.ts
@@ -2,6 +2,7 @@
 import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { PolicyId } from "@auburnarch/types/PolicyId";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import type { EngineStatus } from "./EngineStatus.js";
 import type { LoadRollerDeps } from "./LoadRollerDeps.js";
 import { loadsAtOnce } from "./loadsAtOnce.js";
 import type { OrderOutcome } from "./OrderOutcome.js";
@@ -22,6 +23,13 @@
 const versionOf = (sampler: KnownSampler | undefined, policy: PolicyId): number =>
     sampler?.served.find(served => served.policy === policy)?.version ?? -1;
 
+/**
+ * A sampler that started again under its name counts its orders anew. With the count of its other start an order would
+ * be refused as long as the two differ, or, where they are equal, be void for a load that was never made.
+ */
+const isOfAnotherStart = (status: EngineStatus, sampler: KnownSampler): boolean =>
+    status.bornAtMs !== undefined && sampler.bornAtMs !== undefined && status.bornAtMs !== sampler.bornAtMs;
+
 /** Orders samplers to load the versions that trainers name, for the holder of the duty. */
 export function createLoadRoller(deps: LoadRollerDeps): LoadRoller {
     const { clock, logger, metrics, directory, orders } = deps;
@@ -58,7 +66,7 @@
             return known;
         }
         const status = await orders.readStatus(sampler);
-        if (status === undefined || status.isBusy) {
+        if (status === undefined || status.isBusy || isOfAnotherStart(status, sampler)) {
             return undefined;
         }
         accepted.set(sampler.incarnation, status.orders);
--- a/packages/runner/src/planLoads.test.ts
+++ b/packages/runner/src/planLoads.test.ts
@@ -12,6 +12,8 @@
 
 const sampler = (name: string, versions: number[] = [1, 1, 1]): KnownSampler => ({
     incarnation: name as IncarnationId,
+    instance: name,
+    bornAtMs: undefined,
     service: "rollout" as ServiceId,
     host: "10.0.0.1",
     port: 1,
