Ask the store once for what a rival recorded before being sure of a job's end

The fault is older; records in shorter turns hid it, since the loser of a record learns what stands there. Change: a job that a rival runs, keeps, or may have run before it started anew is contested, and the store is asked once for what stands behind the last chunk known. Tests: the sequence; what makes a rival.

--- a/packages/runner/src/BookPage.ts
+++ b/packages/runner/src/BookPage.ts
@@ -7,6 +7,8 @@
     results: number;
     isLoaded: boolean;
     isRunning: boolean;
+    /** Another runner had the job too, and the store has not been asked since for what it recorded. */
+    isContested: boolean;
     /** When the store last said that there is no further chunk. */
     verifiedAtMs: number;
     verifying: Promise<boolean> | undefined;
--- a/packages/runner/src/ResultBook.ts
+++ b/packages/runner/src/ResultBook.ts
@@ -11,6 +11,11 @@
     markLoaded(lot: LotId): void;
     /** The job runs here no more. */
     close(lot: LotId): void;
+    /**
+     * Notes that other runners have, or may have had, jobs that run here too. What they recorded is not known here, also
+     * once they are done with them.
+     */
+    noteRivals(isRivalled: (lot: LotId) => boolean): void;
     /** The newest of the jobs that run here no more but whose results are held. */
     kept(): LotId[];
     /** Chunks from `fromChunk` on, waiting up to `waitMs` for the first of them. */
--- a/packages/runner/src/createBookPages.ts
+++ b/packages/runner/src/createBookPages.ts
@@ -11,6 +11,7 @@
     /** Adds a chunk where it is the next one. */
     add(page: BookPage, number: number, chunk: ResultChunk): void;
     delete(lot: LotId): void;
+    running(): Iterable<[LotId, BookPage]>;
     /** The newest of the jobs that do not run here but whose results are held. */
     kept(): LotId[];
 }
@@ -60,6 +61,7 @@
                 results: 0,
                 isLoaded: false,
                 isRunning: true,
+                isContested: false,
                 verifiedAtMs: -Infinity,
                 verifying: undefined,
                 loading: undefined,
@@ -72,6 +74,7 @@
         },
         add,
         delete: lot => void pages.delete(lot),
+        running: () => [...pages].filter(([, page]) => page.isRunning),
         kept: () =>
             [...pages].filter(([, page]) => !page.isRunning && page.isLoaded).map(([lot]) => lot)
                 .slice(-maxToldKept),
--- a/packages/runner/src/createPeerBook.ts
+++ b/packages/runner/src/createPeerBook.ts
@@ -73,7 +73,8 @@
             logger.info("runnerBack", { runner: peer.name, incarnation: status.incarnation });
         }
         const isChanged = !peer.isAlive || lotsOf(before) !== lotsOf(status)
-            || before?.isLeaving !== status.isLeaving;
+            || before?.isLeaving !== status.isLeaving
+            || before?.incarnation !== status.incarnation;
         peer.isAlive = true;
         if (isChanged) {
             deps.onChange();
--- a/packages/runner/src/createResultBook.test.ts
+++ b/packages/runner/src/createResultBook.test.ts
@@ -7,6 +7,11 @@
 import type { ResultsAnswer } from "@auburnarch/lots/ResultsAnswer";
 import { expect, test } from "vitest";
 import { createResultBook } from "./createResultBook.js";
+import { createRivals } from "./createRivals.js";
+import { isSoleWriter } from "./isSoleWriter.js";
+import type { PeerView } from "./PeerView.js";
+import type { RunnerStatus } from "./RunnerStatus.js";
+import { createPeerView } from "./testing/createPeerView.js";
 
 const lot = "lot-1" as LotId;
 const chunkOf = (from: number, ...items: string[]): ResultChunk => ({
@@ -100,6 +105,47 @@
     expect(await ask(2)).toBe('{"kind":"unsure"}');
 });
 
+test("a runner whose rival has had the job asks the store once before it is sure again", async () => {
+    // Symptom: three results that one gateway had shown for a second were missing at another. Sequence: two runners take
+    // a job within 30 ms; one records the last chunks and is done with it; the other still runs it. Cause: nobody else
+    // runs it now, taken for: nobody else has recorded anything.
+    const { state, book, append, ask } = createFixture();
+    book.open(lot, 9);
+    book.markLoaded(lot);
+    append("a");
+    expect([await ask(1), state.reads]).toEqual(["/9", 0]);
+    book.noteRivals(() => true);
+    state.stored.push(chunkOf(1, "b"));
+    expect(await ask(1)).toBe("part b/9");
+    expect([await ask(2), state.reads]).toEqual(["/9", 2]);
+    book.noteRivals(() => false);
+    expect([await ask(2), await ask(2), state.reads]).toEqual(["/9", "/9", 2]);
+});
+
+test("a peer that runs a job, has run it, or was not heard lately may have recorded results of it", () => {
+    const running = [{ lot }] as RunnerStatus["running"];
+    const peers = [
+        createPeerView("r2"),
+        createPeerView("r2", { running }),
+        createPeerView("r2", { keptLots: [lot] }),
+        { ...createPeerView("r2"), heardMs: 1_000 },
+    ];
+    expect(peers.map(peer => isSoleWriter(lot, [peer]))).toEqual([true, false, false, false]);
+});
+
+test("a peer that has started anew may have had any job before", () => {
+    const rivals = createRivals();
+    const peerOf = (incarnation: string, ...running: string[]): PeerView =>
+        ({
+            name: "r2",
+            status: { incarnation, running: running.map(each => ({ lot: each })) },
+        }) as unknown as PeerView;
+    const isRivalled = [peerOf("1", "x"), peerOf("1"), peerOf("2"), peerOf("2")].map(peer =>
+        rivals([peer])(lot)
+    );
+    expect([...isRivalled, rivals([peerOf("2", lot)])(lot)]).toEqual([false, false, true, false, true]);
+});
+
 test("a job that is over and that no runner holds is read once for all, by one runner", async () => {
     // Symptom: 743 of 3,320 calls of a day that ends with a loss of power of all were reads of results. Sequence: all
     // processes start anew; clients read jobs of before at six gateways. Cause: each gateway read each job itself.
--- a/packages/runner/src/createResultBook.ts
+++ b/packages/runner/src/createResultBook.ts
@@ -49,10 +49,12 @@
     async function readNext(lot: LotId, page: BookPage): Promise<boolean> {
         const sentAtMs = clock.monotonicMs();
         const number = page.chunks.length;
+        const isSole = deps.isSoleWriter(lot);
         try {
             const chunk = await deps.lots.readChunk(lot, number);
             if (chunk === undefined) {
                 page.verifiedAtMs = sentAtMs;
+                page.isContested &&= !isSole;
             }
             else {
                 pages.add(page, number, chunk);
@@ -69,7 +71,8 @@
     /** Nothing stands behind the last chunk. */
     function isEnd(lot: LotId, page: BookPage): boolean {
         const isFresh = clock.monotonicMs() - page.verifiedAtMs < verifiedForMs;
-        return isFresh || isComplete(page) || page.isRunning && deps.isSoleWriter(lot);
+        return isFresh || isComplete(page)
+            || page.isRunning && !page.isContested && deps.isSoleWriter(lot);
     }
 
     /** Looks for one more chunk where there may be one; false if that cannot be told. */
@@ -147,6 +150,11 @@
                 page.wake.abort();
             }
         },
+        noteRivals: isRivalled => {
+            for (const [lot, page] of pages.running()) {
+                page.isContested ||= isRivalled(lot);
+            }
+        },
         kept: pages.kept,
         answer: async (lot, fromChunk, waitMs): Promise<ResultsAnswer> => {
             const known = pages.get(lot);
--- /dev/null
+++ b/packages/runner/src/createRivals.ts
@@ -0,0 +1,22 @@
+import type { LotId } from "@auburnarch/lots/LotId";
+import type { PeerView } from "./PeerView.js";
+
+/**
+ * Makes the view of which jobs other runners have too, or may have had: a peer that has started anew since the last look
+ * says nothing of what it ran before.
+ */
+export function createRivals(): (peers: PeerView[]) => (lot: LotId) => boolean {
+    const incarnations = new Map<string, string>();
+    return peers => {
+        const running = new Set(peers.flatMap(({ status }) => status?.running.map(each => each.lot) ?? []));
+        let isAnyNew = false;
+        for (const { name, status } of peers) {
+            const before = incarnations.get(name);
+            if (status !== undefined && before !== status.incarnation) {
+                isAnyNew ||= before !== undefined;
+                incarnations.set(name, status.incarnation);
+            }
+        }
+        return lot => isAnyNew || running.has(lot);
+    };
+}
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -12,6 +12,7 @@
 import { createLotSweeper } from "./createLotSweeper.js";
 import { createPeerBook } from "./createPeerBook.js";
 import { createResultBook } from "./createResultBook.js";
+import { createRivals } from "./createRivals.js";
 import { createSamplerEvidence } from "./createSamplerEvidence.js";
 import { createScoreItem } from "./createScoreItem.js";
 import { createSeenGroups } from "./createSeenGroups.js";
@@ -75,10 +76,14 @@
         self: deps.name,
         registered: deps.registered,
         probe: deps.probe,
-        onChange: () => board.refresh(),
+        onChange: () => {
+            book.noteRivals(rivals(peers.peers()));
+            board.refresh();
+        },
         clock,
         logger,
     });
+    const rivals = createRivals();
     const board: LotBoard = createLotBoard({
         self: deps.name,
         entries: deps.entries,
@@ -90,11 +95,7 @@
             deps.storeSilentMs() === 0
             && deps.storeHeardMs() < storeHereMs
             && deps.storeRegainedMs() > regainedGraceMs,
-        checkStore: createStoreCheck({
-            ask: () => deps.store.read(deps.registration),
-            storeHeardMs: deps.storeHeardMs,
-            clock,
-        }),
+        checkStore: createStoreCheck({ ...deps, ask: () => deps.store.read(deps.registration) }),
         startRun: (lot, entry) =>
             createLotRun({
                 ...deps,
