Tell how each step went from log files

auburnarch steps reads the logs of gateways and runners and prints a row for each batch job: first item sent, half, nine tenths and all recorded, ended, with records, sends, refusals, moves, retries and runners.

--- a/packages/cli/src/createMainCommand.ts
+++ b/packages/cli/src/createMainCommand.ts
@@ -7,6 +7,7 @@
 import { createQuarantineCommand } from "./createQuarantineCommand.js";
 import { createSamplersCommand } from "./createSamplersCommand.js";
 import { createStatusCommand } from "./createStatusCommand.js";
+import { createStepsCommand } from "./createStepsCommand.js";
 import { createUsageCommand } from "./createUsageCommand.js";
 import { createValidateCommand } from "./createValidateCommand.js";
 
@@ -24,6 +25,7 @@
             drain: createDrainCommand(io),
             quarantine: createQuarantineCommand(io),
             explain: createExplainCommand(io),
+            steps: createStepsCommand(io),
         },
     }) as CommandDef;
 }
