--- a/packages/runner/src/createLoadRoller.ts
+++ b/packages/runner/src/createLoadRoller.ts
@@ -7,6 +7,7 @@
 import { loadsAtOnce } from "./loadsAtOnce.js";
 import type { OrderOutcome } from "./OrderOutcome.js";
 import { planLoads } from "./planLoads.js";
+import { versionOf } from "./versionOf.js";
 
 interface LoadRoller {
     /** Plans and orders what is due now. */
@@ -20,9 +21,6 @@
 const loadTimeoutMs = 2_500;
 const failurePauseMs = 300;
 
-const versionOf = (sampler: KnownSampler | undefined, policy: PolicyId): number =>
-    sampler?.served.find(served => served.policy === policy)?.version ?? -1;
-
 /**
  * A sampler that started again under its name counts its orders anew. With the count of its other start an order would
  * be refused as long as the two differ, or, where they are equal, be void for a load that was never made.
