Log which contents were in flight at a death, and each clean end of a suspect

Change: deathNoted (VM, start, contents), suspectFinishedCleanly (digest, whether it is refused), and the digest in sampleStarted and requestPlaced.

--- a/packages/admit/src/createQuarantine.ts
+++ b/packages/admit/src/createQuarantine.ts
@@ -3,7 +3,9 @@
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import type { SamplerReport } from "@auburnarch/types/SamplerReport";
 import type { SharedDocument } from "@auburnarch/types/SharedDocument";
+import type { VmId } from "@auburnarch/types/VmId";
 import { createQuarantineRecords } from "./createQuarantineRecords.js";
 import { mergeRecords } from "./mergeRecords.js";
 import { parseQuarantine } from "./parseQuarantine.js";
@@ -13,6 +15,8 @@
 const key = "quarantine";
 const defaultPublishWithinMs = 1_000;
 const maxTries = 5;
+/** A death under full load has hundreds of contents; a line names this many and counts the rest. */
+const maxLoggedDigests = 16;
 const absent = 0 as ObjectVersion;
 
 /** Makes an entry's view of the quarantine; see `docs/operators/quarantine.md`. */
@@ -97,20 +101,42 @@
     }
 
     function noteDeath(vm: string, bootId: string, digests: ContentDigest[]): void {
-        takeNews(records.newsOf(vm, bootId, digests));
+        const news = records.newsOf(vm, bootId, digests);
+        if (news.length > 0) {
+            const told = news.slice(0, maxLoggedDigests).map(record => record.digest).join();
+            logger.info("deathNoted", { vm, bootId, contents: news.length, digests: told });
+        }
+        takeNews(news);
+    }
+
+    function noteReport(report: Pick<SamplerReport, "suspects">): void {
+        const deaths = new Map<string, { vm: VmId; bootId: string; digests: ContentDigest[]; }>();
+        for (const suspect of report.suspects) {
+            for (const { vm, bootId } of suspect.deaths) {
+                const name = `${vm} ${bootId}`;
+                const death = deaths.get(name) ?? { vm, bootId, digests: [] };
+                death.digests.push(suspect.digest);
+                deaths.set(name, death);
+            }
+        }
+        deaths.forEach(({ vm, bootId, digests }) => noteDeath(vm, bootId, digests));
+    }
+
+    function noteCleanFinish(digest: ContentDigest): void {
+        if (!records.isSuspect(digest)) {
+            return;
+        }
+        const isRefused = records.isRefused(digest);
+        logger.info("suspectFinishedCleanly", { digest, isRefused });
+        if (!isRefused) {
+            takeNews([records.forgiven(digest)!]);
+        }
     }
 
     return {
-        noteReport: report =>
-            report.suspects.forEach(({ digest, deaths }) =>
-                deaths.forEach(({ vm, bootId }) => noteDeath(vm, bootId, [digest]))
-            ),
+        noteReport,
         noteDeath,
-        noteCleanFinish: digest => {
-            if (records.isSuspect(digest) && !records.isRefused(digest)) {
-                takeNews([records.forgiven(digest)!]);
-            }
-        },
+        noteCleanFinish,
         isRefused: records.isRefused,
         isSuspect: records.isSuspect,
         mustRunApart: (digest, others) =>
--- a/packages/entry/src/createServiceDesk.ts
+++ b/packages/entry/src/createServiceDesk.ts
@@ -84,12 +84,17 @@
         return service;
     }
 
-    function pickFor(request: CallerRequest, id: string): (tried: SamplerId[]) => SamplerId | undefined {
+    function pickFor(
+        request: CallerRequest,
+        id: string,
+        digest: ContentDigest,
+    ): (tried: SamplerId[]) => SamplerId | undefined {
         return tried => {
             const views = deps.views.list(request.service);
             const choice = choosePlainSampler(views, tried, deps.self.failureDomain, random.nextUnit);
             logger.info("requestPlaced", {
                 request: id,
+                digest,
                 service: request.service,
                 team: request.team,
                 sampler: choice?.sampler,
@@ -123,7 +128,7 @@
             budgetMs,
         };
         const plainDeps = {
-            pick: pickFor(request, id),
+            pick: pickFor(request, id, digest),
             sidecar: deps.views.sidecar,
             newAttempt: () => random.nextId() as AttemptId,
             retryBudget,
--- a/packages/gate/src/createSampleRunner.ts
+++ b/packages/gate/src/createSampleRunner.ts
@@ -116,6 +116,7 @@
         logger.info("sampleStarted", {
             attempt: attempt.attempt,
             sample: attempt.sample,
+            digest: attempt.digest,
             team: attempt.team,
             priority: attempt.priority,
             waitedMs: Math.round(slot.waitedMs),
