Judge from outside whether contents that kill nothing are served in the end

Cause: the judge of the fault runs asked the product's own rule who is guilty, and passed by every content that was at a crash of another cause. A change of that rule changed the verdict. Change: after each run the trainer asks once more for every prompt of which an attempt ended without an answer, and must get it within the users' 6 minutes for a step. What is there already stays.

--- a/packages/admit/src/createQuarantine.test.ts
+++ b/packages/admit/src/createQuarantine.test.ts
@@ -80,6 +80,27 @@
     expect(first.isSuspect(neighbour)).toBe(false);
 });
 
+test("a refused content that finishes cleanly is refused nowhere any more", async () => {
+    // Symptom: an innocent content answers 2007 everywhere for 24 h, though it has just run through. Sequence: it is in
+    // flight at two deaths of other causes and refused; an attempt that runs meanwhile ends cleanly 70 ms later. Cause: a
+    // clean end counted only for suspects that were not refused yet. Line: `suspectFinishedCleanly … isRefused=true`.
+    const { clock, entry } = createFixture();
+    const first = entry();
+    const second = entry();
+    first.noteDeath(vmOf("vm-1"), "b1", [neighbour, poison]);
+    first.noteDeath(vmOf("vm-2"), "b2", [neighbour]);
+    expect(first.isRefused(neighbour)).toBe(true);
+    second.offer((await first.publish())!);
+    await clock.advance(70);
+    second.noteCleanFinish(neighbour);
+    expect(second.isRefused(neighbour)).toBe(false);
+    first.offer((await second.publish())!);
+    expect(first.isRefused(neighbour)).toBe(false);
+    // The sampler goes on reporting the deaths that it saw.
+    first.noteReport(reportOf("vm-2", "b2", neighbour));
+    expect(first.isRefused(neighbour)).toBe(false);
+});
+
 test("operators lift a content durably; new deaths count anew; records expire", async () => {
     const { clock, control, entry } = createFixture();
     const quarantine = entry({ expiresAfterMs: 60_000 });
--- a/packages/bench/src/faults/Witness.ts
+++ b/packages/bench/src/faults/Witness.ts
@@ -19,6 +19,8 @@
     noteSample(attempt: SampleAttempt): void;
     /** A sender was told how its attempt ended. */
     noteOutcome(attempt: string, outcome: AttemptOutcome<unknown>): void;
+    /** Prompts of samples of which an attempt ended without an answer: what a death may be blamed on. */
+    promptsCutShort(): string[];
     /** An engine began to run an attempt. */
     noteEngineStart(node: string, request: EngineRequest): void;
     noteEngineEnd(node: string, attempt: string): void;
--- a/packages/bench/src/faults/createWitness.ts
+++ b/packages/bench/src/faults/createWitness.ts
@@ -31,6 +31,7 @@
     const samples = new Map<string, SampleAttempt>();
     const started = new Set<string>();
     const notRun = new Set<string>();
+    const promptsCutShort = new Set<string>();
     const runsByKey = new Map<string, number>();
     const leavingSinceMs = new Map<string, number | undefined>();
     const tokens = createTokenRecord();
@@ -87,7 +88,12 @@
             if (outcome.kind === "notRun") {
                 notRun.add(attempt);
             }
+            const sample = samples.get(attempt);
+            if (outcome.kind === "unknown" && sample !== undefined) {
+                promptsCutShort.add(sample.prompt);
+            }
         },
+        promptsCutShort: () => [...promptsCutShort],
         noteEngineStart: (node, request) => {
             judgeStart(request.attempt);
             company.start(node, request.attempt, arrivals.get(request.attempt));
--- a/packages/bench/src/faults/judgeRun.ts
+++ b/packages/bench/src/faults/judgeRun.ts
@@ -5,6 +5,7 @@
 import type { AttemptId } from "@auburnarch/types/AttemptId";
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
 import { createPoisonRequest } from "./createPoisonRequest.js";
+import { judgeServed } from "./judgeServed.js";
 import type { RunParts } from "./RunParts.js";
 
 const manifestKey = "config/manifest";
@@ -26,12 +27,15 @@
         return;
     }
     judgeConfig();
+    if (!await judgeServed(parts)) {
+        return;
+    }
     await judgeUsage();
     await probePoison();
 
     /**
      * Nothing may be refused for what a killing content did. A content that was in flight at two crashes of other
-     * causes is refused by the rule of two deaths, rightly or not, and is not judged here.
+     * causes is not judged here but by `judgeServed`.
      */
     function judgeQuarantine(): void {
         const stored = storeControl.peek("quarantine") as { records: QuarantineRecord[]; } | undefined;
--- /dev/null
+++ b/packages/bench/src/faults/judgeServed.ts
@@ -0,0 +1,25 @@
+import type { RunParts } from "./RunParts.js";
+
+/** The users' aim for the samples of a step; a content that kills nothing is served within it wherever it was in flight. */
+const servedWithinMs = 6 * 60_000;
+
+/**
+ * Asks once more for every prompt of which an attempt ended without an answer, as a trainer does that meets a prompt
+ * again. None of them kills engines, so all must be made, whatever deaths they were in flight at. What the product
+ * itself takes for guilty plays no part here. True if they were.
+ */
+export async function judgeServed({ world, trainer }: RunParts): Promise<boolean> {
+    const prompts = world.witness.promptsCutShort();
+    if (prompts.length === 0) {
+        return true;
+    }
+    let isServed = false;
+    void trainer.trainer.ask(prompts).then(() => {
+        isServed = true;
+    });
+    await world.clock.runUntil(() => isServed, servedWithinMs);
+    if (!isServed) {
+        world.violations.add("innocentRefused", `${prompts.length} prompts asked for again`);
+    }
+    return isServed;
+}
--- a/packages/own/src/testing/createTestTrainer.ts
+++ b/packages/own/src/testing/createTestTrainer.ts
@@ -42,6 +42,8 @@
 
 interface TestTrainer {
     run(): Promise<void>;
+    /** Opens one more step with these prompts, after `run`, and takes all of it. */
+    ask(prompts: readonly string[]): Promise<void>;
     report: TestTrainerReport;
     isFinished(): boolean;
     /** Highest fencing number seen in any answer. */
@@ -69,18 +71,27 @@
     };
     const judge = createTestJudge(options, report);
     const finished = new Map<number, string>();
+    const askedPrompts = new Map<number, readonly string[]>();
     let published = 0;
+    let opened = 0;
     let isFinished = false;
 
+    const promptsOf = (step: number): readonly string[] =>
+        askedPrompts.get(step)
+            ?? Array.from({ length: options.groupsPerStep }, (_, group) => `prompt ${step}.${group}`);
+
     const specOf = (step: number): StepSpec => ({
         step: step as StepNumber,
-        prompts: Array.from({ length: options.groupsPerStep }, (_, group) => ({
-            prompt: `prompt ${step}.${group}`,
-            maxTokens: options.maxTokens,
-        })),
+        prompts: promptsOf(step).map(prompt => ({ prompt, maxTokens: options.maxTokens })),
         needAtMs: undefined,
     });
 
+    const weightsOf = (version: number): Parameters<TrainerRoute["publishWeights"]>[0] => ({
+        policy: options.policy as PolicyId,
+        version: version as WeightVersion,
+        location: `${options.policy}/${version}`,
+    });
+
     const caller = createTestCaller(options, report);
     const { persist } = caller;
 
@@ -92,25 +103,15 @@
         }
         if (count > 1) {
             const route = options.route();
-            const weights = {
-                policy: options.policy as PolicyId,
-                version: first as WeightVersion,
-                location: `${options.policy}/${first}`,
-            };
-            void route?.publishWeights(weights).catch(() => undefined);
+            void route?.publishWeights(weightsOf(first)).catch(() => undefined);
         }
     }
 
     const open = (step: number): Promise<unknown> => persist(route => route.openStep(specOf(step)));
 
     async function publish(version: number): Promise<void> {
-        const weights = {
-            policy: options.policy as PolicyId,
-            version: version as WeightVersion,
-            location: `${options.policy}/${version}`,
-        };
         options.onPublish?.(version);
-        await persist(route => route.publishWeights(weights));
+        await persist(route => route.publishWeights(weightsOf(version)));
         published = version;
     }
 
@@ -166,7 +167,6 @@
     async function run(): Promise<void> {
         await publish(1);
         let shownTo = caller.highestFencing();
-        let opened = 0;
         const mayEnd = options.mayEnd ?? (() => true);
         for (let step = 0; step < options.steps || !mayEnd(); step++) {
             for (; opened <= step + (options.openAhead ?? 0); opened++) {
@@ -184,8 +184,16 @@
         isFinished = true;
     }
 
+    async function ask(prompts: readonly string[]): Promise<void> {
+        const step = opened++;
+        askedPrompts.set(step, prompts);
+        await open(step);
+        await readStep(step);
+    }
+
     return {
         run,
+        ask,
         report,
         isFinished: () => isFinished,
         highestFencing: caller.highestFencing,
