Let a clean end free a content that is refused already

Cause: it was refused at 7.500 s for two deaths of other causes (an engine that came back with other weights, a sidecar that went with its engine); its attempt under way ended cleanly at 7.570 s, and a clean end counted only for contents not yet refused (deathNoted, contentQuarantined and suspectFinishedCleanly isRefused=true show it). Change: a clean end forgives the deaths so far, refused or not.

--- a/packages/admit/src/createQuarantine.ts
+++ b/packages/admit/src/createQuarantine.ts
@@ -126,11 +126,8 @@
         if (!records.isSuspect(digest)) {
             return;
         }
-        const isRefused = records.isRefused(digest);
-        logger.info("suspectFinishedCleanly", { digest, isRefused });
-        if (!isRefused) {
-            takeNews([records.forgiven(digest)!]);
-        }
+        logger.info("suspectFinishedCleanly", { digest, isRefused: records.isRefused(digest) });
+        takeNews([records.forgiven(digest)!]);
     }
 
     return {
