--- a/packages/admit/src/Quarantine.ts
+++ b/packages/admit/src/Quarantine.ts
@@ -2,7 +2,9 @@
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
 import type { SamplerReport } from "@auburnarch/types/SamplerReport";
 import type { SharedDocument } from "@auburnarch/types/SharedDocument";
+import type { TrialId } from "@auburnarch/types/TrialId";
 import type { VmId } from "@auburnarch/types/VmId";
+import type { TrialKind } from "./TrialKind.js";
 
 /** Contents that were in flight when a sampler died, and those refused for it, as one entry knows them. */
 export interface Quarantine {
@@ -17,6 +19,15 @@
     noteCleanFinish(digest: ContentDigest): void;
     /** True for convicted content: it is not to run anywhere. */
     isRefused(digest: ContentDigest): boolean;
+    /**
+     * Asks for the one run that a refused content may have now, alone on a sampler; undefined while it may have none.
+     * Never rejects: while the object API is down there are no trials.
+     */
+    takeTrial(digest: ContentDigest, kind: TrialKind): Promise<TrialId | undefined>;
+    /** Gives a trial back that was not run; the content's next request may have it. */
+    returnTrial(digest: ContentDigest, trial: TrialId): void;
+    /** Time until a refused content may have a trial; 0 if it may have one now. */
+    trialDueInMs(digest: ContentDigest, kind: TrialKind): number;
     /** True if a death counts against it. */
     isSuspect(digest: ContentDigest): boolean;
     /**
--- a/packages/admit/src/QuarantineDeps.ts
+++ b/packages/admit/src/QuarantineDeps.ts
@@ -15,6 +15,8 @@
     /** Longest delay before news are written; drawn anew each time, so that entries with the same news do not race. */
     publishWithinMs?: number;
     maxRecords?: number;
+    /** Whether a trial that is due at a time may be had now. */
+    isTrialDue?: (dueAtMs: number, nowMs: number) => boolean;
     /** Whether a record refuses its content now. */
     isConvicted?: (record: QuarantineRecord, nowMs: number, records: readonly QuarantineRecord[]) => boolean;
 }
--- a/packages/admit/src/countDeadVms.ts
+++ b/packages/admit/src/countDeadVms.ts
@@ -1,22 +1,14 @@
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import { countedDeaths } from "./countedDeaths.js";
+import { isSameDeath } from "./isSameDeath.js";
 
 type Death = QuarantineRecord["deaths"][number];
 
 /** From this many VMs on it no longer matters who else was there. */
 const beyondDoubtVms = 3;
 
-function countedDeaths(record: QuarantineRecord, nowMs: number): Death[] {
-    if (record.expiresAtMs <= nowMs) {
-        return [];
-    }
-    const liftedAtMs = record.liftedAtMs ?? Number.NEGATIVE_INFINITY;
-    return record.deaths.filter(death => death.atMs > liftedAtMs);
-}
-
 const countVms = (deaths: Death[]): number => new Set(deaths.map(death => death.vm)).size;
 
-const isSame = (a: Death, b: Death): boolean => a.vm === b.vm && a.bootId === b.bootId;
-
 /**
  * VMs whose death counts against a record. A death is explained by another content that was in flight at it and has
  * died on two VMs or more itself: one of the two is a bystander, and the death does not tell which. Counting it for
@@ -38,7 +30,7 @@
         .map(other => countedDeaths(other, nowMs))
         .filter(others => countVms(others) > 1);
     const unexplained = deaths.filter(death =>
-        !otherSuspects.some(others => others.some(other => isSame(death, other)))
+        !otherSuspects.some(others => others.some(other => isSameDeath(death, other)))
     );
     return Math.max(1, countVms(unexplained));
 }
--- /dev/null
+++ b/packages/admit/src/countedDeaths.ts
@@ -0,0 +1,10 @@
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+
+/** Deaths that still count against a record: those since its latest clean end or lift, until it expires. */
+export function countedDeaths(record: QuarantineRecord, nowMs: number): QuarantineRecord["deaths"] {
+    if (record.expiresAtMs <= nowMs) {
+        return [];
+    }
+    const liftedAtMs = record.liftedAtMs ?? Number.NEGATIVE_INFINITY;
+    return record.deaths.filter(death => death.atMs > liftedAtMs);
+}
--- a/packages/admit/src/createQuarantineRecords.ts
+++ b/packages/admit/src/createQuarantineRecords.ts
@@ -1,18 +1,28 @@
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import type { TrialId } from "@auburnarch/types/TrialId";
 import { isConvicted } from "./isConvicted.js";
 import { mergeRecords } from "./mergeRecords.js";
 import type { QuarantineDeps } from "./QuarantineDeps.js";
+import type { ToldDeath } from "./ToldDeath.js";
+import { trialDueAtMs } from "./trialDueAtMs.js";
+import type { TrialKind } from "./TrialKind.js";
 
 interface QuarantineRecords {
     /** Takes records in; true if any told something new. */
     take(offered: QuarantineRecord[]): boolean;
     /** A death as records that tell it, without the digests for which it is known. */
-    newsOf(vm: string, bootId: string, digests: ContentDigest[]): QuarantineRecord[];
+    newsOf(death: ToldDeath): QuarantineRecord[];
     /** The record with its deaths so far forgiven; undefined where there is none. */
     forgiven(digest: ContentDigest): QuarantineRecord | undefined;
     isSuspect(digest: ContentDigest): boolean;
     isRefused(digest: ContentDigest): boolean;
+    /** Wall time from which a refused content may be tried once more. */
+    trialDueAtMs(digest: ContentDigest, kind: TrialKind): number;
+    /** The record with one more trial, begun now. */
+    withTrial(digest: ContentDigest, trial: TrialId): QuarantineRecord;
+    /** Whether the trial is known to all, as one is that stands in the list. */
+    hasTrial(digest: ContentDigest, trial: TrialId): boolean;
     list(): QuarantineRecord[];
 }
 
@@ -75,12 +85,12 @@
             prune();
             return changed.includes(true);
         },
-        newsOf: (vm, bootId, digests) => {
+        newsOf: ({ vm, bootId, contents, digests }) => {
             // A repeated report is no news: it must neither prolong a record nor cause a write.
             const atMs = clock.wallMs();
             const news = digests.filter(digest => !isKnown(digest, vm, bootId)).map(digest => ({
                 digest,
-                deaths: [{ vm, bootId, atMs }],
+                deaths: [{ vm, bootId, atMs, ...(contents === undefined ? {} : { contents }) }],
                 expiresAtMs: atMs + expiresAfterMs,
                 liftedAtMs: undefined,
             }));
@@ -105,6 +115,17 @@
             const record = records.get(digest);
             return record !== undefined && convicts(record);
         },
+        trialDueAtMs: (digest, kind) => {
+            const record = records.get(digest);
+            return record === undefined
+                ? 0
+                : trialDueAtMs(record, [...records.values()], clock.wallMs(), kind);
+        },
+        withTrial: (digest, trial) => {
+            const record = records.get(digest)!;
+            return { ...record, trials: [...record.trials ?? [], { trial, atMs: clock.wallMs() }] };
+        },
+        hasTrial: (digest, trial) => records.get(digest)?.trials?.some(each => each.trial === trial) === true,
         list,
     };
 }
--- /dev/null
+++ b/packages/admit/src/createTrials.test.ts
@@ -0,0 +1,161 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { VmId } from "@auburnarch/types/VmId";
+import { expect, test } from "vitest";
+import { createQuarantine } from "./createQuarantine.js";
+import type { Quarantine } from "./Quarantine.js";
+
+const hourMs = 3_600_000;
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
+const digestOf = (name: string): ContentDigest => name as ContentDigest;
+const innocent = digestOf("innocent");
+
+function createFixture(entryCount: number) {
+    const clock = createFakeClock();
+    const { store, control } = createFakeObjectStore({ clock, random: createRandom(1) });
+    const entries = Array.from(
+        { length: entryCount },
+        (_, seed) => createQuarantine({ store, clock, random: createRandom(seed + 2), logger: silent }),
+    );
+    let boots = 0;
+
+    /** An engine dies with these contents in flight, and every entry hears of it from the sampler's report. */
+    function die(vm: string, ...names: ContentDigest[]): void {
+        const death = { vm: vm as VmId, bootId: `boot-${boots++}`, contents: names.length };
+        const suspects = names.map(digest => ({ digest, deaths: [death] }));
+        entries.forEach(entry => entry.noteReport({ suspects }));
+    }
+
+    /** What one entry wrote reaches the others. */
+    function spread(): void {
+        const document = { version: control.revision(), value: control.peek("quarantine") };
+        entries.forEach(entry => entry.offer(document));
+    }
+
+    return { clock, control, entries, die, spread };
+}
+
+const dueOf = (entry: Quarantine, digest: ContentDigest): [number, number] => [
+    entry.trialDueInMs(digest, "sample"),
+    entry.trialDueInMs(digest, "request"),
+];
+
+test("a refused content that was never alone at a death runs once more and is free everywhere", async () => {
+    // Symptom: a step never ends; one sample answers 2007 until an operator lifts it. Sequence: it is in flight at three
+    // deaths on three VMs, of a killing content and of engines that crash by themselves, each time beside another. Cause:
+    // from three VMs on nothing else was weighed, and a refused content got no other run.
+    const { clock, entries: [first, second], die, spread } = createFixture(2);
+    die("vm-1", innocent, digestOf("killer"));
+    die("vm-2", innocent, digestOf("other"));
+    die("vm-3", innocent, digestOf("third"));
+    expect(first!.isRefused(innocent)).toBe(true);
+    expect(dueOf(first!, innocent)).toEqual([5_000, 5_000]);
+    expect(await first!.takeTrial(innocent, "sample")).toBeUndefined();
+    await clock.advance(5_000);
+    expect(await first!.takeTrial(innocent, "sample")).toBeDefined();
+    spread();
+    // One run, not one at each entry.
+    expect(await second!.takeTrial(innocent, "sample")).toBeUndefined();
+    await clock.advance(200);
+    first!.noteCleanFinish(innocent);
+    await first!.publish();
+    spread();
+    expect([first!, second!].map(entry => entry.isRefused(innocent))).toEqual([false, false]);
+});
+
+test("company that is cleared later was company all the same", async () => {
+    // Symptom: an innocent content is taken for a proven killer. Sequence: it is in flight at two deaths of other causes;
+    // what was beside it finishes cleanly afterwards. Cause: all blame fell on what was left in the list.
+    const { clock, entries: [entry], die } = createFixture(1);
+    die("vm-1", innocent, digestOf("beside"));
+    die("vm-2", innocent, digestOf("beside too"));
+    entry!.noteCleanFinish(digestOf("beside"));
+    entry!.noteCleanFinish(digestOf("beside too"));
+    await clock.advance(5_000);
+    expect(dueOf(entry!, innocent)).toEqual([0, 0]);
+});
+
+test("a content that was alone at two deaths waits: a sample a minute, a request an hour", () => {
+    const { entries: [entry], die } = createFixture(1);
+    die("vm-1", innocent);
+    die("vm-2", innocent);
+    expect(dueOf(entry!, innocent)).toEqual([60_000, hourMs]);
+});
+
+test("entries that decide at once have one trial between them", async () => {
+    const { clock, entries, die } = createFixture(4);
+    die("vm-1", innocent, digestOf("a"));
+    die("vm-2", innocent, digestOf("b"));
+    await clock.advance(5_000);
+    const taken = await Promise.all(entries.map(entry => entry.takeTrial(innocent, "sample")));
+    expect(taken.filter(trial => trial !== undefined)).toHaveLength(1);
+});
+
+test("a trial that did not run is the next request's", async () => {
+    const { clock, entries: [entry], die } = createFixture(1);
+    die("vm-1", innocent, digestOf("a"));
+    die("vm-2", innocent, digestOf("b"));
+    await clock.advance(5_000);
+    const trial = await entry!.takeTrial(innocent, "request");
+    entry!.returnTrial(innocent, trial!);
+    expect(dueOf(entry!, innocent)).toEqual([0, 0]);
+    expect(await entry!.takeTrial(innocent, "request")).toBe(trial);
+    expect(await entry!.takeTrial(innocent, "request")).toBeUndefined();
+});
+
+test("the object API is down, and then the answer to the write is lost", async () => {
+    // Symptom: an innocent content waits an hour for its trial. Sequence: the write that counts the trial takes effect,
+    // its answer is lost. Cause: the trial stood in the list and nobody had it.
+    const { clock, control, entries: [entry], die } = createFixture(1);
+    die("vm-1", innocent, digestOf("a"));
+    die("vm-2", innocent, digestOf("b"));
+    await clock.advance(5_000);
+    control.setOutage(true);
+    expect(await entry!.takeTrial(innocent, "sample")).toBeUndefined();
+    control.setOutage(false);
+    control.loseAnswers(1);
+    expect(await entry!.takeTrial(innocent, "sample")).toBeUndefined();
+    expect(await entry!.takeTrial(innocent, "sample")).toBeDefined();
+    expect(entry!.list().flatMap(record => record.trials ?? [])).toHaveLength(1);
+});
+
+/** Killers are sent again and again to each entry; counts the samplers that die in trials, by hour. */
+async function countTrialDeaths(names: string[], hours: number): Promise<number[]> {
+    const { clock, entries, die, spread } = createFixture(3);
+    names.forEach((name, index) => {
+        die(`vm-${index}-1`, digestOf(name), digestOf(`beside ${name}`));
+        die(`vm-${index}-2`, digestOf(name), digestOf(`beside ${name} too`));
+    });
+    const deaths = Array.from({ length: hours }, () => 0);
+    const everyMs = 20_000;
+    for (let atMs = 0; atMs < hours * hourMs; atMs += everyMs) {
+        for (const entry of entries) {
+            for (const name of names.map(digestOf)) {
+                if (entry.isRefused(name) && await entry.takeTrial(name, "sample") !== undefined) {
+                    die(`vm-${atMs}-${name}`, name);
+                    deaths[Math.floor(atMs / hourMs)]!++;
+                }
+                spread();
+            }
+        }
+        await clock.advance(everyMs);
+    }
+    return deaths;
+}
+
+test("a killer whose sender never gives up costs five samplers in a day beyond the first two", async () => {
+    // The waits after trials at 0, 1, 3, 7 and 15 h end at 31 h; the record lives 24 h from its last death.
+    const deaths = await countTrialDeaths(["killer"], 24);
+    expect(deaths.map((count, hour) => count > 0 ? hour : -1).filter(hour => hour >= 0))
+        .toEqual([0, 1, 3, 7, 15]);
+    expect(Math.max(...deaths)).toBe(1);
+});
+
+test("many killers together cost three samplers an hour", async () => {
+    // Aim: under 1 % of the samplers' time at a site of six, each death costing a minute.
+    const deaths = await countTrialDeaths(["a", "b", "c", "d", "e", "f", "g", "h"], 6);
+    expect(Math.max(...deaths)).toBe(3);
+});
--- a/packages/admit/src/mergeRecords.ts
+++ b/packages/admit/src/mergeRecords.ts
@@ -2,17 +2,35 @@
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
 
 type Deaths = QuarantineRecord["deaths"];
+type Trials = NonNullable<QuarantineRecord["trials"]>;
 
 const latest = (a: number | undefined, b: number | undefined): number | undefined =>
     a === undefined ? b : Math.max(a, b ?? a);
 
+/** Each teller counts what it saw, so that the highest count is nearest to the truth. */
+function mergeDeath(a: Deaths[number], b: Deaths[number]): Deaths[number] {
+    const contents = latest(a.contents, b.contents);
+    const { vm, bootId } = a;
+    return { vm, bootId, atMs: Math.min(a.atMs, b.atMs), ...(contents === undefined ? {} : { contents }) };
+}
+
+function mergeTrials(trials: Trials): Trials | undefined {
+    const byId = new Map<string, Trials[number]>();
+    for (const each of trials) {
+        const known = byId.get(each.trial);
+        byId.set(each.trial, known === undefined || each.atMs < known.atMs ? each : known);
+    }
+    const merged = [...byId.values()].sort((a, b) => a.atMs - b.atMs || (a.trial < b.trial ? -1 : 1));
+    return merged.length === 0 ? undefined : merged;
+}
+
 /** One death told by several entries counts once, at the earliest time told. */
 function mergeDeaths(deaths: Deaths): Deaths {
     const byBoot = new Map<string, Deaths[number]>();
     for (const death of deaths) {
         const key = `${death.vm} ${death.bootId}`;
         const known = byBoot.get(key);
-        byBoot.set(key, known === undefined || death.atMs < known.atMs ? death : known);
+        byBoot.set(key, known === undefined ? death : mergeDeath(known, death));
     }
     return [...byBoot].sort(([a], [b]) => a < b ? -1 : 1).map(([, death]) => death);
 }
@@ -30,6 +48,7 @@
             deaths: mergeDeaths([...(known?.deaths ?? []), ...record.deaths]),
             expiresAtMs: Math.max(known?.expiresAtMs ?? 0, record.expiresAtMs),
             liftedAtMs: latest(known?.liftedAtMs, record.liftedAtMs),
+            trials: mergeTrials([...(known?.trials ?? []), ...(record.trials ?? [])]),
         });
     }
     return [...merged.values()].sort((a, b) => a.digest < b.digest ? -1 : 1);
--- a/packages/admit/src/parseQuarantine.ts
+++ b/packages/admit/src/parseQuarantine.ts
@@ -4,9 +4,15 @@
 const quarantineValue = z.object({
     records: z.array(z.object({
         digest: z.string(),
-        deaths: z.array(z.object({ vm: z.string(), bootId: z.string(), atMs: z.number() })),
+        deaths: z.array(z.object({
+            vm: z.string(),
+            bootId: z.string(),
+            atMs: z.number(),
+            contents: z.number().optional(),
+        })),
         expiresAtMs: z.number(),
         liftedAtMs: z.number().optional(),
+        trials: z.array(z.object({ trial: z.string(), atMs: z.number() })).optional(),
     })),
 });
 
--- /dev/null
+++ b/packages/admit/src/trialDueAtMs.ts
@@ -0,0 +1,62 @@
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import { countedDeaths } from "./countedDeaths.js";
+import { isSameDeath } from "./isSameDeath.js";
+import type { TrialKind } from "./TrialKind.js";
+import { trialLimits } from "./trialLimits.js";
+
+type Trials = NonNullable<QuarantineRecord["trials"]>;
+
+const vmsToProve = 2;
+
+/** Trials that have not cleared the record: those that killed, those of unknown end and those under way. */
+function openTrials({ trials = [], liftedAtMs = Number.NEGATIVE_INFINITY }: QuarantineRecord): Trials {
+    return trials.filter(trial => trial.atMs > liftedAtMs);
+}
+
+/** Wall time from which one more trial keeps the whole fleet within its limit. */
+function withinLimitFromMs(records: readonly QuarantineRecord[]): number {
+    const begunAtMs = records.flatMap(openTrials).map(trial => trial.atMs).sort((a, b) => b - a);
+    const oldestInFullWindow = begunAtMs[trialLimits.maxInWindow - 1];
+    return oldestInFullWindow === undefined ? 0 : oldestInFullWindow + trialLimits.windowMs;
+}
+
+function waitBeforeTrialMs(trials: number, wasAlone: boolean, kind: TrialKind): number {
+    if (trials > 0) {
+        return trialLimits.afterProofMs * 2 ** (trials - 1);
+    }
+    if (!wasAlone) {
+        return trialLimits.afterDeathMs;
+    }
+    return kind === "sample" ? trialLimits.firstOfSampleMs : trialLimits.afterProofMs;
+}
+
+/**
+ * Wall time from which a refused content may run once more, alone on a sampler.
+ *
+ * What goes wrong without: a content that kills nothing is in flight at deaths of other causes, is refused everywhere,
+ * and a step that holds it never ends. One notices by a step whose last sample answers `quarantined` for hours. The
+ * number of deaths cannot tell it from a killer; whether it was alone at them can, and one run alone decides. Only a
+ * sidecar knows what was in flight at its engine; where one died with its VM, or alone, nobody counted.
+ *
+ * A content that was always in company is tried soon, since its deaths have other explanations. One that was alone at
+ * deaths on two VMs, or has had a trial that did not end cleanly, most likely kills, and each trial costs a sampler: it
+ * waits an hour, then two, then four; only the first trial of a sample comes sooner.
+ */
+export function trialDueAtMs(
+    record: QuarantineRecord,
+    records: readonly QuarantineRecord[],
+    nowMs: number,
+    kind: TrialKind,
+): number {
+    const deaths = countedDeaths(record, nowMs);
+    const trials = openTrials(record);
+    const others = records.filter(other => other.digest !== record.digest);
+    const isAlone = (death: QuarantineRecord["deaths"][number]): boolean =>
+        death.contents === 1
+        // Also a content that is cleared by now was company: the death is as unexplained as before.
+        && !others.some(other => other.deaths.some(each => isSameDeath(each, death)));
+    const vmsAlone = new Set(deaths.filter(isAlone).map(death => death.vm)).size;
+    const waitMs = waitBeforeTrialMs(trials.length, vmsAlone >= vmsToProve, kind);
+    const latestMs = Math.max(...deaths.map(death => death.atMs), ...trials.map(trial => trial.atMs));
+    return Math.max(latestMs + waitMs, withinLimitFromMs(records));
+}
--- /dev/null
+++ b/packages/admit/src/trialLimits.ts
@@ -0,0 +1,19 @@
+/**
+ * When a refused content may be tried once more. A trial that kills costs a sampler: its start and the load of its
+ * weights, about a minute with the users' 31 s for a load. At a site of six samplers three such minutes in an hour are
+ * less than 1 % of the samplers' time, and a fleet of thousands does not notice them.
+ */
+export const trialLimits = {
+    /** After a death. Reports (1 s), the look at them (0.5 s) and the list (1 s) have told it everywhere by then. */
+    afterDeathMs: 5_000,
+    /** After two deaths at which it was alone, or after a trial that did not end cleanly; doubled with each trial. */
+    afterProofMs: 3_600_000,
+    /**
+     * The first trial of a sample after two deaths at which it was alone. The users want a step whole within 6 minutes,
+     * and a step cannot end without it; the caller of a request has an answer, which tells when to come back.
+     */
+    firstOfSampleMs: 60_000,
+    /** Trials of all contents that did not end cleanly, in any such window. */
+    maxInWindow: 3,
+    windowMs: 3_600_000,
+} as const;
--- a/packages/bench/src/faults/FaultGuards.ts
+++ b/packages/bench/src/faults/FaultGuards.ts
@@ -14,5 +14,5 @@
     spread: SpreadGuards;
     send: SendGuards;
     keyRange: KeyRangeGuards;
-    quarantine: { isConvicted: NonNullable<QuarantineDeps["isConvicted"]>; };
+    quarantine: Required<Pick<QuarantineDeps, "isConvicted" | "isTrialDue">>;
 }
--- a/packages/bench/src/faults/defaultFaultGuards.ts
+++ b/packages/bench/src/faults/defaultFaultGuards.ts
@@ -1,5 +1,6 @@
 import { defaultKeyRangeGuards } from "@auburnarch/admit/defaultKeyRangeGuards";
 import { isConvicted } from "@auburnarch/admit/isConvicted";
+import { isTrialDue } from "@auburnarch/admit/isTrialDue";
 import { defaultGateGuards } from "@auburnarch/gate/defaultGateGuards";
 import { defaultLeaseGuards } from "@auburnarch/lease/defaultLeaseGuards";
 import { defaultOwnerGuards } from "@auburnarch/own/defaultOwnerGuards";
@@ -15,5 +16,5 @@
     spread: defaultSpreadGuards,
     send: defaultSendGuards,
     keyRange: defaultKeyRangeGuards,
-    quarantine: { isConvicted },
+    quarantine: { isConvicted, isTrialDue },
 };
--- a/packages/bench/src/faults/focusKinds.ts
+++ b/packages/bench/src/faults/focusKinds.ts
@@ -15,6 +15,7 @@
     "gate.shuttingDown": ["sidecarShutdown", "publishBurst"],
     "gate.quarantine": ["poisonRequest"],
     "gate.suspectsApart": ["poisonRequest"],
+    "gate.trialAlone": ["poisonRequest"],
     "gate.fencing": ["ownerPause", "twoOwners"],
     "gate.fencingLearned": ["twoOwners", "publishBurst"],
     "gate.versionKnown": ["swapFails", "engineOtherWeights", "publishBurst"],
@@ -33,4 +34,5 @@
     "keyRange.isRemembered": ["senderFreeze"],
     "keyRange.isSeen": ["nonIdempotentResend"],
     "quarantine.isConvicted": ["poisonRequest"],
+    "quarantine.isTrialDue": ["poisonRequest"],
 };
--- a/packages/bench/src/faults/runScripts.ts
+++ b/packages/bench/src/faults/runScripts.ts
@@ -1,10 +1,15 @@
 import type { FaultGuards } from "./FaultGuards.js";
 import { runShutdownScript } from "./runShutdownScript.js";
 import { runSuspectsScript } from "./runSuspectsScript.js";
+import { runTrialScript } from "./runTrialScript.js";
 import type { ScriptedViolation } from "./ScriptedViolation.js";
 
 /** Runs all scripted runs, which come before the random ones of a series, and gives what they found. */
 export async function runScripts(guards: FaultGuards): Promise<ScriptedViolation[]> {
-    const found = [await runSuspectsScript(guards), await runShutdownScript(guards)];
+    const found = [
+        await runSuspectsScript(guards),
+        await runTrialScript(guards),
+        await runShutdownScript(guards),
+    ];
     return found.filter(each => each !== undefined);
 }
--- a/packages/config/src/faultsOfDocument.ts
+++ b/packages/config/src/faultsOfDocument.ts
@@ -11,9 +11,15 @@
 const quarantine = z.object({
     records: z.array(z.object({
         digest: text,
-        deaths: z.array(z.object({ vm: text, bootId: z.string().max(256), atMs: wallMs })),
+        deaths: z.array(z.object({
+            vm: text,
+            bootId: z.string().max(256),
+            atMs: wallMs,
+            contents: version.optional(),
+        })),
         expiresAtMs: wallMs,
         liftedAtMs: wallMs.optional(),
+        trials: z.array(z.object({ trial: text, atMs: wallMs })).optional(),
     })),
 });
 
--- a/packages/dispatch/src/createOutcomes.ts
+++ b/packages/dispatch/src/createOutcomes.ts
@@ -13,6 +13,7 @@
 import { isProven } from "./isProven.js";
 import { joinSpans } from "./joinSpans.js";
 import { pauseAfterFailure } from "./pauseAfterFailure.js";
+import { pauseAfterRefusal } from "./pauseAfterRefusal.js";
 import type { RunningAttempt } from "./RunningAttempt.js";
 import type { Work } from "./Work.js";
 
@@ -25,8 +26,6 @@
 
 /** A sidecar that is suspected down may still be heard again within this time. */
 const defaultStallMs = 2_000;
-/** Pause of a sample whose content is refused everywhere until an operator lifts it or it expires. */
-const quarantinePauseMs = 30_000;
 
 const fieldsOf = (attempt: RunningAttempt): { sample: string; attempt: string; sampler: string; } => ({
     sample: attempt.work.task.sample,
@@ -101,8 +100,7 @@
     }
 
     function takeRefusal(attempt: RunningAttempt, code: ResultCode, retryAfterMs: number | undefined): void {
-        const isQuarantined = code.number === resultCodes.quarantined.number;
-        if (!isQuarantined) {
+        if (code.number !== resultCodes.quarantined.number) {
             state.ledger.noteRefused(attempt.sampler, retryAfterMs, clock.monotonicMs());
         }
         logger.info("sampleRefused", {
@@ -111,7 +109,7 @@
             name: code.name,
             retryAfterMs,
         });
-        enqueueIfIdle(attempt.work, isQuarantined ? quarantinePauseMs : 0);
+        enqueueIfIdle(attempt.work, pauseAfterRefusal(code, retryAfterMs));
     }
 
     function retry(attempt: RunningAttempt, code: ResultCode): void {
--- a/packages/entry/src/EntryGuards.ts
+++ b/packages/entry/src/EntryGuards.ts
@@ -15,4 +15,5 @@
     send?: SendGuards;
     keyRange?: KeyRangeGuards;
     isConvicted?: QuarantineDeps["isConvicted"];
+    isTrialDue?: QuarantineDeps["isTrialDue"];
 }
--- a/packages/entry/src/SamplerViewsDeps.ts
+++ b/packages/entry/src/SamplerViewsDeps.ts
@@ -13,6 +13,8 @@
     connect: (report: SamplerReport) => SidecarPort;
     /** Evidence of an attempt: whether the sidecar was reached. */
     noteSampler: (sampler: SamplerId, reached: boolean) => void;
+    /** Wraps a sidecar with what is asked of every attempt. */
+    wrapSidecar: (port: SidecarPort) => SidecarPort;
     /** A sample of this content ended cleanly. */
     noteCleanFinish: (digest: ContentDigest) => void;
     /** An attempt of this content broke off at the incarnation that made the report. */
--- a/packages/entry/src/createAdmission.ts
+++ b/packages/entry/src/createAdmission.ts
@@ -53,6 +53,7 @@
         random: random.fork(),
         logger,
         isConvicted: deps.guards?.isConvicted,
+        isTrialDue: deps.guards?.isTrialDue,
     });
     const deaths = createDeathWatch(clock, quarantine.noteDeath);
     const places = createTeamLimit({
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -15,6 +15,7 @@
 import { createServiceDesk } from "./createServiceDesk.js";
 import { createStoreWatch } from "./createStoreWatch.js";
 import { createTrainerDesk } from "./createTrainerDesk.js";
+import { createTrialSidecar } from "./createTrialSidecar.js";
 import { createUsageCollector } from "./createUsageCollector.js";
 import type { Entry } from "./Entry.js";
 import type { EntryDeps } from "./EntryDeps.js";
@@ -37,6 +38,8 @@
         {
             noteCleanFinish: digest => admission.quarantine.noteCleanFinish(digest),
             noteLost: (report, digest) => admission.noteLost(report, digest),
+            wrapSidecar: port =>
+                createTrialSidecar(port, { quarantine: admission.quarantine, logger, metrics }),
         },
     );
     const { views, membership, spread } = fleet;
--- a/packages/entry/src/createFleet.ts
+++ b/packages/entry/src/createFleet.ts
@@ -16,7 +16,7 @@
     deps: EntryDeps,
     logger: Logger,
     store: ObjectStore,
-    observer: Pick<SamplerViewsDeps, "noteCleanFinish" | "noteLost">,
+    observer: Pick<SamplerViewsDeps, "noteCleanFinish" | "noteLost" | "wrapSidecar">,
 ): Fleet {
     const { self, clock, random, callPeer } = deps;
     const membership = createMembership({
--- a/packages/entry/src/createSamplerViews.ts
+++ b/packages/entry/src/createSamplerViews.ts
@@ -43,11 +43,12 @@
             return present;
         }
         const counter = createSendCounter(clock);
-        const port = createCountedSidecar(counter, () => connect(sampler, entry), {
+        const counted = createCountedSidecar(counter, () => connect(sampler, entry), {
             noteReached: reached => deps.noteSampler(sampler, reached),
             noteCleanFinish: deps.noteCleanFinish,
             noteLost: digest => entry.report && deps.noteLost(entry.report, digest),
         });
+        const port = deps.wrapSidecar(counted);
         const entry: Connected = { counter, port, report: undefined, raw: undefined };
         connected.set(sampler, entry);
         return entry;
--- a/packages/entry/src/createServiceDesk.ts
+++ b/packages/entry/src/createServiceDesk.ts
@@ -40,7 +40,7 @@
     metrics: Metrics;
     manifest: () => Manifest | undefined;
     views: SamplerViews;
-    quarantine: Pick<Quarantine, "isRefused" | "isSuspect" | "noteCleanFinish">;
+    quarantine: Pick<Quarantine, "isRefused" | "isSuspect" | "noteCleanFinish" | "trialDueInMs">;
     /** Takes a place for a team's request, rejecting with `queueFull`; the function given back frees it. */
     takePlace: (team: TeamId) => () => void;
     guards?: SendGuards;
@@ -151,8 +151,11 @@
     return async (request, signal) => {
         const service = demandService(request);
         const digest = digestRequest(request);
-        if (deps.quarantine.isRefused(digest)) {
-            throw new ResultError(resultCodes.quarantined);
+        const dueInMs = deps.quarantine.isRefused(digest)
+            ? deps.quarantine.trialDueInMs(digest, "request")
+            : 0;
+        if (dueInMs > 0) {
+            throw new ResultError(resultCodes.quarantined, "", dueInMs);
         }
         const budgetMs = request.budgetMs ?? deps.manifest()!.limits.defaultDeadlineMs;
         const idempotent = request.idempotent ?? isRepeatable(service, request.method, request.path);
--- /dev/null
+++ b/packages/entry/src/createTrialSidecar.ts
@@ -0,0 +1,83 @@
+import type { Quarantine } from "@auburnarch/admit/Quarantine";
+import type { TrialKind } from "@auburnarch/admit/TrialKind";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { Metrics } from "@auburnarch/metrics/Metrics";
+import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+import type { TrialId } from "@auburnarch/types/TrialId";
+
+interface Tried {
+    digest: ContentDigest;
+    kind: TrialKind;
+}
+
+interface TrialSidecarDeps {
+    quarantine: Pick<Quarantine, "isRefused" | "takeTrial" | "returnTrial" | "trialDueInMs">;
+    logger: Logger;
+    metrics: Metrics;
+}
+
+/**
+ * Wraps a sidecar so that a content that is refused everywhere reaches it only as a trial. Every request and sample of
+ * an entry passes here, so that each kind of caller gets back what it waits for once its content proves harmless.
+ */
+export function createTrialSidecar(port: SidecarPort, deps: TrialSidecarDeps): SidecarPort {
+    const { quarantine, logger, metrics } = deps;
+
+    /** A refusal that says when a trial may be had; senders come back then. */
+    function withDue<Answer>(
+        { digest, kind }: Tried,
+        outcome: AttemptOutcome<Answer>,
+    ): AttemptOutcome<Answer> {
+        return outcome.kind === "notRun" && outcome.code === resultCodes.quarantined
+            ? { ...outcome, retryAfterMs: quarantine.trialDueInMs(digest, kind) }
+            : outcome;
+    }
+
+    function noteEnd(digest: ContentDigest, trial: TrialId, outcome: AttemptOutcome<unknown>): void {
+        const result = outcome.kind === "ran" ? "ran" : outcome.code.name;
+        logger.warn("contentTrialEnded", { digest, trial, outcome: outcome.kind, result });
+        metrics.count("content_trials_total", { outcome: outcome.kind });
+        if (outcome.kind === "notRun") {
+            quarantine.returnTrial(digest, trial);
+        }
+    }
+
+    async function run<Answer>(
+        tried: Tried,
+        send: (isTrial: boolean) => Promise<AttemptOutcome<Answer>>,
+    ): Promise<AttemptOutcome<Answer>> {
+        const { digest, kind } = tried;
+        if (!quarantine.isRefused(digest)) {
+            return withDue(tried, await send(false));
+        }
+        const trial = await quarantine.takeTrial(digest, kind);
+        if (trial === undefined) {
+            return withDue(tried, {
+                kind: "notRun",
+                code: resultCodes.quarantined,
+                retryAfterMs: undefined,
+            });
+        }
+        const outcome = await send(true);
+        noteEnd(digest, trial, outcome);
+        return outcome;
+    }
+
+    return {
+        ...port,
+        // Only a trial carries the field: a sidecar of an older release refuses attempts with fields it does not know.
+        runSample: (attempt, onSpan, signal) =>
+            run(
+                { digest: attempt.digest, kind: "sample" },
+                isTrial => port.runSample(isTrial ? { ...attempt, isTrial } : attempt, onSpan, signal),
+            ),
+        callPlain: (request, signal) =>
+            run(
+                { digest: request.digest, kind: "request" },
+                isTrial => port.callPlain(isTrial ? { ...request, isTrial } : request, signal),
+            ),
+    };
+}
--- a/packages/gate/src/GateContext.ts
+++ b/packages/gate/src/GateContext.ts
@@ -13,6 +13,7 @@
 import type { ServedWeights } from "./ServedWeights.js";
 import type { Slots } from "./Slots.js";
 import type { Suspects } from "./Suspects.js";
+import type { TrialHold } from "./TrialHold.js";
 import type { WorkAbort } from "./WorkAbort.js";
 
 /** What the parts of one gate share. */
@@ -28,6 +29,7 @@
     suspects: Suspects;
     limit: AdaptiveLimit;
     slots: Slots;
+    trials: TrialHold;
     usage: UsageCounters;
     /** Undefined for a plain sampler. */
     weights: ServedWeights | undefined;
--- a/packages/gate/src/GateGuards.ts
+++ b/packages/gate/src/GateGuards.ts
@@ -17,6 +17,8 @@
     quarantine(deadVms: number): boolean;
     /** A content that a death counts against, while another such content is in flight here. */
     suspectsApart(isSuspectBeside: boolean): boolean;
+    /** A trial of a refused content, and any other work: never both at one sampler. */
+    trialAlone(isAlone: boolean): boolean;
     /** Work and orders of an owner that has been replaced. */
     fencing(highest: FencingNumber | undefined, given: FencingNumber): boolean;
     /** Orders before this incarnation has read the job's number. */
--- a/packages/gate/src/Slots.ts
+++ b/packages/gate/src/Slots.ts
@@ -19,4 +19,8 @@
     refuseWaiting(matches: (request: SlotRequest) => boolean, code: ResultCode): void;
     /** Calls `run` once nothing of the policy runs; the returned function withdraws that. */
     onDrained(policy: PolicyId, run: () => void): () => void;
+    /** Calls `run` once nothing runs at all; the returned function withdraws that. */
+    onIdle(run: () => void): () => void;
+    /** Cancels all running work that may be cancelled; it keeps what it made. */
+    preemptAll(): void;
 }
--- /dev/null
+++ b/packages/gate/src/TrialHold.ts
@@ -0,0 +1,9 @@
+/** Keeps a sampler free of other work while a refused content has its one run there. */
+export interface TrialHold {
+    /**
+     * Lets nothing else start and waits until all that runs has ended. The result ends the hold; undefined if another
+     * trial holds the sampler or it is not idle in time.
+     */
+    begin(signal: AbortSignal): Promise<(() => void) | undefined>;
+    isHeld(): boolean;
+}
--- a/packages/gate/src/admitPlain.ts
+++ b/packages/gate/src/admitPlain.ts
@@ -37,6 +37,19 @@
     checkStart(context, request.attempt);
     attempts.start(request.attempt);
     const abort = createWorkAbort({ clock: deps.clock, caller: signal, inFlight: context.inFlight });
+    let endHold: (() => void) | undefined = () => {};
+    const refuseStarted = (code: ResultCode): Refused => {
+        endHold?.();
+        abort.dispose();
+        attempts.refuse(request.attempt);
+        return refuse(context, request, code);
+    };
+    if (request.isTrial === true) {
+        endHold = await context.trials.begin(abort.signal);
+    }
+    if (endHold === undefined) {
+        return refuseStarted(resultCodes.overloaded);
+    }
     const asked = context.slots.acquire({
         team: request.team,
         priority: interactivePriority,
@@ -48,19 +61,15 @@
     });
     const grant = asked instanceof Promise ? await asked : asked;
     if (grant.kind === "refused") {
-        abort.dispose();
-        attempts.refuse(request.attempt);
-        return refuse(context, request, grant.code);
+        return refuseStarted(grant.code);
     }
     // While it waited, another suspect content may have begun here.
-    const late = refuseSuspect(context, request.digest);
+    const late = refuseSuspect(context, request);
     if (late !== undefined) {
         grant.slot.release(0);
-        abort.dispose();
-        attempts.refuse(request.attempt);
-        return refuse(context, request, late);
+        return refuseStarted(late);
     }
-    return { kind: "admitted", work: createWork(context, request, abort, grant.slot) };
+    return { kind: "admitted", work: createWork(context, request, { abort, slot: grant.slot, endHold }) };
 }
 
 function refuseDown(context: GateContext): ResultCode | undefined {
@@ -86,8 +95,7 @@
 function createWork(
     context: GateContext,
     request: PlainRequest,
-    abort: WorkAbort,
-    slot: Slot,
+    { abort, slot, endHold }: { abort: WorkAbort; slot: Slot; endHold: () => void; },
 ): PlainWork {
     const leaveSuspects = context.suspects.enter(request.digest);
     let expired = false;
@@ -101,6 +109,7 @@
         abort.dispose();
         leaveSuspects();
         slot.release(engineMs);
+        endHold();
         return true;
     }
 
--- a/packages/gate/src/createContext.ts
+++ b/packages/gate/src/createContext.ts
@@ -11,6 +11,7 @@
 import { createServedWeights } from "./createServedWeights.js";
 import { createSlots } from "./createSlots.js";
 import { createSuspects } from "./createSuspects.js";
+import { createTrialHold } from "./createTrialHold.js";
 import type { GateContext } from "./GateContext.js";
 import type { GateDeps } from "./GateDeps.js";
 import type { GateGuards } from "./GateGuards.js";
@@ -102,6 +103,7 @@
         suspects,
         limit,
         slots,
+        trials: createTrialHold({ clock, logger, guards, slots }),
         usage: createUsageCounters(identity.sampler, incarnation),
         weights: engine === undefined
             ? undefined
--- a/packages/gate/src/createDrainWatch.ts
+++ b/packages/gate/src/createDrainWatch.ts
@@ -1,19 +1,17 @@
-import type { PolicyId } from "@auburnarch/types/PolicyId";
-
 interface DrainWatch {
-    /** Calls `run` once nothing of the policy runs, at once if that is so now; the result withdraws it. */
-    add(policy: PolicyId, run: () => void): () => void;
+    /** Calls `run` once `isDrained` holds, at once if it does now; the result withdraws it. */
+    add(isDrained: () => boolean, run: () => void): () => void;
     /** Looks again after something ended. */
     check(): void;
 }
 
-/** Makes a watch for policies of which nothing runs any more. */
-export function createDrainWatch(runningOf: (policy: PolicyId) => number): DrainWatch {
-    const watchers = new Set<{ policy: PolicyId; run: () => void; }>();
+/** Makes a watch for work that must have ended before something else begins. */
+export function createDrainWatch(): DrainWatch {
+    const watchers = new Set<{ isDrained: () => boolean; run: () => void; }>();
 
     function check(): void {
         for (const watcher of [...watchers]) {
-            if (runningOf(watcher.policy) === 0) {
+            if (watcher.isDrained()) {
                 watchers.delete(watcher);
                 watcher.run();
             }
@@ -21,8 +19,8 @@
     }
 
     return {
-        add: (policy, run) => {
-            const watcher = { policy, run };
+        add: (isDrained, run) => {
+            const watcher = { isDrained, run };
             watchers.add(watcher);
             check();
             return () => void watchers.delete(watcher);
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -18,6 +18,8 @@
 import { shutdownGate } from "./shutdownGate.js";
 
 const noVersion = 0 as ConfigVersion;
+const heldLimit = 1;
+
 /** Makes the gate before one sampler. It does no I/O of its own and runs under any clock. */
 export function createGate(deps: GateDeps, guards: GateGuards = defaultGateGuards): Gate {
     const { logger, invariants, identity } = deps;
@@ -50,7 +52,8 @@
             stampsVersions: weights?.stampsChunks() === true,
             running: slots.running(),
             waiting: slots.waiting(),
-            limit: context.limit.current(),
+            // Senders that choose by load pass a sampler by that takes nothing else now.
+            limit: context.trials.isHeld() ? heldLimit : context.limit.current(),
             tokensPerSecond: weights?.description()?.tokensPerSecond ?? 0,
             maxBatch: weights?.description()?.maxBatch ?? context.limit.current(),
             configVersion: manifest?.version ?? noVersion,
--- a/packages/gate/src/createPlainHandler.ts
+++ b/packages/gate/src/createPlainHandler.ts
@@ -127,6 +127,7 @@
         service: service as ServiceId,
         team: team as TeamId,
         digest: digest as ContentDigest,
+        isTrial: headers[sidecarHeaders.trial] === "1",
         budgetMs,
         idempotent: headers[sidecarHeaders.idempotent] === "1",
         method: request.method ?? "GET",
--- a/packages/gate/src/createSampleRunner.ts
+++ b/packages/gate/src/createSampleRunner.ts
@@ -18,6 +18,7 @@
 import { refuseQueue } from "./refuseQueue.js";
 import { refuseSample } from "./refuseSample.js";
 import { refuseSuspect } from "./refuseSuspect.js";
+import { runAlone } from "./runAlone.js";
 import { runGeneration } from "./runGeneration.js";
 import type { ServedWeights } from "./ServedWeights.js";
 import type { Slot } from "./Slot.js";
@@ -73,7 +74,10 @@
         context.attempts.start(attempt.attempt);
         const work = createWorkAbort({ clock, caller: signal, inFlight: context.inFlight });
         try {
-            return await waitAndRun(attempt, onSpan, work);
+            const run = (budgetMs: number): Promise<Outcome> =>
+                waitAndRun({ ...attempt, budgetMs }, onSpan, work);
+            return await runAlone(context, attempt, work.signal, run)
+                ?? refuseStarted(attempt, resultCodes.overloaded);
         }
         finally {
             work.dispose();
@@ -98,7 +102,7 @@
             return refuseStarted(attempt, grant.code);
         }
         // While it waited the weights, the owner or the quarantine list may have changed.
-        const late = refuseSample(context, attempt) ?? refuseSuspect(context, attempt.digest);
+        const late = refuseSample(context, attempt) ?? refuseSuspect(context, attempt);
         if (late !== undefined) {
             grant.slot.release(0);
             return refuseStarted(attempt, late);
--- a/packages/gate/src/createSlots.ts
+++ b/packages/gate/src/createSlots.ts
@@ -41,17 +41,13 @@
     const queue = createFairQueue<Place>({ share: deps.share, nowMs: clock.monotonicMs });
     const runningPlaces = new Set<Place>();
     const held = new Set<PolicyId>();
-    const drains = createDrainWatch(runningOf);
+    const drains = createDrainWatch();
     let pumping = false;
 
     const mayRun = (place: Place): boolean => place.policy === undefined || !held.has(place.policy);
 
     function runningOf(policy: PolicyId): number {
-        let count = 0;
-        for (const place of runningPlaces) {
-            count += place.policy === policy ? 1 : 0;
-        }
-        return count;
+        return [...runningPlaces].filter(place => place.policy === policy).length;
     }
 
     function start(place: Place): Slot {
@@ -176,6 +172,8 @@
         },
         wake: pump,
         refuseWaiting: (matches, code) => queue.items().filter(matches).forEach(place => refuse(place, code)),
-        onDrained: drains.add,
+        onDrained: (policy, run) => drains.add(() => runningOf(policy) === 0, run),
+        onIdle: run => drains.add(() => runningPlaces.size === 0, run),
+        preemptAll: () => [...runningPlaces].forEach(place => place.preempt?.()),
     };
 }
--- a/packages/gate/src/createSuspects.ts
+++ b/packages/gate/src/createSuspects.ts
@@ -8,7 +8,8 @@
 }
 
 interface Suspicion {
-    bootIds: Set<string>;
+    /** What was in flight at each death, by the incarnation that died; undefined where that is not known. */
+    deaths: Map<string, number | undefined>;
     lastMs: number;
 }
 
@@ -42,9 +43,10 @@
         }
     }
 
-    function suspect(digest: ContentDigest, bootId: string): void {
-        const suspicion = suspicions.get(digest) ?? { bootIds: new Set(), lastMs: 0 };
-        suspicion.bootIds.add(bootId);
+    function suspect(digest: ContentDigest, bootId: string, contents?: number): void {
+        const suspicion = suspicions.get(digest) ?? { deaths: new Map(), lastMs: 0 };
+        // One death is noted by each attempt that it broke off, and fewer are left in flight each time.
+        suspicion.deaths.set(bootId, suspicion.deaths.get(bootId) ?? contents);
         suspicion.lastMs = deps.nowMs();
         suspicions.delete(digest);
         suspicions.set(digest, suspicion);
@@ -63,7 +65,7 @@
         },
         noteDeath: bootId => {
             for (const digest of inFlight.keys()) {
-                suspect(digest, bootId);
+                suspect(digest, bootId, inFlight.size);
             }
             dropExpired();
         },
@@ -78,7 +80,11 @@
             dropExpired();
             return [...suspicions].map(([digest, suspicion]) => ({
                 digest,
-                deaths: [...suspicion.bootIds].map(bootId => ({ vm: deps.vm, bootId })),
+                deaths: [...suspicion.deaths].map(([bootId, contents]) => ({
+                    vm: deps.vm,
+                    bootId,
+                    ...(contents === undefined ? {} : { contents }),
+                })),
             }));
         },
     };
--- /dev/null
+++ b/packages/gate/src/createTrialHold.test.ts
@@ -0,0 +1,65 @@
+import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import { expect, test } from "vitest";
+import { createTestGate } from "./testing/createTestGate.js";
+
+const never = new AbortController().signal;
+const both = ["vm-a", "vm-b"];
+
+async function createReadyGate(tokensPerSecond: number) {
+    const setup = createTestGate({ engine: { tokensPerSecond } });
+    const { clock, gate, attempt } = setup;
+    await clock.advance(1_500);
+    const deaths = both.map(vm => ({ vm, bootId: `boot-${vm}`, atMs: clock.wallMs() }));
+    const record = {
+        digest: "digest-x",
+        deaths,
+        expiresAtMs: clock.wallMs() + 3_600_000,
+        liftedAtMs: undefined,
+    };
+    gate.offerQuarantine(1, [record] as unknown as Parameters<typeof gate.offerQuarantine>[1]);
+    const ends: Record<string, string> = {};
+    const run = (id: string, change: Partial<Record<keyof SampleAttempt, unknown>> = {}): void => {
+        void gate.runSample(attempt(id, change), () => undefined, never).then(outcome => {
+            ends[id] = outcome.kind === "ran" ? `ran ${outcome.answer.complete}` : outcome.code.name;
+        });
+    };
+    const trial = (id: string): void => run(id, { digest: "digest-x", isTrial: true });
+    return { ...setup, run, trial, ends };
+}
+
+test("a trial waits for what runs, and nothing else starts until it has ended", async () => {
+    // Symptom: a killing content takes the work of others with it, and its death again names them all. Sequence: its one
+    // more run begins beside them. Cause: only its refusal was lifted for the run.
+    const { clock, control, gate, run, trial, ends } = await createReadyGate(64);
+    run("before");
+    await clock.advance(50);
+    trial("trial");
+    await clock.advance(100);
+    run("after");
+    run("refused", { digest: "digest-x" });
+    await clock.advance(100);
+    expect([...control.starts().keys()]).toEqual(["before"]);
+    expect(ends).toEqual({ after: "overloaded", refused: "overloaded" });
+    expect(gate.report().limit).toBe(1);
+    await clock.advance(1_500);
+    expect([...control.starts().keys()]).toEqual(["before", "trial"]);
+    run("during");
+    await clock.advance(1_500);
+    expect(ends).toMatchObject({ before: "ran true", during: "overloaded", trial: "ran true" });
+    run("then");
+    await clock.advance(1_500);
+    expect(ends).toMatchObject({ then: "ran true" });
+});
+
+test("long work is cancelled for a trial after a while, and a second trial goes elsewhere", async () => {
+    const { clock, control, run, trial, ends } = await createReadyGate(2);
+    run("long");
+    await clock.advance(50);
+    trial("first");
+    trial("second");
+    await clock.advance(4_900);
+    expect(ends).toEqual({ second: "overloaded" });
+    await clock.advance(500);
+    expect(ends).toMatchObject({ long: "ran false" });
+    expect(control.starts().has("first" as never)).toBe(true);
+});
--- a/packages/gate/src/defaultGateGuards.ts
+++ b/packages/gate/src/defaultGateGuards.ts
@@ -11,6 +11,7 @@
     shuttingDown: isShuttingDown => !isShuttingDown,
     quarantine: deadVms => deadVms < quarantineVms,
     suspectsApart: isSuspectBeside => !isSuspectBeside,
+    trialAlone: isAlone => isAlone,
     fencing: (highest, given) => highest === undefined || given >= highest,
     fencingLearned: isLearned => isLearned,
     versionKnown: isKnown => isKnown,
--- a/packages/gate/src/refuseCommon.ts
+++ b/packages/gate/src/refuseCommon.ts
@@ -8,7 +8,7 @@
 /** The checks that every kind of work passes first, in order; undefined lets it pass. Changes nothing. */
 export function refuseCommon(
     context: GateContext,
-    work: { attempt: AttemptId; digest: ContentDigest; },
+    work: { attempt: AttemptId; digest: ContentDigest; isTrial?: boolean; },
 ): ResultCode | undefined {
     const { guards, flags } = context;
     const standing = context.attempts.standing(work.attempt);
@@ -25,5 +25,5 @@
     if (!guards.shuttingDown(flags.shuttingDown)) {
         return resultCodes.shuttingDown;
     }
-    return refuseSuspect(context, work.digest);
+    return refuseSuspect(context, work);
 }
--- a/packages/gate/src/refuseSuspect.ts
+++ b/packages/gate/src/refuseSuspect.ts
@@ -3,13 +3,26 @@
 import type { ResultCode } from "@auburnarch/types/ResultCode";
 import type { GateContext } from "./GateContext.js";
 
+interface SuspectWork {
+    digest: ContentDigest;
+    isTrial?: boolean;
+}
+
 /**
  * The check of the quarantine, before work is queued and again before it starts. Two contents that a death counts
  * against never run here at once: if the sampler died under them, the bystander would have its second death, and be
- * refused everywhere with the one that killed it.
+ * refused everywhere with the one that killed it. A trial passes, since its sender has it counted, and while one waits
+ * or runs here nothing else does.
  */
-export function refuseSuspect(context: GateContext, digest: ContentDigest): ResultCode | undefined {
-    const { guards, quarantine, suspects } = context;
+export function refuseSuspect(context: GateContext, work: SuspectWork): ResultCode | undefined {
+    const { guards, quarantine, suspects, trials } = context;
+    const { digest, isTrial } = work;
+    if (isTrial === true) {
+        return undefined;
+    }
+    if (!guards.trialAlone(!trials.isHeld())) {
+        return resultCodes.overloaded;
+    }
     if (!guards.quarantine(quarantine.deadVms(digest))) {
         return resultCodes.quarantined;
     }
--- a/packages/gate/src/runGeneration.ts
+++ b/packages/gate/src/runGeneration.ts
@@ -151,6 +151,10 @@
     context.generations.add(entry);
     const leaveSuspects = context.suspects.enter(given.digest);
     const finish = await runEngine();
+    if (finish.reason !== "crashed") {
+        // The engine is done with it. What is looked up from here on takes time in which another content may kill it.
+        leaveSuspects();
+    }
     await classifyLoss(finish);
     leaveSuspects();
     context.generations.delete(entry);
--- a/packages/send/src/createPlainCaller.ts
+++ b/packages/send/src/createPlainCaller.ts
@@ -34,6 +34,9 @@
         own[sidecarHeaders.budgetMs] = String(Math.ceil(request.budgetMs));
         own[sidecarHeaders.idempotent] = request.idempotent ? "1" : "0";
         own[sidecarHeaders.digest] = request.digest;
+        if (request.isTrial === true) {
+            own[sidecarHeaders.trial] = "1";
+        }
         own["content-length"] = String(request.body.length);
         return own;
     }
--- a/packages/send/src/sampleAttemptSchema.ts
+++ b/packages/send/src/sampleAttemptSchema.ts
@@ -19,6 +19,7 @@
     priority: z.number().min(0).max(100),
     seed: z.number().int(),
     digest: name,
+    isTrial: z.boolean().optional(),
     budgetMs: z.number(),
     resume: z.array(tokenSpanSchema),
 }) as unknown as z.ZodType<SampleAttempt>;
--- a/packages/send/src/samplerReportSchema.ts
+++ b/packages/send/src/samplerReportSchema.ts
@@ -27,6 +27,6 @@
     configVersion: whole,
     suspects: z.array(z.object({
         digest: name,
-        deaths: z.array(z.object({ vm: name, bootId: name })).max(maxListed),
+        deaths: z.array(z.object({ vm: name, bootId: name, contents: whole.optional() })).max(maxListed),
     })).max(maxListed),
 }) as unknown as z.ZodType<SamplerReport>;
--- a/packages/send/src/sidecarHeaders.ts
+++ b/packages/send/src/sidecarHeaders.ts
@@ -6,6 +6,8 @@
     budgetMs: "x-auburnarch-budget-ms",
     idempotent: "x-auburnarch-idempotent",
     digest: "x-auburnarch-digest",
+    /** `1` for the one run that a refused content is allowed. */
+    trial: "x-auburnarch-trial",
     /** `ran`, `notRun` or `unknown`; an answer without it was not made by a sidecar's gate. */
     outcome: "x-auburnarch-outcome",
     code: "x-auburnarch-code",
--- a/packages/types/src/PlainRequest.ts
+++ b/packages/types/src/PlainRequest.ts
@@ -15,6 +15,8 @@
     body: Uint8Array;
     idempotent: boolean;
     digest: ContentDigest;
+    /** The content is refused and allowed this one run, with nothing else at the sampler. */
+    isTrial?: boolean;
     /** Milliseconds left until the caller's deadline at the moment of sending. */
     budgetMs: number;
 }
--- a/packages/types/src/SampleAttempt.ts
+++ b/packages/types/src/SampleAttempt.ts
@@ -24,6 +24,8 @@
     priority: number;
     seed: number;
     digest: ContentDigest;
+    /** The content is refused and allowed this one run, with nothing else at the sampler. */
+    isTrial?: boolean;
     /** Milliseconds the sidecar may spend from receipt; work past it is dropped before it runs. */
     budgetMs: number;
     /** Spans of an earlier attempt to continue behind; empty for a fresh start. */
--- a/packages/types/src/SamplerReport.ts
+++ b/packages/types/src/SamplerReport.ts
@@ -35,5 +35,5 @@
     maxBatch: number;
     configVersion: ConfigVersion;
     /** Digests that were in flight when the engine died, not yet cleared. */
-    suspects: { digest: ContentDigest; deaths: { vm: VmId; bootId: string; }[]; }[];
+    suspects: { digest: ContentDigest; deaths: { vm: VmId; bootId: string; contents?: number; }[]; }[];
 }
