Pause a sample that breaks off wherever it runs

Symptom: one item of a batch job that kills samplers ran 28 times in 20 s at four samplers, and one of the seven items beside it was not made in 10 minutes. Cause: only the code that a sidecar tells (engineCrashed) made a sample pause; on the users' platform each such run ends connectionBroken and was sent on at once, to each sampler as soon as it was back (sampleRetried failures=4 at 0.35 s). Change: after three attempts in a row that broke off with nothing made a sample pauses 1, 10, 100 s and so on. The rule of the platform allows three retries after the third crash. Ruled out: giving the item up, since a runner that is cut off cannot tell that from a killing item. Result: 6 runs of the item in 10 minutes, all others made within 6 s (test).

--- a/packages/bench/src/decide/createDecisionSetup.ts
+++ b/packages/bench/src/decide/createDecisionSetup.ts
@@ -72,6 +72,7 @@
         minVersion: task.minVersion,
         resume: [],
         failures: 0,
+        fruitless: 0,
         attemptsSent: 0,
         moves: 0,
         avoid: new Set(),
--- a/packages/dispatch/src/Work.ts
+++ b/packages/dispatch/src/Work.ts
@@ -11,6 +11,8 @@
     resume: TokenSpan[];
     /** Attempts that ended without saying what came of them. */
     failures: number;
+    /** Attempts in a row that broke off before they made anything. */
+    fruitless: number;
     attemptsSent: number;
     /** Times it was moved to another sampler while it ran. */
     moves: number;
--- a/packages/dispatch/src/createDispatcher.ts
+++ b/packages/dispatch/src/createDispatcher.ts
@@ -32,6 +32,7 @@
     minVersion,
     resume: task.resume ?? [],
     failures: 0,
+    fruitless: 0,
     attemptsSent: 0,
     moves: 0,
     avoid: new Set(),
--- a/packages/dispatch/src/createOutcomes.ts
+++ b/packages/dispatch/src/createOutcomes.ts
@@ -10,6 +10,7 @@
 import type { DispatcherDeps } from "./DispatcherDeps.js";
 import type { DispatchState } from "./DispatchState.js";
 import { findStalled } from "./findStalled.js";
+import { isFruitless } from "./isFruitless.js";
 import { isProven } from "./isProven.js";
 import { joinSpans } from "./joinSpans.js";
 import { pauseAfterFailure } from "./pauseAfterFailure.js";
@@ -49,11 +50,9 @@
     enqueue: (work: Work, delayMs: number) => void,
 ): Outcomes {
     const { clock, logger } = deps;
-    const ownAllowance = createRetryAllowance(
-        () => deps.limits().retryBudgetRatio,
-        () => state.attemptsSent,
-    );
-    const takeRetry = deps.takeRetry ?? ownAllowance;
+    const takeRetry = deps.takeRetry
+        ?? createRetryAllowance(() => deps.limits().retryBudgetRatio, () => state.attemptsSent);
+
     function enqueueIfIdle(work: Work, delayMs: number): void {
         if (work.running.size === 0) {
             enqueue(work, delayMs);
@@ -119,6 +118,7 @@
             keepSpans(work, joinSpans(attempt.resumed, attempt.spans));
         }
         work.failures++;
+        work.fruitless = isFruitless(attempt, code) ? work.fruitless + 1 : 0;
         work.avoid.add(attempt.sampler);
         const isAllowed = takeRetry();
         logger.warn("sampleRetried", {
@@ -126,10 +126,11 @@
             code: code.number,
             name: code.name,
             failures: work.failures,
+            fruitless: work.fruitless,
             withinBudget: isAllowed,
             keptTokens: countTokens(work.resume),
         });
-        enqueueIfIdle(work, pauseAfterFailure(code, work.failures, isAllowed));
+        enqueueIfIdle(work, pauseAfterFailure(code, work, isAllowed));
     }
 
     function giveUp(attempt: RunningAttempt): void {
