--- /dev/null
+++ b/packages/admit/src/openTrials.ts
@@ -0,0 +1,8 @@
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+
+type Trials = NonNullable<QuarantineRecord["trials"]>;
+
+/** Trials that have not cleared the record: those that killed, those of unknown end and those under way. */
+export function openTrials({ trials = [], liftedAtMs = Number.NEGATIVE_INFINITY }: QuarantineRecord): Trials {
+    return trials.filter(trial => trial.atMs > liftedAtMs);
+}
--- a/packages/admit/src/trialDueAtMs.ts
+++ b/packages/admit/src/trialDueAtMs.ts
@@ -1,18 +1,12 @@
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
 import { countedDeaths } from "./countedDeaths.js";
 import { isSameDeath } from "./isSameDeath.js";
+import { openTrials } from "./openTrials.js";
 import type { TrialKind } from "./TrialKind.js";
 import { trialLimits } from "./trialLimits.js";
 
-type Trials = NonNullable<QuarantineRecord["trials"]>;
-
 const vmsToProve = 2;
 
-/** Trials that have not cleared the record: those that killed, those of unknown end and those under way. */
-function openTrials({ trials = [], liftedAtMs = Number.NEGATIVE_INFINITY }: QuarantineRecord): Trials {
-    return trials.filter(trial => trial.atMs > liftedAtMs);
-}
-
 /** Wall time from which one more trial keeps the whole fleet within its limit. */
 function withinLimitFromMs(records: readonly QuarantineRecord[]): number {
     const begunAtMs = records.flatMap(openTrials).map(trial => trial.atMs).sort((a, b) => b - a);
--- a/packages/cli/src/createQuarantineCommand.ts
+++ b/packages/cli/src/createQuarantineCommand.ts
@@ -1,3 +1,6 @@
+import { countDeadVms } from "@auburnarch/admit/countDeadVms";
+import { isConvicted } from "@auburnarch/admit/isConvicted";
+import { openTrials } from "@auburnarch/admit/openTrials";
 import type { OperatorQuarantine } from "@auburnarch/types/OperatorQuarantine";
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
 import { type CommandDef, defineCommand } from "citty";
@@ -8,26 +11,26 @@
 import { exitCodes } from "./exitCodes.js";
 import { formatTable } from "./formatTable.js";
 
-const refusedFromVms = 2;
+/** The answer holds only records that have not expired by the entry's clock. */
+const anyTimeMs = 0;
 
-const countVms = (record: QuarantineRecord): number =>
-    new Set(
-        record.deaths
-            .filter(death => death.atMs > (record.liftedAtMs ?? -Infinity))
-            .map(death => death.vm),
-    ).size;
-
-const toRow = (record: QuarantineRecord): (string | number)[] => [
-    record.digest,
-    countVms(record) >= refusedFromVms ? "refused" : "watched",
-    countVms(record),
-    new Date(record.expiresAtMs).toISOString(),
-];
+function toRow(record: QuarantineRecord, records: readonly QuarantineRecord[]): (string | number)[] {
+    return [
+        record.digest,
+        isConvicted(record, anyTimeMs, records) ? "refused" : "watched",
+        countDeadVms(record, records, anyTimeMs),
+        openTrials(record).length,
+        new Date(record.expiresAtMs).toISOString(),
+    ];
+}
 
 function describe({ records }: OperatorQuarantine): string[] {
     return records.length === 0
         ? ["No content is under suspicion."]
-        : formatTable(["DIGEST", "STATE", "VMS KILLED", "EXPIRES"], records.map(toRow));
+        : formatTable(
+            ["DIGEST", "STATE", "VMS KILLED", "TRIALS", "EXPIRES"],
+            records.map(record => toRow(record, records)),
+        );
 }
 
 function createListCommand(io: CliIo): CommandDef {
