Let a clean end settle trials told by a clock that is ahead

Symptom: a content that has just proved harmless waits an hour for its trial after its next two deaths. Cause: a clean end forgave deaths up to the latest told, but trials only up to now; one counted by an entry whose clock is ahead stayed open. Change: both up to the latest told.

--- a/packages/admit/src/createQuarantineRecords.ts
+++ b/packages/admit/src/createQuarantineRecords.ts
@@ -101,8 +101,9 @@
             if (record === undefined) {
                 return undefined;
             }
-            // Entries' clocks differ: a death told by one that is ahead is forgiven as well.
-            const liftedAtMs = Math.max(clock.wallMs(), ...record.deaths.map(death => death.atMs));
+            // Entries' clocks differ: what one that is ahead has told is forgiven as well.
+            const told = [...record.deaths, ...record.trials ?? []].map(each => each.atMs);
+            const liftedAtMs = Math.max(clock.wallMs(), ...told);
             return { ...record, liftedAtMs };
         },
         isSuspect: digest => {
--- a/packages/admit/src/createTrials.test.ts
+++ b/packages/admit/src/createTrials.test.ts
@@ -3,6 +3,7 @@
 import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { Logger } from "@auburnarch/types/Logger";
+import type { TrialId } from "@auburnarch/types/TrialId";
 import type { VmId } from "@auburnarch/types/VmId";
 import { expect, test } from "vitest";
 import { createQuarantine } from "./createQuarantine.js";
@@ -122,6 +123,23 @@
     expect(entry!.list().flatMap(record => record.trials ?? [])).toHaveLength(1);
 });
 
+test("a clean end also settles a trial of an entry whose clock is ahead", async () => {
+    // Symptom: a content that has just proved harmless waits an hour after its next two deaths. Sequence: its trial was
+    // counted by an entry whose clock is ahead, and it ended before this entry's clock got there. Cause: a clean end
+    // forgave deaths up to the latest, but trials only up to now.
+    const { clock, entries: [entry], die } = createFixture(1);
+    die("vm-1", innocent, digestOf("a"));
+    die("vm-2", innocent, digestOf("b"));
+    const [record] = entry!.list().filter(each => each.digest === innocent);
+    const trials = [{ trial: "t" as TrialId, atMs: clock.wallMs() + 2_000 }];
+    entry!.offer({ version: 1, value: { records: [{ ...record!, trials }] } });
+    entry!.noteCleanFinish(innocent);
+    await clock.advance(3_000);
+    die("vm-3", innocent, digestOf("c"));
+    die("vm-4", innocent, digestOf("d"));
+    expect(dueOf(entry!, innocent)).toEqual([5_000, 5_000]);
+});
+
 /** Killers are sent again and again to each entry; counts the samplers that die in trials, by hour. */
 async function countTrialDeaths(names: string[], hours: number): Promise<number[]> {
     const { clock, entries, die, spread } = createFixture(3);
