--- a/packages/gate/src/serveGate.test.ts
+++ b/packages/gate/src/serveGate.test.ts
@@ -7,6 +7,7 @@
 import { createMetrics } from "@auburnarch/metrics/createMetrics";
 import { createHttpSidecar } from "@auburnarch/send/createHttpSidecar";
 import type { HttpSidecar } from "@auburnarch/send/HttpSidecar";
+import { passHeaders } from "@auburnarch/send/passHeaders";
 import { readWhole } from "@auburnarch/send/readWhole";
 import type { AttemptId } from "@auburnarch/types/AttemptId";
 import type { EnginePort } from "@auburnarch/types/EnginePort";
@@ -88,6 +89,21 @@
     ...overrides,
 });
 
+test("a trial is one over HTTP too, and a caller cannot claim one", async () => {
+    // Symptom: a refused content reaches samplers at its caller's will. Sequence: the caller sends the header of a trial
+    // itself. Cause: headers of the system's own that came from outside went on.
+    const { backend } = createFakePlainService({ clock, latencyMs: 1 });
+    const { gate, sidecar } = await serve(undefined, backend);
+    const vms = ["vm-1", "vm-2"];
+    const deaths = vms.map(vm => ({ vm, bootId: "b", atMs: clock.wallMs() }));
+    const record = { digest: "d", deaths, expiresAtMs: clock.wallMs() + 60_000 };
+    gate.offerQuarantine(1, [record] as unknown as Parameters<Gate["offerQuarantine"]>[1]);
+    const claimed = passHeaders({ "x-auburnarch-trial": "1" });
+    const refused = await sidecar.callPlain(plainRequest({ headers: claimed }), never);
+    expect(refused).toMatchObject({ kind: "notRun", code: { name: "quarantined" } });
+    expect(await sidecar.callPlain(plainRequest({ isTrial: true }), never)).toMatchObject({ kind: "ran" });
+});
+
 test("a sample over HTTP is the same as in process: spans stream, outcome, usage and report follow", async () => {
     const { gate, sidecar } = await serve(fastEngine().engine, undefined);
     const { attempt, load } = createTestGate();
