--- a/packages/errors/src/resultCodes.ts
+++ b/packages/errors/src/resultCodes.ts
@@ -180,7 +180,7 @@
         "quarantined",
         422,
         "This content killed servers and is refused; not run.",
-        "Change the content, or ask an operator to lift it with `auburnarch quarantine lift`.",
+        "Change it, or send again after Retry-After; operators may lift it with `auburnarch quarantine lift`.",
     ),
     notOwner: define(
         2008,
