Bound the wait of a trial by half of its budget

Symptom: a sampler stands idle up to 30 s for a caller that has gone, and the trial, begun at the end of its budget, is cut off and counts as one that did not end cleanly. Cause: the wait for an idle sampler was bounded by its own limits only, and a request's deadline did not take it off. Result: the new test gives the sampler up after 1 s of 2.

--- a/packages/gate/src/TrialHold.ts
+++ b/packages/gate/src/TrialHold.ts
@@ -2,8 +2,8 @@
 export interface TrialHold {
     /**
      * Lets nothing else start and waits until all that runs has ended. The result ends the hold; undefined if another
-     * trial holds the sampler or it is not idle in time.
+     * trial holds the sampler or it is not idle within half of the trial's budget, which leaves it the other half.
      */
-    begin(signal: AbortSignal): Promise<(() => void) | undefined>;
+    begin(budgetMs: number, signal: AbortSignal): Promise<(() => void) | undefined>;
     isHeld(): boolean;
 }
--- a/packages/gate/src/admitPlain.ts
+++ b/packages/gate/src/admitPlain.ts
@@ -6,6 +6,7 @@
 import { checkStart } from "./checkStart.js";
 import { createWorkAbort } from "./createWorkAbort.js";
 import type { GateContext } from "./GateContext.js";
+import { holdForTrial } from "./holdForTrial.js";
 import type { PlainWork } from "./PlainWork.js";
 import { refusalOutcome } from "./refusalOutcome.js";
 import { refuseCommon } from "./refuseCommon.js";
@@ -37,24 +38,23 @@
     checkStart(context, request.attempt);
     attempts.start(request.attempt);
     const abort = createWorkAbort({ clock: deps.clock, caller: signal, inFlight: context.inFlight });
-    let endHold: (() => void) | undefined = () => {};
+    const held = request.isTrial === true
+        ? await holdForTrial(context, request.budgetMs, abort.signal)
+        : { budgetMs: request.budgetMs, end: () => {} };
     const refuseStarted = (code: ResultCode): Refused => {
-        endHold?.();
+        held?.end();
         abort.dispose();
         attempts.refuse(request.attempt);
         return refuse(context, request, code);
     };
-    if (request.isTrial === true) {
-        endHold = await context.trials.begin(abort.signal);
-    }
-    if (endHold === undefined) {
+    if (held === undefined) {
         return refuseStarted(resultCodes.overloaded);
     }
     const asked = context.slots.acquire({
         team: request.team,
         priority: interactivePriority,
         costMs,
-        budgetMs: request.budgetMs,
+        budgetMs: held.budgetMs,
         policy,
         preempt: undefined,
         signal: abort.signal,
@@ -69,7 +69,14 @@
         grant.slot.release(0);
         return refuseStarted(late);
     }
-    return { kind: "admitted", work: createWork(context, request, { abort, slot: grant.slot, endHold }) };
+    return {
+        kind: "admitted",
+        work: createWork(context, { ...request, budgetMs: held.budgetMs }, {
+            abort,
+            slot: grant.slot,
+            endHold: held.end,
+        }),
+    };
 }
 
 function refuseDown(context: GateContext): ResultCode | undefined {
--- a/packages/gate/src/createTrialHold.test.ts
+++ b/packages/gate/src/createTrialHold.test.ts
@@ -63,3 +63,23 @@
     expect(ends).toMatchObject({ long: "ran false" });
     expect(control.starts().has("first" as never)).toBe(true);
 });
+
+test("a trial with little time gives the sampler up while half of it is left", async () => {
+    // Symptom: a sampler stands idle for a caller that has gone, and an innocent content waits an hour. Sequence: the
+    // trial's request has 2 s, the work before it may not be cancelled and takes longer. Cause: the wait was bounded by
+    // its own 30 s only, and the run that followed was cut off by the deadline.
+    const { clock, gate, attempt, run, ends } = await createReadyGate(2);
+    const body = JSON.stringify({ model: "plume", prompt: "long", max_tokens: 64 });
+    const request = { service: "model", team: "team", method: "POST", path: "/v1/completions", headers: {} };
+    const uncancellable = { ...request, attempt: "quote", digest: "q", idempotent: true, budgetMs: 60_000 };
+    void gate.callPlain({ ...uncancellable, body: Buffer.from(body) } as never, never);
+    await clock.advance(50);
+    run("trial", { digest: "digest-x", isTrial: true, budgetMs: 2_000 });
+    await clock.advance(900);
+    expect(ends).toEqual({});
+    await clock.advance(200);
+    expect(ends).toEqual({ trial: "overloaded" });
+    void gate.runSample(attempt("after"), () => undefined, never);
+    await clock.advance(50);
+    expect(gate.report().running).toBe(2);
+});
--- a/packages/gate/src/createTrialHold.ts
+++ b/packages/gate/src/createTrialHold.ts
@@ -14,8 +14,10 @@
 
 /** What runs may end by itself for this long; then rollouts are cancelled, which resume elsewhere with what they made. */
 const preemptAfterMs = 5_000;
+const preemptAfterPart = 0.25;
 /** Work that may not be cancelled keeps its sampler; the trial is given back and tried at another. */
 const giveUpAfterMs = 30_000;
+const giveUpAfterPart = 0.5;
 
 /**
  * Makes the hold of one sampler. A trial that ran beside other work would tell as little as the deaths before it, and
@@ -29,7 +31,9 @@
         slots.wake();
     }
 
-    function waitUntilIdle(signal: AbortSignal): Promise<boolean> {
+    function waitUntilIdle(budgetMs: number, signal: AbortSignal): Promise<boolean> {
+        const preemptMs = Math.min(preemptAfterMs, preemptAfterPart * budgetMs);
+        const giveUpMs = Math.min(giveUpAfterMs, giveUpAfterPart * budgetMs);
         return new Promise(resolve => {
             let withdraw = (): void => {};
             const finish = (isIdle: boolean): void => {
@@ -40,8 +44,8 @@
                 resolve(isIdle);
             };
             const giveUp = (): void => finish(false);
-            const cancelPreempt = clock.startTimer(preemptAfterMs, slots.preemptAll);
-            const cancelGiveUp = clock.startTimer(giveUpAfterMs, giveUp);
+            const cancelPreempt = clock.startTimer(preemptMs, slots.preemptAll);
+            const cancelGiveUp = clock.startTimer(giveUpMs, giveUp);
             signal.addEventListener("abort", giveUp, { once: true });
             withdraw = slots.onIdle(() => finish(true));
         });
@@ -49,14 +53,15 @@
 
     return {
         isHeld: () => isHeld,
-        begin: async signal => {
+        begin: async (budgetMs, signal) => {
             if (isHeld || signal.aborted) {
                 return undefined;
             }
             isHeld = true;
             slots.refuseWaiting(() => true, resultCodes.overloaded);
             const startedAtMs = clock.monotonicMs();
-            const isReady = guards.trialAlone(slots.running() === 0) || await waitUntilIdle(signal);
+            const isIdle = guards.trialAlone(slots.running() === 0);
+            const isReady = isIdle || await waitUntilIdle(budgetMs, signal);
             const waitedMs = Math.round(clock.monotonicMs() - startedAtMs);
             logger.info("trialHold", { isReady, waitedMs, running: slots.running() });
             if (!isReady) {
--- a/packages/gate/src/runAlone.ts
+++ b/packages/gate/src/runAlone.ts
@@ -1,4 +1,5 @@
 import type { GateContext } from "./GateContext.js";
+import { holdForTrial } from "./holdForTrial.js";
 
 interface AloneWork {
     isTrial?: boolean;
@@ -16,18 +17,17 @@
     run: (budgetMs: number) => Promise<Result>,
 ): Promise<Result | undefined> {
     if (work.isTrial !== true) {
+        // At once: what is sent together must find each other in the queue, or its bound would not hold.
         return await run(work.budgetMs);
     }
-    const { clock } = context.deps;
-    const receivedAtMs = clock.monotonicMs();
-    const endHold = await context.trials.begin(signal);
-    if (endHold === undefined) {
+    const held = await holdForTrial(context, work.budgetMs, signal);
+    if (held === undefined) {
         return undefined;
     }
     try {
-        return await run(work.budgetMs - (clock.monotonicMs() - receivedAtMs));
+        return await run(held.budgetMs);
     }
     finally {
-        endHold();
+        held.end();
     }
 }
