--- a/packages/soak/src/createProgram.ts
+++ b/packages/soak/src/createProgram.ts
@@ -69,6 +69,8 @@
     function start(): void {
         incarnation++;
         isAsked = false;
+        const startedAtMs = clock.monotonicMs();
+        const linesBefore = lines.length;
         const started = spawn(process.execPath, [binary, settingsPath], {
             stdio: ["ignore", "pipe", "pipe"],
         });
@@ -79,7 +81,12 @@
             started.once("exit", (code, signal) => {
                 cancelLifetime();
                 if (!isAsked) {
-                    ownExits.push(`${name}: ${signal ?? code}`);
+                    const livedMs = Math.round(clock.monotonicMs() - startedAtMs);
+                    // One that has logged nothing had not run a statement of ours yet.
+                    const wrote = lines.length - linesBefore;
+                    ownExits.push(
+                        `${name}: ${signal ?? code} ${livedMs} ms after its start, ${wrote} lines logged`,
+                    );
                 }
                 child = undefined;
                 resolve();
