Count a trial as proof only if a death followed it

Cause: the trial of the step's sample met an engine that had come back with other weights (contentTrialEnded outcome=unknown result=incarnationChanged at 8.120 s) and counted as one that killed: retryAfterMs=3599901 from then on. Change: a trial counts against a content only if a death of it was told at or after the trial's begin; one that told nothing is repeated after 60 s, within the three an hour of the fleet.

--- a/packages/admit/src/createTrials.test.ts
+++ b/packages/admit/src/createTrials.test.ts
@@ -123,6 +123,23 @@
     expect(entry!.list().flatMap(record => record.trials ?? [])).toHaveLength(1);
 });
 
+test("a trial that told nothing is repeated after a minute", async () => {
+    // Symptom: a step never ends. Sequence: the trial of its last sample meets an engine that has come back with other
+    // weights, and its tokens can't be named. Cause: each trial that did not end cleanly counted as one that killed.
+    // Lines of fault run 9000226: `contentTrialEnded … result=incarnationChanged`, then `retryAfterMs=3599901`.
+    const { clock, entries: [entry], die } = createFixture(1);
+    die("vm-1", innocent, digestOf("a"));
+    die("vm-2", innocent, digestOf("b"));
+    await clock.advance(5_000);
+    expect(await entry!.takeTrial(innocent, "sample")).toBeDefined();
+    expect(dueOf(entry!, innocent)).toEqual([60_000, 60_000]);
+    await clock.advance(60_000);
+    expect(await entry!.takeTrial(innocent, "sample")).toBeDefined();
+    await clock.advance(10);
+    die("vm-3", innocent);
+    expect(dueOf(entry!, innocent)[0]).toBeGreaterThan(3_500_000);
+});
+
 test("a clean end also settles a trial of an entry whose clock is ahead", async () => {
     // Symptom: a content that has just proved harmless waits an hour after its next two deaths. Sequence: its trial was
     // counted by an entry whose clock is ahead, and it ended before this entry's clock got there. Cause: a clean end
--- a/packages/admit/src/trialDueAtMs.ts
+++ b/packages/admit/src/trialDueAtMs.ts
@@ -14,14 +14,21 @@
     return oldestInFullWindow === undefined ? 0 : oldestInFullWindow + trialLimits.windowMs;
 }
 
-function waitBeforeTrialMs(trials: number, wasAlone: boolean, kind: TrialKind): number {
-    if (trials > 0) {
-        return trialLimits.afterProofMs * 2 ** (trials - 1);
-    }
-    if (!wasAlone) {
-        return trialLimits.afterDeathMs;
+interface Evidence {
+    /** Trials after which a death of the content was told. */
+    killed: number;
+    /** Trials that neither cleared it nor killed. */
+    unknown: number;
+    wasAlone: boolean;
+}
+
+function waitBeforeTrialMs({ killed, unknown, wasAlone }: Evidence, kind: TrialKind): number {
+    if (killed > 0) {
+        return trialLimits.afterProofMs * 2 ** (killed - 1);
     }
-    return kind === "sample" ? trialLimits.firstOfSampleMs : trialLimits.afterProofMs;
+    const afterAloneMs = kind === "sample" ? trialLimits.firstOfSampleMs : trialLimits.afterProofMs;
+    const waitMs = wasAlone ? afterAloneMs : trialLimits.afterDeathMs;
+    return unknown > 0 ? Math.max(waitMs, trialLimits.afterUnknownMs) : waitMs;
 }
 
 /**
@@ -33,8 +40,8 @@
  * sidecar knows what was in flight at its engine; where one died with its VM, or alone, nobody counted.
  *
  * A content that was always in company is tried soon, since its deaths have other explanations. One that was alone at
- * deaths on two VMs, or has had a trial that did not end cleanly, most likely kills, and each trial costs a sampler: it
- * waits an hour, then two, then four; only the first trial of a sample comes sooner.
+ * deaths on two VMs, or has killed in a trial, most likely kills, and each trial costs a sampler: it waits an hour, then
+ * two, then four; only the first trial of a sample comes sooner. A trial that told nothing is no proof.
  */
 export function trialDueAtMs(
     record: QuarantineRecord,
@@ -50,7 +57,9 @@
         // Also a content that is cleared by now was company: the death is as unexplained as before.
         && !others.some(other => other.deaths.some(each => isSameDeath(each, death)));
     const vmsAlone = new Set(deaths.filter(isAlone).map(death => death.vm)).size;
-    const waitMs = waitBeforeTrialMs(trials.length, vmsAlone >= vmsToProve, kind);
+    const killed = trials.filter(trial => deaths.some(death => death.atMs >= trial.atMs)).length;
+    const evidence = { killed, unknown: trials.length - killed, wasAlone: vmsAlone >= vmsToProve };
+    const waitMs = waitBeforeTrialMs(evidence, kind);
     const latestMs = Math.max(...deaths.map(death => death.atMs), ...trials.map(trial => trial.atMs));
     return Math.max(latestMs + waitMs, withinLimitFromMs(records));
 }
--- a/packages/admit/src/trialLimits.ts
+++ b/packages/admit/src/trialLimits.ts
@@ -6,8 +6,13 @@
 export const trialLimits = {
     /** After a death. Reports (1 s), the look at them (0.5 s) and the list (1 s) have told it everywhere by then. */
     afterDeathMs: 5_000,
-    /** After two deaths at which it was alone, or after a trial that did not end cleanly; doubled with each trial. */
+    /** After two deaths at which it was alone, or after a trial in which its sampler died; doubled with each. */
     afterProofMs: 3_600_000,
+    /**
+     * After a trial that told nothing: its engine came back with other weights, or its caller left. A sidecar that died
+     * with its VM is missed for so long at most.
+     */
+    afterUnknownMs: 60_000,
     /**
      * The first trial of a sample after two deaths at which it was alone. The users want a step whole within 6 minutes,
      * and a step cannot end without it; the caller of a request has an answer, which tells when to come back.
