Tell by the engine's start whether a death was of the killing content

The content was refused as nobody asked for it, was asked for at 14.095 s, ran its trial and was free at 14.279 s. Change: a death that names an engine's start is the killing content's only if that start is; one that names a sidecar's start goes by time as before.

--- a/packages/bench/src/faults/World.ts
+++ b/packages/bench/src/faults/World.ts
@@ -2,6 +2,7 @@
 import type { FakeStoreControl } from "@auburnarch/fakes/FakeStoreControl";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
 import type { Random } from "@auburnarch/types/Random";
 import type { VmId } from "@auburnarch/types/VmId";
 import type { VmList } from "@auburnarch/types/VmList";
@@ -36,9 +37,11 @@
     /** It is about to kill the engine of a VM on which nothing else runs, so nothing else can be to blame. */
     notePoisonAlone(prompt: string, vm: string): void;
     /** Such a content kills the engine of a VM now. */
-    notePoisonDeath(vm: string): void;
+    notePoisonDeath(vm: string, bootId: string): void;
+    /** An engine start that ran something. */
+    noteBoot(bootId: string): void;
     /** Whether a death of that VM at that wall time was such a content's doing. */
-    isPoisonDeath(vm: string, atWallMs: number): boolean;
+    isPoisonDeath(death: QuarantineRecord["deaths"][number]): boolean;
     /** Whether some entry runs and is not paused. */
     isEntryAwake(): boolean;
     setEntryAwake(isAwake: () => boolean): void;
--- a/packages/bench/src/faults/createBackends.ts
+++ b/packages/bench/src/faults/createBackends.ts
@@ -61,6 +61,8 @@
             sidecar,
             statesFingerprint: kind.statesFingerprint,
             onStart: (request, countRunning) => {
+                const bootId = control.bootId();
+                world.noteBoot(bootId);
                 if (!request.prompt.includes(poisonText)) {
                     return;
                 }
@@ -68,7 +70,7 @@
                 world.notePoison(request.prompt);
                 clock.startTimer(crashAfterMs - 1, () => {
                     const isAlone = countRunning() === 1 && control.isUp();
-                    world.notePoisonDeath(vm);
+                    world.notePoisonDeath(vm, bootId);
                     clock.startTimer(reportedWithinMs, () => {
                         // A sidecar that dies before it could report the death takes the knowledge with it.
                         if (
--- a/packages/bench/src/faults/createWorld.ts
+++ b/packages/bench/src/faults/createWorld.ts
@@ -40,7 +40,8 @@
     let isDown = false;
     let slowMs = 0;
     const poison = new Map<string, { vms: Set<string>; runs: number; }>();
-    const poisonDeaths: { vm: string; atWallMs: number; }[] = [];
+    const poisonDeaths: { vm: string; bootId: string; atWallMs: number; }[] = [];
+    const engineBoots = new Set<string>();
     let isAwake = (): boolean => false;
     let onSpoil: (() => void) | undefined;
     /** Last time at which something kept a process, or all, from the store. */
@@ -116,10 +117,14 @@
             poisonOf(prompt).runs++;
         },
         notePoisonAlone: (prompt, vm) => void poisonOf(prompt).vms.add(vm),
-        notePoisonDeath: vm => void poisonDeaths.push({ vm, atWallMs: clock.wallMs() }),
-        isPoisonDeath: (vm, atWallMs) =>
+        notePoisonDeath: (vm, bootId) => void poisonDeaths.push({ vm, bootId, atWallMs: clock.wallMs() }),
+        noteBoot: bootId => void engineBoots.add(bootId),
+        isPoisonDeath: ({ vm, bootId, atMs }) =>
             poisonDeaths.some(death =>
-                death.vm === vm && Math.abs(death.atWallMs - atWallMs) < reportedWithinMs
+                // A death that entries tell of names a sidecar's start, which only its time joins to an engine's.
+                engineBoots.has(bootId)
+                    ? death.bootId === bootId
+                    : death.vm === vm && Math.abs(death.atWallMs - atMs) < reportedWithinMs
             ),
         isEntryAwake: () => isAwake(),
         setEntryAwake: judge => {
--- a/packages/bench/src/faults/deathSeeds.test.ts
+++ b/packages/bench/src/faults/deathSeeds.test.ts
@@ -12,7 +12,7 @@
 // three `event=deathNoted` with the digest, each `contents=2`, and `code=2007` every 30 s from 14.9 s to the end.
 const kinds: FaultKind[] = ["engineCrash", "poisonRequest", "sidecarKill", "engineOtherWeights"];
 
-test.each([3000002, 3000014, 3000021, 3000027, 3000043, 3000051, 3000054, 9000226])(
+test.each([3000002, 3000014, 3000021, 3000027, 3000043, 3000051, 3000054, 9000226, 9100270])(
     "deaths of seed %i leave no innocent content refused",
     async seed => {
         const run = await runWithFaults(seed, defaultFaultGuards, { only: kinds });
--- a/packages/bench/src/faults/judgeRun.ts
+++ b/packages/bench/src/faults/judgeRun.ts
@@ -45,7 +45,7 @@
         );
         const innocent = convicted.filter(record =>
             !parts.poisonDigests.has(record.digest)
-            && record.deaths.every(death => world.isPoisonDeath(death.vm, death.atMs))
+            && record.deaths.every(world.isPoisonDeath)
         );
         if (innocent.length > 0) {
             violations.add("bystanderConvicted", `${innocent.length} of ${convicted.length}`);
--- a/packages/fakes/src/FakeEngineControl.ts
+++ b/packages/fakes/src/FakeEngineControl.ts
@@ -21,6 +21,8 @@
     spent(): Map<AttemptId, number>;
     busyMs(): number;
     crashes(): number;
+    /** Names the present start of the engine. */
+    bootId(): string;
     /** How often each attempt began to run. */
     starts(): Map<AttemptId, number>;
     /** Load orders that took effect, in order. */
--- a/packages/fakes/src/createFakeEngine.ts
+++ b/packages/fakes/src/createFakeEngine.ts
@@ -130,6 +130,7 @@
         spent: spentByAll,
         busyMs: generations.busyMs,
         crashes: () => crashes,
+        bootId: () => bootId,
         starts: () => new Map(starts),
         loads: orders.loads,
     };
