Ask a second runner before the store where the one that follows it is silent or can't tell

Cause: each process that got no answer from the runner that follows the store for all listed and watched every kind at the store itself for a second or more, listed again after each outage, and tried a silent store once a second a kind. A runner that had just lost the store named a peer that still named it back, until the hops ran out.

Change: a question names the runners that were silent or unsure; all that can't use the first turn to the same next one, which follows on demand. After an outage runners are asked before the store is listed. While no sign of life comes, lists and watches wait for one for 5 s instead of 1 s.

--- a/packages/daemon/src/createStoreHealth.ts
+++ b/packages/daemon/src/createStoreHealth.ts
@@ -10,6 +10,8 @@
     silentMs(): number;
     /** Milliseconds since it last answered. */
     heardMs(): number;
+    /** Resolves once calls succeed, at once where they do, or have failed for long; true if they failed at first. */
+    waitUntilServed(): Promise<boolean>;
     /** Milliseconds since calls began to succeed again after failures; infinite if none failed yet. */
     regainedMs(): number;
 }
@@ -21,8 +23,11 @@
 const touchIntervalMs = 500;
 /** While calls fail. Others wait for the first one that succeeds, so that an outage costs four calls a second. */
 const retryTouchIntervalMs = 250;
-/** Longest wait of a list or watch for the store to come back. */
-const heldBackMs = 1_000;
+/**
+ * Longest wait of a list or watch for the store to come back. A sign of life ends it; without one a call would be
+ * refused like the others, and charged.
+ */
+const heldBackMs = 5_000;
 
 /** Every call is charged; this line tells which ones. */
 const reportIntervalMs = 10_000;
@@ -82,10 +87,12 @@
     }
 
     /** Without it each copy that is followed would go on asking a store that is away. */
-    async function waitUntilRegained(): Promise<void> {
-        if (failingSinceMs !== undefined) {
+    async function waitUntilServed(): Promise<boolean> {
+        const isFailing = failingSinceMs !== undefined;
+        if (isFailing) {
             await clock.sleep(heldBackMs, regained.signal);
         }
+        return isFailing;
     }
 
     /**
@@ -122,16 +129,17 @@
         store: {
             read: key => note("read", key, () => inner.read(key)),
             list: async prefix => {
-                await waitUntilRegained();
+                await waitUntilServed();
                 return note("list", prefix, () => inner.list(prefix));
             },
             write: (key, value, expected) => note("write", key, () => inner.write(key, value, expected)),
             remove: (key, expected) => note("remove", key, () => inner.remove(key, expected)),
             watch: async (prefix, revision, waitMs) => {
-                await waitUntilRegained();
+                await waitUntilServed();
                 return note("watch", prefix, () => inner.watch(prefix, revision, waitMs));
             },
         },
+        waitUntilServed,
         heardMs: () => clock.monotonicMs() - heardAtMs,
         regainedMs: () => clock.monotonicMs() - regainedAtMs,
         silentMs: () => failingSinceMs === undefined ? 0 : clock.monotonicMs() - failingSinceMs,
--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -87,6 +87,8 @@
         logger,
     });
     const store = createFedStore({
+        self: context.settings.name,
+        waitForStore: health.waitUntilServed,
         inner: health.store,
         hub: () => feeding.hub,
         caller,
--- a/packages/peers/src/FeedQuery.ts
+++ b/packages/peers/src/FeedQuery.ts
@@ -5,6 +5,8 @@
     prefix: string;
     /** Changes after this revision; undefined asks for all objects. */
     since?: ObjectVersion;
+    /** Runners that did not answer the asking process, or could not tell; another one is to answer for them. */
+    avoided?: string[];
     /** How long to wait for the first change. */
     waitMs: number;
 }
--- a/packages/peers/src/RunnerCaller.ts
+++ b/packages/peers/src/RunnerCaller.ts
@@ -4,11 +4,14 @@
 /** Asks runners, from one to the next that it names. */
 export interface RunnerCaller {
     /**
-     * Asks `first`, or any runner if it is unknown or did not answer lately. Undefined if none answered, or they only
-     * named each other.
+     * Asks `first`, or any runner if it is unknown or did not answer lately, and none of `except`. Undefined if none
+     * answered, or they only named each other.
      */
     ask<T extends { kind: string; }>(
         first: string | undefined,
-        send: (address: RunnerAddress) => Promise<T>,
+        send: (address: RunnerAddress, runner: string) => Promise<T>,
+        except?: readonly string[],
     ): Promise<{ runner: string; answer: Exclude<T, Elsewhere>; } | undefined>;
+    /** Those that did not answer lately. */
+    silent(): string[];
 }
--- a/packages/peers/src/createFedStore.ts
+++ b/packages/peers/src/createFedStore.ts
@@ -8,6 +8,8 @@
 import type { RunnerCaller } from "./RunnerCaller.js";
 
 interface FedStoreDeps {
+    /** Name of this process. */
+    self: string;
     /** The store itself. */
     inner: ObjectStore;
     /** The hub of this process; none in a gateway. */
@@ -15,6 +17,8 @@
     caller: RunnerCaller;
     /** Rejects if the runner does not answer in time. */
     send: (address: RunnerAddress, query: FeedQuery, timeoutMs: number) => Promise<FeedAnswer>;
+    /** Resolves once calls to the store succeed, or have failed for long: true if they failed at first. */
+    waitForStore: () => Promise<boolean>;
     clock: Clock;
 }
 
@@ -25,42 +29,101 @@
  * within two seconds.
  */
 const waitLimitMs = 800;
+/** Longest wait of a question to a second runner after the first fell silent, within the same two seconds. */
+const secondWaitMs = 200;
 /** Beyond the wait; an answer takes a few milliseconds between failure domains. */
 const answerSlackMs = 300;
 /** Without a runner that can tell, the store is asked for this long before runners are asked again. */
 const pauseMs = 1_000;
+/** A runner that could not tell is passed over for this long. */
+const unsureMs = 1_000;
+/** The store is back for all processes within this time of the first; the runner that feeds has to hear it first. */
+const settleMs = 400;
 /** Prefixes that are followed at the store itself for now; more than there are kinds. */
 const maxDirect = 64;
 
-/** The store, with lists and watches answered by the runner that follows it for all, wherever one can tell. */
+const isTold = (answer: FeedAnswer | undefined): answer is Told =>
+    answer?.kind === "listed" || answer?.kind === "changed";
+
+/**
+ * The store, with lists and watches answered by the runner that follows it for all, or by a second one where that is
+ * silent or can't tell. If every process turned to the store instead, each hiccup of one runner and each outage would
+ * cost as many calls as there are processes and kinds.
+ */
 export function createFedStore(deps: FedStoreDeps): ObjectStore {
-    const { inner, clock, caller } = deps;
+    const { inner, clock, caller, self } = deps;
     let feeder: string | undefined;
     let directUntilMs = -Infinity;
     const direct = new Set<string>();
+    const unsureUntilMs = new Map<string, number>();
+
+    function listAvoided(): string[] {
+        const nowMs = clock.monotonicMs();
+        const unsure = [...unsureUntilMs].filter(([, untilMs]) => untilMs > nowMs).map(([runner]) => runner);
+        return [...new Set([...caller.silent(), ...unsure])];
+    }
+
+    function take(runner: string, answer: FeedAnswer): Told | undefined {
+        if (isTold(answer)) {
+            return answer;
+        }
+        unsureUntilMs.set(runner, clock.monotonicMs() + unsureMs);
+        return undefined;
+    }
 
-    async function askRunners(query: FeedQuery): Promise<FeedAnswer | undefined> {
-        const found = await caller.ask(
-            feeder,
-            address => deps.send(address, query, query.waitMs + answerSlackMs),
-        );
+    /**
+     * A runner that has just lost the store names another, which may not know of it yet and would name it back: so who
+     * declined is avoided by those asked after it.
+     */
+    async function askRunners(query: FeedQuery): Promise<Told | undefined> {
+        const avoided = [...query.avoided ?? []];
+        const send = async (address: RunnerAddress, runner: string): Promise<FeedAnswer> => {
+            const answer = await deps.send(
+                address,
+                { ...query, avoided: [...avoided] },
+                query.waitMs + answerSlackMs,
+            );
+            avoided.push(runner);
+            return answer;
+        };
+        const found = await caller.ask(feeder, send, query.avoided);
         feeder = found?.runner;
-        return found?.answer;
+        return found === undefined ? undefined : take(found.runner, found.answer);
     }
 
-    async function ask(query: FeedQuery): Promise<Told | undefined> {
-        if (clock.monotonicMs() < directUntilMs) {
-            return undefined;
+    async function askOnce(query: FeedQuery): Promise<Told | undefined> {
+        const asked = { ...query, avoided: listAvoided() };
+        const own = await deps.hub()?.answer(asked);
+        if (own === undefined) {
+            return askRunners(asked);
+        }
+        if (own.kind === "elsewhere") {
+            feeder = own.runner;
+            return askRunners({ ...asked, avoided: [...asked.avoided, self] });
+        }
+        return take(self, own);
+    }
+
+    /** What has failed just now is tried shortly, so that changes are not hidden for longer than they are due. */
+    async function askTwice(query: FeedQuery): Promise<Told | undefined> {
+        const short = { ...query, waitMs: Math.min(query.waitMs, secondWaitMs) };
+        const told = await askOnce(direct.has(query.prefix) ? short : query) ?? await askOnce(short);
+        if (told === undefined) {
+            directUntilMs = clock.monotonicMs() + pauseMs;
         }
-        const own = await deps.hub()?.answer(query);
-        feeder = own?.kind === "elsewhere" ? own.runner : feeder;
-        const answer = own === undefined || own.kind === "elsewhere" ? await askRunners(query) : own;
-        if (answer?.kind === "listed" || answer?.kind === "changed") {
+        else {
             direct.delete(query.prefix);
-            return answer;
         }
-        directUntilMs = clock.monotonicMs() + pauseMs;
-        return undefined;
+        return told;
+    }
+
+    async function ask(query: FeedQuery): Promise<Told | undefined> {
+        const told = clock.monotonicMs() < directUntilMs ? undefined : await askTwice(query);
+        if (told !== undefined || !await deps.waitForStore()) {
+            return told;
+        }
+        await clock.sleep(settleMs);
+        return askTwice(query);
     }
 
     function noteDirect(prefix: string): void {
--- a/packages/peers/src/createFeedHub.test.ts
+++ b/packages/peers/src/createFeedHub.test.ts
@@ -64,6 +64,8 @@
         },
     };
     const fed = createFedStore({
+        self: "front-1",
+        waitForStore: async () => false,
         inner: ofFront,
         hub: () => undefined,
         caller: createRunnerCaller({
--- a/packages/peers/src/createFeedHub.ts
+++ b/packages/peers/src/createFeedHub.ts
@@ -8,8 +8,8 @@
 
 interface FeedHubDeps {
     self: string;
-    /** The runner that hands changes on now, as this one believes; undefined if none can. */
-    feeder: () => string | undefined;
+    /** The runner that hands changes on now to who can't use those named, as this one believes; undefined if none can. */
+    feeder: (avoided?: readonly string[]) => string | undefined;
     store: Pick<ObjectStore, "list" | "watch">;
     /** Pause after a change of a kind, so that changes close together cost one call to the store. */
     gatherMsOf: (prefix: string) => number;
@@ -39,6 +39,8 @@
 const checkMs = 200;
 /** A kind that nobody asks for is followed for this long: longer than any wait of those who ask. */
 const unaskedMs = 15_000;
+/** The same where another runner feeds, and only those ask that can't reach it: some of their questions. */
+const unaskedInReserveMs = 3_000;
 
 const kindOf = (prefix: string): string => prefix.slice(0, prefix.indexOf("/") + 1);
 
@@ -79,9 +81,9 @@
 
     /** Ends what nobody asks for, and lets waiting calls go once what is here may be out of date. */
     function check(): void {
-        const isFeeding = deps.feeder() === self;
+        const limitMs = deps.feeder() === self ? unaskedMs : unaskedInReserveMs;
         for (const [prefix, kind] of kinds) {
-            if (!isFeeding || clock.monotonicMs() - kind.askedAtMs > unaskedMs) {
+            if (clock.monotonicMs() - kind.askedAtMs > limitMs) {
                 drop(prefix, kind);
             }
             else if (!isFresh(kind)) {
@@ -104,7 +106,7 @@
 
     return {
         answer: async query => {
-            const runner = deps.feeder();
+            const runner = deps.feeder(query.avoided);
             if (runner !== undefined && runner !== self) {
                 return { kind: "elsewhere", runner };
             }
--- a/packages/peers/src/createRunnerCaller.ts
+++ b/packages/peers/src/createRunnerCaller.ts
@@ -32,15 +32,10 @@
 
     const isAvoided = (runner: string): boolean => (avoidedUntilMs.get(runner) ?? 0) > clock.monotonicMs();
 
-    function chooseFirst(
-        known: string | undefined,
-        runners: ReadonlyMap<string, RunnerAddress>,
-    ): string | undefined {
-        if (known !== undefined && runners.has(known) && !isAvoided(known)) {
-            return known;
-        }
-        const usable = [...runners.keys()].filter(runner => runner !== self && !isAvoided(runner));
-        return rankByRendezvous(self, usable, runner => runner)[0];
+    function chooseFirst(known: string | undefined, usable: string[]): string | undefined {
+        return known !== undefined && usable.includes(known)
+            ? known
+            : rankByRendezvous(self, usable, runner => runner)[0];
     }
 
     function noteSilence(runner: string, error: unknown): void {
@@ -59,20 +54,24 @@
     }
 
     return {
-        ask: async (first, send) => {
+        silent: () => [...avoidedUntilMs.keys()].filter(isAvoided),
+        ask: async (first, send, except = []) => {
             const runners = deps.runners() ?? new Map<string, RunnerAddress>();
-            let runner = chooseFirst(first, runners);
+            const isUsable = (runner: string): boolean =>
+                runner !== self && !isAvoided(runner) && !except.includes(runner);
+            let runner = chooseFirst(first, [...runners.keys()].filter(isUsable));
             for (let hop = 0; hop < maxHops && runner !== undefined; hop++) {
-                const address = runners.get(runner);
-                if (address === undefined || runner === self || isAvoided(runner)) {
+                const asked = runner;
+                const address = runners.get(asked);
+                if (address === undefined || !isUsable(asked)) {
                     return undefined;
                 }
-                const answer = await sendTo(runner, () => send(address));
+                const answer = await sendTo(asked, () => send(address, asked));
                 if (answer === undefined) {
                     return undefined;
                 }
                 if (!isElsewhere(answer)) {
-                    return { runner, answer: answer as Exclude<typeof answer, Elsewhere> };
+                    return { runner: asked, answer: answer as Exclude<typeof answer, Elsewhere> };
                 }
                 runner = answer.runner;
             }
--- a/packages/peers/src/feedSchemas.ts
+++ b/packages/peers/src/feedSchemas.ts
@@ -16,6 +16,7 @@
     query: z.object({
         prefix: z.string(),
         since: version.optional(),
+        avoided: z.array(z.string()).optional(),
         waitMs: z.number().nonnegative(),
     }),
     answer: z.discriminatedUnion("kind", [
--- a/packages/runner/src/Runner.ts
+++ b/packages/runner/src/Runner.ts
@@ -6,8 +6,8 @@
     status(): RunnerStatus;
     /** Results of a job that runs or ran here, from a chunk on, waiting up to `waitMs` for the first. */
     results: ResultBook["answer"];
-    /** The runner that follows the store for all, as this one believes. */
-    feeder(): string | undefined;
+    /** The runner that follows the store for all that can use it, as this one believes. */
+    feeder(avoided?: readonly string[]): string | undefined;
     /** Hands over its jobs and duties; resolves once what was made is recorded, or the time is up. */
     leave(limitMs: number): Promise<void>;
 }
--- a/packages/runner/src/chooseFeeder.ts
+++ b/packages/runner/src/chooseFeeder.ts
@@ -5,9 +5,15 @@
 
 /**
  * The runner that follows the store for all: the first by name of those that can. Two that differ in what they know of
- * their peers may both do it, which costs calls and nothing else. Undefined if none can.
+ * their peers may both do it, which costs calls and nothing else. Those that can't use it name it as avoided: all of
+ * them then turn to the same next one. Undefined if none can.
  */
-export function chooseFeeder(self: string, isSelfAble: boolean, peers: PeerView[]): string | undefined {
+export function chooseFeeder(
+    self: string,
+    isSelfAble: boolean,
+    peers: PeerView[],
+    avoided: readonly string[] = [],
+): string | undefined {
     const able = peers.filter(mayFeed).map(peer => peer.name);
-    return [...able, ...isSelfAble ? [self] : []].sort()[0];
+    return [...able, ...isSelfAble ? [self] : []].filter(name => !avoided.includes(name)).sort()[0];
 }
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -161,7 +161,8 @@
             storeSilentMs: Math.round(deps.storeSilentMs()),
         }),
         results: book.answer,
-        feeder: () => chooseFeeder(deps.name, !isLeaving && deps.storeSilentMs() === 0, peers.peers()),
+        feeder: avoided =>
+            chooseFeeder(deps.name, !isLeaving && deps.storeSilentMs() === 0, peers.peers(), avoided),
         leave: async limitMs => {
             sweeper.stop();
             retirement.stop();
