Wait for the runners before a kind is watched at the store itself

Cause: processes that start together, or reach no runner, watched each kind at the store, woken by every registration of a runner. Change: what was just listed is kept until runners can be asked again; a process that reaches none asks one shortly between its own watches.

--- a/packages/peers/src/createFedStore.ts
+++ b/packages/peers/src/createFedStore.ts
@@ -33,8 +33,10 @@
 const secondWaitMs = 200;
 /** Beyond the wait; an answer takes a few milliseconds between failure domains. */
 const answerSlackMs = 300;
-/** Without a runner that can tell, the store is asked for this long before runners are asked again. */
-const pauseMs = 1_000;
+/** Without a runner that can tell, runners are asked again after this time, and the store if they still can't. */
+const pauseMs = 600;
+/** Longest wait of a watch at the store itself. */
+const directWaitMs = 1_000;
 /** A runner that could not tell is passed over for this long. */
 const unsureMs = 1_000;
 /** The store is back for all processes within this time of the first; the runner that feeds has to hear it first. */
@@ -53,7 +55,7 @@
 export function createFedStore(deps: FedStoreDeps): ObjectStore {
     const { inner, clock, caller, self } = deps;
     let feeder: string | undefined;
-    let directUntilMs = -Infinity;
+    let askAgainAtMs = -Infinity;
     const direct = new Set<string>();
     const unsureUntilMs = new Map<string, number>();
 
@@ -105,11 +107,16 @@
     }
 
     /** What has failed just now is tried shortly, so that changes are not hidden for longer than they are due. */
-    async function askTwice(query: FeedQuery): Promise<Told | undefined> {
+    async function askTwoRunners(query: FeedQuery): Promise<Told | undefined> {
         const short = { ...query, waitMs: Math.min(query.waitMs, secondWaitMs) };
-        const told = await askOnce(direct.has(query.prefix) ? short : query) ?? await askOnce(short);
+        const told = direct.has(query.prefix) ? undefined : await askOnce(query);
+        return told ?? askOnce(short);
+    }
+
+    async function tryRunners(query: FeedQuery): Promise<Told | undefined> {
+        const told = await askTwoRunners(query);
         if (told === undefined) {
-            directUntilMs = clock.monotonicMs() + pauseMs;
+            askAgainAtMs = clock.monotonicMs() + pauseMs;
         }
         else {
             direct.delete(query.prefix);
@@ -118,12 +125,12 @@
     }
 
     async function ask(query: FeedQuery): Promise<Told | undefined> {
-        const told = clock.monotonicMs() < directUntilMs ? undefined : await askTwice(query);
+        const told = clock.monotonicMs() < askAgainAtMs ? undefined : await tryRunners(query);
         if (told !== undefined || !await deps.waitForStore()) {
             return told;
         }
         await clock.sleep(settleMs);
-        return askTwice(query);
+        return tryRunners(query);
     }
 
     function noteDirect(prefix: string): void {
@@ -143,7 +150,7 @@
         waitMs: number,
     ): ReturnType<ObjectStore["watch"]> {
         if (direct.has(prefix)) {
-            return inner.watch(prefix, since, Math.min(waitMs, pauseMs));
+            return inner.watch(prefix, since, Math.min(waitMs, directWaitMs));
         }
         const { objects, revision } = await inner.list(prefix);
         noteDirect(prefix);
@@ -162,6 +169,8 @@
             return found;
         },
         watch: async (prefix, since, waitMs) => {
+            // What was listed just now is as good as a watch until runners can be asked again.
+            await clock.sleep(Math.max(0, askAgainAtMs - clock.monotonicMs()));
             const told = await ask({ prefix, since, waitMs: Math.min(waitMs, waitLimitMs) });
             if (told === undefined) {
                 return watchStore(prefix, since, waitMs);
