--- a/packages/runner/src/RunnerStatus.ts
+++ b/packages/runner/src/RunnerStatus.ts
@@ -1,10 +1,12 @@
 import type { LotId } from "@auburnarch/lots/LotId";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import type { RunningLot } from "./RunningLot.js";
 
 /** What a runner tells its peers when they probe it. */
 export interface RunnerStatus {
     /** Unique to one start of the process. */
     incarnation: string;
+    failureDomain: FailureDomain;
     /** Jobs whose items it runs. */
     running: RunningLot[];
     /** Jobs that it ran lately and whose results it still has. */
--- a/packages/runner/src/chooseOwner.ts
+++ b/packages/runner/src/chooseOwner.ts
@@ -1,6 +1,8 @@
 import type { LotId } from "@auburnarch/lots/LotId";
 import { rankByRendezvous } from "@auburnarch/membership/rankByRendezvous";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import type { PolicyId } from "@auburnarch/types/PolicyId";
+import { orderOwners } from "./orderOwners.js";
 import type { PeerView } from "./PeerView.js";
 
 interface OwnerQuery {
@@ -10,6 +12,7 @@
     policies: PolicyId[];
     /** Own name. */
     self: string;
+    failureDomain: FailureDomain;
     holdsWeights: boolean;
     peers: PeerView[];
     /** For how long no peer has answered; 0 if one has. */
@@ -37,8 +40,7 @@
 /**
  * The runner that should run a job: the one that does so already (of two, the first by name), else one by the job's
  * policy. All jobs of a policy go to one runner, which fills the samplers of that policy in one order; the policies go
- * round the runners, the one that orders loads last, so that the death of one VM hits as few trainers as can be. A
- * wrong belief about a peer costs work done twice, never a wrong result: the store decides which result of an item
+ * round the runners. A wrong belief about a peer costs work done twice, never a wrong result: the store decides which result of an item
  * stands.
  */
 export function chooseOwner(query: OwnerQuery): string {
@@ -55,12 +57,15 @@
     }
     const place = policy === undefined ? -1 : policies.indexOf(policy);
     const all = [
-        { name: self, isLast: holdsWeights },
-        ...able.map(peer => ({ name: peer.name, isLast: peer.status?.holdsWeights === true })),
+        { name: self, failureDomain: query.failureDomain, holdsWeights },
+        ...able.map(({ name, status }) => ({
+            name,
+            failureDomain: status?.failureDomain,
+            holdsWeights: status?.holdsWeights === true,
+        })),
     ];
     if (place < 0) {
         return rankByRendezvous(lot, all, runner => runner.name)[0]!.name;
     }
-    all.sort((a, b) => Number(a.isLast) - Number(b.isLast) || byName(a, b));
-    return all[place % all.length]!.name;
+    return orderOwners(all)[place % all.length]!;
 }
--- a/packages/runner/src/createLotBoard.ts
+++ b/packages/runner/src/createLotBoard.ts
@@ -2,6 +2,7 @@
 import type { LotEntry } from "@auburnarch/lots/LotEntry";
 import type { LotId } from "@auburnarch/lots/LotId";
 import type { Clock } from "@auburnarch/types/Clock";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { PolicyId } from "@auburnarch/types/PolicyId";
 import { chooseOwner } from "./chooseOwner.js";
@@ -11,6 +12,7 @@
 
 interface LotBoardDeps {
     self: string;
+    failureDomain: FailureDomain;
     entries: WatchedKind<LotEntry>;
     peers: PeerBook;
     /** False until configuration and samplers are known. */
@@ -120,6 +122,7 @@
                 policy: entry.policy,
                 policies: deps.listPolicies(),
                 self: deps.self,
+                failureDomain: deps.failureDomain,
                 holdsWeights: deps.holdsWeights(),
                 peers,
                 aloneMs: aloneMs(),
--- a/packages/runner/src/createPeerBook.test.ts
+++ b/packages/runner/src/createPeerBook.test.ts
@@ -2,6 +2,7 @@
 import type { RunnerAddress } from "@auburnarch/discovery/RunnerAddress";
 import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
 import type { LotId } from "@auburnarch/lots/LotId";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import type { Logger } from "@auburnarch/types/Logger";
 import { expect, test } from "vitest";
 import { createPeerBook } from "./createPeerBook.js";
@@ -10,6 +11,7 @@
 const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
 const statusOf = (over: Partial<RunnerStatus> = {}): RunnerStatus => ({
     incarnation: "i",
+    failureDomain: "lugo" as FailureDomain,
     running: [],
     sent: {},
     keptLots: [],
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -86,6 +86,7 @@
     const rivals = createRivals();
     const board: LotBoard = createLotBoard({
         self: deps.name,
+        failureDomain: deps.failureDomain,
         entries: deps.entries,
         peers,
         listPolicies: () => [...routing()?.services.values() ?? []].flatMap(({ policies }) => policies),
@@ -153,6 +154,7 @@
     return {
         status: () => ({
             incarnation: deps.incarnation,
+            failureDomain: deps.failureDomain,
             running: board.running(),
             sent: evidence.allRunning(),
             keptLots: book.kept(),
--- a/packages/runner/src/testing/createPeerView.ts
+++ b/packages/runner/src/testing/createPeerView.ts
@@ -1,3 +1,4 @@
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import type { PeerView } from "../PeerView.js";
 import type { RunnerStatus } from "../RunnerStatus.js";
 
@@ -5,6 +6,7 @@
 export function createPeerView(name: string, over: Partial<RunnerStatus> = {}, isAlive = true): PeerView {
     const idle: RunnerStatus = {
         incarnation: name,
+        failureDomain: "lugo" as FailureDomain,
         running: [],
         keptLots: [],
         sent: {},
