Share samplers among policies by the root of their work

Hypothesis: with the same number of samplers for each policy the trainer with the larger steps falls behind for good, while the other's samplers are idle. Change: an entry of a job names the tokens that its items are expected to make; a policy's part of the samplers goes by the square root of that, over its latest four jobs, with half of an equal share at least.

--- a/packages/lots/src/LotEntry.ts
+++ b/packages/lots/src/LotEntry.ts
@@ -6,6 +6,8 @@
     /** Wall time of the acceptance. */
     submittedAtMs: number;
     policy: PolicyId | undefined;
+    /** Output tokens that its items are expected to make together; undefined where an earlier version accepted it. */
+    expectedTokens: number | undefined;
     /** The client has ended it: nothing of it may run any more. */
     isEnded: boolean;
 }
--- a/packages/lots/src/createLotReader.test.ts
+++ b/packages/lots/src/createLotReader.test.ts
@@ -23,7 +23,13 @@
     const lots = {
         readEntry: async () => {
             state.reads++;
-            return { total: 3, submittedAtMs: 0, policy: undefined, isEnded: false };
+            return {
+                total: 3,
+                submittedAtMs: 0,
+                policy: undefined,
+                expectedTokens: undefined,
+                isEnded: false,
+            };
         },
         readChunk: async (_lot: LotId, number: number) => {
             state.reads++;
--- a/packages/lots/src/createLotStore.test.ts
+++ b/packages/lots/src/createLotStore.test.ts
@@ -7,7 +7,11 @@
 import type { LotId } from "./LotId.js";
 
 const lot = "lot-1" as LotId;
-const job = { lot, items: [{}, {}], policy: undefined } as unknown as Lot;
+const job = {
+    lot,
+    items: [{ maxOutputTokens: 10 }, { maxOutputTokens: 10 }],
+    policy: undefined,
+} as unknown as Lot;
 
 function createFixture() {
     const clock = createFakeClock();
--- a/packages/lots/src/createLotStore.ts
+++ b/packages/lots/src/createLotStore.ts
@@ -7,6 +7,7 @@
 import { createKnownEntries } from "./createKnownEntries.js";
 import type { LotEntry } from "./LotEntry.js";
 import type { LotId } from "./LotId.js";
+import type { LotItem } from "./LotItem.js";
 import { lotKinds } from "./lotKinds.js";
 import { lotSchemas } from "./lotSchemas.js";
 import type { LotStore } from "./LotStore.js";
@@ -26,6 +27,9 @@
     return parsed.data;
 }
 
+const expectedTokensOf = (items: LotItem[]): number =>
+    items.reduce((sum, item) => sum + (item.expectedOutputTokens ?? item.maxOutputTokens), 0);
+
 /** Makes the batch jobs' part of the store. Everything but an entry's end is created once and never changed. */
 export function createLotStore(store: ObjectStore): LotStore {
     const known = createKnownEntries();
@@ -119,7 +123,13 @@
             }
             await store.write(bodyKey(lot.lot), lot, absent);
             const { items, policy } = lot;
-            await createEntry(lot.lot, { total: items.length, submittedAtMs, policy, isEnded: false });
+            await createEntry(lot.lot, {
+                total: items.length,
+                submittedAtMs,
+                policy,
+                expectedTokens: expectedTokensOf(items),
+                isEnded: false,
+            });
         },
         readEntry,
         readLot: lot => readAs(lotSchemas.lot, bodyKey(lot)),
--- a/packages/lots/src/lotSchemas.ts
+++ b/packages/lots/src/lotSchemas.ts
@@ -48,8 +48,13 @@
 
 /** How batch jobs stand in the store, and how runners tell their results. */
 export const lotSchemas = {
-    entry: z.object({ total: count, submittedAtMs: z.number(), policy, isEnded: z.boolean() })
-        .transform(value => ({ ...value, policy: value.policy })),
+    entry: z.object({
+        total: count,
+        submittedAtMs: z.number(),
+        policy,
+        expectedTokens: z.number().nonnegative().optional(),
+        isEnded: z.boolean(),
+    }).transform(value => ({ ...value, policy: value.policy, expectedTokens: value.expectedTokens })),
     lot: z.object({
         lot: z.string().transform(value => value as LotId),
         host: z.string(),
--- a/packages/runner/src/PolicyNeed.ts
+++ b/packages/runner/src/PolicyNeed.ts
@@ -10,4 +10,6 @@
     namedMs: number;
     /** No job of the policy is open. */
     isQuiet: boolean;
+    /** Output tokens of one of its jobs; undefined until one that says is known. */
+    jobTokens: number | undefined;
 }
--- a/packages/runner/src/createLoadRoller.ts
+++ b/packages/runner/src/createLoadRoller.ts
@@ -3,6 +3,7 @@
 import type { PolicyId } from "@auburnarch/types/PolicyId";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
 import type { EngineStatus } from "./EngineStatus.js";
+import { jobTokensOf } from "./jobTokensOf.js";
 import type { LoadRollerDeps } from "./LoadRollerDeps.js";
 import { loadsAtOnce } from "./loadsAtOnce.js";
 import type { OrderOutcome } from "./OrderOutcome.js";
@@ -139,13 +140,18 @@
         if (table === undefined || stopped.signal.aborted || !deps.mayOrder()) {
             return;
         }
-        const open = new Set(
-            [...deps.entries.objects()?.values() ?? []].filter(lot => !lot.isEnded).map(lot => lot.policy),
-        );
+        const lots = [...deps.entries.objects()?.values() ?? []];
+        const open = new Set(lots.filter(lot => !lot.isEnded).map(lot => lot.policy));
         for (const { service, policies } of table.services.values()) {
             const needs = policies.map(policy => {
                 const target = versions.objects()?.get(policy)?.version;
-                return { policy, target, namedMs: namedMs(policy, target), isQuiet: !open.has(policy) };
+                return {
+                    policy,
+                    target,
+                    namedMs: namedMs(policy, target),
+                    isQuiet: !open.has(policy),
+                    jobTokens: jobTokensOf(lots, policy),
+                };
             });
             const samplers = directory.serving(service);
             const maxLoading = deps.maxLoading ?? loadsAtOnce(samplers.length);
--- a/packages/runner/src/planLoads.ts
+++ b/packages/runner/src/planLoads.ts
@@ -6,6 +6,7 @@
 import { listDueLoads } from "./listDueLoads.js";
 import { loadUrgency } from "./loadUrgency.js";
 import type { PolicyNeed } from "./PolicyNeed.js";
+import { shareSamplers } from "./shareSamplers.js";
 import { versionOf } from "./versionOf.js";
 
 interface PlanLoadsInput {
@@ -20,14 +21,8 @@
 }
 
 /**
- * Samplers of a policy beyond an equal share. Runs of several policies share a sampler's places, and a step's items
- * start at once more often; each further sampler costs a load for every second version.
- */
-const sharedSamplers = 1;
-/**
- * All samplers of a policy are loaded in this many rounds while its job is open: a round takes about 0.9 s, and 2.8 s
- * are left between the naming with its delay and the next step. One sampler at a time left 9 of 12 too old for the next
- * step, whose first results then came after 1.7 to 2.2 s instead of 0.7 s.
+ * All samplers of a policy are loaded in this many rounds while its job is open, which ends before the trainer asks for
+ * its next step. One sampler at a time would leave most of them too old for it.
  */
 const loadRounds = 3;
 
@@ -46,23 +41,23 @@
 }
 
 /** Samplers of each policy. */
-function shareOf({ samplers, needs }: PlanLoadsInput): number {
-    const equalShare = Math.ceil(samplers.length / Math.max(1, needs.length));
-    return Math.min(samplers.length, equalShare + sharedSamplers);
+function sharesOf({ samplers, needs }: PlanLoadsInput): Map<PolicyId, number> {
+    const shares = shareSamplers(samplers.length, needs.map(need => need.jobTokens));
+    return new Map(needs.map(({ policy }, at) => [policy, shares[at]!]));
 }
 
-/** Gives each policy the same number of samplers, and each sampler about as many policies as any other. */
-function assign(input: PlanLoadsInput): void {
+/** Gives each policy its number of samplers, and each sampler about as many policies as any other. */
+function assign(input: PlanLoadsInput, shares: ReadonlyMap<PolicyId, number>): void {
     const { samplers, needs, assigned } = input;
-    const share = shareOf(input);
-    const most = Math.ceil(needs.length * share / Math.max(1, samplers.length));
+    const given = [...shares.values()].reduce((sum, share) => sum + share, 0);
+    const most = Math.ceil(given / Math.max(1, samplers.length));
     const present = new Set(samplers.map(sampler => sampler.incarnation));
     const load = new Map<IncarnationId, number>();
     const take = (sampler: IncarnationId): void => void load.set(sampler, (load.get(sampler) ?? 0) + 1);
     for (const { policy } of needs) {
         const kept = [...assigned.get(policy) ?? listServing(samplers, policy)]
             .filter(each => present.has(each) && (load.get(each) ?? 0) < most)
-            .slice(0, share);
+            .slice(0, shares.get(policy));
         kept.forEach(take);
         assigned.set(policy, new Set(kept));
     }
@@ -71,7 +66,7 @@
         const free = rankByRendezvous(policy, samplers, sampler => sampler.incarnation)
             .filter(sampler => !own.has(sampler.incarnation))
             .sort((a, b) => (load.get(a.incarnation) ?? 0) - (load.get(b.incarnation) ?? 0));
-        for (const { incarnation } of free.slice(0, share - own.size)) {
+        for (const { incarnation } of free.slice(0, shares.get(policy)! - own.size)) {
             own.add(incarnation);
             take(incarnation);
         }
@@ -84,14 +79,16 @@
 /**
  * Loads to order now. Each policy keeps to its share of the samplers: a load throws the sampler's cache away and keeps
  * it from starting runs for a second, so loading every policy everywhere costs more than it serves. Of loads that are
- * equally urgent the policy with the fewest usable samplers comes first: after the holder of the duty was cut off, one
- * policy got all of its samplers before the other, whose step waited 4.5 s for its first.
+ * equally urgent the policy with the fewest usable samplers comes first: else one
+ * policy would get all of its samplers before the other, whose step waits, has its first.
  */
 export function planLoads(input: PlanLoadsInput): DueLoad[] {
-    assign(input);
+    const shares = sharesOf(input);
+    assign(input, shares);
     const chosen: DueLoad[] = [];
     const taken = new Set<IncarnationId>();
-    const overdueAtOnce = Math.max(1, Math.floor(shareOf(input) / loadRounds));
+    const overdueAtOnce = (policy: PolicyId): number =>
+        Math.max(1, Math.floor(shares.get(policy)! / loadRounds));
     const due = input.needs.map(need => listDueLoads(need, ownOf(need, input), input.blocked));
     const underWay = new Map(
         input.needs.map(({ policy }) => [
@@ -104,7 +101,7 @@
         return loads.find(({ sampler, policy, urgency }) =>
             !taken.has(sampler.incarnation)
             && (urgency === loadUrgency.ofNoUse || missing > 0)
-            && (urgency !== loadUrgency.overdue || underWay.get(policy)! < overdueAtOnce)
+            && (urgency !== loadUrgency.overdue || underWay.get(policy)! < overdueAtOnce(policy))
         );
     }
 
--- /dev/null
+++ b/packages/runner/src/shareSamplers.test.ts
@@ -0,0 +1,67 @@
+import type { LotEntry } from "@auburnarch/lots/LotEntry";
+import type { PolicyId } from "@auburnarch/types/PolicyId";
+import { expect, test } from "vitest";
+import { jobTokensOf } from "./jobTokensOf.js";
+import { shareSamplers } from "./shareSamplers.js";
+
+const plume = "plume" as PolicyId;
+const entry = (submittedAtMs: number, expectedTokens: number | undefined, policy = plume): LotEntry => ({
+    total: 8,
+    submittedAtMs,
+    policy,
+    expectedTokens,
+    isEnded: false,
+});
+
+test("a trainer with larger steps gets more samplers, and each gets half of an equal share at least", () => {
+    // Symptom: the trainer with nearly three times the work fell 12 s behind and never asked for a fifth of its steps,
+    // while samplers of the other were idle. Cause: both had the same number of samplers.
+    expect({
+        alike: shareSamplers(6, [500, 500, 500]),
+        threeTimes: shareSamplers(8, [2_112, 768]),
+        many: shareSamplers(34, [4_400, 1_920]),
+        least: shareSamplers(12, [10_000, 1]),
+        notAllKnown: shareSamplers(8, [2_112, undefined]),
+        oneSampler: shareSamplers(1, [2_112, 768]),
+        none: shareSamplers(0, [2_112, 768]),
+    }).toMatchInlineSnapshot(`
+      {
+        "alike": [
+          3,
+          3,
+          3,
+        ],
+        "least": [
+          12,
+          4,
+        ],
+        "many": [
+          21,
+          15,
+        ],
+        "none": [
+          0,
+          0,
+        ],
+        "notAllKnown": [
+          5,
+          5,
+        ],
+        "oneSampler": [
+          1,
+          1,
+        ],
+        "threeTimes": [
+          6,
+          4,
+        ],
+      }
+    `);
+});
+
+test("a policy's work is that of its latest jobs", () => {
+    const lots = [entry(1, 9_000), entry(5, 100), entry(3, 300), entry(4, 200), entry(2, 400)];
+    const others = [entry(6, 7_000, "ridge" as PolicyId), entry(7, undefined)];
+    expect(jobTokensOf([...lots, ...others], plume)).toBe(250);
+    expect(jobTokensOf([entry(1, undefined)], plume)).toBeUndefined();
+});
