--- a/packages/runner/src/shareSamplers.ts
+++ b/packages/runner/src/shareSamplers.ts
@@ -3,22 +3,23 @@
  * once more often; each further sampler costs a load for every second version.
  */
 const sharedSamplers = 1;
-/** No policy gets less than this part of an equal share: the loss of one sampler must not stop its steps. */
+/** No policy gets less than this part of an equal share, since its steps have long items too. */
 const leastPart = 0.5;
+/** Nor fewer: one may be lost or load weights while the other serves. */
+const fewest = 2;
 
 /**
- * How many samplers each policy gets, by the work of its jobs. A trainer whose steps are larger falls behind on an equal
- * share while the other's samplers are idle. What is left beyond the work itself serves best by the square root of the
- * work, and most of the time most places are free.
+ * How many samplers each policy gets, in proportion to the work of its jobs. A trainer whose steps are larger falls
+ * behind on an equal share, and never catches up, while the other's samplers are idle.
  */
 export function shareSamplers(samplers: number, jobTokens: readonly (number | undefined)[]): number[] {
     const equalPart = samplers / Math.max(1, jobTokens.length);
-    const weights = jobTokens.map(tokens => Math.sqrt(tokens ?? 0));
-    const total = weights.reduce((sum, weight) => sum + weight, 0);
-    const isKnown = weights.every(weight => weight > 0);
-    return weights.map(weight => {
+    const work = jobTokens.map(tokens => tokens ?? 0);
+    const total = work.reduce((sum, tokens) => sum + tokens, 0);
+    const isKnown = work.every(tokens => tokens > 0);
+    return work.map(tokens => {
         const part = isKnown
-            ? Math.round(Math.max(leastPart * equalPart, samplers * weight / total))
+            ? Math.round(Math.max(fewest, leastPart * equalPart, samplers * tokens / total))
             : Math.ceil(equalPart);
         return Math.min(samplers, part + sharedSamplers);
     });
