--- /dev/null
+++ b/packages/runner/src/shareSamplers.load.test.ts
@@ -0,0 +1,94 @@
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { expect, test } from "vitest";
+import { shareSamplers } from "./shareSamplers.js";
+
+const samplers = 8;
+const placesPerSampler = 6;
+const eventMs = 40;
+const stepEveryMs = 4_000;
+const dueMs = 7_500;
+const trainMs = 1_000;
+const neededPart = 0.9;
+const steps = 12;
+/** All samplers stand still once, as in a loss of power. */
+const stopAtMs = 14_000;
+const stopMs = 3_000;
+
+interface Trainer {
+    items: number;
+    meanEvents: number;
+}
+
+const heavy: Trainer = { items: 144, meanEvents: 22 };
+const light: Trainer = { items: 80, meanEvents: 12 };
+
+/** Milliseconds from the asking to the end of each step, and how late the last one was asked. */
+function playTrainer({ items, meanEvents }: Trainer, places: number) {
+    const random = createRandom(items);
+    const freeAtMs = Array.from({ length: places }, () => 0);
+    const endedAtMs: number[] = [];
+    const tookMs: number[] = [];
+    let lateMs = 0;
+    for (let step = 0; step < steps; step++) {
+        const readyMs = step < 2 ? 0 : endedAtMs[step - 2]! + trainMs;
+        const askedAtMs = Math.max(step * stepEveryMs, readyMs);
+        lateMs = askedAtMs - step * stepEveryMs;
+        const lengths = Array.from({ length: items }, () => -Math.log(1 - random.nextUnit()) * meanEvents)
+            .sort((a, b) => b - a);
+        const ends = lengths.map(events => {
+            const place = freeAtMs.indexOf(Math.min(...freeAtMs));
+            const startMs = Math.max(askedAtMs, freeAtMs[place]!);
+            const endMs = startMs + events * eventMs;
+            const isStopped = startMs < stopAtMs + stopMs && endMs > stopAtMs;
+            freeAtMs[place] = endMs + (isStopped ? stopMs : 0);
+            return freeAtMs[place]!;
+        }).sort((a, b) => a - b);
+        endedAtMs.push(ends[Math.floor(neededPart * items)]!);
+        tookMs.push(endedAtMs.at(-1)! - askedAtMs);
+    }
+    return { lateMs: Math.round(lateMs), inTime: tookMs.filter(ms => ms <= dueMs).length };
+}
+
+/** Policies that share a sampler share its places. */
+function playShares(shares: number[]) {
+    const given = shares.reduce((sum, share) => sum + share, 0);
+    const placesOf = (share: number): number => Math.floor(samplers * placesPerSampler * share / given);
+    return {
+        heavy: playTrainer(heavy, placesOf(shares[0]!)),
+        light: playTrainer(light, placesOf(shares[1]!)),
+    };
+}
+
+test("a trainer with three times the work gets its steps in time, and the other loses none", () => {
+    // Symptom: the heavier trainer asked for its last steps 10 s late and never for some, while the other's samplers were
+    // idle. Sequence: a stop of 3 s puts both behind; the lighter one is back in time, the heavier never. Cause: equal
+    // numbers of samplers. Before: with equal shares; after: by work.
+    const work = [heavy, light].map(({ items, meanEvents }) => items * meanEvents);
+    expect({
+        before: playShares(shareSamplers(samplers, [undefined, undefined])),
+        after: playShares(shareSamplers(samplers, work)),
+    }).toMatchInlineSnapshot(`
+      {
+        "after": {
+          "heavy": {
+            "inTime": 12,
+            "lateMs": 0,
+          },
+          "light": {
+            "inTime": 12,
+            "lateMs": 0,
+          },
+        },
+        "before": {
+          "heavy": {
+            "inTime": 2,
+            "lateMs": 13603,
+          },
+          "light": {
+            "inTime": 12,
+            "lateMs": 0,
+          },
+        },
+      }
+    `);
+});
