--- a/packages/runner/src/loadsAtOnce.ts
+++ b/packages/runner/src/loadsAtOnce.ts
@@ -1,7 +1,4 @@
-/**
- * The part of a service's samplers that load weights at once without slowing each other: 2 of 6, 8 of 27 and 9 of 33 on
- * the deployments known so far, which do not tell it to the processes.
- */
+/** One in so many of a service's samplers loads weights at a time: more at once would slow each other's loads. */
 const samplersPerLoad = 3.75;
 const fewest = 2;
 
