--- a/packages/daemon/src/callsByTrouble.test.ts
+++ b/packages/daemon/src/callsByTrouble.test.ts
@@ -198,8 +198,8 @@
         "half of the gateways do not reach the runner that feeds": 30,
         "half of the gateways reach no runner": 277,
         "start": 150,
-        "the runner that feeds is gone": 29,
-        "the store is silent for all": 39,
+        "the runner that feeds is gone": 27,
+        "the store is silent for all": 30,
         "the store turns the runner that feeds away": 39,
       }
     `);
--- a/packages/peers/src/createFeedHub.test.ts
+++ b/packages/peers/src/createFeedHub.test.ts
@@ -41,7 +41,7 @@
     };
     const hub = createFeedHub({
         self: "r1",
-        feeder: () => state.feeder,
+        feeder: (avoided = []) => avoided.includes(state.feeder) ? "r1" : state.feeder,
         store: ofRunner,
         // The process touches the store twice a second.
         gatherMsOf: () => 100,
@@ -210,3 +210,36 @@
     state.feeder = "r1";
     expect(await hub.answer({ prefix: "servers/", waitMs: 0 })).toEqual({ kind: "unsure" });
 });
+
+test("a runner stands in for one that the asker can't use, and stops following once nobody asks so", async () => {
+    // Symptom: all runners followed the store for seconds after each start. Cause: copies begun before the others were
+    // heard were kept as those of a stand-in are.
+    const { clock, control, state, hub, put } = createFixture();
+    await put("servers/a");
+    const query = { prefix: "servers/", waitMs: 100 };
+    const ask = async (avoided: string[]) => {
+        const [answer] = await Promise.all([hub.answer({ ...query, avoided }), clock.advance(200)]);
+        return answer.kind;
+    };
+    /** A copy that is followed asks again after each change. */
+    const isFollowing = async (): Promise<boolean> => {
+        const before = control.calls().watch;
+        await put("servers/a", control.calls());
+        await clock.advance(500);
+        return control.calls().watch > before;
+    };
+    const asFeeder = [await ask([]), await isFollowing()];
+    state.feeder = "r0";
+    await clock.advance(300);
+    const declined = [await ask([]), await isFollowing()];
+    const standingIn = [await ask(["r0"]), await isFollowing()];
+    await clock.advance(4_000);
+    const afterwards = await isFollowing();
+    expect({ asFeeder, declined, standingIn, afterwards }).toEqual({
+        asFeeder: ["listed", true],
+        declined: ["elsewhere", false],
+        standingIn: ["listed", true],
+        afterwards: false,
+    });
+    hub.stop();
+});
--- a/packages/peers/src/createFeedHub.ts
+++ b/packages/peers/src/createFeedHub.ts
@@ -25,6 +25,8 @@
     copy: KindCopy;
     waitMs: number;
     askedAtMs: number;
+    /** Until then it is followed though another runner feeds. */
+    reservedUntilMs: number;
 }
 
 /** Longest wait of a watch; a silent connection is noticed once a watch is overdue. As for a process on its own. */
@@ -39,8 +41,8 @@
 const checkMs = 200;
 /** A kind that nobody asks for is followed for this long: longer than any wait of those who ask. */
 const unaskedMs = 15_000;
-/** The same where another runner feeds, and only those ask that can't reach it: some of their questions. */
-const unaskedInReserveMs = 3_000;
+/** The same where another runner feeds and only those ask that can't reach it; some of their questions. */
+const reserveMs = 3_000;
 
 const kindOf = (prefix: string): string => prefix.slice(0, prefix.indexOf("/") + 1);
 
@@ -67,7 +69,7 @@
             waitMs,
             gatherMs: deps.gatherMsOf(prefix),
         });
-        const kind = { copy, waitMs, askedAtMs: clock.monotonicMs() };
+        const kind = { copy, waitMs, askedAtMs: clock.monotonicMs(), reservedUntilMs: -Infinity };
         kinds.set(prefix, kind);
         logger.info("feedStarted", { kind: prefix });
         return kind;
@@ -81,9 +83,11 @@
 
     /** Ends what nobody asks for, and lets waiting calls go once what is here may be out of date. */
     function check(): void {
-        const limitMs = deps.feeder() === self ? unaskedMs : unaskedInReserveMs;
+        const nowMs = clock.monotonicMs();
+        const isFeeding = deps.feeder() === self;
         for (const [prefix, kind] of kinds) {
-            if (clock.monotonicMs() - kind.askedAtMs > limitMs) {
+            const isWanted = isFeeding ? nowMs - kind.askedAtMs < unaskedMs : nowMs < kind.reservedUntilMs;
+            if (!isWanted) {
                 drop(prefix, kind);
             }
             else if (!isFresh(kind)) {
@@ -116,6 +120,9 @@
             const prefix = kindOf(query.prefix);
             const kind = kinds.get(prefix) ?? follow(prefix);
             kind.askedAtMs = clock.monotonicMs();
+            if (deps.feeder() !== self) {
+                kind.reservedUntilMs = clock.monotonicMs() + reserveMs;
+            }
             await waitForNews(kind, query);
             return isFresh(kind) ? kind.copy.tell(query) : { kind: "unsure" };
         },
