--- a/packages/daemon/src/createPeerAnswers.test.ts
+++ b/packages/daemon/src/createPeerAnswers.test.ts
@@ -2,7 +2,7 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import type { LotId } from "@auburnarch/lots/LotId";
 import { createBreakMemory } from "@auburnarch/relay/createBreakMemory";
-import type { RunnerStatus } from "@auburnarch/runner/RunnerStatus";
+import type { RunnerStatus } from "@auburnarch/runner/peers/RunnerStatus";
 import { expect, test } from "vitest";
 import { createPeerAnswers } from "./createPeerAnswers.js";
 import { rpcMethods } from "./rpcMethods.js";
--- a/packages/daemon/src/createPeerLinks.ts
+++ b/packages/daemon/src/createPeerLinks.ts
@@ -6,7 +6,7 @@
 import type { FeedQuery } from "@auburnarch/peers/FeedQuery";
 import { feedSchemas } from "@auburnarch/peers/feedSchemas";
 import type { BreakMemory } from "@auburnarch/relay/BreakMemory";
-import type { RunnerStatus } from "@auburnarch/runner/RunnerStatus";
+import type { RunnerStatus } from "@auburnarch/runner/peers/RunnerStatus";
 import { createRpcClient } from "@auburnarch/send/createRpcClient";
 import type { Clock } from "@auburnarch/types/Clock";
 import { Agent } from "node:http";
--- a/packages/daemon/src/openTextShelf.ts
+++ b/packages/daemon/src/openTextShelf.ts
@@ -1,6 +1,6 @@
 import { createTextJournal } from "@auburnarch/keep/createTextJournal";
-import { createTextShelf } from "@auburnarch/runner/createTextShelf";
-import type { TextShelf } from "@auburnarch/runner/TextShelf";
+import { createTextShelf } from "@auburnarch/runner/items/createTextShelf";
+import type { TextShelf } from "@auburnarch/runner/items/TextShelf";
 import type { TokenSpan } from "@auburnarch/types/TokenSpan";
 import type { RoleContext } from "./RoleContext.js";
 
--- a/packages/runner/src/Runner.ts
+++ b/packages/runner/src/Runner.ts
@@ -1,5 +1,5 @@
-import type { ResultBook } from "./ResultBook.js";
-import type { RunnerStatus } from "./RunnerStatus.js";
+import type { RunnerStatus } from "./peers/RunnerStatus.js";
+import type { ResultBook } from "./results/ResultBook.js";
 
 /** A process that runs the items of batch jobs. */
 export interface Runner {
--- a/packages/runner/src/RunnerDeps.ts
+++ b/packages/runner/src/RunnerDeps.ts
@@ -11,12 +11,12 @@
 import type { Logger } from "@auburnarch/types/Logger";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
 import type { Random } from "@auburnarch/types/Random";
-import type { EngineOrders } from "./EngineOrders.js";
-import type { NamedVersion } from "./NamedVersion.js";
-import type { ReadItemEvents } from "./ReadItemEvents.js";
+import type { ReadItemEvents } from "./items/ReadItemEvents.js";
+import type { TextShelf } from "./items/TextShelf.js";
+import type { RunnerStatus } from "./peers/RunnerStatus.js";
 import type { RetirementRequest } from "./RetirementRequest.js";
-import type { RunnerStatus } from "./RunnerStatus.js";
-import type { TextShelf } from "./TextShelf.js";
+import type { EngineOrders } from "./weights/EngineOrders.js";
+import type { NamedVersion } from "./weights/NamedVersion.js";
 
 /** What a runner is built from. */
 export interface RunnerDeps {
--- a/packages/runner/src/createItemFinisher.ts
+++ b/packages/runner/src/items/createItemFinisher.ts
@@ -4,7 +4,7 @@
 import type { LotResult } from "@auburnarch/lots/LotResult";
 import type { TokenSpan } from "@auburnarch/types/TokenSpan";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
-import type { LotRunDeps } from "./LotRunDeps.js";
+import type { LotRunDeps } from "../jobs/LotRunDeps.js";
 
 /** Turns an item's text into its result: undefined if the job has ended meanwhile. */
 type FinishItem = (
--- a/packages/runner/src/createLotItems.ts
+++ b/packages/runner/src/items/createLotItems.ts
@@ -4,10 +4,10 @@
 import type { SampleId } from "@auburnarch/types/SampleId";
 import type { SampleTask } from "@auburnarch/types/SampleTask";
 import type { TokenSpan } from "@auburnarch/types/TokenSpan";
+import type { LotRunDeps } from "../jobs/LotRunDeps.js";
+import type { Recorder } from "../results/Recorder.js";
 import { createItemFinisher } from "./createItemFinisher.js";
 import type { LotItems } from "./LotItems.js";
-import type { LotRunDeps } from "./LotRunDeps.js";
-import type { Recorder } from "./Recorder.js";
 import { stepDueMs } from "./stepDueMs.js";
 import { toSampleTask } from "./toSampleTask.js";
 
--- a/packages/runner/src/LotRunDeps.ts
+++ b/packages/runner/src/jobs/LotRunDeps.ts
@@ -11,11 +11,11 @@
 import type { MadeSample } from "@auburnarch/types/MadeSample";
 import type { Random } from "@auburnarch/types/Random";
 import type { SampleId } from "@auburnarch/types/SampleId";
+import type { ItemRun } from "../items/ItemRun.js";
+import type { ScoreItem } from "../items/ScoreItem.js";
+import type { TextShelf } from "../items/TextShelf.js";
+import type { ResultBook } from "../results/ResultBook.js";
 import type { createSeenGroups } from "./createSeenGroups.js";
-import type { ItemRun } from "./ItemRun.js";
-import type { ResultBook } from "./ResultBook.js";
-import type { ScoreItem } from "./ScoreItem.js";
-import type { TextShelf } from "./TextShelf.js";
 
 /** What the run of one job is built from. */
 export interface LotRunDeps {
--- a/packages/runner/src/chooseOwner.test.ts
+++ b/packages/runner/src/jobs/chooseOwner.test.ts
@@ -2,8 +2,8 @@
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import type { PolicyId } from "@auburnarch/types/PolicyId";
 import { expect, test } from "vitest";
+import { createPeerView as peer } from "../testing/createPeerView.js";
 import { chooseOwner } from "./chooseOwner.js";
-import { createPeerView as peer } from "./testing/createPeerView.js";
 
 const lot = (name: string): LotId => name as LotId;
 const names = ["r1", "r2", "r3", "r4"];
--- a/packages/runner/src/chooseOwner.ts
+++ b/packages/runner/src/jobs/chooseOwner.ts
@@ -2,8 +2,8 @@
 import { rankByRendezvous } from "@auburnarch/membership/rankByRendezvous";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { PeerView } from "../peers/PeerView.js";
 import { orderOwners } from "./orderOwners.js";
-import type { PeerView } from "./PeerView.js";
 
 interface OwnerQuery {
     lot: LotId;
--- a/packages/runner/src/createLotBoard.ts
+++ b/packages/runner/src/jobs/createLotBoard.ts
@@ -5,10 +5,10 @@
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { PeerBook } from "../peers/PeerBook.js";
 import { chooseOwner } from "./chooseOwner.js";
 import type { LotBoard } from "./LotBoard.js";
 import type { LotRun } from "./LotRun.js";
-import type { PeerBook } from "./PeerBook.js";
 
 interface LotBoardDeps {
     self: string;
--- a/packages/runner/src/createLotRun.ts
+++ b/packages/runner/src/jobs/createLotRun.ts
@@ -1,12 +1,12 @@
 import { createStopController } from "@auburnarch/clock/createStopController";
 import { codeOf } from "@auburnarch/errors/codeOf";
 import type { Lot } from "@auburnarch/lots/Lot";
-import { createGroupNeed } from "./createGroupNeed.js";
-import { createLotItems } from "./createLotItems.js";
-import { createRecorder } from "./createRecorder.js";
+import { createLotItems } from "../items/createLotItems.js";
+import { stepDueMs } from "../items/stepDueMs.js";
+import { createGroupNeed } from "../results/createGroupNeed.js";
+import { createRecorder } from "../results/createRecorder.js";
 import type { LotRun } from "./LotRun.js";
 import type { LotRunDeps } from "./LotRunDeps.js";
-import { stepDueMs } from "./stepDueMs.js";
 
 const retryMs = 200;
 /** Clocks of VMs differ by seconds at most; an item is given up late rather than early. */
--- a/packages/runner/src/RunnerStatus.ts
+++ b/packages/runner/src/peers/RunnerStatus.ts
@@ -1,6 +1,6 @@
 import type { LotId } from "@auburnarch/lots/LotId";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
-import type { RunningLot } from "./RunningLot.js";
+import type { RunningLot } from "../jobs/RunningLot.js";
 
 /** What a runner tells its peers when they probe it. */
 export interface RunnerStatus {
--- a/packages/runner/src/chooseFeeder.test.ts
+++ b/packages/runner/src/peers/chooseFeeder.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
+import { createPeerView as peer } from "../testing/createPeerView.js";
 import { chooseFeeder } from "./chooseFeeder.js";
-import { createPeerView as peer } from "./testing/createPeerView.js";
 
 test("the first by name of those that live, stay and have the store feeds the others", () => {
     expect({
--- a/packages/runner/src/createResultBook.test.ts
+++ b/packages/runner/src/results/createResultBook.test.ts
@@ -6,12 +6,12 @@
 import type { ResultChunk } from "@auburnarch/lots/ResultChunk";
 import type { ResultsAnswer } from "@auburnarch/lots/ResultsAnswer";
 import { expect, test } from "vitest";
+import type { PeerView } from "../peers/PeerView.js";
+import type { RunnerStatus } from "../peers/RunnerStatus.js";
+import { createPeerView } from "../testing/createPeerView.js";
 import { createResultBook } from "./createResultBook.js";
 import { createRivals } from "./createRivals.js";
 import { isSoleWriter } from "./isSoleWriter.js";
-import type { PeerView } from "./PeerView.js";
-import type { RunnerStatus } from "./RunnerStatus.js";
-import { createPeerView } from "./testing/createPeerView.js";
 
 const lot = "lot-1" as LotId;
 const chunkOf = (from: number, ...items: string[]): ResultChunk => ({
--- a/packages/runner/src/createRivals.ts
+++ b/packages/runner/src/results/createRivals.ts
@@ -1,5 +1,5 @@
 import type { LotId } from "@auburnarch/lots/LotId";
-import type { PeerView } from "./PeerView.js";
+import type { PeerView } from "../peers/PeerView.js";
 
 /**
  * Makes the view of which jobs other runners have too, or may have had: a peer that has started anew since the last look
--- a/packages/runner/src/holderOf.ts
+++ b/packages/runner/src/results/holderOf.ts
@@ -1,5 +1,5 @@
 import type { LotId } from "@auburnarch/lots/LotId";
-import type { PeerView } from "./PeerView.js";
+import type { PeerView } from "../peers/PeerView.js";
 
 /** The living peer that runs a job, or ran it lately and has its results. */
 export function holderOf(lot: LotId, peers: PeerView[]): string | undefined {
--- a/packages/runner/src/isSoleWriter.ts
+++ b/packages/runner/src/results/isSoleWriter.ts
@@ -1,5 +1,5 @@
 import type { LotId } from "@auburnarch/lots/LotId";
-import type { PeerView } from "./PeerView.js";
+import type { PeerView } from "../peers/PeerView.js";
 
 /** A peer that was heard this lately has not taken over a job and recorded results for it. Two probes and an answer. */
 const peerHeardMs = 900;
--- a/packages/runner/src/testing/createPeerView.ts
+++ b/packages/runner/src/testing/createPeerView.ts
@@ -1,6 +1,6 @@
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
-import type { PeerView } from "../PeerView.js";
-import type { RunnerStatus } from "../RunnerStatus.js";
+import type { PeerView } from "../peers/PeerView.js";
+import type { RunnerStatus } from "../peers/RunnerStatus.js";
 
 /** A peer that was heard just now and does nothing, but for what `over` says. */
 export function createPeerView(name: string, over: Partial<RunnerStatus> = {}, isAlive = true): PeerView {
