Of runners that took a job together let one go on, and keep who feeds out of the placing

Change: givesWay (the longer run, else the first by name; never both, by property), orderOwners without the one that feeds, names backwards. chooseOwner's test names the same runners in another order.

--- a/packages/runner/src/jobs/chooseOwner.test.ts
+++ b/packages/runner/src/jobs/chooseOwner.test.ts
@@ -79,8 +79,7 @@
             isStoreHere: true,
         })
     );
-    // The first by name feeds the others and comes last but one.
-    expect(owners).toEqual(["r3", "r4", "r1"]);
+    expect(owners).toEqual(["r4", "r3", "r1"]);
 });
 
 test("a runner that hears none of several peers leaves them their jobs for a while", () => {
--- a/packages/runner/src/jobs/createLotBoard.ts
+++ b/packages/runner/src/jobs/createLotBoard.ts
@@ -7,6 +7,7 @@
 import type { PolicyId } from "@auburnarch/types/PolicyId";
 import type { PeerBook } from "../peers/PeerBook.js";
 import { chooseOwner } from "./chooseOwner.js";
+import { givesWay } from "./givesWay.js";
 import type { LotBoard } from "./LotBoard.js";
 import type { LotRun } from "./LotRun.js";
 
@@ -30,8 +31,6 @@
 }
 
 const tickMs = 200;
-/** What a peer says is up to a probe old; below this lead both go on, and the store lists each item once. */
-const doubledLeadMs = 600;
 /** A job this old is of no use to its trainer any more, even if nobody ended it. */
 const maxAgeMs = 180_000;
 
@@ -72,15 +71,15 @@
 
     const runMsOf = (lot: LotId): number => Math.round(clock.monotonicMs() - (startedAtMs.get(lot) ?? 0));
 
-    /** Of two runners that believed a job theirs, the one that has run it for longer goes on, since it has made more. */
+    /** Runners that know of a death at once and not yet of each other's latest jobs may all believe a job theirs. */
     function dropDoubled(): void {
         for (const { name, isAlive, status } of deps.peers.peers()) {
             if (!isAlive || status === undefined || status.isLeaving || status.storeSilentMs > 0) {
                 continue;
             }
             for (const { lot, runMs } of status.running) {
-                const leadMs = runs.has(lot) ? runMs - runMsOf(lot) : 0;
-                if (leadMs > doubledLeadMs) {
+                const own = { name: deps.self, runMs: runMsOf(lot) };
+                if (runs.has(lot) && givesWay(own, { name, runMs })) {
                     stopRun(lot, `doubled by ${name}`);
                 }
             }
--- a/packages/runner/src/jobs/orderOwners.test.ts
+++ b/packages/runner/src/jobs/orderOwners.test.ts
@@ -15,12 +15,20 @@
     // fed 87 processes ran a trainer's items besides. Cause: policies were placed on the first runners by name.
     const shown = (holder: string) => orderOwners(names.map(name => candidate(name, holder))).join(" ");
     expect([shown("lugo-1"), shown("burgos-1"), shown("bilbao-1")]).toEqual([
-        "bilbao-2 burgos-1 lugo-2 bilbao-3 burgos-2 bilbao-1 lugo-1",
-        "bilbao-2 burgos-2 lugo-1 bilbao-3 lugo-2 bilbao-1 burgos-1",
-        "bilbao-2 burgos-1 lugo-1 bilbao-3 burgos-2 lugo-2 bilbao-1",
+        "lugo-2 burgos-2 bilbao-3 burgos-1 bilbao-2 bilbao-1 lugo-1",
+        "lugo-2 burgos-2 bilbao-3 lugo-1 bilbao-2 bilbao-1 burgos-1",
+        "lugo-2 burgos-2 bilbao-3 lugo-1 burgos-1 bilbao-2 bilbao-1",
     ]);
 });
 
+test("the death of the runner that feeds moves no trainer's jobs", () => {
+    // Symptom: three runners ran one job. Sequence: the runner that feeds dies; the next one by name, which had just
+    // taken a job, feeds now, and the others place that job on another. Cause: who feeds had a say in the order.
+    const before = orderOwners(names.map(name => candidate(name)));
+    const after = orderOwners(names.slice(1).map(name => candidate(name)));
+    expect(after.slice(0, 3)).toEqual(before.slice(0, 3));
+});
+
 test("the order is the same whoever asks, and a runner that has not told its failure domain has a place", () => {
     const told = names.map(name => candidate(name));
     const untold = told.map(each => each.name === "lugo-2" ? { ...each, failureDomain: undefined } : each);
