Tell from logs how late each step was asked, and what loads of weights cost

steps gets a column from each trainer's own rhythm; the new command loads tells, by policy, loads, failures, samplers, loads on a sampler that had another policy before, and their time. Reading of log lines moves to readLogLines.

--- a/packages/cli/src/StepRow.ts
+++ b/packages/cli/src/StepRow.ts
@@ -7,6 +7,8 @@
     neededGroups: number | undefined;
     /** ISO 8601. */
     acceptedAt: string;
+    /** How far its trainer was behind its own rhythm when it asked for it; undefined for its first step. */
+    lateMs: number | undefined;
     firstSentMs: number | undefined;
     /** When half of the items, nine tenths and all were recorded. */
     halfMs: number | undefined;
--- a/packages/cli/src/createMainCommand.ts
+++ b/packages/cli/src/createMainCommand.ts
@@ -4,6 +4,7 @@
 import { createDrainCommand } from "./createDrainCommand.js";
 import { createExplainCommand } from "./createExplainCommand.js";
 import { createJobsCommand } from "./createJobsCommand.js";
+import { createLoadsCommand } from "./createLoadsCommand.js";
 import { createQuarantineCommand } from "./createQuarantineCommand.js";
 import { createSamplersCommand } from "./createSamplersCommand.js";
 import { createStatusCommand } from "./createStatusCommand.js";
@@ -26,6 +27,7 @@
             quarantine: createQuarantineCommand(io),
             explain: createExplainCommand(io),
             steps: createStepsCommand(io),
+            loads: createLoadsCommand(io),
         },
     }) as CommandDef;
 }
--- a/packages/cli/src/createStepsCommand.ts
+++ b/packages/cli/src/createStepsCommand.ts
@@ -11,6 +11,7 @@
 const headings = [
     "POLICY",
     "STEP",
+    "LATE MS",
     "ITEMS",
     "FIRST MS",
     "HALF MS",
@@ -28,6 +29,7 @@
 const toCells = (row: StepRow): (string | number)[] => [
     row.policy,
     row.step,
+    row.lateMs ?? "-",
     row.items,
     row.firstSentMs ?? "-",
     row.halfMs ?? "-",
--- /dev/null
+++ b/packages/cli/src/readLogLines.ts
@@ -0,0 +1,22 @@
+import type { LogLine } from "./LogLine.js";
+
+const fieldPattern = /(\w+)=("[^"]*"|\S+)/gu;
+
+function readLine(text: string): LogLine | undefined {
+    const start = text.indexOf("time=");
+    if (start < 0) {
+        return undefined;
+    }
+    const fields = new Map(
+        [...text.slice(start).matchAll(fieldPattern)].map(found => [found[1]!, found[2]!]),
+    );
+    const time = fields.get("time")!;
+    const event = fields.get("event");
+    return event === undefined ? undefined : { atMs: Date.parse(time), time, event, fields };
+}
+
+/** The lines of several logs in order of time; what is none of ours is left out. */
+export function readLogLines(logs: string[]): LogLine[] {
+    const lines = logs.flatMap(log => log.split("\n")).flatMap(text => readLine(text) ?? []);
+    return lines.sort((a, b) => a.atMs - b.atMs);
+}
--- a/packages/cli/src/summarizeSteps.ts
+++ b/packages/cli/src/summarizeSteps.ts
@@ -1,34 +1,15 @@
+import type { LogLine } from "./LogLine.js";
+import { readLogLines } from "./readLogLines.js";
 import type { StepRow } from "./StepRow.js";
 
-type Fields = ReadonlyMap<string, string>;
+type Fields = LogLine["fields"];
 
-interface Line {
-    atMs: number;
-    time: string;
-    event: string;
-    fields: Fields;
-}
-
-const fieldPattern = /(\w+)=("[^"]*"|\S+)/gu;
 const mostPart = 0.9;
 
-function readLine(text: string): Line | undefined {
-    const start = text.indexOf("time=");
-    if (start < 0) {
-        return undefined;
-    }
-    const fields = new Map(
-        [...text.slice(start).matchAll(fieldPattern)].map(found => [found[1]!, found[2]!]),
-    );
-    const time = fields.get("time")!;
-    const event = fields.get("event");
-    return event === undefined ? undefined : { atMs: Date.parse(time), time, event, fields };
-}
-
 const numberOf = (fields: Fields, name: string): number | undefined =>
     fields.has(name) ? Number(fields.get(name)) : undefined;
 
-function toRow({ time, fields }: Line): StepRow {
+function toRow({ time, fields }: LogLine): StepRow {
     return {
         lot: fields.get("lot")!,
         policy: fields.get("policy") ?? "",
@@ -36,6 +17,7 @@
         items: numberOf(fields, "items") ?? 0,
         neededGroups: numberOf(fields, "neededGroups"),
         acceptedAt: time,
+        lateMs: undefined,
         firstSentMs: undefined,
         halfMs: undefined,
         mostMs: undefined,
@@ -73,16 +55,33 @@
     sampleRetried: row => void row.retried++,
 };
 
+/**
+ * A trainer asks for its steps in a rhythm, or later where it waits for a version; so the rhythm is the shortest time
+ * from its first step to any other, a step.
+ */
+function noteLateness(rows: StepRow[]): void {
+    const [first, ...others] = rows;
+    const sinceFirst = (row: StepRow): { steps: number; ms: number; } => ({
+        steps: row.step - first!.step,
+        ms: Date.parse(row.acceptedAt) - Date.parse(first!.acceptedAt),
+    });
+    const rhythmMs = Math.min(
+        ...others.map(sinceFirst).filter(({ steps }) => steps > 0).map(({ steps, ms }) => ms / steps),
+    );
+    for (const row of others) {
+        const { steps, ms } = sinceFirst(row);
+        row.lateMs = Math.round(ms - (steps === 0 ? 0 : steps * rhythmMs));
+    }
+}
+
 /** Lines of items name them `job/item`. */
 const lotOf = (fields: Fields): string | undefined =>
     fields.get("lot") ?? fields.get("sample")?.split("/")[0];
 
 /** Tells from the logs of gateways and runners how each batch job went, in order of policy and acceptance. */
 export function summarizeSteps(logs: string[]): StepRow[] {
-    const lines = logs.flatMap(log => log.split("\n")).flatMap(text => readLine(text) ?? []);
-    lines.sort((a, b) => a.atMs - b.atMs);
     const rows = new Map<string, StepRow>();
-    for (const line of lines) {
+    for (const line of readLogLines(logs)) {
         const lot = lotOf(line.fields);
         const row = lot === undefined ? undefined : rows.get(lot);
         if (line.event === "lotAccepted" && lot !== undefined && row === undefined) {
@@ -92,7 +91,11 @@
             takers[line.event]?.(row, line.fields, line.atMs - Date.parse(row.acceptedAt));
         }
     }
-    return [...rows.values()].sort((a, b) =>
+    const sorted = [...rows.values()].sort((a, b) =>
         a.policy === b.policy ? a.step - b.step : a.policy < b.policy ? -1 : 1
     );
+    for (const policy of new Set(sorted.map(row => row.policy))) {
+        noteLateness(sorted.filter(row => row.policy === policy));
+    }
+    return sorted;
 }
