--- a/packages/daemon/src/createStoreHealth.ts
+++ b/packages/daemon/src/createStoreHealth.ts
@@ -117,8 +117,8 @@
 
     /**
      * While calls fail a cheap one asks first, and only its answer leads to one at the full price: refused calls are
-     * charged too. A copy may answer where the store does not, so that the
-     * cheap answer alone is no sign that calls succeed again.
+     * charged too. A copy may answer where the store does not, so that the cheap answer alone is no sign that calls
+     * succeed again.
      */
     async function touchFailing(): Promise<void> {
         counts.set("touch:", (counts.get("touch:") ?? 0) + 1);
--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -57,8 +57,8 @@
 
 /**
  * Starts what gateways and runners share: the store, the configuration, the samplers. `isBusy` is true while runs or
- * loads here depend on what samplers serve; `idleTouchIntervalMs` is how seldom the store is asked for a sign of life while
- * it is not used, by default as often as else; `feeding` holds the hub of a runner once there is one.
+ * loads here depend on what samplers serve; `idleTouchIntervalMs` is how often the store is asked for a sign of life while it
+ * is not used, by default as often as always; `feeding` holds the hub of a runner once there is one.
  */
 export function startCommon(
     context: RoleContext,
--- a/packages/peers/src/createFeedHub.ts
+++ b/packages/peers/src/createFeedHub.ts
@@ -48,8 +48,8 @@
 
 /**
  * Makes the hub of a runner. One process follows the store and the others follow that one, so that calls to the store do
- * not grow with the number of processes. Nothing is told once the store has been silent for a second; those
- * who ask then turn to the store, so that a hub that is cut off hides no change for long.
+ * not grow with the number of processes. Nothing is told once the store has been silent for a second: those who ask then
+ * turn to another runner or to the store, so that a hub that is cut off hides no change for long.
  */
 export function createFeedHub(deps: FeedHubDeps): FeedHub {
     const { clock, logger, self, store } = deps;
