--- a/packages/cli/src/createLoadsCommand.ts
+++ b/packages/cli/src/createLoadsCommand.ts
@@ -1,11 +1,7 @@
-import { type CommandDef, defineCommand } from "citty";
+import type { CommandDef } from "citty";
 import type { CliIo } from "./CliIo.js";
-import type { CommandOutput } from "./CommandOutput.js";
-import { commonArgs } from "./commonArgs.js";
-import { exitCodes } from "./exitCodes.js";
-import { formatTable } from "./formatTable.js";
+import { createLogsCommand } from "./createLogsCommand.js";
 import type { LoadRow } from "./LoadRow.js";
-import { readInput } from "./readInput.js";
 import { summarizeLoads } from "./summarizeLoads.js";
 
 const headings = ["POLICY", "LOADS", "FAILED", "SAMPLERS", "CHANGED", "MEAN MS", "TOTAL MS"];
@@ -22,29 +18,13 @@
 
 /** `loads`: what loads of weights cost, from log files. */
 export function createLoadsCommand(io: CliIo): CommandDef {
-    return defineCommand({
-        meta: { name: "loads", description: "Show from logs what the loads of weights cost, by policy" },
-        args: {
-            logs: {
-                type: "string",
-                required: true,
-                description: "Files with the log lines of all runners, separated by commas.",
-                valueHint: "files",
-            },
-            json: commonArgs.json,
-        },
-        run: async ({ args }): Promise<CommandOutput> => {
-            const paths = args.logs.split(",");
-            const rows = summarizeLoads(await Promise.all(paths.map(path => readInput(io, path))));
-            const nothing = [
-                `No line of ${paths.join(", ")} tells of a load that ended.`,
-                "Give the logs of all runners (loadDone, loadFailed); docs/OPERATIONS.md names the lines.",
-            ];
-            return {
-                exitCode: rows.length === 0 ? exitCodes.refused : exitCodes.done,
-                json: rows,
-                lines: rows.length === 0 ? nothing : formatTable(headings, rows.map(toCells)),
-            };
-        },
-    }) as CommandDef;
+    return createLogsCommand(io, {
+        name: "loads",
+        description: "Show from logs what the loads of weights cost, by policy",
+        writers: "runners",
+        headings,
+        summarize: summarizeLoads,
+        toCells,
+        missing: { subject: "a load that ended", lines: "all runners (loadDone, loadFailed)" },
+    });
 }
--- a/packages/relay/src/createBreakMemory.test.ts
+++ b/packages/relay/src/createBreakMemory.test.ts
@@ -1,54 +1,25 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
 import { createRandom } from "@auburnarch/clock/createRandom";
-import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { createInvariants } from "@auburnarch/invariants/createInvariants";
 import { createMetrics } from "@auburnarch/metrics/createMetrics";
-import type { Route } from "@auburnarch/routing/Route";
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
-import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { Logger } from "@auburnarch/types/Logger";
-import type { ServiceId } from "@auburnarch/types/ServiceId";
 import { expect, test } from "vitest";
 import type { BreakMemory } from "./BreakMemory.js";
 import { createBreakMemory } from "./createBreakMemory.js";
 import { createRelay } from "./createRelay.js";
 import type { RelayOutcome } from "./RelayOutcome.js";
 import type { SamplerReply } from "./SamplerReply.js";
+import { createTestRoute } from "./testing/createTestRoute.js";
+import { createTestSampler } from "./testing/createTestSampler.js";
 
 const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
-const service = "tiles" as ServiceId;
 const noSignal = new AbortController().signal;
 const content = "c" as ContentDigest;
 
-const createSampler = (name: string): KnownSampler => ({
-    incarnation: name as IncarnationId,
-    instance: name,
-    bornAtMs: undefined,
-    service,
-    host: "10.0.0.1",
-    port: 1,
-    failureDomain: "lugo" as FailureDomain,
-    maxBatch: 6,
-    isDraining: false,
-    served: [],
-});
-
-const route: Route = {
-    name: "r",
-    host: "a",
-    pathPrefix: "/",
-    kind: "idempotent",
-    isResumable: false,
-    timeoutMs: 1_500,
-    targetLatencyMs: 200,
-    backends: [{ service, weight: 1 }],
-    maxAttempts: 3,
-    deadlineMs: undefined,
-    itemTtlMs: undefined,
-    isSingleVersion: false,
-};
+const route = createTestRoute("idempotent");
 
 async function* bytes(): AsyncGenerator<Uint8Array> {
     yield Buffer.from("tile");
@@ -78,7 +49,7 @@
     const clock = createFakeClock();
     const upAtMs = new Map<string, number>();
     const kills: number[] = [];
-    const names = Array.from({ length: samplers }, (_, at) => createSampler(`s${at}`));
+    const names = Array.from({ length: samplers }, (_, at) => createTestSampler(`s${at}`));
     const hub = createBreakMemory(clock);
 
     async function callSampler(name: string, isKiller: boolean): Promise<SamplerReply> {
--- a/packages/relay/src/createRelay.test.ts
+++ b/packages/relay/src/createRelay.test.ts
@@ -1,34 +1,19 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
 import { createRandom } from "@auburnarch/clock/createRandom";
-import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { createInvariants } from "@auburnarch/invariants/createInvariants";
 import { createMetrics } from "@auburnarch/metrics/createMetrics";
 import type { Route } from "@auburnarch/routing/Route";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
-import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { Logger } from "@auburnarch/types/Logger";
-import type { ServiceId } from "@auburnarch/types/ServiceId";
 import { expect, test } from "vitest";
 import { createRelay } from "./createRelay.js";
 import type { RelayOutcome } from "./RelayOutcome.js";
 import type { SamplerReply } from "./SamplerReply.js";
+import { createTestRoute } from "./testing/createTestRoute.js";
+import { createTestSampler } from "./testing/createTestSampler.js";
 
 const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
-const service = "tiles" as ServiceId;
-const sampler = (name: string, failureDomain = "lugo"): KnownSampler => ({
-    incarnation: name as IncarnationId,
-    instance: name,
-    bornAtMs: undefined,
-    service,
-    host: "10.0.0.1",
-    port: 1,
-    failureDomain: failureDomain as FailureDomain,
-    maxBatch: 4,
-    isDraining: false,
-    served: [],
-});
-
 async function* bytes(text: string, isCut = false): AsyncGenerator<Uint8Array> {
     yield Buffer.from(text);
     if (isCut) {
@@ -50,7 +35,7 @@
 /** How each sampler answers: after a delay, with a reply; `never` answers only when it is cancelled. */
 type Script = Record<string, { afterMs: number; reply: SamplerReply | "never"; }[]>;
 
-function createFixture(script: Script, samplers = Object.keys(script).map(name => sampler(name))) {
+function createFixture(script: Script, samplers = Object.keys(script).map(name => createTestSampler(name))) {
     const clock = createFakeClock();
     const sent: string[] = [];
     const cancelled: string[] = [];
@@ -77,21 +62,7 @@
         failureDomain: "lugo" as FailureDomain,
     });
     const ask = (kind: Route["kind"], over: Partial<Route> = {}, deadlineMs = 2_000) => {
-        const route: Route = {
-            name: "r",
-            host: "a",
-            pathPrefix: "/",
-            kind,
-            isResumable: false,
-            timeoutMs: 1_500,
-            targetLatencyMs: 200,
-            backends: [{ service, weight: 1 }],
-            maxAttempts: 3,
-            deadlineMs: undefined,
-            itemTtlMs: undefined,
-            isSingleVersion: false,
-            ...over,
-        };
+        const route = createTestRoute(kind, over);
         const caller = new AbortController();
         const request = {
             requestId: "q",
@@ -199,7 +170,7 @@
 });
 
 test("a sampler in the own failure domain is taken unless it is slower by more than its bytes cost", async () => {
-    const samplers = [sampler("far", "burgos"), sampler("near")];
+    const samplers = [createTestSampler("far", "burgos"), createTestSampler("near")];
     const { clock, sent, ask } = createFixture({ near: [], far: [] }, samplers);
     ask("idempotent");
     await clock.advance(100);
