--- /dev/null
+++ b/packages/daemon/src/changesInTime.test.ts
@@ -0,0 +1,48 @@
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { expect, test } from "vitest";
+import { createFedFleet } from "./testing/createFedFleet.js";
+import type { FedTrouble } from "./testing/FedTrouble.js";
+
+const troublesPerSeed = 8;
+const longestTroubleMs = 4_000;
+/** Changes are due at each process that has the store this long after the store took them. */
+const dueMs = 2_000;
+const stepMs = 20;
+const calm: FedTrouble = { isStoreAway: () => false, isReached: () => true };
+const gateways = 3;
+const watched = `g${gateways - 1}`;
+
+/** The longest time that a change was unseen at one gateway, which always has the store itself. */
+async function playSeed(seed: number): Promise<number> {
+    const random = createRandom(seed);
+    const { clock, state, put, lastGateway } = createFedFleet(gateways);
+    await clock.advance(3_000);
+    let longestMs = 0;
+    for (let round = 0; round < troublesPerSeed; round++) {
+        const lost = new Set(["r1", "r2", "r3", "r4"].filter(() => random.nextUnit() < 0.4));
+        const storeless = new Set(["r1", "r2", "r3", "r4"].filter(() => random.nextUnit() < 0.4));
+        state.trouble = {
+            isStoreAway: process => storeless.has(process),
+            isReached: (from, to) => !lost.has(to) && !(lost.has(from) && to !== watched),
+        };
+        state.sinceMs = clock.monotonicMs();
+        await clock.advance(random.nextInt(longestTroubleMs));
+        const writtenAtMs = await put();
+        const seen = (): boolean => Number(lastGateway.objects()?.get("main")) >= writtenAtMs - 2 * stepMs;
+        while (!seen() && clock.monotonicMs() - writtenAtMs < 2 * dueMs) {
+            await clock.advance(stepMs);
+        }
+        longestMs = Math.max(longestMs, clock.monotonicMs() - writtenAtMs);
+        state.trouble = random.nextUnit() < 0.5 ? calm : state.trouble;
+        await clock.advance(random.nextInt(longestTroubleMs));
+    }
+    return longestMs;
+}
+
+test("a process that has the store sees each change in time, whatever runners it loses and these lose", async () => {
+    // Symptom to prevent: a request handled by the configuration before, seconds after the new one was acknowledged.
+    // Sequence: runners are cut off from the process and from the store, several at once and one after the other, while
+    // the configuration changes.
+    const longest = await Promise.all(Array.from({ length: 40 }, (_, seed) => playSeed(seed + 1)));
+    expect(longest.filter(ms => ms > dueMs)).toEqual([]);
+});
--- /dev/null
+++ b/packages/daemon/src/testing/FedTrouble.ts
@@ -0,0 +1,5 @@
+/** What is wrong, as each process meets it. */
+export interface FedTrouble {
+    isStoreAway: (process: string) => boolean;
+    isReached: (from: string, to: string) => boolean;
+}
--- /dev/null
+++ b/packages/daemon/src/testing/createFedFleet.ts
@@ -0,0 +1,145 @@
+import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
+import type { RunnerAddress } from "@auburnarch/discovery/RunnerAddress";
+import { watchKind } from "@auburnarch/discovery/watchKind";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
+import { createMetrics } from "@auburnarch/metrics/createMetrics";
+import { createFedStore } from "@auburnarch/peers/createFedStore";
+import { createFeedHub } from "@auburnarch/peers/createFeedHub";
+import { createRunnerCaller } from "@auburnarch/peers/createRunnerCaller";
+import type { FeedAnswer } from "@auburnarch/peers/FeedAnswer";
+import type { FeedHub } from "@auburnarch/peers/FeedHub";
+import { chooseFeeder } from "@auburnarch/runner/peers/chooseFeeder";
+import type { RunnerStatus } from "@auburnarch/runner/peers/RunnerStatus";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import { createStoreHealth } from "../createStoreHealth.js";
+import type { FedTrouble } from "./FedTrouble.js";
+
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
+const kinds = ["config", "servers", "runners"];
+const runnerNames = ["r1", "r2", "r3", "r4"];
+/** Peers take a runner for dead after this time without an answer. */
+const deadAfterMs = 1_300;
+const storeLatencyMs = 4;
+/** Processes that start together know of no runner until then. */
+const registeredAtMs = 300;
+/** A call to a store that is silent is given up after this time. */
+const storeTimeoutMs = 1_000;
+
+const calm: FedTrouble = { isStoreAway: () => false, isReached: () => true };
+
+/** Runners r1 to r4 and gateways from g0 on that follow three kinds, each through its own view of one store. */
+export function createFedFleet(gateways: number) {
+    const clock = createFakeClock();
+    const { store } = createFakeObjectStore({ clock, random: createRandom(4), latencyMs: storeLatencyMs });
+    const state = { trouble: calm, sinceMs: 0, calls: 0, touches: 0 };
+    const gatewayNames = Array.from({ length: gateways }, (_, at) => `g${at}`);
+    const hubs = new Map<string, FeedHub>();
+    const addresses = new Map(runnerNames.map((host): [string, RunnerAddress] => [host, { host, port: 1 }]));
+
+    /** What was asked before a process lost the store is answered no more either. */
+    async function through<T>(process: string, call: () => Promise<T>): Promise<T> {
+        const found = state.trouble.isStoreAway(process) ? undefined : { value: await call() };
+        if (found === undefined || state.trouble.isStoreAway(process)) {
+            await clock.sleep(storeTimeoutMs);
+            throw new ResultError(resultCodes.storeUnavailable, "silent");
+        }
+        return found.value;
+    }
+
+    function storeOf(process: string): ObjectStore {
+        const counted = <T>(call: () => Promise<T>): Promise<T> => {
+            state.calls++;
+            return through(process, call);
+        };
+        return {
+            ...store,
+            read: key => counted(() => store.read(key)),
+            list: prefix => counted(() => store.list(prefix)),
+            watch: (prefix, since, waitMs) => counted(() => store.watch(prefix, since, waitMs)),
+        };
+    }
+
+    async function touch(process: string): Promise<void> {
+        state.touches++;
+        await through(process, () => clock.sleep(storeLatencyMs));
+    }
+
+    async function send(
+        from: string,
+        { host }: RunnerAddress,
+        answer: () => Promise<FeedAnswer>,
+        timeoutMs: number,
+    ): Promise<FeedAnswer> {
+        const isLost = (): boolean => !state.trouble.isReached(from, host);
+        const untilMs = clock.monotonicMs() + timeoutMs;
+        const found = isLost() ? undefined : await answer();
+        if (found === undefined || isLost()) {
+            await clock.sleep(Math.max(0, untilMs - clock.monotonicMs()));
+            throw new Error("no answer");
+        }
+        return found;
+    }
+
+    function start(self: string) {
+        const health = createStoreHealth(storeOf(self), () => touch(self), clock, createMetrics(), silent);
+        const isRunner = addresses.has(self);
+        const isAlive = (peer: string): boolean =>
+            state.trouble.isReached(self, peer) || clock.monotonicMs() - state.sinceMs < deadAfterMs;
+        const peersOf = () =>
+            runnerNames.filter(name => name !== self).map(name => {
+                const storeSilentMs = state.trouble.isStoreAway(name) ? 500 : 0;
+                return {
+                    name,
+                    isAlive: isAlive(name),
+                    heardMs: 0,
+                    status: { storeSilentMs } as RunnerStatus,
+                };
+            });
+        const hub = isRunner
+            ? createFeedHub({
+                self,
+                feeder: avoided => chooseFeeder(self, health.silentMs() === 0, peersOf(), avoided),
+                store: health.store,
+                gatherMsOf: () => 0,
+                storeHeardMs: health.heardMs,
+                clock,
+                logger: silent,
+            })
+            : undefined;
+        if (hub !== undefined) {
+            hubs.set(self, hub);
+        }
+        const fed = createFedStore({
+            self,
+            inner: health.store,
+            hub: () => hub,
+            caller: createRunnerCaller({
+                self,
+                runners: () => clock.monotonicMs() < registeredAtMs ? undefined : addresses,
+                clock,
+                logger: silent,
+            }),
+            send: (address, query, timeoutMs) =>
+                send(self, address, () => hubs.get(address.host)!.answer(query), timeoutMs),
+            waitForStore: health.waitUntilServed,
+            clock,
+        });
+        return kinds.map(kind =>
+            watchKind<unknown>({ store: fed, clock, logger: silent, kind, decode: (_name, value) => value })
+        );
+    }
+
+    const [config] = [...runnerNames, ...gatewayNames].map(start).map(([first]) => first!).slice(-1);
+    const put = async (): Promise<number> => {
+        const [current] = await Promise.all([store.read("config/main"), clock.advance(10)]);
+        const version = current?.version ?? 0 as ObjectVersion;
+        await Promise.all([store.write("config/main", clock.monotonicMs(), version), clock.advance(10)]);
+        return clock.monotonicMs();
+    };
+    return { clock, state, put, lastGateway: config! };
+}
