--- a/packages/daemon/src/createStoreHealth.test.ts
+++ b/packages/daemon/src/createStoreHealth.test.ts
@@ -31,7 +31,7 @@
 }
 
 test("a process that does not use the store asks it for a sign of life less often", async () => {
-    // Calls of 58 idle processes were a third of all on a calm day: 40 in 20 s each, 10 now.
+    // Two signs of life a second, used or not, are 40 in 20 s of each process.
     const { clock, health, touchesIn } = createFixture();
     await clock.advance(12_000);
     const idle = await touchesIn(20_000);
--- a/packages/relay/src/createBreakMemory.test.ts
+++ b/packages/relay/src/createBreakMemory.test.ts
@@ -124,8 +124,8 @@
 }
 
 test("a request that kills samplers is known at 58 gateways within the time of one question", async () => {
-    // Symptom: a request that its client sends again every 1.5 s, each time at another gateway, takes down two samplers
-    // every time. Cause: each gateway remembers only what broke off at itself.
+    // Symptom: a request that its client sends again every 1.5 s, each time at another gateway, takes down samplers again
+    // and again. Cause: each gateway remembers only what broke off at itself. First so, then with what others tell.
     expect(await playKiller(false)).toEqual({ kills: 41, paused: 0, harmless: 27 });
     expect(await playKiller(true)).toEqual({ kills: 5, paused: 32, harmless: 40 });
 });
