--- a/packages/discovery/src/SamplerDirectory.ts
+++ b/packages/discovery/src/SamplerDirectory.ts
@@ -9,4 +9,8 @@
     /** Those of a service that neither drain nor are gone. */
     serving(service: ServiceId): KnownSampler[];
     find(incarnation: IncarnationId): KnownSampler | undefined;
+    /** False for one whose entry is missing and that is kept until it can have registered again. */
+    isListed(incarnation: IncarnationId): boolean;
+    /** Milliseconds since the list was confirmed. */
+    ageMs(): number;
 }
--- a/packages/discovery/src/createSamplerDirectory.ts
+++ b/packages/discovery/src/createSamplerDirectory.ts
@@ -48,7 +48,7 @@
                 lapsed.delete(name);
             }
         }
-        logChanges(listed);
+        logChanges(listed, nowMs);
         known = listed;
         byStart = new Map([...known.values()].map(sampler => [sampler.incarnation, sampler]));
     }
@@ -75,7 +75,7 @@
         return entry;
     }
 
-    function logChanges(listed: Map<string, KnownSampler>): void {
+    function logChanges(listed: Map<string, KnownSampler>, nowMs: number): void {
         for (const [name, sampler] of listed) {
             const before = known.get(name);
             if (
@@ -96,7 +96,7 @@
             if (!listed.has(name)) {
                 logger.info("samplerGone", {
                     sampler: name,
-                    keptForMs: lapsed.has(name) ? returnGraceMs : 0,
+                    keptForMs: Math.round((lapsed.get(name)?.untilMs ?? nowMs) - nowMs),
                 });
             }
         }
@@ -121,5 +121,7 @@
             const found = byStart.get(incarnation);
             return found ?? [...everyOne()].find(each => each.incarnation === incarnation);
         },
+        isListed: incarnation => byStart.has(incarnation),
+        ageMs: entries.ageMs,
     };
 }
--- a/packages/gateway/src/createGateway.test.ts
+++ b/packages/gateway/src/createGateway.test.ts
@@ -83,7 +83,13 @@
     };
     const gateway = createGateway({
         routing: over.routing ?? (() => table),
-        directory: { isKnown: () => state.isKnown, serving: () => [], find: () => undefined },
+        directory: {
+            isKnown: () => state.isKnown,
+            serving: () => [],
+            find: () => undefined,
+            isListed: () => true,
+            ageMs: () => 0,
+        },
         relay: async () => relayed,
         lots,
         reader: createLotReader(lots, clock, async () => undefined),
--- a/packages/relay/src/createBreakMemory.test.ts
+++ b/packages/relay/src/createBreakMemory.test.ts
@@ -78,7 +78,13 @@
         return createRelay({
             callSampler: ({ sampler, body }) =>
                 callSampler(sampler.instance, Buffer.from(body).toString() === "killer"),
-            directory: { isKnown: () => true, serving: () => names, find: () => undefined },
+            directory: {
+                isKnown: () => true,
+                serving: () => names,
+                find: () => undefined,
+                isListed: () => true,
+                ageMs: () => 0,
+            },
             clock,
             random: createRandom(at),
             logger: silent,
--- a/packages/relay/src/createRelay.test.ts
+++ b/packages/relay/src/createRelay.test.ts
@@ -51,7 +51,13 @@
             }
             return step.reply as SamplerReply;
         },
-        directory: { isKnown: () => true, serving: () => samplers, find: () => undefined },
+        directory: {
+            isKnown: () => true,
+            serving: () => samplers,
+            find: () => undefined,
+            isListed: () => true,
+            ageMs: () => 0,
+        },
         clock,
         random: createRandom(1),
         logger: silent,
--- a/packages/relay/src/createSamplerTries.ts
+++ b/packages/relay/src/createSamplerTries.ts
@@ -5,6 +5,7 @@
 import { createSamplerRecords } from "./createSamplerRecords.js";
 import { estimateWaitMs } from "./estimateWaitMs.js";
 import type { RelayDeps } from "./RelayDeps.js";
+import type { RelayRequest } from "./RelayRequest.js";
 import type { SamplerRecord } from "./SamplerRecord.js";
 import type { SamplerReply } from "./SamplerReply.js";
 import type { SamplerTries } from "./SamplerTries.js";
@@ -45,7 +46,7 @@
 
 /** Makes the tries of one process; what it learns of a sampler serves all its requests. */
 export function createSamplerTries(deps: RelayDeps): SamplerTries {
-    const { clock, random, metrics, directory } = deps;
+    const { clock, random, logger, metrics, directory } = deps;
     const recordOf = createSamplerRecords();
 
     function noteEnd(sampler: KnownSampler, tried: Tried, tookMs: number, isCancelled: boolean): void {
@@ -61,6 +62,11 @@
         }
     }
 
+    function noteUnlisted(request: RelayRequest, { incarnation, service }: KnownSampler): void {
+        metrics.count("relay_unlisted_tries_total", { service });
+        logger.info("unlistedSamplerTried", { request: request.requestId, sampler: incarnation });
+    }
+
     return {
         pick: (request, tried) => {
             const service = chooseService(request.route, random);
@@ -82,6 +88,9 @@
         },
         run: async (request, sampler, budgetMs, signal) => {
             const record = recordOf(sampler.incarnation);
+            if (!directory.isListed(sampler.incarnation)) {
+                noteUnlisted(request, sampler);
+            }
             const sentAtMs = noteStart(record, clock.monotonicMs());
             const { requestId, method, host, path, headers, body, route } = request;
             const sent = { sampler, requestId, method, host, path, headers, body, budgetMs };
--- a/packages/relay/src/killingRequest.test.ts
+++ b/packages/relay/src/killingRequest.test.ts
@@ -73,7 +73,13 @@
                 upAtMs.set(name, clock.monotonicMs() + restartMs);
                 return broken;
             },
-            directory: { isKnown: () => true, serving: () => samplers, find: () => undefined },
+            directory: {
+                isKnown: () => true,
+                serving: () => samplers,
+                find: () => undefined,
+                isListed: () => true,
+                ageMs: () => 0,
+            },
             clock,
             random: createRandom(1),
             logger: silent,
--- a/packages/relay/src/logRelayOutcome.ts
+++ b/packages/relay/src/logRelayOutcome.ts
@@ -10,6 +10,8 @@
     mayHaveRun: boolean;
     tookMs: number;
     limitMs: number;
+    /** Since the list of samplers was confirmed, as the request ends. */
+    samplersAgeMs: number;
 }
 
 /** Writes the one line that tells of a plain request. */
--- a/packages/relay/src/startRelayCall.ts
+++ b/packages/relay/src/startRelayCall.ts
@@ -27,7 +27,7 @@
 
 /** Runs one request to its outcome: `settle` is called exactly once. */
 export function startRelayCall(
-    deps: Pick<RelayDeps, "clock" | "logger" | "invariants">,
+    deps: Pick<RelayDeps, "clock" | "directory" | "logger" | "invariants">,
     samplers: SamplerTries,
     content: ContentGuard,
     request: RelayRequest,
@@ -83,6 +83,7 @@
             mayHaveRun: mayHaveRun || underWay > 0,
             tookMs: Math.round(clock.monotonicMs() - startedAtMs),
             limitMs: Math.round(limitMs),
+            samplersAgeMs: Math.round(deps.directory.ageMs()),
         });
         if (outcome.kind === "failed") {
             cancelAll();
--- a/packages/runner/src/weights/createLoadRoller.test.ts
+++ b/packages/runner/src/weights/createLoadRoller.test.ts
@@ -59,6 +59,8 @@
             isKnown: () => true,
             serving: () => names.map(samplerOf),
             find: id => names.includes(id) ? samplerOf(id) : undefined,
+            isListed: id => names.includes(id),
+            ageMs: () => 0,
         },
         orders: {
             readStatus: async sampler => ({
