--- /dev/null
+++ b/packages/daemon/src/backInTime.test.ts
@@ -0,0 +1,182 @@
+import { createRandom } from "@auburnarch/clock/createRandom";
+import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
+import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { Random } from "@auburnarch/types/Random";
+import type { ServiceId } from "@auburnarch/types/ServiceId";
+import { expect, test } from "vitest";
+import { createFedFleet } from "./testing/createFedFleet.js";
+import type { FedTrouble } from "./testing/FedTrouble.js";
+
+const service = "tiles" as ServiceId;
+const gateways = 1;
+const processes = [["a gateway", "g0"], ["a runner", "r1"]] as const;
+const runnerNames = ["r1", "r2", "r3", "r4"];
+const seeds = Array.from({ length: 40 }, (_, at) => at + 1);
+const cutsPerSeed = 4;
+const longestCutMs = 12_000;
+/** A process counts as in touch again this long after the end of its trouble, on the tightest deployment. */
+const inTouchAfterMs = 3_000;
+/** Samplers whose entries lapsed are registered again this long after the return of the store. */
+const registeredAgainMs = 2_000;
+const stepMs = 20;
+const calm: FedTrouble = { isStoreAway: () => false, isReached: () => true };
+
+const entryOf = (name: string, isDraining = false): KnownSampler => ({
+    incarnation: name as IncarnationId,
+    instance: name,
+    bornAtMs: undefined,
+    service,
+    host: "10.0.0.1",
+    port: 1,
+    failureDomain: "lugo" as FailureDomain,
+    maxBatch: 4,
+    isDraining,
+    served: [],
+});
+
+/** The watched process reaches nobody; each runner may have lost the store, or everybody, and stays so for a while. */
+function drawCut(watched: string, random: Random): { during: FedTrouble; after: FedTrouble; } {
+    const isStormy = random.nextUnit() < 0.5;
+    const others = runnerNames.filter(name => name !== watched);
+    const storeless = new Set(others.filter(() => isStormy && random.nextUnit() < 0.3));
+    const lost = new Set(others.filter(() => isStormy && random.nextUnit() < 0.3));
+    const after: FedTrouble = {
+        isStoreAway: process => storeless.has(process),
+        isReached: (from, to) => !lost.has(from) && !lost.has(to),
+    };
+    const during: FedTrouble = {
+        isStoreAway: process => process === watched || after.isStoreAway(process),
+        isReached: (from, to) => from !== watched && to !== watched && after.isReached(from, to),
+    };
+    return { during, after };
+}
+
+/** Cuts a process off again and again; `change` happens in each cut, `look` once the process is in touch. */
+async function playCuts(
+    watched: string,
+    seed: number,
+    change: (fleet: ReturnType<typeof createFedFleet>, cut: number, random: Random) => Promise<void>,
+    look: (fleet: ReturnType<typeof createFedFleet>, cut: number) => void,
+): Promise<void> {
+    const random = createRandom(seed);
+    const fleet = createFedFleet(gateways);
+    const { clock, state } = fleet;
+    const begin = (trouble: FedTrouble): void => {
+        state.trouble = trouble;
+        state.sinceMs = clock.monotonicMs();
+    };
+    for (const name of ["a", "b", "c", "d"]) {
+        await fleet.put(`servers/${name}`, entryOf(name));
+    }
+    await clock.advance(3_000);
+    for (let cut = 0; cut < cutsPerSeed; cut++) {
+        const { during, after } = drawCut(watched, random);
+        begin(during);
+        await clock.advance(random.nextInt(longestCutMs));
+        await change(fleet, cut, random);
+        await clock.advance(random.nextInt(longestCutMs));
+        begin(after);
+        await clock.advance(inTouchAfterMs);
+        for (let waitedMs = 0; waitedMs < inTouchAfterMs; waitedMs += stepMs) {
+            look(fleet, cut);
+            await clock.advance(stepMs);
+        }
+        begin(calm);
+        await clock.advance(random.nextInt(longestCutMs));
+    }
+}
+
+const leaving = ["a", "b", "c", "d"];
+
+test.each(processes)(
+    "a sampler that left while %s was cut off gets nothing from it after its return",
+    async (_, watched) => {
+        const sent = new Set<string>();
+        await Promise.all(seeds.map(seed =>
+            playCuts(
+                watched,
+                seed,
+                async ({ put, remove }, cut, random) => {
+                    const name = leaving[cut]!;
+                    if (random.nextUnit() < 0.5) {
+                        await put(`servers/${name}`, entryOf(name, true));
+                    }
+                    await remove(`servers/${name}`);
+                },
+                ({ viewOf }, cut) => {
+                    const left = leaving.slice(0, cut + 1);
+                    viewOf(watched).directory.serving(service)
+                        .filter(({ instance }) => left.includes(instance))
+                        .forEach(({ instance }) => sent.add(`seed ${seed} ${instance}`));
+                },
+            )
+        ));
+        expect([...sent]).toEqual([]);
+    },
+);
+
+test.each(processes)(
+    "what changed of any kind while %s was cut off is in force there once it is in touch",
+    async (_, watched) => {
+        const late = new Set<string>();
+        const written = new Map<number, number>();
+        await Promise.all(seeds.map(seed =>
+            playCuts(
+                watched,
+                seed,
+                async ({ put, clock }) => {
+                    written.set(seed, clock.monotonicMs());
+                    await put("config/main");
+                    await put("runners/r9");
+                    await put("servers/e", { ...entryOf("e"), maxBatch: Math.floor(clock.monotonicMs()) });
+                },
+                ({ viewOf }, cut) => {
+                    const sinceMs = Math.floor(written.get(seed)!);
+                    const { config, runners, directory } = viewOf(watched);
+                    const found = {
+                        config: Number(config.objects()?.get("main")),
+                        runners: Number(runners.objects()?.get("r9")),
+                        servers: directory.serving(service).find(({ instance }) => instance === "e")?.maxBatch
+                            ?? 0,
+                    };
+                    Object.entries(found)
+                        .filter(([, value]) => !(value >= sinceMs))
+                        .forEach(([kind]) => late.add(`seed ${seed} cut ${cut} ${kind}`));
+                },
+            )
+        ));
+        expect([...late]).toEqual([]);
+    },
+);
+
+test.each(processes)(
+    "samplers whose entries lapse while %s and all others lose the store are served until they are registered again",
+    async (_, watched) => {
+        const refused = new Set<number>();
+        await Promise.all(seeds.map(async seed => {
+            const random = createRandom(seed);
+            const { clock, state, put, remove, viewOf } = createFedFleet(gateways);
+            const { directory } = viewOf(watched);
+            await put("servers/a", entryOf("a"));
+            await clock.advance(3_000);
+            for (let outage = 0; outage < cutsPerSeed; outage++) {
+                state.trouble = { ...calm, isStoreAway: () => true };
+                state.sinceMs = clock.monotonicMs();
+                await clock.advance(2_000 + random.nextInt(longestCutMs));
+                await remove("servers/a");
+                state.trouble = calm;
+                const backAtMs = clock.monotonicMs() + random.nextInt(registeredAgainMs);
+                while (clock.monotonicMs() < backAtMs) {
+                    if (directory.serving(service).length === 0) {
+                        refused.add(seed);
+                    }
+                    await clock.advance(stepMs);
+                }
+                await put("servers/a", entryOf("a"));
+                await clock.advance(6_000);
+            }
+        }));
+        expect([...refused]).toEqual([]);
+    },
+);
--- a/packages/daemon/src/changesInTime.test.ts
+++ b/packages/daemon/src/changesInTime.test.ts
@@ -15,7 +15,8 @@
 /** The longest time that a change was unseen at one gateway, which always has the store itself. */
 async function playSeed(seed: number): Promise<number> {
     const random = createRandom(seed);
-    const { clock, state, put, lastGateway } = createFedFleet(gateways);
+    const { clock, state, put, viewOf } = createFedFleet(gateways);
+    const { config } = viewOf(watched);
     await clock.advance(3_000);
     let longestMs = 0;
     for (let round = 0; round < troublesPerSeed; round++) {
@@ -28,7 +29,7 @@
         state.sinceMs = clock.monotonicMs();
         await clock.advance(random.nextInt(longestTroubleMs));
         const writtenAtMs = await put();
-        const seen = (): boolean => Number(lastGateway.objects()?.get("main")) >= writtenAtMs - 2 * stepMs;
+        const seen = (): boolean => Number(config.objects()?.get("main")) >= writtenAtMs - 2 * stepMs;
         while (!seen() && clock.monotonicMs() - writtenAtMs < 2 * dueMs) {
             await clock.advance(stepMs);
         }
--- a/packages/daemon/src/testing/createFedFleet.ts
+++ b/packages/daemon/src/testing/createFedFleet.ts
@@ -1,6 +1,9 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
 import { createRandom } from "@auburnarch/clock/createRandom";
+import { createSamplerDirectory } from "@auburnarch/discovery/createSamplerDirectory";
+import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
 import type { RunnerAddress } from "@auburnarch/discovery/RunnerAddress";
+import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
 import { watchKind } from "@auburnarch/discovery/watchKind";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
@@ -134,12 +137,30 @@
         );
     }
 
-    const [config] = [...runnerNames, ...gatewayNames].map(start).map(([first]) => first!).slice(-1);
-    const put = async (): Promise<number> => {
-        const [current] = await Promise.all([store.read("config/main"), clock.advance(10)]);
-        const version = current?.version ?? 0 as ObjectVersion;
-        await Promise.all([store.write("config/main", clock.monotonicMs(), version), clock.advance(10)]);
+    function startView(self: string) {
+        const [config, samplers, runners] = start(self);
+        const directory = createSamplerDirectory(samplers as WatchedKind<KnownSampler>, clock, silent);
+        return { config: config!, runners: runners!, directory };
+    }
+
+    const views = new Map([...runnerNames, ...gatewayNames].map(name => [name, startView(name)]));
+
+    async function readVersion(key: string): Promise<ObjectVersion> {
+        const [current] = await Promise.all([store.read(key), clock.advance(10)]);
+        return current?.version ?? 0 as ObjectVersion;
+    }
+
+    /** Writes the time, or what is given; resolves to the time at which the store has it. */
+    async function put(key = "config/main", value: unknown = clock.monotonicMs()): Promise<number> {
+        const version = await readVersion(key);
+        await Promise.all([store.write(key, value, version), clock.advance(10)]);
         return clock.monotonicMs();
-    };
-    return { clock, state, put, lastGateway: config! };
+    }
+
+    async function remove(key: string): Promise<void> {
+        const version = await readVersion(key);
+        await Promise.all([store.remove(key, version), clock.advance(10)]);
+    }
+
+    return { clock, state, put, remove, viewOf: (process: string) => views.get(process)! };
 }
