Ask a silent store for a sign of life without waiting for the answers before

Callers saw a process go on with what it knew before a cut for up to 1.45 s longer than the cut: while calls failed, each sign of life was awaited, and one without an answer is given up after 1.2 s.

--- a/packages/daemon/src/createStoreHealth.test.ts
+++ b/packages/daemon/src/createStoreHealth.test.ts
@@ -14,10 +14,11 @@
 function createFixture() {
     const clock = createFakeClock();
     const { store } = createFakeObjectStore({ clock, random: createRandom(4), latencyMs: 4 });
-    const state = { isAway: false, touches: 0 };
+    const state = { isAway: false, answersAfterMs: 0, touches: 0 };
     const touch = async (): Promise<void> => {
         state.touches++;
         if (state.isAway) {
+            await clock.sleep(state.answersAfterMs);
             throw new ResultError(resultCodes.storeUnavailable, "away");
         }
     };
@@ -54,3 +55,22 @@
     expect([lostMs > 0, health.silentMs(), await served, await health.waitUntilServed()])
         .toEqual([true, 0, true, false]);
 });
+
+test("the return of a store that leaves calls without an answer is noticed within a quarter of a second too", async () => {
+    const { clock, state, health } = createFixture();
+    await clock.advance(20_000);
+    state.answersAfterMs = 1_200;
+    const noticedMs: number[] = [];
+    for (let outage = 0; outage < 15; outage++) {
+        state.isAway = true;
+        await clock.advance(6_000 + outage * 100);
+        state.isAway = false;
+        const backAtMs = clock.monotonicMs();
+        while (health.silentMs() > 0) {
+            await clock.advance(10);
+        }
+        noticedMs.push(clock.monotonicMs() - backAtMs);
+        await clock.advance(5_000);
+    }
+    expect(noticedMs.filter(ms => ms > 250)).toEqual([]);
+});
--- a/packages/daemon/src/createStoreHealth.ts
+++ b/packages/daemon/src/createStoreHealth.ts
@@ -50,6 +50,7 @@
     const counts = new Map<string, number>();
     let failingSinceMs: number | undefined;
     let heardAtMs = -Infinity;
+    let isAskedInFull = false;
     let usedAtMs = clock.monotonicMs();
     let regainedAtMs = -Infinity;
     let regained = new AbortController();
@@ -118,20 +119,23 @@
     /**
      * While calls fail a cheap one asks first, and only its answer leads to one at the full price: refused calls are
      * charged too. A copy may answer where the store does not, so that the cheap answer alone is no sign that calls
-     * succeed again.
+     * succeed again. Each asks without waiting for those before it: a silent store would else be found back only after
+     * the last of them is given up.
      */
     async function touchFailing(): Promise<void> {
         counts.set("touch:", (counts.get("touch:") ?? 0) + 1);
         const isServed = await touch(true).then(() => true, () => false);
-        if (isServed) {
+        if (isServed && !isAskedInFull && failingSinceMs !== undefined) {
+            isAskedInFull = true;
             await note("touch", "/", () => touch(false)).catch(() => undefined);
+            isAskedInFull = false;
         }
     }
 
     async function beat(): Promise<void> {
         const isFailing = failingSinceMs !== undefined;
         if (isFailing) {
-            await touchFailing();
+            void touchFailing();
         }
         else if (clock.monotonicMs() - heardAtMs > touchIntervalMs / 2) {
             // A failure shows in the counts and in `silentMs`.
