Keep samplers whose entry is missing only where runners say that the store was away

Callers saw a request reach a sampler 12 s after it had said that it leaves. Cause: a process that regained the store after failed calls kept each sampler whose entry was missing for 2.5 s from its own return, as if the store had been away and had dropped it. A process that was cut off alone, or was turned away, can't tell by its own calls; the sampler had left.

Now runners say with each answer to a question for changes how long ago the store was last away, and only if each peer that they hear had lost it too. A process keeps lapsed entries by that word alone, for 2.5 s from the absence, never longer than 2.5 s from its own return, and where the store is away again meanwhile, for the next one too.

--- a/packages/daemon/src/backInTime.test.ts
+++ b/packages/daemon/src/backInTime.test.ts
@@ -12,7 +12,7 @@
 const gateways = 1;
 const processes = [["a gateway", "g0"], ["a runner", "r1"]] as const;
 const runnerNames = ["r1", "r2", "r3", "r4"];
-const seeds = Array.from({ length: 40 }, (_, at) => at + 1);
+const seeds = [...Array.from({ length: 40 }, (_, at) => at + 1), 46, 85, 125, 150, 159];
 const cutsPerSeed = 4;
 const longestCutMs = 12_000;
 /** A process counts as in touch again this long after the end of its trouble, on the tightest deployment. */
--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -5,6 +5,7 @@
 import type { SamplerDirectory } from "@auburnarch/discovery/SamplerDirectory";
 import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
 import { watchKind } from "@auburnarch/discovery/watchKind";
+import { createAbsenceNote } from "@auburnarch/peers/createAbsenceNote";
 import { createFedStore } from "@auburnarch/peers/createFedStore";
 import { createRunnerCaller } from "@auburnarch/peers/createRunnerCaller";
 import type { FeedHub } from "@auburnarch/peers/FeedHub";
@@ -95,6 +96,11 @@
         clock,
         logger,
     });
+    const absence = createAbsenceNote({
+        storeSilentMs: health.silentMs,
+        storeRegainedMs: health.regainedMs,
+        clock,
+    });
     const store = createFedStore({
         self: context.settings.name,
         waitForStore: health.waitUntilServed,
@@ -102,6 +108,7 @@
         hub: () => feeding.hub,
         caller,
         send: links.feed,
+        absence,
         clock,
     });
     const watched = { store, clock, logger };
@@ -130,7 +137,12 @@
         storeRegainedMs: health.regainedMs,
         tables,
         routing: createRoutingView(tables, logger),
-        directory: createSamplerDirectory(samplers, clock, logger),
+        directory: createSamplerDirectory({
+            entries: samplers,
+            storeAwayMs: absence.awayMs,
+            clock,
+            logger,
+        }),
         callSampler: createCallSampler(clock, agentFor),
         agentFor,
     };
--- a/packages/daemon/src/testing/createFedFleet.ts
+++ b/packages/daemon/src/testing/createFedFleet.ts
@@ -9,12 +9,14 @@
 import { ResultError } from "@auburnarch/errors/ResultError";
 import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
 import { createMetrics } from "@auburnarch/metrics/createMetrics";
+import { createAbsenceNote } from "@auburnarch/peers/createAbsenceNote";
 import { createFedStore } from "@auburnarch/peers/createFedStore";
 import { createFeedHub } from "@auburnarch/peers/createFeedHub";
 import { createRunnerCaller } from "@auburnarch/peers/createRunnerCaller";
 import type { FeedAnswer } from "@auburnarch/peers/FeedAnswer";
 import type { FeedHub } from "@auburnarch/peers/FeedHub";
 import { chooseFeeder } from "@auburnarch/runner/peers/chooseFeeder";
+import { createStoreAbsence } from "@auburnarch/runner/peers/createStoreAbsence";
 import type { RunnerStatus } from "@auburnarch/runner/peers/RunnerStatus";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
@@ -23,7 +25,6 @@
 import type { FedTrouble } from "./FedTrouble.js";
 
 const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
-const kinds = ["config", "servers", "runners"];
 const runnerNames = ["r1", "r2", "r3", "r4"];
 /** Peers take a runner for dead after this time without an answer. */
 const deadAfterMs = 1_300;
@@ -94,15 +95,17 @@
         const isAlive = (peer: string): boolean =>
             state.trouble.isReached(self, peer) || clock.monotonicMs() - state.sinceMs < deadAfterMs;
         const peersOf = () =>
-            runnerNames.filter(name => name !== self).map(name => {
-                const storeSilentMs = state.trouble.isStoreAway(name) ? 500 : 0;
-                return {
-                    name,
-                    isAlive: isAlive(name),
-                    heardMs: 0,
-                    status: { storeSilentMs } as RunnerStatus,
-                };
-            });
+            runnerNames.filter(name => name !== self).map(name => ({
+                name,
+                isAlive: isAlive(name),
+                heardMs: 0,
+                status: { storeSilentMs: state.trouble.isStoreAway(name) ? 500 : 0 } as RunnerStatus,
+            }));
+        const absence = createStoreAbsence({
+            storeSilentMs: health.silentMs,
+            peers: peersOf,
+            clock,
+        });
         const hub = isRunner
             ? createFeedHub({
                 self,
@@ -110,6 +113,7 @@
                 store: health.store,
                 gatherMsOf: () => 0,
                 storeHeardMs: health.heardMs,
+                storeAwayMs: absence.awayMs,
                 clock,
                 logger: silent,
             })
@@ -117,6 +121,11 @@
         if (hub !== undefined) {
             hubs.set(self, hub);
         }
+        const note = createAbsenceNote({
+            storeSilentMs: health.silentMs,
+            storeRegainedMs: health.regainedMs,
+            clock,
+        });
         const fed = createFedStore({
             self,
             inner: health.store,
@@ -130,20 +139,24 @@
             send: (address, query, timeoutMs) =>
                 send(self, address, () => hubs.get(address.host)!.answer(query), timeoutMs),
             waitForStore: health.waitUntilServed,
+            absence: note,
             clock,
         });
-        return kinds.map(kind =>
-            watchKind<unknown>({ store: fed, clock, logger: silent, kind, decode: (_name, value) => value })
-        );
-    }
-
-    function startView(self: string) {
-        const [config, samplers, runners] = start(self);
-        const directory = createSamplerDirectory(samplers as WatchedKind<KnownSampler>, clock, silent);
-        return { config: config!, runners: runners!, directory };
+        const follow = <T>(kind: string): WatchedKind<T> =>
+            watchKind({ store: fed, clock, logger: silent, kind, decode: (_name, value) => value as T });
+        return {
+            config: follow<unknown>("config"),
+            runners: follow<unknown>("runners"),
+            directory: createSamplerDirectory({
+                entries: follow<KnownSampler>("servers"),
+                storeAwayMs: note.awayMs,
+                clock,
+                logger: silent,
+            }),
+        };
     }
 
-    const views = new Map([...runnerNames, ...gatewayNames].map(name => [name, startView(name)]));
+    const views = new Map([...runnerNames, ...gatewayNames].map(name => [name, start(name)]));
 
     async function readVersion(key: string): Promise<ObjectVersion> {
         const [current] = await Promise.all([store.read(key), clock.advance(10)]);
--- a/packages/discovery/src/WatchedKind.ts
+++ b/packages/discovery/src/WatchedKind.ts
@@ -4,8 +4,6 @@
     objects(): ReadonlyMap<string, T> | undefined;
     /** Milliseconds since the store last confirmed the copy; infinite before the first list. */
     ageMs(): number;
-    /** Monotonic time at which the store last answered again after failed calls; undefined if it never failed. */
-    regainedAtMs(): number | undefined;
     /** Calls `listener` after each change, and after the first list. The returned function ends it. */
     onChange(listener: () => void): () => void;
     stop(): void;
--- a/packages/discovery/src/createSamplerDirectory.ts
+++ b/packages/discovery/src/createSamplerDirectory.ts
@@ -7,8 +7,8 @@
 
 /**
  * The store drops the entries of samplers that it did not hear from while it was away, though they live; they are
- * back within two seconds of its return. A sampler whose entry vanished in the first moments after an outage is
- * therefore kept this long; half a second is for its next entry to be read here.
+ * back within two seconds of its return. A sampler whose entry vanished in an absence of the store is therefore kept
+ * until this long after it; half a second is for its next entry to be read here.
  */
 const returnGraceMs = 2_500;
 
@@ -18,12 +18,20 @@
 const servedText = ({ served }: KnownSampler): string =>
     served.map(each => `${each.policy}:${each.version}`).join(",");
 
+interface SamplerDirectoryDeps {
+    entries: WatchedKind<KnownSampler>;
+    /**
+     * Milliseconds since the store was last away, and not only this process cut off from it; infinite if it has been
+     * there all the while.
+     */
+    storeAwayMs: () => number;
+    clock: Clock;
+    logger: Logger;
+}
+
 /** Makes the directory over the copy of the samplers' entries. */
-export function createSamplerDirectory(
-    entries: WatchedKind<KnownSampler>,
-    clock: Clock,
-    logger: Logger,
-): SamplerDirectory {
+export function createSamplerDirectory(deps: SamplerDirectoryDeps): SamplerDirectory {
+    const { entries, storeAwayMs, clock, logger } = deps;
     let known = new Map<string, KnownSampler>();
     /** The same by start; looked up at each event of a run. */
     let byStart = new Map<IncarnationId, KnownSampler>();
@@ -31,16 +39,26 @@
     const latestBorn = new Map<string, number>();
     const lapsed = new Map<string, { sampler: KnownSampler; untilMs: number; }>();
 
-    const graceUntilMs = (): number => (entries.regainedAtMs() ?? -Infinity) + returnGraceMs;
+    /** The store may be away again before a sampler could register. */
+    function extendLapsed(): void {
+        const awayAtMs = clock.monotonicMs() - storeAwayMs();
+        for (const entry of lapsed.values()) {
+            if (awayAtMs <= entry.untilMs) {
+                entry.untilMs = awayAtMs + returnGraceMs;
+            }
+        }
+    }
 
     function refresh(): void {
         const nowMs = clock.monotonicMs();
+        const graceUntilMs = nowMs - storeAwayMs() + returnGraceMs;
+        extendLapsed();
         const listed = new Map(
             [...entries.objects() ?? []].map(([name, entry]) => [name, newest(name, entry)]),
         );
         for (const [name, sampler] of known) {
-            if (!listed.has(name) && nowMs < graceUntilMs() && !sampler.isDraining) {
-                lapsed.set(name, { sampler, untilMs: graceUntilMs() });
+            if (!listed.has(name) && nowMs < graceUntilMs && !sampler.isDraining) {
+                lapsed.set(name, { sampler, untilMs: graceUntilMs });
             }
         }
         for (const [name, entry] of lapsed) {
@@ -104,6 +122,7 @@
 
     function* everyOne(): Iterable<KnownSampler> {
         yield* known.values();
+        extendLapsed();
         const nowMs = clock.monotonicMs();
         for (const { sampler, untilMs } of lapsed.values()) {
             if (nowMs < untilMs) {
--- a/packages/discovery/src/discovery.test.ts
+++ b/packages/discovery/src/discovery.test.ts
@@ -15,6 +15,8 @@
 import { createRoutingView } from "./createRoutingView.js";
 import { createSamplerDirectory } from "./createSamplerDirectory.js";
 import type { KnownSampler } from "./KnownSampler.js";
+import type { SamplerDirectory } from "./SamplerDirectory.js";
+import type { WatchedKind } from "./WatchedKind.js";
 import { watchKind } from "./watchKind.js";
 
 const absent = 0 as ObjectVersion;
@@ -56,13 +58,22 @@
         await settle(store.remove(key, current!.version));
     };
     const watched = { store, clock, logger };
+    /** When the store was last away, by the word of others. */
+    const away = { atMs: -Infinity };
+    const directoryOf = (entries: WatchedKind<KnownSampler>): SamplerDirectory =>
+        createSamplerDirectory({
+            entries,
+            storeAwayMs: () => clock.monotonicMs() - away.atMs,
+            clock,
+            logger,
+        });
     const samplers = () =>
         watchKind<KnownSampler>({
             ...watched,
             kind: "servers",
             decode: (_name, value) => value as KnownSampler,
         });
-    return { clock, control, lines, logger, put, remove, watched, samplers };
+    return { clock, control, lines, logger, put, remove, watched, samplers, away, directoryOf };
 }
 
 test("a copy follows changes, through an outage and through lost history", async () => {
@@ -151,16 +162,17 @@
     // Symptom: after each outage of the store all requests were refused for a second. Sequence: the store is down for
     // longer than samplers' entries live; it comes back without them; they register again within two seconds. Cause:
     // an entry that lapsed was taken for a sampler that left.
-    const { clock, control, logger, put, remove, samplers } = createFixture();
+    const { clock, control, put, remove, samplers, away, directoryOf } = createFixture();
     await put("servers/a", entryOf("a"));
     await put("servers/b", entryOf("b", true));
-    const directory = createSamplerDirectory(samplers(), clock, logger);
+    const directory = directoryOf(samplers());
     const serving = (): string[] => directory.serving(service).map(sampler => sampler.incarnation);
     await clock.advance(1_000);
     expect(serving()).toEqual(["a"]);
     control.setOutage(true);
     await clock.advance(5_000);
     control.setOutage(false);
+    away.atMs = clock.monotonicMs();
     await remove("servers/a");
     await remove("servers/b");
     await clock.advance(800);
@@ -169,17 +181,55 @@
     expect(serving()).toEqual([]);
 });
 
+test("a sampler whose entry lapsed is kept on where the store is away again before it could register", async () => {
+    const { clock, control, put, remove, samplers, away, directoryOf } = createFixture();
+    await put("servers/a", entryOf("a"));
+    const directory = directoryOf(samplers());
+    const kept: number[] = [];
+    await clock.advance(1_000);
+    for (let outage = 0; outage < 2; outage++) {
+        control.setOutage(true);
+        for (let second = 0; second < 5; second++) {
+            away.atMs = clock.monotonicMs();
+            kept.push(directory.serving(service).length);
+            await clock.advance(1_000);
+        }
+        control.setOutage(false);
+        away.atMs = clock.monotonicMs();
+        if (outage === 0) {
+            await remove("servers/a");
+        }
+        await clock.advance(1_000);
+    }
+    expect([kept, directory.serving(service).length]).toEqual([Array(10).fill(1), 1]);
+    await clock.advance(2_000);
+    expect(directory.serving(service)).toEqual([]);
+});
+
+test("a sampler that left while only this process was cut off from the store gets nothing once that is seen", async () => {
+    const { clock, control, put, remove, samplers, directoryOf } = createFixture();
+    await put("servers/a", entryOf("a"));
+    const directory = directoryOf(samplers());
+    await clock.advance(1_000);
+    control.setOutage(true);
+    await clock.advance(5_000);
+    control.setOutage(false);
+    await remove("servers/a");
+    await clock.advance(800);
+    expect(directory.serving(service)).toEqual([]);
+});
+
 test("a sampler that starts again under its name is another one, and what its earlier start says late changes nothing", async () => {
     // Symptom: a sampler that had started again was kept out as slow and suspected, and its drain of before was believed.
     // Sequence: it crashes, registers under the name that it had, and a write of the earlier start arrives after that.
     // Cause: what is kept was kept by the name.
-    const { clock, lines, logger, put, samplers } = createFixture();
+    const { clock, lines, put, samplers, directoryOf } = createFixture();
     const startOf = (bornAtMs: number, isDraining = false): KnownSampler => ({
         ...entryOf("a", isDraining),
         incarnation: `a@${bornAtMs}` as IncarnationId,
         bornAtMs,
     });
-    const directory = createSamplerDirectory(samplers(), clock, logger);
+    const directory = directoryOf(samplers());
     const serving = (): string[] => directory.serving(service).map(sampler => sampler.incarnation);
     const seen: string[][] = [];
     for (const entry of [startOf(1_000), startOf(2_000), startOf(1_000, true), startOf(2_000, true)]) {
@@ -220,10 +270,10 @@
 });
 
 test("a sampler that leaves in calm times gets nothing more at once", async () => {
-    const { clock, logger, put, remove, samplers } = createFixture();
+    const { clock, put, remove, samplers, directoryOf } = createFixture();
     await put("servers/a", entryOf("a"));
     await put("servers/b", entryOf("b"));
-    const directory = createSamplerDirectory(samplers(), clock, logger);
+    const directory = directoryOf(samplers());
     const serving = (): string[] => directory.serving(service).map(sampler => sampler.incarnation);
     await clock.advance(200);
     await put("servers/a", entryOf("a", true));
--- a/packages/discovery/src/watchKind.ts
+++ b/packages/discovery/src/watchKind.ts
@@ -42,7 +42,6 @@
     let revision: ObjectVersion | undefined;
     let confirmedAtMs = -Infinity;
     let isReachable = true;
-    let regainedAtMs: number | undefined;
 
     /** Once a revision: a list that comes again says nothing new of what still stands there. */
     function noteNotUnderstood(name: string, version: ObjectVersion): void {
@@ -81,7 +80,6 @@
     function noteReached(): void {
         if (!isReachable) {
             isReachable = true;
-            regainedAtMs = clock.monotonicMs();
             logger.info("storeRegained", { kind, revision });
         }
     }
@@ -135,7 +133,6 @@
     return {
         objects: () => revision === undefined ? undefined : objects,
         ageMs: () => clock.monotonicMs() - confirmedAtMs,
-        regainedAtMs: () => regainedAtMs,
         onChange: listener => {
             listeners.add(listener);
             return () => void listeners.delete(listener);
--- a/packages/peers/src/createFeedHub.test.ts
+++ b/packages/peers/src/createFeedHub.test.ts
@@ -46,6 +46,7 @@
         // The process touches the store twice a second.
         gatherMsOf: () => 100,
         storeHeardMs: () => state.isCutOff ? clock.monotonicMs() - state.storeHeardAtMs : 0,
+        storeAwayMs: () => undefined,
         clock,
         logger: silent,
     });
@@ -66,6 +67,7 @@
     const fed = createFedStore({
         self: "front-1",
         waitForStore: async () => false,
+        absence: { noteAway: () => undefined, noteThere: () => undefined },
         inner: ofFront,
         hub: () => undefined,
         caller: createRunnerCaller({
--- a/packages/peers/src/createFeedHub.ts
+++ b/packages/peers/src/createFeedHub.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@auburnarch/types/Logger";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
 import { createKindCopy } from "./createKindCopy.js";
+import type { FeedAnswer } from "./FeedAnswer.js";
 import type { FeedHub } from "./FeedHub.js";
 import type { FeedQuery } from "./FeedQuery.js";
 import type { KindCopy } from "./KindCopy.js";
@@ -17,6 +18,8 @@
     waitMsOf?: (prefix: string) => number | undefined;
     /** Milliseconds since the store last answered this process. */
     storeHeardMs: () => number;
+    /** Milliseconds since the store was last away for the runners; undefined if it has been there all the while. */
+    storeAwayMs: () => number | undefined;
     clock: Clock;
     logger: Logger;
 }
@@ -108,23 +111,31 @@
         }
     }
 
+    async function tell(query: FeedQuery): Promise<FeedAnswer> {
+        const runner = deps.feeder(query.avoided);
+        if (runner !== undefined && runner !== self) {
+            return { kind: "elsewhere", runner };
+        }
+        if (runner === undefined || isStopped || !isStoreHeard()) {
+            return { kind: "unsure" };
+        }
+        const prefix = kindOf(query.prefix);
+        const kind = kinds.get(prefix) ?? follow(prefix);
+        kind.askedAtMs = clock.monotonicMs();
+        if (deps.feeder() !== self) {
+            kind.reservedUntilMs = clock.monotonicMs() + reserveMs;
+        }
+        await waitForNews(kind, query);
+        return isFresh(kind) ? kind.copy.tell(query) : { kind: "unsure" };
+    }
+
     return {
         answer: async query => {
-            const runner = deps.feeder(query.avoided);
-            if (runner !== undefined && runner !== self) {
-                return { kind: "elsewhere", runner };
-            }
-            if (runner === undefined || isStopped || !isStoreHeard()) {
-                return { kind: "unsure" };
-            }
-            const prefix = kindOf(query.prefix);
-            const kind = kinds.get(prefix) ?? follow(prefix);
-            kind.askedAtMs = clock.monotonicMs();
-            if (deps.feeder() !== self) {
-                kind.reservedUntilMs = clock.monotonicMs() + reserveMs;
-            }
-            await waitForNews(kind, query);
-            return isFresh(kind) ? kind.copy.tell(query) : { kind: "unsure" };
+            const answer = await tell(query);
+            const storeAwayMs = deps.storeAwayMs();
+            return storeAwayMs === undefined || answer.kind === "elsewhere"
+                ? answer
+                : { ...answer, storeAwayMs };
         },
         stop: () => {
             isStopped = true;
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -1,9 +1,9 @@
 import { createLeaseKeeper } from "@auburnarch/lease/createLeaseKeeper";
 import { createLotStore } from "@auburnarch/lots/createLotStore";
+import type { LotStore } from "@auburnarch/lots/LotStore";
 import { createRelay } from "@auburnarch/relay/createRelay";
 import { findRoute } from "@auburnarch/routing/findRoute";
 import type { Route } from "@auburnarch/routing/Route";
-import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import { followRetirement } from "./followRetirement.js";
 import { createItemDispatch } from "./items/createItemDispatch.js";
 import { createSamplerEvidence } from "./items/createSamplerEvidence.js";
@@ -16,13 +16,17 @@
 import type { LotBoard } from "./jobs/LotBoard.js";
 import { chooseFeeder } from "./peers/chooseFeeder.js";
 import { createPeerBook } from "./peers/createPeerBook.js";
+import { createStoreAbsence } from "./peers/createStoreAbsence.js";
 import { createStoreCheck } from "./peers/createStoreCheck.js";
+import type { PeerView } from "./peers/PeerView.js";
+import { sentByPeers } from "./peers/sentByPeers.js";
 import { createResultBook } from "./results/createResultBook.js";
 import { createRivals } from "./results/createRivals.js";
 import { endedTotal } from "./results/endedTotal.js";
 import { holderOf } from "./results/holderOf.js";
 import { isSoleWriter } from "./results/isSoleWriter.js";
 import { readerOf } from "./results/readerOf.js";
+import type { ResultBook } from "./results/ResultBook.js";
 import type { Runner } from "./Runner.js";
 import type { RunnerDeps } from "./RunnerDeps.js";
 import { createAwakeGuard } from "./weights/createAwakeGuard.js";
@@ -38,6 +42,17 @@
  */
 const regainedGraceMs = 1_000;
 
+function createBook(deps: RunnerDeps, lots: LotStore, peers: () => PeerView[]): ResultBook {
+    return createResultBook({
+        lots,
+        holderOf: lot => holderOf(lot, peers()),
+        readerOf: lot => readerOf(lot, deps.name, peers()),
+        endedTotal: lot => endedTotal(deps.entries, lot),
+        isSoleWriter: lot => deps.storeSilentMs() === 0 && isSoleWriter(lot, peers()),
+        clock: deps.clock,
+    });
+}
+
 /** Puts a runner together and starts it. */
 export function createRunner(deps: RunnerDeps): Runner {
     const { clock, random, logger, routing, directory } = deps;
@@ -45,9 +60,12 @@
     const evidence = createSamplerEvidence(clock);
     const relay = createRelay({ ...deps, random: random.fork() });
     const scoreItem = createScoreItem({ relay, routing, clock, logger });
-    const sentByPeers = (sampler: IncarnationId): number =>
-        peers.peers().reduce((sum, peer) => sum + (peer.isAlive ? peer.status?.sent[sampler] ?? 0 : 0), 0);
-    const dispatch = createItemDispatch({ ...deps, random: random.fork(), evidence, sentByPeers });
+    const dispatch = createItemDispatch({
+        ...deps,
+        random: random.fork(),
+        evidence,
+        sentByPeers: sampler => sentByPeers(sampler, peers.peers()),
+    });
     const leases = createLeaseKeeper({
         ...deps,
         random: random.fork(),
@@ -64,14 +82,7 @@
         return table === undefined ? undefined : findRoute(table, host, path);
     };
 
-    const book = createResultBook({
-        lots,
-        holderOf: lot => holderOf(lot, peers.peers()),
-        readerOf: lot => readerOf(lot, deps.name, peers.peers()),
-        endedTotal: lot => endedTotal(deps.entries, lot),
-        isSoleWriter: lot => deps.storeSilentMs() === 0 && isSoleWriter(lot, peers.peers()),
-        clock,
-    });
+    const book = createBook(deps, lots, () => peers.peers());
     const peers = createPeerBook({
         self: deps.name,
         registered: deps.registered,
@@ -83,6 +94,7 @@
         clock,
         logger,
     });
+    const absence = createStoreAbsence({ ...deps, peers: peers.peers });
     const rivals = createRivals();
     const board: LotBoard = createLotBoard({
         ...deps,
@@ -164,6 +176,7 @@
         results: book.answer,
         feeder: avoided =>
             chooseFeeder(deps.name, !isLeaving && deps.storeSilentMs() === 0, peers.peers(), avoided),
+        storeAwayMs: absence.awayMs,
         leave: async limitMs => {
             sweeper.stop();
             retirement.stop();
@@ -172,6 +185,7 @@
             await Promise.race([left, clock.sleep(limitMs, limit.signal)]);
             limit.abort();
             peers.stop();
+            absence.stop();
         },
     };
 }
--- a/packages/runner/src/peers/createPeerBook.test.ts
+++ b/packages/runner/src/peers/createPeerBook.test.ts
@@ -34,7 +34,6 @@
     const registered: WatchedKind<RunnerAddress> = {
         objects: () => objects,
         ageMs: () => 0,
-        regainedAtMs: () => undefined,
         onChange: each => {
             listener = each;
             return () => {};
--- a/packages/runner/src/weights/createLoadRoller.test.ts
+++ b/packages/runner/src/weights/createLoadRoller.test.ts
@@ -24,7 +24,6 @@
     return {
         objects: () => objects,
         ageMs: () => 0,
-        regainedAtMs: () => undefined,
         onChange: () => () => {},
         stop: () => {},
     };
