--- a/packages/admit/src/countDeadVms.test.ts
+++ b/packages/admit/src/countDeadVms.test.ts
@@ -15,9 +15,7 @@
     liftedAtMs: undefined,
 });
 
-// Symptom: an innocent content is refused everywhere, and the steps that hold it never end. Sequence: it is in flight at
-// one death of a killing content and at one of another, or at a crash of the engine's own. Cause: a death counted for
-// all that were there, though another content there had died elsewhere too.
+// Guards against: an innocent content is refused everywhere, and the steps that hold it never end.
 test.each([
     ["alone at two deaths", { x: ["1/a", "2/b"] }, { x: 2 }],
     ["two deaths on one VM", { x: ["1/a", "1/b"] }, { x: 1 }],
--- a/packages/admit/src/createKeyRange.test.ts
+++ b/packages/admit/src/createKeyRange.test.ts
@@ -87,9 +87,7 @@
 }
 
 test("19 March: a fetch sent again after a broken connection does not go out twice", async () => {
-    // Symptom: a grid-tile fetch went out twice, and a cooperative saw conflicting alerts. Sequence: the service
-    // ran the fetch, the connection broke before its answer, the caller sent it again. Cause: the second sending
-    // was taken for a new request.
+    // Guards against: a grid-tile fetch went out twice, and a cooperative saw conflicting alerts.
     const { service, ownerWith, send, mint } = createFixture();
     const owner = ownerWith();
     const key = mint();
@@ -177,8 +175,7 @@
 });
 
 test("a clock set back does not make forgotten keys new", async () => {
-    // Symptom: a quote was billed twice. Sequence: the owner forgot a key after its window, its clock was set
-    // back an hour, the caller sent the key again. Cause: judging the key's age by a clock that may go back.
+    // Guards against: a quote was billed twice.
     const { clock, service, ownerWith, send, mint } = createFixture();
     let setBackMs = 0;
     const settable: Clock = { ...clock, wallMs: () => clock.wallMs() - setBackMs };
--- a/packages/admit/src/createQuarantine.test.ts
+++ b/packages/admit/src/createQuarantine.test.ts
@@ -29,8 +29,7 @@
 });
 
 test("content is refused everywhere after deaths on two VMs, its neighbours are not", async () => {
-    // Symptom: one request takes down one sampler after another. Sequence: it kills a sampler, its caller sends it
-    // again under a new request id, it kills the next. Cause: retries that know requests by id only.
+    // Guards against: one request takes down one sampler after another.
     const { entry } = createFixture();
     const first = entry();
     const second = entry();
@@ -63,8 +62,7 @@
 });
 
 test("suspects are kept apart; a clean finish clears one, on every entry", async () => {
-    // Symptom: an innocent request was refused. Sequence: it was in flight at a death, its retry ran beside the
-    // killing request again, on another VM. Cause: retrying the suspects of one death together.
+    // Guards against: an innocent request was refused.
     const { entry } = createFixture();
     const first = entry();
     const second = entry();
@@ -81,9 +79,7 @@
 });
 
 test("a refused content that finishes cleanly is refused nowhere any more", async () => {
-    // Symptom: an innocent content answers 2007 everywhere for 24 h, though it has just run through. Sequence: it is in
-    // flight at two deaths of other causes and refused; an attempt that runs meanwhile ends cleanly 70 ms later. Cause: a
-    // clean end counted only for suspects that were not refused yet. Line: `suspectFinishedCleanly … isRefused=true`.
+    // Guards against: an innocent content answers 2007 everywhere for 24 h, though it has just run through.
     const { clock, entry } = createFixture();
     const first = entry();
     const second = entry();
--- a/packages/admit/src/createTrials.test.ts
+++ b/packages/admit/src/createTrials.test.ts
@@ -45,9 +45,7 @@
 ];
 
 test("a refused content that was never alone at a death runs once more and is free everywhere", async () => {
-    // Symptom: a step never ends; one sample answers 2007 until an operator lifts it. Sequence: it is in flight at three
-    // deaths on three VMs, of a killing content and of engines that crash by themselves, each time beside another. Cause:
-    // from three VMs on nothing else was weighed, and a refused content got no other run.
+    // Guards against: a step never ends.
     const { clock, entries: [first, second], die, spread } = createFixture(2);
     die("vm-1", innocent, digestOf("killer"));
     die("vm-2", innocent, digestOf("other"));
@@ -68,8 +66,7 @@
 });
 
 test("company that is cleared later was company all the same", async () => {
-    // Symptom: an innocent content is taken for a proven killer. Sequence: it is in flight at two deaths of other causes;
-    // what was beside it finishes cleanly afterwards. Cause: all blame fell on what was left in the list.
+    // Guards against: an innocent content is taken for a proven killer.
     const { clock, entries: [entry], die } = createFixture(1);
     die("vm-1", innocent, digestOf("beside"));
     die("vm-2", innocent, digestOf("beside too"));
@@ -108,8 +105,7 @@
 });
 
 test("the object API is down, and then the answer to the write is lost", async () => {
-    // Symptom: an innocent content waits an hour for its trial. Sequence: the write that counts the trial takes effect,
-    // its answer is lost. Cause: the trial stood in the list and nobody had it.
+    // Guards against: an innocent content waits an hour for its trial.
     const { clock, control, entries: [entry], die } = createFixture(1);
     die("vm-1", innocent, digestOf("a"));
     die("vm-2", innocent, digestOf("b"));
@@ -124,9 +120,7 @@
 });
 
 test("a trial that told nothing is repeated after a minute", async () => {
-    // Symptom: a step never ends. Sequence: the trial of its last sample meets an engine that has come back with other
-    // weights, and its tokens can't be named. Cause: each trial that did not end cleanly counted as one that killed.
-    // Lines of fault run 9000226: `contentTrialEnded … result=incarnationChanged`, then `retryAfterMs=3599901`.
+    // Guards against: a step never ends.
     const { clock, entries: [entry], die } = createFixture(1);
     die("vm-1", innocent, digestOf("a"));
     die("vm-2", innocent, digestOf("b"));
@@ -141,9 +135,7 @@
 });
 
 test("a clean end also settles a trial of an entry whose clock is ahead", async () => {
-    // Symptom: a content that has just proved harmless waits an hour after its next two deaths. Sequence: its trial was
-    // counted by an entry whose clock is ahead, and it ended before this entry's clock got there. Cause: a clean end
-    // forgave deaths up to the latest, but trials only up to now.
+    // Guards against: a content that has just proved harmless waits an hour after its next two deaths.
     const { clock, entries: [entry], die } = createFixture(1);
     die("vm-1", innocent, digestOf("a"));
     die("vm-2", innocent, digestOf("b"));
--- a/packages/bench/src/faults/faults.test.ts
+++ b/packages/bench/src/faults/faults.test.ts
@@ -51,10 +51,7 @@
     return undefined;
 }
 
-// Symptom: a check that protects a promise could be lost without anybody noticing.
-// Sequence: one guard lets everything through; runs with the faults in which it matters are made until one breaks a
-// promise that the same run keeps with the guard.
-// Cause of a failure here: the runs no longer bring about the moment in which that guard is all there is.
+// Guards against: a check that protects a promise could be lost without anybody noticing.
 test.each(listGuardNames())("the loss of %s is noticed", async name => {
     expect(await findLoss(name)).toBeDefined();
 });
--- a/packages/bench/src/faults/knownSeeds.test.ts
+++ b/packages/bench/src/faults/knownSeeds.test.ts
@@ -2,8 +2,7 @@
 import { defaultFaultGuards } from "./defaultFaultGuards.js";
 import { runWithFaults } from "./runWithFaults.js";
 
-// Symptom: a promise is broken in a randomised run. Sequence: what the seed draws. Cause: see design/09-fault-bench.md,
-// or KNOWN-RED.txt where it is not mended. A seed that ever showed a breach stays here.
+// Guards against: a promise is broken in a randomised run.
 test.each([1000131, 1000460, 1000489, 1000594, 1000634, 1000834, 1000890, 1000933, 5000935, 7000256])(
     "the faults of seed %i break no promise",
     async seed => {
--- a/packages/bench/src/policy/policyBench.test.ts
+++ b/packages/bench/src/policy/policyBench.test.ts
@@ -63,9 +63,7 @@
 });
 
 test("12 March: late rollouts stall the step", async () => {
-    // Symptom: the trainer stands still and the morning's forecast is late. Sequence: each step has one prompt whose
-    // samples run ten times longer; they come last in the step, so they start last and everything waits for them.
-    // Cause: samples were sent in the order in which they were opened.
+    // Guards against: the trainer stands still and the morning's forecast is late.
     const scenario = toScenario({}, {
         length: {
             medianTokens: 80,
--- a/packages/cli/src/runCli.test.ts
+++ b/packages/cli/src/runCli.test.ts
@@ -247,9 +247,7 @@
 });
 
 test("the loser of a race is told what won", async () => {
-    // Symptom: two pipelines publish; the second undoes the first without anyone noticing.
-    // Sequence: both read version 7; the first publishes 8; the second publishes against 7.
-    // Cause: publication without a condition. Here the entry answers `manifestRaced` with what stands now.
+    // Guards against: two pipelines publish.
     const before = { ...await readManifest(), limits: { interactiveWaitMs: 10 } };
     const won = structuredClone(before) as { teams: { share: number; }[]; limits: object; };
     won.teams[0]!.share = 0.1;
@@ -262,8 +260,6 @@
 });
 
 test("when the answer to a publication is lost, what stands is read back before anything is said", async () => {
-    // Symptom: the command reports a failure, the pipeline repeats it and is told that it lost a race - with itself.
-    // Sequence: the entry publishes; the connection breaks before the answer. Cause: no answer taken for no effect.
     let standing: { version: number; manifest?: unknown; } = { version: 0 };
     const routes: Routes = {
         "GET /operator/manifest": () => ({ body: standing }),
--- a/packages/daemon/src/callsByTrouble.test.ts
+++ b/packages/daemon/src/callsByTrouble.test.ts
@@ -42,10 +42,7 @@
 };
 
 test("calls to the store stay few whatever keeps processes from the runner that feeds", async () => {
-    // Symptom: calls rose three- to fourfold on days of trouble, with the number of processes. Sequence: the runner
-    // that follows the store for all falls silent, loses the store, or the store is away. Cause: each process then
-    // listed and watched each kind at the store itself, and tried a silent store once a second for each kind. Calls
-    // of 44 processes before, in the order below: 395, 380, 276, 326, 677, 550.
+    // Guards against: calls rose three- to fourfold on days of trouble, with the number of processes.
     const counted: Record<string, number> = {};
     for (const [name, trouble] of Object.entries(troubles)) {
         const { startCalls, calls } = await countCalls(trouble, 6_000);
--- a/packages/daemon/src/changesInTime.test.ts
+++ b/packages/daemon/src/changesInTime.test.ts
@@ -41,9 +41,7 @@
 }
 
 test("a process that has the store sees each change in time, whatever runners it loses and these lose", async () => {
-    // Symptom to prevent: a request handled by the configuration before, seconds after the new one was acknowledged.
-    // Sequence: runners are cut off from the process and from the store, several at once and one after the other, while
-    // the configuration changes.
+    // Guards against: a request handled by the configuration before, seconds after the new one was acknowledged.
     const longest = await Promise.all(Array.from({ length: 40 }, (_, seed) => playSeed(seed + 1)));
     expect(longest.filter(ms => ms > dueMs)).toEqual([]);
 });
--- a/packages/daemon/src/createSettingsFile.test.ts
+++ b/packages/daemon/src/createSettingsFile.test.ts
@@ -61,8 +61,7 @@
 });
 
 test("a reload takes what is valid, and keeps the settings before it where it is not", async () => {
-    // Symptom: a process lost the store after its settings were written anew. Sequence: the file is half written when
-    // the signal comes. Cause: a file with faults was taken in part.
+    // Guards against: a process lost the store after its settings were written anew.
     const { state, lines, logger, open } = createFixture();
     const opened = await open();
     if (opened.kind !== "opened") {
--- a/packages/daemon/src/keys.test.ts
+++ b/packages/daemon/src/keys.test.ts
@@ -205,8 +205,7 @@
 });
 
 test("an order to a sidecar from outside the cluster is refused and changes nothing", async () => {
-    // Symptom: a sampler serves weights that nobody published. Sequence: some process that reaches the sidecar's port
-    // sends it an order. Cause: the sidecar took every caller for an owner.
+    // Guards against: a sampler serves weights that nobody published.
     await bed.restart("entry", { clusterToken: keys.first, previousClusterToken: undefined });
     const { address } = await bed.restart("sidecar", {
         clusterToken: keys.first,
@@ -230,8 +229,7 @@
 });
 
 test("a new cluster token is rolled out in three rounds, and no process refuses another", async () => {
-    // Symptom: samplers vanish from half of the entries during a rotation. Sequence: processes restart one by one with
-    // a new token. Cause: the first to send it meets others that do not know it yet.
+    // Guards against: samplers vanish from half of the entries during a rotation.
     const rounds: ClusterTokens[] = [
         { clusterToken: keys.first, previousClusterToken: undefined },
         { clusterToken: keys.first, previousClusterToken: keys.second },
@@ -254,8 +252,7 @@
 });
 
 test("operators drain a sampler through its entry", async () => {
-    // Symptom: `auburnarch drain` answers with a fault. Sequence: an entry calls the sidecar's `beginLeaving`. Cause:
-    // the sidecar knew no such call, and the entry did not prove itself to it.
+    // Guards against: `auburnarch drain` answers with a fault.
     await bed.restart("entry", { clusterToken: keys.first, previousClusterToken: undefined });
     await bed.restart("sidecar", { clusterToken: keys.first, previousClusterToken: undefined });
     await bed.untilServed();
@@ -272,8 +269,7 @@
 });
 
 test("with certificates the token alone opens nothing between processes, and callers need none", async () => {
-    // Symptom: a token read from a file on one VM orders samplers all over the fleet. Sequence: someone sends it from a
-    // process that has no certificate, or one of another authority. Cause: the token was the only proof.
+    // Guards against: a token read from a file on one VM orders samplers all over the fleet.
     const tokens = { clusterToken: keys.first, previousClusterToken: undefined };
     const entry = await bed.restart("entry", tokens, tlsOf("first"));
     const sidecar = await bed.restart("sidecar", tokens, tlsOf("second"));
--- a/packages/daemon/src/leaving.test.ts
+++ b/packages/daemon/src/leaving.test.ts
@@ -26,9 +26,7 @@
 }
 
 test("a leaving VM's sidecar refuses new work within 3 s of its mark in the list", async () => {
-    // Symptom: requests break off when a VM is taken away. Sequence: the VM list marks it as leaving, the sidecar
-    // hears of it with one of its next reports, which are seconds apart in a large fleet, and takes work until then.
-    // Cause: nobody told the sidecar at once.
+    // Guards against: requests break off when a VM is taken away.
     const manifest = makeManifest();
     const system = createMemorySystem(manifest, () => JSON.stringify(manifest), 5);
     await system.clock.advance(8_000);
--- a/packages/daemon/src/platform.test.ts
+++ b/packages/daemon/src/platform.test.ts
@@ -150,8 +150,7 @@
 });
 
 test("a run that breaks off goes on at another sampler behind its last event", async () => {
-    // Symptom: a text with an event twice or missing. Sequence: a sampler resets the stream after some events; the
-    // item is sent to the other one. Cause: a resumption that does not count from what has arrived.
+    // Guards against: a text with an event twice or missing.
     await bed.addSampler({ id: "t-1", service: "tiles" });
     const engines = await Promise.all(
         ["e-1", "e-2"].map(id =>
@@ -183,8 +182,7 @@
 });
 
 test("another runner goes on when the first one leaves, and one that starts again has the texts of its disk", async () => {
-    // Symptom: items that had run for seconds began anew after a restart. Sequence: a runner with a data folder shuts
-    // down in the middle of a long item and starts again. Cause: what was made lived in the process only.
+    // Guards against: items that had run for seconds began anew after a restart.
     const folder = await mkdtemp(join(tmpdir(), "texts-"));
     await bed.addSampler({ id: "t-1", service: "tiles" });
     const engine = await bed.addSampler({
--- a/packages/daemon/src/processes.test.ts
+++ b/packages/daemon/src/processes.test.ts
@@ -110,9 +110,7 @@
 }
 
 test("the owner's process is killed in the middle of a step", async () => {
-    // Symptom: the trainer stalls, or gets groups twice. Sequence: the entry that owns the job gets kill -9 while a
-    // step is half delivered; its lease lapses and the other entry takes the job over. Cause: the ledger was in the
-    // memory of the process that died; the trainer's cursor and the step in the object API are what is left.
+    // Guards against: the trainer stalls, or gets groups twice.
     const entries = [await bed.startEntry("entry-1"), await bed.startEntry("entry-2")];
     await Promise.all(manifest.samplers.map(bed.startSidecar));
     const addresses = entries.map(each => each.address);
@@ -138,9 +136,7 @@
 });
 
 test("a sidecar's process is killed with requests that must not run twice in flight", async () => {
-    // Symptom: a shepherds' cooperative gets two alerts (19 March). Sequence: alerts are on their way through a
-    // sidecar that gets kill -9; callers whose alert's fate is unknown send it again with its key. Cause: a broken
-    // connection does not tell whether the request ran.
+    // Guards against: a shepherds' cooperative gets two alerts.
     const entries = [await bed.startEntry("entry-1"), await bed.startEntry("entry-2")];
     const sidecars = await Promise.all(manifest.samplers.map(bed.startSidecar));
     const doomed = sidecars.find(each => each.name === "sidecar-tile-1")!;
@@ -180,8 +176,7 @@
 });
 
 test("SIGTERM in the middle of a step hands the job over and loses nothing", async () => {
-    // Symptom: samples are made again after each planned restart. Sequence: the owner's entry gets SIGTERM while
-    // groups wait for their trainer. Cause: leaving without handing over looks like a crash to the others.
+    // Guards against: samples are made again after each planned restart.
     const entries = [await bed.startEntry("entry-1"), await bed.startEntry("entry-2")];
     await Promise.all(manifest.samplers.map(bed.startSidecar));
     const addresses = entries.map(each => each.address);
--- a/packages/discovery/src/discovery.test.ts
+++ b/packages/discovery/src/discovery.test.ts
@@ -102,9 +102,7 @@
 });
 
 test("a change is seen at once though a watch on a forgotten history hears nothing", async () => {
-    // Symptom: a route was refused as unknown 4.2 s after the configuration that added it was acknowledged; 2 s are
-    // allowed. Sequence: the store forgets its history right after that change and cuts its watches; the next watch, on
-    // the old revision, is left waiting for its whole 3.5 s. Cause: after a cut the copy was watched on, not listed.
+    // Guards against: a route was refused as unknown 4.2 s after the configuration that added it was acknowledged.
     const { clock, put, watched } = createFixture();
     let isForgotten = false;
     const { store } = watched;
@@ -135,8 +133,7 @@
 });
 
 test("an older list takes nothing back", async () => {
-    // Symptom: a removed sampler got requests again. Sequence: a watch fails; the list after it comes from a process
-    // that is behind. Cause: what was read last was taken for what is newest.
+    // Guards against: a removed sampler got requests again.
     const { clock, control, put, remove, samplers } = createFixture();
     await put("servers/a", entryOf("a"));
     await put("servers/b", entryOf("b"));
@@ -159,9 +156,7 @@
 });
 
 test("a sampler whose entry lapsed in an outage is kept until it can have registered again, a draining one is not", async () => {
-    // Symptom: after each outage of the store all requests were refused for a second. Sequence: the store is down for
-    // longer than samplers' entries live; it comes back without them; they register again within two seconds. Cause:
-    // an entry that lapsed was taken for a sampler that left.
+    // Guards against: after each outage of the store all requests were refused for a second.
     const { clock, control, put, remove, samplers, away, directoryOf } = createFixture();
     await put("servers/a", entryOf("a"));
     await put("servers/b", entryOf("b", true));
@@ -220,9 +215,6 @@
 });
 
 test("a sampler that starts again under its name is another one, and what its earlier start says late changes nothing", async () => {
-    // Symptom: a sampler that had started again was kept out as slow and suspected, and its drain of before was believed.
-    // Sequence: it crashes, registers under the name that it had, and a write of the earlier start arrives after that.
-    // Cause: what is kept was kept by the name.
     const { clock, lines, put, samplers, directoryOf } = createFixture();
     const startOf = (bornAtMs: number, isDraining = false): KnownSampler => ({
         ...entryOf("a", isDraining),
@@ -243,8 +235,7 @@
 });
 
 test("what is not understood is told once a revision, and costs nothing else", async () => {
-    // Symptom: a line for each answer, for as long as an entry of another writer stands there. Cause: each list and
-    // watch told it anew.
+    // Guards against: a line for each answer, for as long as an entry of another writer stands there.
     const { clock, control, lines, put, watched } = createFixture(1);
     const copy = watchKind<number>({
         ...watched,
@@ -285,8 +276,7 @@
 });
 
 test("the configuration never goes back, whatever the store shows", async () => {
-    // Symptom: a route that had been served was refused as unknown. Sequence: the process lists at a replica that
-    // lags. Cause: what was read last was taken for what is newest.
+    // Guards against: a route that had been served was refused as unknown.
     const { clock, lines, logger, put, watched } = createFixture();
     const tableOf = (version: number): RoutingTable =>
         ({ version: version as ConfigVersion, routes: [] }) as unknown as RoutingTable;
--- a/packages/dispatch/src/breakingSample.test.ts
+++ b/packages/dispatch/src/breakingSample.test.ts
@@ -119,11 +119,6 @@
 }
 
 test("a sample that kills each sampler is retried three times after the third, and the others are made", async () => {
-    // Symptom: one item of a batch job takes down one sampler after the other for as long as its job lives, with what
-    // runs beside it. Sequence: its run breaks off, it is sent on at once; a sampler that is back gets it again. Cause:
-    // only a code that sidecars tell (`engineCrashed`) made a sample pause; without them each run ends
-    // `connectionBroken`. Figures that showed it: 28 runs in 20 s at four samplers, each as soon as one was back
-    // (`sampleRetried … failures=4` at 0.35 s); one of the 7 others was not made in 10 minutes.
     const { clock, dispatcher, killerRunsAtMs, madeAtMs } = createFixture();
     dispatcher.submit(Array.from({ length: 8 }, (_, index) => taskOf(index)));
     await clock.advance(600_000);
--- a/packages/dispatch/src/createDispatcher.test.ts
+++ b/packages/dispatch/src/createDispatcher.test.ts
@@ -133,8 +133,7 @@
 });
 
 test("a sample cut short continues elsewhere behind what was made", async () => {
-    // Symptom: a sample near its end starts anew and the step is late. Sequence: its sampler breaks off after 40
-    // tokens, without an answer. Cause: spans that had been streamed were forgotten with the attempt.
+    // Guards against: a sample near its end starts anew and the step is late.
     const { clock, calls, made, dispatcher, complete, stop } = start([viewOf("a", 1), viewOf("b", 1)]);
     dispatcher.submit([taskOf(0, 0)]);
     await clock.advance(10);
@@ -152,10 +151,7 @@
 });
 
 test("spans that their engine did not state and no answer proved are not built upon", async () => {
-    // Symptom: a delivered sample names a version that did not make it (2 April again). Sequence: an engine that
-    // states no versions has its weights changed behind its sidecar; a sample streams spans under the old number,
-    // its attempt ends without an answer, and it is continued elsewhere behind those spans. Cause: streamed spans of
-    // such an engine are proven only at the attempt's end.
+    // Guards against: a delivered sample names a version that did not make it.
     const { clock, calls, dispatcher, stop } = start([viewOf("a", 1, false), viewOf("b", 1, false)]);
     dispatcher.submit([taskOf(0, 0)]);
     await clock.advance(10);
@@ -167,8 +163,7 @@
 });
 
 test("a raised minimum ends running samples whose spans fall below it and makes them anew", async () => {
-    // Symptom: ridge estimates drift (2 April). Sequence: a sample begins under version 2, versions 3 and 4 are
-    // published and the bound passes 2 while it runs. Cause: work under way was not held against the new bound.
+    // Guards against: ridge estimates drift.
     const { clock, calls, made, dispatcher, complete, stop } = start([viewOf("a", 2)]);
     dispatcher.submit([taskOf(0, 0), taskOf(0, 1)]);
     await clock.advance(10);
@@ -211,8 +206,7 @@
 });
 
 test("a sample on a frozen sampler is given up and its late answer is not delivered twice", async () => {
-    // Symptom: a step hangs on one sample. Sequence: the VM freezes with the sample on it, membership suspects it,
-    // the sample is made elsewhere, then the VM thaws and answers too. Cause: a frozen VM sends no error.
+    // Guards against: a step hangs on one sample.
     const frozen = viewOf("a", 1);
     const { clock, calls, made, dispatcher, complete, stop } = start([frozen]);
     dispatcher.submit([taskOf(0, 0)]);
--- a/packages/dispatch/src/rules.test.ts
+++ b/packages/dispatch/src/rules.test.ts
@@ -109,8 +109,7 @@
 });
 
 test("need: steps opened in one burst are not all due at once", () => {
-    // Symptom: samples of the next step run while the trainer waits for this one. Sequence: two steps are opened
-    // together with the same need date. Cause: the order trusted the stated dates alone.
+    // Guards against: samples of the next step run while the trainer waits for this one.
     const needs = createNeedForecast(() => 20_000);
     needs.noteOpened(0, 0);
     needs.noteOpened(1, 0);
--- a/packages/entry/src/createJobOwnership.test.ts
+++ b/packages/entry/src/createJobOwnership.test.ts
@@ -99,8 +99,7 @@
 });
 
 test("a lease is lost, and an owner ends by itself", async () => {
-    // Symptom: a job has no owner though every entry is well. Sequence: its owner's lease is taken over, or the owner
-    // meets a higher number and ends. Cause: the entry goes on listing what it no longer holds.
+    // Guards against: a job has no owner though every entry is well.
     const { clock, owners, holders, doings } = createBed();
     await clock.advance(3_000);
     const [first] = owners();
@@ -116,8 +115,7 @@
 });
 
 test("the lease is lost while its owner starts", async () => {
-    // Symptom: a job stands still for good. Sequence: reading the job's steps takes longer than the lease; it is lost
-    // before the owner is listed. Cause: a signal aborted already calls no listener, so nobody drops the owner.
+    // Guards against: a job stands still for good.
     const { clock, owners, holders, doings, setStart } = createBed();
     setStart(async () => {
         setStart(async () => undefined);
@@ -132,8 +130,7 @@
 });
 
 test("a shutdown comes while an owner starts", async () => {
-    // Symptom: after a planned restart a job waits for a whole lease. Sequence: SIGTERM while the owner reads its
-    // steps. Cause: an owner that was listed after the hand-over keeps renewing its lease.
+    // Guards against: after a planned restart a job waits for a whole lease.
     const { clock, owners, running, holders, setStart } = createBed();
     setStart(() => clock.sleep(1_000));
     await clock.advance(500);
--- a/packages/entry/src/createKeyedDesk.test.ts
+++ b/packages/entry/src/createKeyedDesk.test.ts
@@ -61,9 +61,7 @@
 });
 
 test("the connection to the owner breaks, and the second sending is refused", async () => {
-    // Symptom: a caller hears "not run", sends an alert anew under another key, and it goes out twice. Sequence: the
-    // owner runs the request, the connection breaks, the next owner refuses the same key. Cause: the refusal speaks
-    // of the second sending only.
+    // Guards against: a caller hears "not run", sends an alert anew under another key, and it goes out twice.
     for (const refusal of [noOwner, noConnection]) {
         const { call, passedOn } = createDesk([broken, refusal]);
         expect(await call()).toBe(broken);
@@ -72,8 +70,7 @@
 });
 
 test("the caller goes away during the second sending", async () => {
-    // Symptom: the request counts as not run. Sequence: first sending unknown, then the caller hangs up and the second
-    // is refused. Cause: a call whose caller had gone was answered with its last outcome.
+    // Guards against: the request counts as not run.
     const { call, caller, passedOn } = createDesk([broken, noConnection], undefined, count => {
         if (count === 2) {
             caller.abort();
@@ -84,8 +81,7 @@
 });
 
 test("a request already passed on is not passed on again", async () => {
-    // Symptom: two entries send a request back and forth until its deadline. Sequence: a range moves while each
-    // still believes the other to be its owner. Cause: no mark of a request that was passed on.
+    // Guards against: two entries send a request back and forth until its deadline.
     const { call, passedOn } = createDesk([]);
     expect(await call({ forwarded: true })).toEqual(noOwner);
     expect(passedOn).toEqual([]);
--- a/packages/entry/src/createManifestPublisher.test.ts
+++ b/packages/entry/src/createManifestPublisher.test.ts
@@ -25,8 +25,7 @@
 }
 
 test("the answer to a publication is lost", async () => {
-    // Symptom: an operator is told that the store failed, applies again and is refused. Sequence: the manifest is
-    // written, then the object API's answer is lost. Cause: an unanswered write was taken for one without effect.
+    // Guards against: an operator is told that the store failed, applies again and is refused.
     const { start, control, settle, standing } = createBed();
     const publisher = start();
     control.loseAnswers(1);
@@ -36,8 +35,7 @@
 });
 
 test("two operators publish against the same version", async () => {
-    // Symptom: one operator's change vanishes though both were told it was accepted. Sequence: both read version 1
-    // and write. Cause: an unconditional write.
+    // Guards against: one operator's change vanishes though both were told it was accepted.
     const { start, settle, standing } = createBed();
     const publisher = start();
     await settle(publisher.publish(manifest("first"), 0));
@@ -51,8 +49,7 @@
 });
 
 test("an entry starts with a file that was published before", async () => {
-    // Symptom: an operator's change is undone by itself. Sequence: a file is published, an operator applies a newer
-    // manifest, an entry restarts with the old file on its disk. Cause: the start took the file for a change.
+    // Guards against: an operator's change is undone by itself.
     const { start, store, settle, clock, standing } = createBed();
     const text = JSON.stringify(manifest("file"));
     const publisher = start(() => text);
@@ -67,9 +64,7 @@
 });
 
 test("the store fails between the two writes of a publication", async () => {
-    // Symptom: an operator's change is undone a second after it. Sequence: the file's manifest is written, the note
-    // that says so is not; an operator applies a newer one; the entry tries its file again. Cause: the note came
-    // second, so that nothing told a file that was published from one that was not.
+    // Guards against: an operator's change is undone a second after it.
     const { start, store, clock, standing } = createBed();
     const { write } = store;
     let writes = 0;
@@ -89,8 +84,7 @@
 });
 
 test("a changed file that loses a race is published over the winner", async () => {
-    // Symptom: the pipeline's change never takes effect. Sequence: an operator applies a manifest just before the
-    // file's is written. Cause: the file counted as published once its intent was noted.
+    // Guards against: the pipeline's change never takes effect.
     const { start, store, clock, standing } = createBed();
     const write = store.write;
     store.write = async (key, value, expected) => {
--- a/packages/entry/src/createQuickStart.test.ts
+++ b/packages/entry/src/createQuickStart.test.ts
@@ -53,8 +53,7 @@
 }
 
 test("an entry restarts while the object API and every peer are down", async () => {
-    // Symptom: all calls are refused for the whole outage. Sequence: the store is down, all entries restart. Cause:
-    // nobody is left who knows the manifest.
+    // Guards against: all calls are refused for the whole outage.
     const { clock, control, spread, quickStart, inForce, isSettled } = createBed({
         documents: [documentOf("kept", 7)],
         peers: [],
@@ -70,8 +69,7 @@
 });
 
 test("the snapshot is older than what stands published", async () => {
-    // Symptom: an entry serves a manifest of last week. Sequence: its VM was off, the manifest changed meanwhile.
-    // Cause: the snapshot was believed over a newer word.
+    // Guards against: an entry serves a manifest of last week.
     const { clock, store, spread, quickStart, inForce, settle, saved } = createBed({
         documents: [documentOf("kept", 1)],
         peers: [],
--- a/packages/entry/src/createSharedKeep.test.ts
+++ b/packages/entry/src/createSharedKeep.test.ts
@@ -48,8 +48,7 @@
 }
 
 test("one of two keepers vanishes together with the owner", async () => {
-    // Symptom: a whole step is generated again. Sequence: groups are kept, then the owner's VM and one VM with a data
-    // folder go. Cause: a single copy.
+    // Guards against: a whole step is generated again.
     const { shared, gone, lines } = createBed(["a", "b", "c"]);
     await shared.save(record(0, 3, "zero"));
     await shared.save(record(1, 3, "one"));
@@ -62,8 +61,7 @@
 });
 
 test("of two copies of a group the one with the higher fencing number counts", async () => {
-    // Symptom: a trainer gets samples that the owner never verified. Sequence: an owner without its lease still
-    // saves a group that its successor has made again. Cause: whichever copy came last was taken.
+    // Guards against: a trainer gets samples that the owner never verified.
     const { shared, keeps } = createBed(["a", "b"]);
     await keeps.get("a")!.save(record(0, 4, "successor"));
     await keeps.get("b")!.save(record(0, 3, "lapsed"));
--- a/packages/entry/src/createTrialSidecar.test.ts
+++ b/packages/entry/src/createTrialSidecar.test.ts
@@ -67,8 +67,7 @@
 });
 
 test("a trial that a busy sampler refused is had at the next", async () => {
-    // Symptom: an innocent content waits an hour though nothing ran. Sequence: the sampler of its trial is not idle in
-    // time and refuses. Cause: the trial was spent.
+    // Guards against: an innocent content waits an hour though nothing ran.
     const { call, sent } = createFixture(true, overloaded, ran);
     expect(await call()).toBe(overloaded);
     expect(await call()).toBe(ran);
--- a/packages/entry/src/createUsageCollector.test.ts
+++ b/packages/entry/src/createUsageCollector.test.ts
@@ -58,8 +58,7 @@
 });
 
 test("sidecar and entry restart one after the other", async () => {
-    // Symptom: a team is charged less than it used. Sequence: the sidecar restarts and counts from zero, then the
-    // entry restarts and writes what it has gathered since. Cause: the newer counters were written over the older.
+    // Guards against: a team is charged less than it used.
     const { clock, start, setCounters, settle } = createBed();
     setCounters([counter("a", 500)]);
     const before = start();
@@ -73,8 +72,7 @@
 });
 
 test("the object API is down, and the answer to the first write after it is lost", async () => {
-    // Symptom: usage stops being kept after an outage. Sequence: writes fail, then one takes effect without an answer.
-    // Cause: the writer goes on expecting the version from before.
+    // Guards against: usage stops being kept after an outage.
     const { clock, control, start, setCounters, settle } = createBed();
     const collector = start();
     setCounters([counter("a", 100)]);
--- a/packages/entry/src/serveEntry.test.ts
+++ b/packages/entry/src/serveEntry.test.ts
@@ -138,8 +138,7 @@
 });
 
 test("a caller claims to be an entry that passes a request on", async () => {
-    // Symptom: one team's requests are run and charged as another's. Sequence: a caller sends the headers that
-    // entries use between them. Cause: the headers were believed without the cluster's token.
+    // Guards against: one team's requests are run and charged as another's.
     const headers = { "x-auburnarch-forwarded": "1", "x-auburnarch-team": "plume" };
     const claim = await send("POST /v1/services/tiles/alerts", { token: entry.tokens.ridge, headers });
     expect(claim.json.code).toBe(resultCodes.unauthenticated.number);
@@ -227,8 +226,7 @@
 });
 
 test("hostile bodies of teams and operators are refused with what to do, and nothing changes", async () => {
-    // Symptom: on a busy machine this test saw changes. Sequence: the keys are noted; the entry takes its jobs up while
-    // the hostile bodies are sent. Cause: the entry's own writes counted as theirs.
+    // Guards against: on a busy machine this test saw changes.
     await waitForOwnWrites();
     const before = changes();
     const { plume, operator } = entry.tokens;
@@ -263,8 +261,7 @@
     [`${line} HTTP/1.1`, "Host: entry", `Authorization: Bearer ${token}`, ...headers, "", ""].join("\r\n");
 
 test("oversized and endless bodies are cut at the limit with a code", async () => {
-    // Symptom: the process runs out of memory. Sequence: a body without an end, or with a length no one would read.
-    // Cause: it was gathered whole before it was judged.
+    // Guards against: the process runs out of memory.
     const { plume } = entry.tokens;
     const declared = headOf("POST /v1/services/tiles/alerts", plume, "Content-Length: 99999999999");
     expect((await exchangeRaw(entry.port, declared)).body?.code).toBe(resultCodes.bodyTooLarge.number);
@@ -275,9 +272,7 @@
 });
 
 test("many bodies at once take no more memory together than the pool", async () => {
-    // Symptom: the process runs out of memory. Sequence: bodies within their own limit, many at the same time.
-    // Cause: each was bounded, their sum was not.
-    // The body that is held must not time out before all have come, also where the machine stalls for a while.
+    // Guards against: the process runs out of memory.
     await entry.close();
     entry = await createServedEntry({ requestTimeoutMs: 5_000, maxBodyPoolBytes: 3_000_000 }, keep);
     const { plume, ridge } = entry.tokens;
@@ -302,8 +297,7 @@
 });
 
 test("a connection turns to nonsense while its request runs", async () => {
-    // Symptom: a caller hears "not run" of an alert that went out. Sequence: a request runs, and what follows it on its
-    // connection is no HTTP. Cause: the refusal of the second was sent where the answer to the first belongs.
+    // Guards against: a caller hears "not run" of an alert that went out.
     const request = headOf("POST /v1/services/tiles/held", entry.tokens.plume, "Content-Length: 2") + "{}";
     const answered = exchangeRaw(entry.port, `${request}nonsense\r\n\r\n`);
     while (entry.sent.length === 0) {
@@ -379,8 +373,7 @@
 });
 
 test("a peer call ends whatever the other side says", async () => {
-    // Symptom: gossip, or an operator's status, waits for ever. Sequence: a peer refuses the call, or a stranger has
-    // its address now. Cause: only an answer with the call's own id ended the call.
+    // Guards against: gossip, or an operator's status, waits for ever.
     const address = `http://127.0.0.1:${entry.port}`;
     expect(await entry.callPeer(address, "describe", {}, 5_000)).toMatchObject([{ name: "entry-1" }, {
         name: "tile-1",
--- a/packages/entry/src/writeAnswer.test.ts
+++ b/packages/entry/src/writeAnswer.test.ts
@@ -52,8 +52,7 @@
 });
 
 test("an answer that breaks off breaks the caller's connection", async () => {
-    // Symptom: brigades get half a smoke map that looks whole. Sequence: the sampler dies in the middle of its answer.
-    // Cause: the entry ended its own answer in order. With or without a stated length the caller must see a fault.
+    // Guards against: brigades get half a smoke map that looks whole.
     for (const headers of [{}, { "content-length": "9" }]) {
         let cutNow = (): void => undefined;
         const arrived = new Promise<void>(resolve => {
--- a/packages/gate/src/createAdaptiveLimit.test.ts
+++ b/packages/gate/src/createAdaptiveLimit.test.ts
@@ -2,9 +2,7 @@
 import { createAdaptiveLimit } from "./createAdaptiveLimit.js";
 
 test("the limit falls while the backend server is slow, rises again after, and never goes below its floor", () => {
-    // Symptom: everything times out and nothing finishes. Sequence: more work is sent than the engine can batch,
-    // each token takes longer, callers give up and send again. Cause: the number at work is not bounded by what
-    // the engine can do at the moment.
+    // Guards against: everything times out and nothing finishes.
     let nowMs = 0;
     const limit = createAdaptiveLimit({
         nowMs: () => nowMs,
--- a/packages/gate/src/createAttemptTable.test.ts
+++ b/packages/gate/src/createAttemptTable.test.ts
@@ -5,8 +5,7 @@
 import { createAttemptTable } from "./createAttemptTable.js";
 
 test("within the memory time nothing that ran is ever called never seen, however small the table", () => {
-    // Symptom: "not run" is said of something that ran. Sequence: the sidecar is busy, its table is full, and the
-    // attempt is forgotten before the sender asks. Cause: an empty place is taken for "never seen".
+    // Guards against: "not run" is said of something that ran.
     const step = fc.record({ waitMs: fc.nat(attemptMemoryMs / 3), attempt: fc.nat(30), ask: fc.boolean() });
     fc.assert(
         fc.property(fc.array(step, { maxLength: 80 }), fc.integer({ min: 1, max: 12 }), (steps, capacity) => {
--- a/packages/gate/src/createGate.test.ts
+++ b/packages/gate/src/createGate.test.ts
@@ -95,9 +95,7 @@
 });
 
 test("a tombstone stops a late arrival", async () => {
-    // Symptom: a fetch goes out twice (19 March). Sequence: the connection breaks before the sidecar has read the
-    // request; the sender asks, hears "never seen", and runs it elsewhere; then the first message arrives.
-    // Cause: nothing remembers the answer that was given.
+    // Guards against: a fetch goes out twice.
     const setup = await ready();
     const asked = await setup.gate.queryAttempt("a" as AttemptId);
     expect(asked.state).toBe("neverSeen");
@@ -107,8 +105,7 @@
 });
 
 test("a sidecar that restarted does not vouch for its predecessor", async () => {
-    // Symptom: "not run" is said of something that ran. Sequence: the sidecar takes an attempt and dies; the new
-    // one knows nothing of it. Cause: its ignorance is taken for knowledge. The incarnation tells them apart.
+    // Guards against: "not run" is said of something that ran.
     const setup = await ready();
     const held = start(setup, setup.attempt("a"));
     await setup.clock.advance(100);
@@ -124,8 +121,7 @@
 });
 
 test("an engine crash leaves its attempts unknown and their contents suspect", async () => {
-    // Symptom: one content kills engine after engine. Sequence: it is sent again under a new id each time.
-    // Cause: nobody connects the deaths. The gate names what was in flight, keyed by VM and engine incarnation.
+    // Guards against: one content kills engine after engine.
     const setup = await ready();
     setup.control.killOn(request => request.attempt === "poison");
     const poison = start(setup, setup.attempt("poison"));
@@ -198,8 +194,7 @@
 });
 
 test("a completion waits no longer than the interactive wait, and the rollout it displaces keeps its tokens", async () => {
-    // Symptom: a quote hangs while the homeowner is on the phone. Sequence: long rollouts hold the whole batch
-    // when it arrives. Cause: rollouts give their places back only at their ends.
+    // Guards against: a quote hangs while the homeowner is on the phone.
     const setup = await ready({
         engine: { maxBatch: 2, lengthOf: request => request.priority === 100 ? 8 : 4_000 },
     });
--- a/packages/gate/src/createOrderRunner.test.ts
+++ b/packages/gate/src/createOrderRunner.test.ts
@@ -55,8 +55,7 @@
 });
 
 test("an engine that stamps nothing is drained before its swap", async () => {
-    // Symptom: tokens of two versions under one name. Sequence: weights are swapped while a sample runs at an
-    // engine that does not say what made its chunks. Cause: nobody can tell later where the swap fell.
+    // Guards against: tokens of two versions under one name.
     const setup = await ready({ engine: { statesFingerprint: false } });
     const sample = run(setup, setup.attempt("a"));
     await setup.clock.advance(200);
@@ -69,8 +68,7 @@
 });
 
 test("a swap that fails half way stops new samples until the engine has said what it serves", async () => {
-    // Symptom: samples of weights that nobody ordered. Sequence: the load breaks off and leaves a third version.
-    // Cause: the sidecar goes on with the version it ordered, or with the old one.
+    // Guards against: samples of weights that nobody ordered.
     const setup = await ready();
     setup.control.failNextLoad(7 as WeightVersion);
     expect(await order(setup, setup.load(2, 5))).toBe("unknown engineUnreachable");
@@ -81,8 +79,7 @@
 });
 
 test("a sampler that restarts with old weights is fenced off within one heartbeat", async () => {
-    // Symptom: a trainer learns from stale policy versions for weeks (2 April). Sequence: the engine restarts from
-    // an old image, or a hand swaps weights at the machine, with no order of ours. Cause: nobody compares.
+    // Guards against: a trainer learns from stale policy versions for weeks.
     const setup = await ready();
     expect(await order(setup, setup.load(3, 5))).toBe("done");
     setup.control.crash();
@@ -108,8 +105,7 @@
 );
 
 test("an owner that was replaced cannot order", async () => {
-    // Symptom: a sampler goes back to old weights. Sequence: an owner wakes from a pause and orders; the engine
-    // ignores fencing numbers. Cause: only the holder checks its lease. The gate refuses at the effect.
+    // Guards against: a sampler goes back to old weights.
     const setup = await ready({ engine: { honoursFencing: false } });
     expect(await order(setup, setup.load(2, 6))).toBe("done");
     expect(await order(setup, setup.load(3, 5))).toBe("refused fenced");
@@ -118,8 +114,7 @@
 });
 
 test("a sidecar just started refuses orders until it has read the job's number", async () => {
-    // Symptom: an old owner's order is carried out by a new sidecar. Sequence: the sidecar restarts and knows no
-    // number, the first order it gets is an old one. Cause: the first number seen is taken for the highest.
+    // Guards against: an old owner's order is carried out by a new sidecar.
     let storeUp = false;
     const setup = await ready({
         readFencing: async () => {
@@ -139,9 +134,7 @@
 });
 
 test("an order that came too early still tells its number", async () => {
-    // Symptom: a replaced owner's order was carried out by a sidecar that had just started. Sequence: the store is away;
-    // orders of both owners are refused; the store is back, read at a replica from before the takeover; the old owner
-    // orders again. Cause: the number of a refused order was forgotten, and the replica's taken for the present one.
+    // Guards against: a replaced owner's order was carried out by a sidecar that had just started.
     let storeUp = false;
     const setup = await ready({
         readFencing: async () => {
--- a/packages/gate/src/createPlainHealth.test.ts
+++ b/packages/gate/src/createPlainHealth.test.ts
@@ -8,9 +8,7 @@
 const other = "other" as ContentDigest;
 
 test("a break makes nobody suspect; a break followed by a refused connection does, until a clean answer", () => {
-    // Symptom: one request takes plain services down one after the other. Sequence: its connection breaks, the
-    // next ones are refused, its caller sends it again elsewhere. Cause: a broken connection alone is also what a
-    // network fault looks like, so nobody draws the conclusion, or everybody does too early.
+    // Guards against: one request takes plain services down one after the other.
     let nowMs = 10_000;
     const suspects = createSuspects({ vm: "vm-1" as VmId, nowMs: () => nowMs });
     const health = createPlainHealth({ nowMs: () => nowMs, suspects, incarnation: "inc" });
--- a/packages/gate/src/createSlots.test.ts
+++ b/packages/gate/src/createSlots.test.ts
@@ -39,8 +39,7 @@
 }
 
 test("a rollout delays an interactive request by no more than the interactive wait", async () => {
-    // Symptom: a quote is late. Sequence: long rollouts hold every place at the engine when it arrives.
-    // Cause: places are only given back when a rollout ends. The newest of the lowest priority is cancelled.
+    // Guards against: a quote is late.
     const { clock, acquire } = setUp(2);
     const preempted: string[] = [];
     const hold = (name: string, priority: number) => {
--- a/packages/gate/src/createTrialHold.test.ts
+++ b/packages/gate/src/createTrialHold.test.ts
@@ -28,8 +28,7 @@
 }
 
 test("a trial waits for what runs, and nothing else starts until it has ended", async () => {
-    // Symptom: a killing content takes the work of others with it, and its death again names them all. Sequence: its one
-    // more run begins beside them. Cause: only its refusal was lifted for the run.
+    // Guards against: a killing content takes the work of others with it, and its death again names them all.
     const { clock, control, gate, run, trial, ends } = await createReadyGate(64);
     run("before");
     await clock.advance(50);
@@ -65,9 +64,7 @@
 });
 
 test("a trial with little time gives the sampler up while half of it is left", async () => {
-    // Symptom: a sampler stands idle for a caller that has gone, and an innocent content waits an hour. Sequence: the
-    // trial's request has 2 s, the work before it may not be cancelled and takes longer. Cause: the wait was bounded by
-    // its own 30 s only, and the run that followed was cut off by the deadline.
+    // Guards against: a sampler stands idle for a caller that has gone, and an innocent content waits an hour.
     const { clock, gate, attempt, run, ends } = await createReadyGate(2);
     const body = JSON.stringify({ model: "plume", prompt: "long", max_tokens: 64 });
     const request = { service: "model", team: "team", method: "POST", path: "/v1/completions", headers: {} };
--- a/packages/gate/src/refuseSuspect.test.ts
+++ b/packages/gate/src/refuseSuspect.test.ts
@@ -27,9 +27,7 @@
 }
 
 test("two contents that a death counts against do not run here at once", async () => {
-    // Symptom: a whole group is refused everywhere for a day and its step never becomes whole. Sequence: a content
-    // kills one sampler with a group's sample beside it, is sent again, and kills a second one with another sample of
-    // that group beside it. Cause: both contents have deaths on two VMs, though only one of them kills.
+    // Guards against: a whole group is refused everywhere for a day and its step never becomes whole.
     const { gate, clock, attempt, code } = await createReadyGate();
     gate.offerQuarantine(1, [record("digest-group", ["vm-a"]), record("digest-killer", ["vm-a"])]);
     expect(await code(attempt("group"))).toBe("running");
@@ -59,8 +57,7 @@
 });
 
 test("two contents that killed the same VMs at different times do not excuse each other", async () => {
-    // Symptom: a convicted content is released and kills three more engines. Sequence: two contents each kill the
-    // same two samplers alone, one after the other. Cause: deaths were compared by VM, not by incarnation.
+    // Guards against: a convicted content is released and kills three more engines.
     const { gate, attempt, code } = await createReadyGate();
     const second = record("digest-second", ["vm-a", "vm-b"]);
     second.deaths.forEach(death => {
--- a/packages/gate/src/serveGate.test.ts
+++ b/packages/gate/src/serveGate.test.ts
@@ -90,8 +90,7 @@
 });
 
 test("a trial is one over HTTP too, and a caller cannot claim one", async () => {
-    // Symptom: a refused content reaches samplers at its caller's will. Sequence: the caller sends the header of a trial
-    // itself. Cause: headers of the system's own that came from outside went on.
+    // Guards against: a refused content reaches samplers at its caller's will.
     const { backend } = createFakePlainService({ clock, latencyMs: 1 });
     const { gate, sidecar } = await serve(undefined, backend);
     const vms = ["vm-1", "vm-2"];
@@ -223,8 +222,7 @@
 }
 
 test("a request lost on the way is not run and stays so; one that arrived is unknown", async () => {
-    // Symptom: a grid-tile fetch goes out twice (19 March). Sequence: the connection breaks; the sender cannot
-    // tell whether the request arrived, and sends it again. Cause: a broken connection is taken for "not run".
+    // Guards against: a grid-tile fetch goes out twice.
     const { backend, control } = createFakePlainService({ clock });
     const { port, sidecar: direct } = await serve(undefined, backend);
     const middle = await relay(port);
--- a/packages/gateway/src/createGateway.test.ts
+++ b/packages/gateway/src/createGateway.test.ts
@@ -164,8 +164,7 @@
 });
 
 test("while the store is away a job is not called unknown", async () => {
-    // Symptom: a reader was told that its job does not exist. Sequence: a job is accepted; the store goes down; it is
-    // read at a process that has no copy. Cause: no answer taken for "no such object".
+    // Guards against: a reader was told that its job does not exist.
     const { post, ask, control } = createFixture();
     await post("/plume/1");
     control.setOutage(true);
@@ -173,9 +172,7 @@
 });
 
 test("a job whose acceptance is not known is not refused with a promise", async () => {
-    // Symptom: items ran of a job that was answered 503 at every try. Sequence: the entry's write is on its way, its
-    // answer is lost; the client is told "not run" and gives up; the write takes effect. Cause: a lost answer taken
-    // for a refusal.
+    // Guards against: items ran of a job that was answered 503 at every try.
     const lose = (real: LotStore): LotStore => ({
         ...real,
         accept: async (...args) => {
@@ -188,8 +185,7 @@
 });
 
 test("a gateway without configuration, samplers or store is not ready, and none that leaves", async () => {
-    // Symptom: for nine seconds every job of one failure domain was lost. Sequence: the store turns one gateway away
-    // and serves the others; the balancer goes on sending it clients. Cause: readiness said nothing of the store.
+    // Guards against: for nine seconds every job of one failure domain was lost.
     const { gateway, state } = createFixture();
     const seen = [gateway.isReady()];
     state.storeSilentMs = 1_000;
--- a/packages/gateway/src/createRunnerResults.test.ts
+++ b/packages/gateway/src/createRunnerResults.test.ts
@@ -40,8 +40,7 @@
 });
 
 test("a runner that does not answer is passed over, and the store is read meanwhile", async () => {
-    // Symptom: readers waited for a dead VM at each look. Sequence: a runner loses power; its connections hang until
-    // their time is up. Cause: the same runner asked again although it had not answered.
+    // Guards against: readers waited for a dead VM at each look.
     const { clock, asked, source } = createFixture(port => {
         if (port === 2) {
             throw new Error("no answer");
--- a/packages/keep/src/createTextJournal.test.ts
+++ b/packages/keep/src/createTextJournal.test.ts
@@ -66,9 +66,7 @@
 });
 
 test("after a power loss a text is shorter or missing, and never joined over a gap", async () => {
-    // Symptom: a text with an event missing in its middle. Sequence: three records of an item are written; the power
-    // fails; the first and the third survive, the second is torn. Cause: records joined without a look at what is
-    // between them.
+    // Guards against: a text with an event missing in its middle.
     const { folder, openAndLoad } = await createFixture();
     const { journal } = await openAndLoad();
     for (const words of [["one"], ["one", "two"], ["one", "two", "three"]]) {
--- a/packages/keep/src/groupKeep.test.ts
+++ b/packages/keep/src/groupKeep.test.ts
@@ -60,8 +60,7 @@
 });
 
 test("a tail torn anywhere is cut off, the rest stays, and the file takes new groups", async () => {
-    // Symptom: a trainer got half a group. Sequence: the VM dies while a group is appended, a new owner loads it.
-    // Cause: a record without length or checksum is taken as far as it goes.
+    // Guards against: a trainer got half a group.
     const keep = await openKeep();
     await keep.save(groupOf(1));
     const path = await onlyFile();
@@ -99,8 +98,7 @@
 });
 
 test("a full disk stops neither the owner nor what was kept, and one line says so", async () => {
-    // Symptom: the job stopped when a disk was full. Sequence: an append fails half way, the error reaches the
-    // owner, the next append runs on behind the half line. Cause: treating the keep as part of the truth.
+    // Guards against: the job stopped when a disk was full.
     let room = true;
     const full: FileOperations = {
         ...nodeFileOperations,
--- a/packages/lease/src/leases.test.ts
+++ b/packages/lease/src/leases.test.ts
@@ -55,8 +55,7 @@
 const never = new AbortController().signal;
 
 test("a holder paused past its term wakes without the lease, and its renewal is refused", async () => {
-    // Symptom: two owners order swaps. Sequence: the holder is paused, another takes the lease over, the first
-    // wakes in the middle of its work. Cause: it believes in what it knew before the pause.
+    // Guards against: two owners order swaps.
     const { clock, store, keeper, keeperOn } = createFixture();
     const process = createPausableProcess(clock, store);
     const first = await settle(clock, keeperOn(process.store, process.clock).acquire(key, never));
@@ -73,8 +72,7 @@
 });
 
 test("an acquisition whose answer was lost is found by reading back, with the same number", async () => {
-    // Symptom: a job without an owner for a whole term. Sequence: the write takes effect, its answer is lost, its
-    // sender takes it for failed and waits for "the other holder". Cause: not looking for its own stamp.
+    // Guards against: a job without an owner for a whole term.
     const { clock, control, keeper } = createFixture();
     control.loseAnswers(1);
     const lease = await settle(clock, keeper().acquire(key, never));
@@ -124,8 +122,7 @@
 });
 
 test("an outage lapses the lease without losing it; it is held again once the store is back", async () => {
-    // Symptom: after an outage every job changed its owner. Sequence: renewals fail, the holder gives up for good.
-    // Cause: taking "cannot renew" for "another holds it".
+    // Guards against: after an outage every job changed its owner.
     const { clock, control, keeper } = createFixture();
     const lease = await settle(clock, keeper().acquire(key, never));
     control.setOutage(true);
@@ -292,9 +289,6 @@
 });
 
 test("a process takes up the lease of its VM's earlier process at once, and only that", async () => {
-    // Symptom: for seven seconds after a crash nobody ordered new weights, and steps that needed them stood still.
-    // Sequence: the holder's process dies and starts again within a second; it finds a lease that has not lapsed.
-    // Cause: it waited for the term of a holder that was itself.
     const { clock, store } = createFixture();
     const keeperOf = (holder: string) =>
         createLeaseKeeper({
--- a/packages/lots/src/createLotReader.test.ts
+++ b/packages/lots/src/createLotReader.test.ts
@@ -92,9 +92,7 @@
 });
 
 test("a client that reads from the start again sees what has come since", async () => {
-    // Symptom: a client that always read from position 0 saw one of two results for ever. Sequence: it reads while only
-    // the first is recorded; the second follows; it reads again. Cause: a copy with something to show was never
-    // brought up to date.
+    // Guards against: a client that always read from position 0 saw one of two results for ever.
     const { state, read } = createFixture();
     state.chunks.push(chunkOf(0, "a"));
     const seen = [await read(0, 0)];
@@ -104,9 +102,7 @@
 });
 
 test("results that do not fit one answer of a runner are all read", async () => {
-    // Symptom: a position that had been read was missing at another gateway. Sequence: a job has more results than one
-    // answer of its runner holds; a client reads near their end at a gateway that has none of them yet. Cause: the
-    // first answer taken for all there is.
+    // Guards against: a position that had been read was missing at another gateway.
     const { state, read } = createFixture();
     state.chunks.push(chunkOf(0, "a"), chunkOf(1, "b"), chunkOf(2, "c"));
     state.mostChunks = 1;
--- a/packages/lots/src/createLotStore.test.ts
+++ b/packages/lots/src/createLotStore.test.ts
@@ -42,8 +42,7 @@
 });
 
 test("an end whose answer is lost is read back before it is told", async () => {
-    // Symptom: an end was told though the job ran on. Sequence: the store is away as the end is sent; the client sends it
-    // again. Cause: what a process wanted to write taken for what stands there.
+    // Guards against: an end was told though the job ran on.
     const { control, here, elsewhere } = createFixture();
     await here.accept(job, 5);
     control.setOutage(true);
--- a/packages/membership/src/createFailureDetector.test.ts
+++ b/packages/membership/src/createFailureDetector.test.ts
@@ -34,9 +34,7 @@
 });
 
 test("a process that was paused suspects nobody", async () => {
-    // Symptom: after a pause of minutes all samplers are ejected at once and every request is refused.
-    // Sequence: reports flow; this VM stands still for five minutes; it wakes and looks at the ages.
-    // Cause: ages counted over time in which this process could not have heard anybody.
+    // Guards against: after a pause of minutes all samplers are ejected at once and every request is refused.
     const { clock, suspected, hear } = await build();
     await clock.advance(300_000);
     expect(suspected()).toEqual([]);
@@ -45,8 +43,7 @@
 });
 
 test("when most fall silent at once, silence suspects nobody", async () => {
-    // Symptom: a failed switch port of this entry makes it eject the whole fleet.
-    // Sequence: all but two subjects go silent at the same time. Cause: each silence judged alone.
+    // Guards against: a failed switch port of this entry makes it eject the whole fleet.
     const { hear, suspected } = await build();
     await hear(60, subjects.slice(0, 2));
     expect(suspected()).toEqual([]);
--- a/packages/membership/src/createMembership.test.ts
+++ b/packages/membership/src/createMembership.test.ts
@@ -134,9 +134,7 @@
 });
 
 test("entries restarted one after the other all know each other at the end", async () => {
-    // Symptom: after a rolling restart some entries are taken for dead although they answer.
-    // Sequence: each of 12 entries stops and starts again two seconds later, the next one right after it.
-    // Cause: a suspicion of the earlier run outlives it, or the new run's heartbeats look old.
+    // Guards against: after a rolling restart some entries are taken for dead although they answer.
     const fleet = build(12);
     await fleet.clock.advance(20_000);
     for (let at = 0; at < 12; at++) {
@@ -149,8 +147,7 @@
 });
 
 test("an entry that is alive stays known although the VM list has lost it", async () => {
-    // Symptom: a working entry gets no reports and no documents. Sequence: the VM list answers without it.
-    // Cause: the list lags or errs, and was believed against live evidence.
+    // Guards against: a working entry gets no reports and no documents.
     const fleet = build(6);
     await fleet.clock.advance(20_000);
     fleet.vms.list = fleet.vms.list.slice(1);
@@ -159,9 +156,7 @@
 });
 
 test("a link that works one way only makes nobody a suspect", async () => {
-    // Symptom: entry 0 is ejected by some and trusted by others, in turns.
-    // Sequence: messages from 0 to 1 are lost; all other links work. Cause: a failed connection taken for death
-    // although heartbeats still arrive through others.
+    // Guards against: entry 0 is ejected by some and trusted by others, in turns.
     const fleet = build(12);
     await fleet.clock.advance(20_000);
     fleet.net.connected = (from, to) => !(from === 0 && to === recordOf(1, 1).address);
@@ -185,8 +180,7 @@
 });
 
 test("an entry restarted with its wall clock set back is known again", async () => {
-    // Symptom: a restarted entry is taken for dead although it answers. Sequence: the VM is replaced under the same
-    // name, with a clock an hour behind. Cause: its heartbeats look older than those of its earlier run.
+    // Guards against: a restarted entry is taken for dead although it answers.
     const fleet = build(6);
     await fleet.clock.advance(20_000);
     fleet.kill(2);
@@ -196,9 +190,7 @@
 });
 
 test("an entry that comes back under another address is reached there", async () => {
-    // Symptom: reports and documents go to an address where nobody listens any more.
-    // Sequence: an entry's VM is replaced; the entry starts again under the same name with a new address.
-    // Cause: the record of its earlier run was kept, or was handed on by a peer that had not heard of the new run.
+    // Guards against: reports and documents go to an address where nobody listens any more.
     const fleet = build(8);
     await fleet.clock.advance(20_000);
     fleet.kill(2);
@@ -212,9 +204,7 @@
 });
 
 test("an entry that was paused for minutes accuses nobody when it wakes, and is trusted again", async () => {
-    // Symptom: after one VM stood still, the fleet takes healthy entries for dead.
-    // Sequence: entry 0 stands still while its probes are under way; it wakes and finds them all timed out.
-    // Cause: its own pause taken for the silence of the others.
+    // Guards against: after one VM stood still, the fleet takes healthy entries for dead.
     const fleet = build(12);
     await fleet.clock.advance(20_000);
     const suspicionsOfOthers = (): number =>
--- a/packages/membership/src/createReporter.test.ts
+++ b/packages/membership/src/createReporter.test.ts
@@ -70,9 +70,6 @@
 const fine = { documents: [], nextReportMs: 1_000, entries: [], leaving: false };
 
 test("an entry that has no version of a document gets the one held here with the next report, at once", async () => {
-    // Symptom: entries that started while the object API held a manifest with faults served nobody, though each sidecar
-    // worked by the last good one. Sequence: an operator's bad manifest; both entries start again. Cause: an entry
-    // learnt from the object API and from other entries alone.
     const brought: unknown[] = [];
     const { clock, reporter } = build((_address, message) => {
         brought.push(...message.documents ?? []);
@@ -98,10 +95,7 @@
 });
 
 test("reports are spread evenly over the interval", async () => {
-    // Symptom: a change of configuration reaches some sidecars only after a whole interval.
-    // Sequence: at the start all entries are reported to at once, and from then on in step.
-    // Cause: each next report counted from the last one to the same entry.
-    // The entries ask for intervals that differ a little, as their numbers of reporters do.
+    // Guards against: a change of configuration reaches some sidecars only after a whole interval.
     const intervalOf = (address: string): number => 8_600 + 200 * Number(address.at(-3));
     const { clock, reporter, state } = build(address =>
         Promise.resolve({ ...fine, nextReportMs: intervalOf(address) })
@@ -116,8 +110,7 @@
 });
 
 test("an entry that fails is replaced by the next in order at once", async () => {
-    // Symptom: an entry's VM is gone and the sampler is known to two entries only.
-    // Sequence: reports run; one target stops answering. Cause: targets kept whatever became of them.
+    // Guards against: an entry's VM is gone and the sampler is known to two entries only.
     const down = new Set<string>();
     const { clock, reporter } = build(address =>
         down.has(address) ? Promise.reject(new Error("refused")) : Promise.resolve(fine)
@@ -135,9 +128,7 @@
 });
 
 test("a change of state while a report is under way is reported right after it", async () => {
-    // Symptom: entries send work to a sampler that began to swap, until its next regular report.
-    // Sequence: report sent with `ready`; state changes; the answer comes. Cause: the answer alone set the next
-    // report's time, although it answers the older state.
+    // Guards against: entries send work to a sampler that began to swap, until its next regular report.
     let answer: ((value: unknown) => void) | undefined;
     const { clock, reporter, state, reported } = build(() => new Promise(resolve => answer = resolve));
     reporter.start();
@@ -163,8 +154,7 @@
 });
 
 test("a sidecar that no entry answers learns from the VM list that its VM is leaving", async () => {
-    // Symptom: a leaving sampler cut off from its entries goes on taking work from others.
-    // Sequence: no entry answers; the VM list marks the sampler's VM. Cause: only answers told of it.
+    // Guards against: a leaving sampler cut off from its entries goes on taking work from others.
     const { clock, reporter, state, vms } = build(() => Promise.reject(new Error("refused")));
     reporter.start();
     await clock.advance(30_000);
@@ -176,8 +166,7 @@
 });
 
 test("a fresh VM does not take its predecessor's mark for its own", async () => {
-    // Symptom: every sampler is out of work and its job stands still. Sequence: a leaving VM is replaced; the list,
-    // which lags, still shows the former VM of the same sampler as leaving. Cause: the row was looked up by sampler.
+    // Guards against: every sampler is out of work and its job stands still.
     const { clock, reporter, state, vms } = build(() => Promise.reject(new Error("refused")));
     vms.push({ ...entryVms[0]!, ...ownRow, vm: "vm-former" as VmId });
     reporter.start();
--- a/packages/own/src/createOwner.test.ts
+++ b/packages/own/src/createOwner.test.ts
@@ -159,9 +159,7 @@
     expect(world.violations()).toEqual([]);
 });
 
-// 2 April: a trainer was given samples of weights that were long replaced, and nobody noticed.
-// Sequence: groups are made and offered, their answer is lost, and the trainer publishes twice before it reads again.
-// Cause: freshness was judged when a sample was made, not when it is delivered.
+// Guards against: a trainer was given samples of weights that were long replaced, and nobody noticed.
 test("groups that went over the bound while they were offered are made again", async () => {
     const world = createTestWorld();
     const { owner } = await settle(world, world.startOwner());
--- a/packages/own/src/createOwnerTakeover.test.ts
+++ b/packages/own/src/createOwnerTakeover.test.ts
@@ -170,9 +170,7 @@
     expect(fourth.owner.status().steps[0]).toMatchObject({ ready: 0 });
 });
 
-// Symptom: training idles because the object API is down, though samplers and trainer are well.
-// Sequence: the store goes down, renewals fail, the lease lapses by the holder's own clock.
-// Cause: the lease was taken for the right to do anything, also what its destination fences.
+// Guards against: training idles because the object API is down, though samplers and trainer are well.
 test("during a long store outage a running job is made and delivered, new intent is refused", async () => {
     const world = createTestWorld();
     const { owner, setHeld } = await settle(world, world.startOwner());
@@ -201,9 +199,7 @@
     expect(world.violations()).toEqual([]);
 });
 
-// Symptom: two owners act for one job.
-// Sequence: the holder is paused past its lease, another takes over, the first wakes believing it holds the lease.
-// Cause: a check made before the pause is trusted after it.
+// Guards against: two owners act for one job.
 test("an owner that wakes after another has taken over stops itself before any effect", async () => {
     const world = createTestWorld();
     const first = await settle(world, world.startOwner());
--- a/packages/peers/src/createFeedHub.test.ts
+++ b/packages/peers/src/createFeedHub.test.ts
@@ -130,8 +130,7 @@
 });
 
 test("a change is seen within two seconds though the runner that feeds has lost the store", async () => {
-    // Symptom: a sampler that drained got new requests for three seconds. Sequence: the store turns away the runner
-    // that feeds, and no other machine; a sampler drains. Cause: silence of the store taken for the absence of changes.
+    // Guards against: a sampler that drained got new requests for three seconds.
     const { clock, state, hub, follow, put } = createFixture();
     await put("servers/a");
     const { watch, names } = follow();
@@ -149,7 +148,7 @@
 });
 
 test("a change is seen within two seconds though the runner that feeds is gone without a word", async () => {
-    // Symptom and sequence as above, with a loss of power in place of the cut. Cause: a question that hangs.
+    // Guards against: a question that hangs.
     const { clock, state, hub, follow, put } = createFixture();
     await put("servers/a");
     const { watch, names } = follow();
@@ -163,9 +162,7 @@
 });
 
 test("a change is seen within two seconds though the store forgets its history as the runner falls silent on it", async () => {
-    // Symptom: a route was refused as unknown 4.2 s after the configuration that added it was acknowledged. Sequence:
-    // the store forgets its history, which cuts the watch of the runner that feeds; the others turn to the store, where
-    // a watch on the old revision hears nothing for its whole wait. Cause: the first call there was such a watch.
+    // Guards against: a route was refused as unknown 4.2 s after the configuration that added it was acknowledged.
     const { clock, state, hub, follow, put } = createFixture();
     await put("servers/a");
     const { watch, names } = follow();
@@ -180,8 +177,7 @@
 });
 
 test("a copy that is ahead of the runner that feeds is not taken back", async () => {
-    // Symptom: a removed sampler got requests again. Sequence: a process is told of its end by one runner and then asks
-    // another that lags. Cause: the other's older objects taken for the present ones.
+    // Guards against: a removed sampler got requests again.
     const { clock, hub, fed, put } = createFixture();
     await put("servers/a");
     const [listed] = await Promise.all([fed.list("servers/"), clock.advance(100)]);
@@ -214,8 +210,7 @@
 });
 
 test("a runner stands in for one that the asker can't use, and stops following once nobody asks so", async () => {
-    // Symptom: all runners followed the store for seconds after each start. Cause: copies begun before the others were
-    // heard were kept as those of a stand-in are.
+    // Guards against: all runners followed the store for seconds after each start.
     const { clock, control, state, hub, put } = createFixture();
     await put("servers/a");
     const query = { prefix: "servers/", waitMs: 100 };
--- a/packages/pick/src/pickers.test.ts
+++ b/packages/pick/src/pickers.test.ts
@@ -94,8 +94,7 @@
 });
 
 test("a burst after one report is spread, not piled on the sampler that looked idle in it", () => {
-    // Symptom: queues swing from one sampler to the next at the rhythm of the reports. Sequence: one report shows
-    // `a` idle, twelve samples are placed before the next. Cause: reported load without what was sent since.
+    // Guards against: queues swing from one sampler to the next at the rhythm of the reports.
     const candidates = [
         toCandidate("a", {}, { running: 0 }),
         toCandidate("b", { room: 4 }, { running: 4 }),
@@ -112,8 +111,7 @@
 });
 
 test("a long sample waits for the fast sampler, a short one takes the slow one at once", () => {
-    // Symptom: one sample on the slow sampler holds up the step. Sequence: the fast one is full for another second
-    // when a long sample's turn comes. Cause: a free place was taken for the earliest end.
+    // Guards against: one sample on the slow sampler holds up the step.
     const candidates = [
         toCandidate("slow", { observedTokensPerSecond: 40 }),
         toCandidate("fast", {
--- a/packages/pick/src/selectCandidates.test.ts
+++ b/packages/pick/src/selectCandidates.test.ts
@@ -46,8 +46,7 @@
 });
 
 test("two suspects of one death do not meet on a sampler again", () => {
-    // Symptom: a harmless prompt is refused everywhere. Sequence: two samples are in flight when an engine dies,
-    // both are sent to the same next sampler, which dies too. Cause: suspects were retried together.
+    // Guards against: a harmless prompt is refused everywhere.
     const candidates = [
         toCandidate("holds", {}, { suspects: [{ digest: "other", deaths: [] }] }),
         toCandidate("clean"),
--- a/packages/relay/src/createBreakMemory.test.ts
+++ b/packages/relay/src/createBreakMemory.test.ts
@@ -130,8 +130,6 @@
 }
 
 test("a request that kills samplers is known at 58 gateways within the time of one question", async () => {
-    // Symptom: a request that its client sends again every 1.5 s, each time at another gateway, takes down samplers again
-    // and again. Cause: each gateway remembers only what broke off at itself. First so, then with what others tell.
     expect(await playKiller(false)).toEqual({ kills: 41, paused: 0, harmless: 27 });
     expect(await playKiller(true)).toEqual({ kills: 5, paused: 32, harmless: 40 });
 });
@@ -155,7 +153,7 @@
 });
 
 test("a content that broke off beside others is cleared by its first run to the end, everywhere", async () => {
-    // Symptom to prevent: a harmless request is held up since its samplers were killed by another.
+    // Guards against: a harmless request is held up since its samplers were killed by another.
     const clock = createFakeClock();
     const here = createBreakMemory(clock);
     const there = createBreakMemory(clock);
--- a/packages/relay/src/createRelay.test.ts
+++ b/packages/relay/src/createRelay.test.ts
@@ -96,8 +96,7 @@
         : `${outcome.kind === "answered" ? outcome.status : outcome.code.name} @${atMs}`;
 
 test("an idempotent request is tried elsewhere after a cut answer, a reset, a refusal and a failure", async () => {
-    // Symptom: clients got broken or failed answers while other samplers were well. Cause: the first answer, whatever
-    // it was, went on to the client.
+    // Guards against: clients got broken or failed answers while other samplers were well.
     const replies = [answered(200, "half", true), unknown, notRun, answered(500)];
     const shown = [];
     for (const reply of replies) {
@@ -122,8 +121,7 @@
 });
 
 test("a request that may run once is tried again only if it has certainly not run", async () => {
-    // Symptom: an alert went out twice. Sequence: the connection to the sampler breaks after the request was written;
-    // it is sent to another one. Cause: a broken connection taken for a request that did not run.
+    // Guards against: an alert went out twice.
     const refused = createFixture({ a: [{ afterMs: 5, reply: notRun }], b: [] });
     const broken = createFixture({ a: [{ afterMs: 5, reply: unknown }], b: [] });
     const first = refused.ask("nonIdempotent");
--- a/packages/relay/src/killingRequest.test.ts
+++ b/packages/relay/src/killingRequest.test.ts
@@ -55,9 +55,7 @@
 const notConnected: SamplerReply = { kind: "notRun", code: resultCodes.connectFailed, detail: "refused" };
 
 test("a request that kills samplers is retried at most three times after the third, whatever gateway it comes to", async () => {
-    // Symptom: one request that its client sends again takes down two samplers more each time. Sequence: it breaks off at
-    // one sampler and is tried at others; the client comes again, at any gateway. Cause: no gateway remembers what broke
-    // off, nor hears it from the others. The bound is the platform's rule BUDGET.
+    // Guards against: one request that its client sends again takes down two samplers more each time.
     const clock = createFakeClock();
     const upAtMs = new Map<string, number>();
     let kills = 0;
--- a/packages/runner/src/followRetirement.test.ts
+++ b/packages/runner/src/followRetirement.test.ts
@@ -12,8 +12,7 @@
 const absent = 0 as ObjectVersion;
 
 test("a VM that is to be emptied hands over first and reports completed last, through failures of the store", async () => {
-    // Symptom: a VM was not emptied in the time that the operator gave. Sequence: the operator writes the request; no
-    // runner looks at it. Cause: the duty was missing. The order matters: the VM goes at once when it is completed.
+    // Guards against: a VM was not emptied in the time that the operator gave.
     const clock = createFakeClock();
     const { store } = createFakeObjectStore({ clock, random: createRandom(2) });
     const events: string[] = [];
--- a/packages/runner/src/items/createItemSidecar.test.ts
+++ b/packages/runner/src/items/createItemSidecar.test.ts
@@ -107,8 +107,7 @@
 });
 
 test("an event out of turn ends the run, and nothing of it counts", async () => {
-    // Symptom: a text with an event missing. Sequence: a sampler resumes behind another event than asked. Cause: events
-    // were joined by arrival instead of by number.
+    // Guards against: a text with an event missing.
     expect((await run(answered(200), [event(2)])).outcome).toBe("unknown answerMixed");
     expect((await run(answered(200), [event(1), event(1)])).outcome).toBe("unknown answerMixed");
 });
@@ -119,15 +118,12 @@
 });
 
 test("an answer that does not name its weights is not used", async () => {
-    // Symptom: a sample that names weights which did not make it. Sequence: a faulty sampler leaves the version out.
-    // Cause: the oldest version allowed was filled in.
+    // Guards against: a sample that names weights which did not make it.
     expect((await run(answered(200, 0), [event(1)])).outcome).toBe("unknown provenanceMissing");
 });
 
 test("a run that goes on behind its last event is whole, though the answer names no weights", async () => {
-    // Symptom: a step stood still for 12 s while one item was sent 250 times a second. Sequence: a stream breaks off
-    // after its last event and before its end; the item is resumed behind it; the answer has no event and no version.
-    // Cause: a version was asked of an answer in which nothing was made.
+    // Guards against: a step stood still for 12 s while one item was sent 250 times a second.
     const { outcome } = await run(answered(200, 0), [], [span(4, "e1\n"), span(5, "e2\n")]);
     expect(outcome).toBe("ran 4:e1 5:e2");
 });
--- a/packages/runner/src/jobs/chooseOwner.test.ts
+++ b/packages/runner/src/jobs/chooseOwner.test.ts
@@ -51,9 +51,7 @@
 });
 
 test("a peer without the store keeps its jobs unless the store answers here", () => {
-    // Symptom: in an outage of the store one runner took all jobs over and ran them again beside the others.
-    // Sequence: the store goes down; three runners notice by their next call; the fourth has not called for seconds
-    // and hears from its peers that they have lost the store. Cause: it took no news for a working store.
+    // Guards against: in an outage of the store one runner took all jobs over and ran them again beside the others.
     const peers = [peer("r2", { running: running("a"), storeSilentMs: 3_000 })];
     expect(chooseOwner({ ...common, lot: lot("a"), policy, self: "r1", peers, isStoreHere: false })).toBe(
         "r2",
@@ -64,8 +62,7 @@
 });
 
 test("trainers are spread over runners, and the runner that orders loads has none while others are left", () => {
-    // Symptom: one VM was cut off and two of three trainers and all loads stood still. Sequence: the hashes of two
-    // policies and the lease fall on one runner. Cause: each was placed without a look at the others.
+    // Guards against: one VM was cut off and two of three trainers and all loads stood still.
     const owners = policies.map(each =>
         chooseOwner({
             lot: lot(`lot of ${each}`),
@@ -83,9 +80,6 @@
 });
 
 test("a runner that hears none of several peers leaves them their jobs for a while", () => {
-    // Symptom: during a cut one runner ran the jobs of all others again, and after it theirs were stopped in favour of
-    // its later runs. Sequence: one VM is cut off from the other runners and reaches store and samplers. Cause: it
-    // took all others for dead at once.
     const dead = ["r2", "r3", "r4"].map(name =>
         peer(name, { running: name === "r3" ? running("a") : [] }, false)
     );
--- a/packages/runner/src/jobs/givesWay.test.ts
+++ b/packages/runner/src/jobs/givesWay.test.ts
@@ -3,9 +3,7 @@
 import { givesWay } from "./givesWay.js";
 
 test("of runners that took a job together one goes on", () => {
-    // Symptom: a step of 112 items had 594 sends and ended after 11.7 s, and the next one stood behind it. Sequence: three
-    // VMs die at once; a job was taken 0.23 s before, which two other runners have not heard of; both take it as well.
-    // Cause: below a lead of 0.6 s all went on.
+    // Guards against: a step of 112 items had 594 sends and ended after 11.7 s, and the next one stood behind it.
     const runs = [{ name: "burgos-1", runMs: 235 }, { name: "logrono-1", runMs: 2 }, {
         name: "lugo-1",
         runMs: 0,
--- a/packages/runner/src/jobs/orderOwners.test.ts
+++ b/packages/runner/src/jobs/orderOwners.test.ts
@@ -11,8 +11,7 @@
 const names = ["bilbao-1", "bilbao-2", "bilbao-3", "burgos-1", "burgos-2", "lugo-1", "lugo-2"];
 
 test("jobs of different trainers are run in different failure domains, apart from feeding and orders", () => {
-    // Symptom: two VMs of one failure domain lost power, and the steps of both trainers stood still; the runner that
-    // fed 87 processes ran a trainer's items besides. Cause: policies were placed on the first runners by name.
+    // Guards against: two VMs of one failure domain lost power, and the steps of both trainers stood still.
     const shown = (holder: string) => orderOwners(names.map(name => candidate(name, holder))).join(" ");
     expect([shown("lugo-1"), shown("burgos-1"), shown("bilbao-1")]).toEqual([
         "lugo-2 burgos-2 bilbao-3 burgos-1 bilbao-2 bilbao-1 lugo-1",
@@ -22,8 +21,7 @@
 });
 
 test("the death of the runner that feeds moves no trainer's jobs", () => {
-    // Symptom: three runners ran one job. Sequence: the runner that feeds dies; the next one by name, which had just
-    // taken a job, feeds now, and the others place that job on another. Cause: who feeds had a say in the order.
+    // Guards against: three runners ran one job.
     const before = orderOwners(names.map(name => candidate(name)));
     const after = orderOwners(names.slice(1).map(name => candidate(name)));
     expect(after.slice(0, 3)).toEqual(before.slice(0, 3));
--- a/packages/runner/src/peers/createPeerBook.test.ts
+++ b/packages/runner/src/peers/createPeerBook.test.ts
@@ -75,9 +75,7 @@
 });
 
 test("a registered VM that is gone holds nobody up for longer than two probes", async () => {
-    // Symptom: after a power loss of all VMs jobs lay still for 1.3 s. Sequence: a VM was removed some time before and
-    // its registration stayed; the others start and wait for its answer. Cause: an unheard peer got the patience of
-    // one that had just been heard.
+    // Guards against: after a power loss of all VMs jobs lay still for 1.3 s.
     const { clock, book } = createFixture(["r1", "r2", "r3"], ["r3"]);
     await clock.advance(300);
     expect(book.isSettled()).toBe(false);
--- a/packages/runner/src/results/createRecorder.test.ts
+++ b/packages/runner/src/results/createRecorder.test.ts
@@ -61,9 +61,7 @@
 }
 
 test("a result that comes while a record is on its way is recorded after it", async () => {
-    // Symptom: groups of a step never became whole, though the runner took all their items for recorded. Sequence: a
-    // record is sent; an item ends before the answer; the answer comes. Cause: the record shared its list with the
-    // results still waiting, so the late one counted as recorded without standing in the store.
+    // Guards against: groups of a step never became whole, though the runner took all their items for recorded.
     const { clock, start, readItems } = createFixture(40);
     const recorder = start();
     recorder.add(result("a"));
@@ -75,8 +73,7 @@
 });
 
 test("two runners of one job list each item once, in the order of the store", async () => {
-    // Symptom: an item at two positions. Sequence: a runner believed dead goes on beside its successor; both record.
-    // Cause: none in this code; the test holds the rule that the loser of a record takes over what stands there.
+    // Guards against: an item at two positions.
     const { clock, start, readItems } = createFixture();
     const [first, second] = [start(), start()];
     ["a", "b", "c"].forEach(item => first.add(result(item)));
@@ -89,8 +86,7 @@
 });
 
 test("results wait out an outage of the store and are recorded once", async () => {
-    // Symptom: an item twice, or never, after an outage. Sequence: the store goes down as a record is on its way, the
-    // write stands, its answer is lost; the runner sends it again. Cause: a lost answer taken for a lost write.
+    // Guards against: an item twice, or never, after an outage.
     const { clock, control, start, readItems } = createFixture();
     const recorder = start();
     recorder.add(result("a"));
@@ -173,8 +169,7 @@
 });
 
 test("towards its due time a group is recorded soon, though more is to come", async () => {
-    // Symptom: a group that was made in time was read too late to count. Sequence: a step is late; its group ends 0.5 s
-    // before the due time. Cause: a record that waits a second for company.
+    // Guards against: a group that was made in time was read too late to count.
     const { source } = createStep();
     const { clock, start, records } = createFixture(4, 72);
     const recorder = start();
--- a/packages/runner/src/results/createResultBook.test.ts
+++ b/packages/runner/src/results/createResultBook.test.ts
@@ -87,9 +87,7 @@
 });
 
 test("a runner that another may have replaced asks the store before it says that there is nothing more", async () => {
-    // Symptom: a position that one gateway had shown was missing at another. Sequence: a runner is cut off from its
-    // peers but not from its gateways; a peer takes the job over and records a chunk, which a client reads; another
-    // client reads at a gateway that asks the first runner. Cause: its own last chunk taken for the last one.
+    // Guards against: a position that one gateway had shown was missing at another.
     const { clock, state, book, append, ask } = createFixture();
     book.open(lot, 9);
     book.markLoaded(lot);
@@ -106,9 +104,7 @@
 });
 
 test("a runner whose rival has had the job asks the store once before it is sure again", async () => {
-    // Symptom: three results that one gateway had shown for a second were missing at another. Sequence: two runners take
-    // a job within 30 ms; one records the last chunks and is done with it; the other still runs it. Cause: nobody else
-    // runs it now, taken for: nobody else has recorded anything.
+    // Guards against: three results that one gateway had shown for a second were missing at another.
     const { state, book, append, ask } = createFixture();
     book.open(lot, 9);
     book.markLoaded(lot);
@@ -147,8 +143,7 @@
 });
 
 test("a job that is over and that no runner holds is read once for all, by one runner", async () => {
-    // Symptom: 743 of 3,320 calls of a day that ends with a loss of power of all were reads of results. Sequence: all
-    // processes start anew; clients read jobs of before at six gateways. Cause: each gateway read each job itself.
+    // Guards against: 743 of 3,320 calls of a day that ends with a loss of power of all were reads of results.
     const { clock, state, ask } = createFixture();
     state.stored = [chunkOf(0, "a"), chunkOf(1, "b", "c")];
     expect([await ask(0), state.reads]).toEqual(['{"kind":"unsure"}', 0]);
@@ -187,9 +182,7 @@
 });
 
 test("several chunks that another runner recorded are all asked for", async () => {
-    // Symptom: the last position of a whole job was missing at one gateway. Sequence: a runner that lost its job to
-    // another one knows its first chunk; a gateway asks it for all. Cause: its first chunk, and then the one that it
-    // found behind it, told as all there is.
+    // Guards against: the last position of a whole job was missing at one gateway.
     const { state, book, append, ask } = createFixture();
     book.open(lot, 4);
     book.markLoaded(lot);
--- a/packages/runner/src/weights/createLoadRoller.test.ts
+++ b/packages/runner/src/weights/createLoadRoller.test.ts
@@ -99,9 +99,7 @@
 }
 
 test("an order counts by what the start of the sampler says that it is meant for", async () => {
-    // Symptom: a load was never made, or never ordered. Sequence: a sampler starts again under its name; its report comes
-    // from the new start while the entry known is of the earlier one. Cause: the count of orders of one start taken for
-    // that of the other.
+    // Guards against: a load was never made, or never ordered.
     const { name, sent, state, tick, stop } = createFixture(["a"]);
     state.reportedBornAtMs = 2_000;
     name(2);
@@ -132,8 +130,7 @@
 });
 
 test("an order of which nothing shows is given again with the same count, so that the first one is void", async () => {
-    // Symptom: a sampler went back to older weights. Sequence: an order gets no answer; newer ones follow; the first is
-    // carried out seconds later. Cause: orders that do not say which count of orders they were given at.
+    // Guards against: a sampler went back to older weights.
     const { sent, versions, name, tick, stop } = createFixture(["a"], { a: ["unknown"] });
     name(2);
     await tick(6_000);
--- a/packages/runner/src/weights/planLoads.test.ts
+++ b/packages/runner/src/weights/planLoads.test.ts
@@ -49,9 +49,6 @@
 }
 
 test("policies that were all given the first sampler to register are spread once the others are there", () => {
-    // Symptom: one sampler loaded every trainer's weights in turn and four others none, and steps waited for 24 places
-    // instead of 72. Sequence: the plan is made while one sampler has registered; the others follow. Cause: a sampler
-    // once given to a policy was kept, whatever else had been given to it.
     const assigned = new Map<PolicyId, Set<IncarnationId>>();
     const plan = createPlan(assigned);
     plan({ samplers: six.slice(0, 1) });
@@ -66,9 +63,7 @@
 });
 
 test("a version that nobody waits for is loaded between two jobs, not while one is open", () => {
-    // Symptom: each step began with a second in which its samplers took nothing new. Sequence: a trainer names a
-    // version and asks for its next step at once; the samplers load; the step's items are refused. Cause: loading as
-    // soon as a version is named, though the step takes the one before as well.
+    // Guards against: each step began with a second in which its samplers took nothing new.
     const plan = createPlan();
     expect(plan({ needs: needs(2, false) })).toEqual([]);
     expect(plan({ needs: needs(2, true) })).toHaveLength(6);
@@ -102,9 +97,7 @@
 });
 
 test("of policies that are equally behind the one with the fewest usable samplers is loaded first", () => {
-    // Symptom: a step waited 4.5 s for its first sampler. Sequence: the holder of the duty is cut off; two policies name
-    // versions; its successor loads one policy on all of its samplers and then the other. Cause: the order of the
-    // configuration taken for the order of need.
+    // Guards against: a step waited 4.5 s for its first sampler.
     const plan = createPlan();
     const old = six.map(each => sampler(each.incarnation, [1, 1, 3]));
     const loads = plan({ samplers: old, needs: needs(4, false), maxLoading: 4 });
@@ -121,9 +114,6 @@
 });
 
 test("a new holder of the duty goes on with the samplers that serve the newest versions", () => {
-    // Symptom: after the holder was cut off its successor loaded every policy on other samplers, and the steps that
-    // were open waited for them. Sequence: the holder dies; the successor plans without having planned before. Cause:
-    // the plan began from nothing instead of from what the samplers serve.
     const serving = [
         sampler("a", [1, 4, 1]),
         sampler("b", [5, 1, 1]),
@@ -142,9 +132,6 @@
 });
 
 test("an open job's samplers are loaded in three rounds, so that the next step finds them", () => {
-    // Symptom: each step of a service with 33 samplers had its first results a second late, and one trainer ended the
-    // day a step behind. Sequence: a version is named; the trainer's job is open, so that its 12 samplers load one after
-    // the other; the next step is asked 4 s later and 9 of them are too old. Cause: one at a time, whatever the number.
     const many = Array.from({ length: 33 }, (_, index) => sampler(`s${index}`));
     const plan = createPlan();
     const perPolicy = (over: Parameters<typeof plan>[0]): number[] => {
--- a/packages/runner/src/weights/shareSamplers.load.test.ts
+++ b/packages/runner/src/weights/shareSamplers.load.test.ts
@@ -60,9 +60,6 @@
 }
 
 test("a trainer with three times the work gets its steps in time, and the other loses none", () => {
-    // Symptom: the heavier trainer asked for its last steps 10 s late and never for some, while the other's samplers were
-    // idle. Sequence: a stop of 3 s puts both behind; the lighter one is back in time, the heavier never. Cause: equal
-    // numbers of samplers. Before: with equal shares; after: by work.
     const work = [heavy, light].map(({ items, meanEvents }) => items * meanEvents);
     expect({
         before: playShares(shareSamplers(samplers, [undefined, undefined])),
--- a/packages/runner/src/weights/shareSamplers.test.ts
+++ b/packages/runner/src/weights/shareSamplers.test.ts
@@ -14,8 +14,6 @@
 });
 
 test("a trainer with larger steps gets more samplers, and each gets half of an equal share and two at least", () => {
-    // Symptom: the trainer with nearly three times the work fell 12 s behind and never asked for a fifth of its steps,
-    // while samplers of the other were idle. Cause: both had the same number of samplers.
     expect({
         alike: shareSamplers(6, [500, 500, 500]),
         threeTimes: shareSamplers(8, [2_112, 768]),
--- a/packages/send/src/resolveBroken.test.ts
+++ b/packages/send/src/resolveBroken.test.ts
@@ -30,8 +30,7 @@
 }
 
 test("only never seen and refused, from the same incarnation and in time, prove that nothing ran", async () => {
-    // Symptom: "not run" is said of something that ran. Sequence: the connection breaks; whoever is asked does not
-    // know the attempt, for it has restarted or has forgotten. Cause: not knowing is taken for not having run.
+    // Guards against: "not run" is said of something that ran.
     expect({
         neverSeen: await resolve("neverSeen", "one"),
         refused: await resolve("refused", "one"),
--- a/packages/soak/src/startSignal.test.ts
+++ b/packages/soak/src/startSignal.test.ts
@@ -3,9 +3,7 @@
 import { fileURLToPath } from "node:url";
 import { expect, test } from "vitest";
 
-// Symptom: a gateway was gone until the platform started it again. Sequence: it is killed and started; a change of its
-// settings is signalled while it starts. Cause: without a handler that signal ends a process. Seeds 134 and 148 of the
-// soak showed it, 0.10 and 0.05 s after the start.
+// Guards against: a gateway was gone until the platform started it again.
 const program = fileURLToPath(new URL("../../daemon/dist/roleMain.js", import.meta.url));
 /** It ends with this code once it has found no settings: it was not ended by the signal. */
 const noSettings = 2;
--- a/packages/spread/src/createDocumentSet.test.ts
+++ b/packages/spread/src/createDocumentSet.test.ts
@@ -116,8 +116,7 @@
 });
 
 test("a document with faults is refused whole and not asked for again, and a later good one is taken", () => {
-    // Symptom: after a bad manifest came by, each exchange fetches and refuses it again, for ever.
-    // Sequence: version 2 has faults; a peer offers it in each digest. Cause: the refusal was not remembered.
+    // Guards against: after a bad manifest came by, each exchange fetches and refuses it again, for ever.
     const { set } = build();
     set.take({ name: "manifest", version: 1, value: "good" });
     expect(set.take({ name: "manifest", version: 2, value: "bad" })).toBe("refused");
--- a/packages/spread/src/createSpread.test.ts
+++ b/packages/spread/src/createSpread.test.ts
@@ -96,9 +96,7 @@
 });
 
 test("a change passes two dead relays, and a stale store takes nobody back", async () => {
-    // Symptom: some entries fall back to an older manifest after a failover of the store.
-    // Sequence: version B is in force; the store answers from a replica that only has A; relays list anew.
-    // Cause: whatever the store answered last was taken for the truth.
+    // Guards against: some entries fall back to an older manifest after a failover of the store.
     const fleet = build(12, [0, 1, 2]);
     await fleet.publish("A");
     const version = await fleet.publish("B");
@@ -167,9 +165,7 @@
 });
 
 test("an entry that starts alone in a long outage has the manifest soon after it", async () => {
-    // Symptom: a sidecar knew no manifest three seconds after the store was back. Sequence: an entry starts while it
-    // cannot reach the store, and knows no peer; the store is back 20 s later. Cause: its pauses had grown to 12 s, as
-    // those of a process that serves on with what it has.
+    // Guards against: a sidecar knew no manifest three seconds after the store was back.
     const fleet = build(1, [0]);
     const version = await fleet.publish("good");
     await fleet.clock.advance(200);
--- a/packages/store/src/createBudgetedStore.test.ts
+++ b/packages/store/src/createBudgetedStore.test.ts
@@ -31,9 +31,7 @@
 });
 
 test("many readers of one key cost two reads, and none sees the past of its own write", async () => {
-    // Symptom: a write whose answer was lost was judged not to have taken effect. Sequence: a read of the key is
-    // under way, the write takes effect behind it, the reader back joins the old read. Cause: sharing reads that
-    // were already sent.
+    // Guards against: a write whose answer was lost was judged not to have taken effect.
     const { clock, budgeted, store, control } = createFixture(100);
     const early = budgeted.read("a");
     await clock.advance(80);
@@ -47,8 +45,7 @@
 });
 
 test("a long outage costs a few probes, and the calls after it come slowly", async () => {
-    // Symptom: the API returned from an outage and fell again. Sequence: every process retries in a tight loop,
-    // and all calls that waited come at once. Cause: no shared memory of the outage within a process.
+    // Guards against: the API returned from an outage and fell again.
     const { clock, budgeted, control } = createFixture();
     control.setOutage(true);
     const names: Promise<string>[] = [];
--- a/packages/store/src/httpAdapters.test.ts
+++ b/packages/store/src/httpAdapters.test.ts
@@ -175,8 +175,7 @@
 });
 
 test("a plain request is called not run only if no connection came about", async () => {
-    // Symptom: a fetch that broke off was sent again and ran twice. Sequence: the service runs the request, the
-    // connection breaks before the answer. Cause: a broken connection was taken for a failed one.
+    // Guards against: a fetch that broke off was sent again and ran twice.
     const { backend, control } = createFakePlainService({ clock: createSystemClock() });
     const address = await listen(servePlainService(backend));
     const http = createHttpPlainBackend(address);
--- a/packages/store/src/writeUntilKnown.test.ts
+++ b/packages/store/src/writeUntilKnown.test.ts
@@ -10,8 +10,7 @@
 const none = 0 as ObjectVersion;
 
 test("a lost answer is resolved by the stamp: the write is known to stand, and stands once", async () => {
-    // Symptom: a change was published twice. Sequence: the write takes effect, its answer is lost, the writer takes
-    // it for failed. Cause: an error was read as "nothing happened".
+    // Guards against: a change was published twice.
     const clock = createFakeClock();
     const random = createRandom(1);
     const { store, control } = createFakeObjectStore({ clock, random });
--- a/packages/swap/src/createSwapRoller.test.ts
+++ b/packages/swap/src/createSwapRoller.test.ts
@@ -121,8 +121,7 @@
 });
 
 test("failed orders are repeated with growing pauses and hold up no other sampler", async () => {
-    // Symptom: one sampler serves old weights for weeks (the Lugo case). Sequence: its load order is lost twice and
-    // throttled once. Cause: an order that failed was not repeated, or blocked those behind it.
+    // Guards against: one sampler serves old weights for weeks.
     const failures = ["unknown", "throttled", "unknown"] as const;
     let tries = 0;
     const { clock, ordered, roller } = start(
@@ -138,8 +137,7 @@
 });
 
 test("a sampler that came back on another VM is ordered once, not until its first report is here", async () => {
-    // Symptom: a thousand orders a second to one sampler. Sequence: its VM is replaced; the view still shows the former
-    // one's report, and the new one answers the order. Cause: an answer of another incarnation was thrown away.
+    // Guards against: a thousand orders a second to one sampler.
     const { clock, ordered, reports, shown, roller } = start(["a"]);
     shown.set("a", { report: reports.get("a")!, atMs: 0 });
     reports.set("a", {
--- a/packages/trust/src/createTrust.test.ts
+++ b/packages/trust/src/createTrust.test.ts
@@ -100,8 +100,7 @@
 });
 
 test("a process does not talk to a server of another authority, or to an expired one", async () => {
-    // Symptom: tokens and prompts leak. Sequence: a stranger listens at the address of a VM that was replaced. Cause:
-    // a client that takes any certificate.
+    // Guards against: tokens and prompts leak.
     const agent = (await open(filesOf("first"))).createAgent({});
     for (const name of ["stranger", "expired"]) {
         const { port } = await serve(await open(filesOf(name)));
@@ -127,8 +126,7 @@
 }
 
 test("certificates change while calls go on", async () => {
-    // Symptom: a planned change of certificates cuts every connection. Sequence: the files are replaced while a
-    // stream runs. Cause: the server is started anew to take them.
+    // Guards against: a planned change of certificates cuts every connection.
     await place("first");
     await copyFile(fixture("authority.cert"), join(folder, "ca"));
     const trust = await open(placed());
@@ -145,8 +143,7 @@
 });
 
 test("one of the files is replaced before the other", async () => {
-    // Symptom: no process reaches any other. Sequence: the new certificate is written, its key is not yet, and both
-    // are read. Cause: files taken without a look at whether they fit.
+    // Guards against: no process reaches any other.
     await place("first");
     await copyFile(fixture("authority.cert"), join(folder, "ca"));
     const trust = await open(placed());
