Soak: samplers leave for good while processes have lost the store, and get nothing new once these are back

The soak replaced samplers, but checked nothing of what reaches one that left, so the fault of drained-sampler-kept could not show. One sampler of each service now leaves in the second half of the faults, traffic goes on for 6 s after them, and a request that reaches a sampler 2 s after it left is a breach unless a fault that may hide the change lasts or ended less than 3 s before.

--- a/packages/soak/src/SoakBed.ts
+++ b/packages/soak/src/SoakBed.ts
@@ -10,6 +10,8 @@
     current(): SamplerStandIn;
     /** Puts a new sampler there; the old one goes on for a while, as a draining one does. */
     replace(isAnnounced: boolean): Promise<void>;
+    /** The sampler leaves for good, without a word first if not announced, and goes on serving whoever still sends. */
+    leave(isAnnounced: boolean): Promise<void>;
 }
 
 /** The processes and stand-ins of one run. */
--- a/packages/soak/src/SoakFault.ts
+++ b/packages/soak/src/SoakFault.ts
@@ -12,5 +12,6 @@
     | { kind: "terminate"; process: number; downMs: number; }
     | { kind: "reload"; process: number; }
     | { kind: "replaceSampler"; sampler: number; isAnnounced: boolean; }
+    | { kind: "leaveSampler"; sampler: number; isAnnounced: boolean; }
     | { kind: "breakStreams"; sampler: number; }
     | { kind: "changeConfiguration"; };
--- /dev/null
+++ b/packages/soak/src/Trouble.ts
@@ -0,0 +1,9 @@
+import type { SoakFault } from "./SoakFault.js";
+
+/** When a fault struck. */
+export interface Trouble {
+    kind: SoakFault["kind"];
+    fromMs: number;
+    /** Infinite while it lasts. */
+    untilMs: number;
+}
--- a/packages/soak/src/checks.test.ts
+++ b/packages/soak/src/checks.test.ts
@@ -2,11 +2,13 @@
 import { createRandom } from "@auburnarch/clock/createRandom";
 import { expect, test } from "vitest";
 import { checkEnd } from "./checkEnd.js";
+import { checkLeft } from "./checkLeft.js";
 import { checkPage } from "./checkPage.js";
 import { createWitness } from "./createWitness.js";
 import { drawFaults } from "./drawFaults.js";
 import type { SoakBed } from "./SoakBed.js";
 import type { StepRecord } from "./StepRecord.js";
+import type { Trouble } from "./Trouble.js";
 
 type Sampler = SoakBed["samplers"][number];
 
@@ -113,6 +115,23 @@
     });
 });
 
+test("a request that reaches a sampler after it left is named unless its sender may have lost the store", () => {
+    const breaches = (atMs: number, troubles: Trouble[]): number => {
+        const witness = createWitness(createFakeClock());
+        checkLeft({ ...bedOf([run("q", atMs)]), leftAtMs: new Map([["s-1", 1_000]]) }, witness, troubles);
+        return witness.breaches().length;
+    };
+    const lost: Trouble = { kind: "storeLink", fromMs: 500, untilMs: 4_000 };
+    expect({
+        due: breaches(2_900, []),
+        late: breaches(3_100, []),
+        cutOff: breaches(3_100, [lost]),
+        justBack: breaches(6_900, [lost]),
+        inTouch: breaches(7_100, [lost]),
+        harmless: breaches(3_100, [{ ...lost, kind: "samplerLink" }]),
+    }).toEqual({ due: 0, late: 1, cutOff: 0, justBack: 0, inTouch: 1, harmless: 1 });
+});
+
 test("a seed draws the same faults each time, of every kind over some seeds", () => {
     const scene = { processes: 5, samplers: 7, lengthMs: 12_000, faults: 10 };
     const draw = (seed: number) => drawFaults(createRandom(seed), scene);
--- a/packages/soak/src/createSoakBed.ts
+++ b/packages/soak/src/createSoakBed.ts
@@ -66,8 +66,18 @@
         return sampler;
     }
 
+    async function takeAway(sampler: SamplerStandIn, isAnnounced: boolean): Promise<void> {
+        leftAtMs.set(sampler.id, clock.monotonicMs());
+        if (isAnnounced) {
+            writes.drainSampler(sampler.id, sampler.entry());
+        }
+        await clock.sleep(isAnnounced ? drainMs : 0);
+        writes.removeSampler(sampler.id);
+    }
+
     async function createPlace(place: number, service: string): Promise<SoakBed["places"][number]> {
         let number = 0;
+        let isLeft = false;
         // Known only once the sampler behind the link listens.
         const now: { sampler?: SamplerStandIn; } = {};
         const link = await createLinkProxy(clock, () => now.sampler!.port);
@@ -79,16 +89,18 @@
             link,
             current: () => now.sampler!,
             replace: async isAnnounced => {
-                const old = now.sampler!;
-                leftAtMs.set(old.id, clock.monotonicMs());
-                if (isAnnounced) {
-                    writes.drainSampler(old.id, old.entry());
+                if (isLeft) {
+                    return;
                 }
-                await clock.sleep(isAnnounced ? drainMs : 0);
-                writes.removeSampler(old.id);
+                const old = now.sampler!;
+                await takeAway(old, isAnnounced);
                 now.sampler = await next();
                 old.close();
             },
+            leave: async isAnnounced => {
+                isLeft = true;
+                await takeAway(now.sampler!, isAnnounced);
+            },
         };
     }
 
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -3,15 +3,19 @@
 import { createClientStandIn } from "@auburnarch/platform/testing/createClientStandIn";
 import type { Clock } from "@auburnarch/types/Clock";
 import { checkEnd } from "./checkEnd.js";
+import { checkLeft } from "./checkLeft.js";
 import { createSoakBed } from "./createSoakBed.js";
 import { createWitness } from "./createWitness.js";
 import { drawFaults } from "./drawFaults.js";
+import { drawLeaves } from "./drawLeaves.js";
 import type { Program } from "./Program.js";
 import { runCaller } from "./runCaller.js";
 import { runTrainer } from "./runTrainer.js";
 import type { SoakBed } from "./SoakBed.js";
+import type { SoakFault } from "./SoakFault.js";
 import type { SoakReport } from "./SoakReport.js";
 import { strikeFault } from "./strikeFault.js";
+import type { Trouble } from "./Trouble.js";
 
 interface SoakOptions {
     seed: number;
@@ -20,6 +24,10 @@
     faults: number;
     gateways: number;
     runners: number;
+    /** Traffic goes on for so long after the faults; none by default. */
+    calmMs?: number;
+    /** Whether a sampler of each service leaves for good while faults strike; by default not. */
+    hasLeaves?: boolean;
 }
 
 const models = ["plume", "ridge"];
@@ -58,7 +66,7 @@
 /** Runs the programs under the faults of one seed, with trainers and callers that check what they are promised. */
 export async function runSoak(clock: Clock, options: SoakOptions): Promise<SoakReport> {
     const random = createRandom(options.seed);
-    const { gateways, runners, lengthMs } = options;
+    const { gateways, runners, lengthMs, calmMs = 0 } = options;
     const bed = await createSoakBed(clock, { gateways, runners, modelSamplers, plainSamplers, models });
     const witness = createWitness(clock);
     const probes = createClientStandIn();
@@ -67,7 +75,10 @@
     const caller = runCaller({ ...shared, random: random.fork(), name: "caller" });
     const processes = gateways + runners;
     const samplers = modelSamplers + plainSamplers;
-    const faults = drawFaults(random.fork(), { processes, samplers, lengthMs, faults: options.faults });
+    const drawn = drawFaults(random.fork(), { processes, samplers, lengthMs, faults: options.faults });
+    const leaves = options.hasLeaves === true ? drawLeaves(random.fork(), modelSamplers, lengthMs) : [];
+    const faults = [...drawn, ...leaves].sort((a, b) => a.atMs - b.atMs);
+    const troubles: Trouble[] = [];
 
     const isReady = async (gateway: Program): Promise<boolean> => {
         const reply = await probes.call(gateway.readyPort, { ...clientCalls.isReady(), limitMs: 1_000 });
@@ -76,15 +87,23 @@
     const allReady = async (): Promise<boolean> =>
         (await Promise.all(bed.gateways.map(isReady))).every(Boolean);
 
+    async function strikeNoted(fault: SoakFault): Promise<void> {
+        const trouble: Trouble = { kind: fault.kind, fromMs: clock.monotonicMs(), untilMs: Infinity };
+        troubles.push(trouble);
+        await strikeFault(bed, clock, fault);
+        trouble.untilMs = clock.monotonicMs();
+    }
+
     async function strikeAll(): Promise<void> {
         const startedAtMs = clock.monotonicMs();
         const struck: Promise<void>[] = [];
         for (const { atMs, fault } of faults) {
             await clock.sleep(Math.max(0, startedAtMs + atMs - clock.monotonicMs()));
-            struck.push(strikeFault(bed, clock, fault));
+            struck.push(strikeNoted(fault));
         }
         await Promise.all(struck);
         healAll(bed);
+        await clock.sleep(calmMs);
     }
 
     async function train(signal: AbortSignal): Promise<void> {
@@ -131,6 +150,7 @@
         await checkHealed();
         const steps = trainers.flatMap(trainer => trainer.steps());
         checkEnd(bed, witness, steps, caller.calls());
+        checkLeft(bed, witness, troubles);
         return {
             seed: options.seed,
             faults,
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -13,3 +13,17 @@
     expect(report.breaches).toEqual([]);
     expect(report.steps).toBeGreaterThan(0);
 });
+
+test("samplers that leave while the store is lost to some get nothing new once it is back", async () => {
+    const report = await runSoak(createSystemClock(), {
+        seed: 2,
+        lengthMs: 5_000,
+        faults: 5,
+        gateways: 2,
+        runners: 2,
+        calmMs: 6_000,
+        hasLeaves: true,
+    });
+    expect(report.breaches).toEqual([]);
+    expect(report.faults.filter(({ fault }) => fault.kind === "leaveSampler").length).toBe(2);
+});
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -38,6 +38,11 @@
         faults: { type: "string", default: "10", description: "Faults of a run, at least" },
         gateways: { type: "string", default: "2", description: "Gateways" },
         runners: { type: "string", default: "3", description: "Runners" },
+        calmMs: {
+            type: "string",
+            default: "6000",
+            description: "Time for which traffic goes on after the faults",
+        },
         logs: {
             type: "string",
             default: "soak-logs",
@@ -56,6 +61,8 @@
                     faults: Number(args.faults),
                     gateways: Number(args.gateways),
                     runners: Number(args.runners),
+                    calmMs: Number(args.calmMs),
+                    hasLeaves: true,
                 });
                 printReport(report);
                 if (report.breaches.length > 0) {
--- a/packages/soak/src/strikeFault.ts
+++ b/packages/soak/src/strikeFault.ts
@@ -66,6 +66,7 @@
         .with({ kind: "terminate" }, ({ process, downMs }) => restart(programs[process]!, "SIGTERM", downMs))
         .with({ kind: "reload" }, async ({ process }) => programs[process]!.signal("SIGHUP"))
         .with({ kind: "replaceSampler" }, ({ sampler, isAnnounced }) => places[sampler]!.replace(isAnnounced))
+        .with({ kind: "leaveSampler" }, ({ sampler, isAnnounced }) => places[sampler]!.leave(isAnnounced))
         .with({ kind: "breakStreams" }, async ({ sampler }) => places[sampler]!.current().breakStreams())
         .with({ kind: "changeConfiguration" }, async () => bed.changeConfiguration())
         .exhaustive();
