--- a/packages/daemon/src/backInTime.test.ts
+++ b/packages/daemon/src/backInTime.test.ts
@@ -1,7 +1,5 @@
 import { createRandom } from "@auburnarch/clock/createRandom";
-import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
-import type { FailureDomain } from "@auburnarch/types/FailureDomain";
-import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import { createTestSampler } from "@auburnarch/discovery/testing/createTestSampler";
 import type { Random } from "@auburnarch/types/Random";
 import type { ServiceId } from "@auburnarch/types/ServiceId";
 import { expect, test } from "vitest";
@@ -22,19 +20,6 @@
 const stepMs = 20;
 const calm: FedTrouble = { isStoreAway: () => false, isReached: () => true };
 
-const entryOf = (name: string, isDraining = false): KnownSampler => ({
-    incarnation: name as IncarnationId,
-    instance: name,
-    bornAtMs: undefined,
-    service,
-    host: "10.0.0.1",
-    port: 1,
-    failureDomain: "lugo" as FailureDomain,
-    maxBatch: 4,
-    isDraining,
-    served: [],
-});
-
 /** The watched process reaches nobody; each runner may have lost the store, or everybody, and stays so for a while. */
 function drawCut(watched: string, random: Random): { during: FedTrouble; after: FedTrouble; } {
     const isStormy = random.nextUnit() < 0.5;
@@ -67,7 +52,7 @@
         state.sinceMs = clock.monotonicMs();
     };
     for (const name of ["a", "b", "c", "d"]) {
-        await fleet.put(`servers/${name}`, entryOf(name));
+        await fleet.put(`servers/${name}`, createTestSampler(name));
     }
     await clock.advance(3_000);
     for (let cut = 0; cut < cutsPerSeed; cut++) {
@@ -100,7 +85,7 @@
                 async ({ put, remove }, cut, random) => {
                     const name = leaving[cut]!;
                     if (random.nextUnit() < 0.5) {
-                        await put(`servers/${name}`, entryOf(name, true));
+                        await put(`servers/${name}`, createTestSampler(name, { isDraining: true }));
                     }
                     await remove(`servers/${name}`);
                 },
@@ -129,7 +114,10 @@
                     written.set(seed, clock.monotonicMs());
                     await put("config/main");
                     await put("runners/r9");
-                    await put("servers/e", { ...entryOf("e"), maxBatch: Math.floor(clock.monotonicMs()) });
+                    await put(
+                        "servers/e",
+                        createTestSampler("e", { maxBatch: Math.floor(clock.monotonicMs()) }),
+                    );
                 },
                 ({ viewOf }, cut) => {
                     const sinceMs = Math.floor(written.get(seed)!);
@@ -158,7 +146,7 @@
             const random = createRandom(seed);
             const { clock, state, put, remove, viewOf } = createFedFleet(gateways);
             const { directory } = viewOf(watched);
-            await put("servers/a", entryOf("a"));
+            await put("servers/a", createTestSampler("a"));
             await clock.advance(3_000);
             for (let outage = 0; outage < cutsPerSeed; outage++) {
                 state.trouble = { ...calm, isStoreAway: () => true };
@@ -173,7 +161,7 @@
                     }
                     await clock.advance(stepMs);
                 }
-                await put("servers/a", entryOf("a"));
+                await put("servers/a", createTestSampler("a"));
                 await clock.advance(6_000);
             }
         }));
--- a/packages/discovery/src/discovery.test.ts
+++ b/packages/discovery/src/discovery.test.ts
@@ -5,7 +5,6 @@
 import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
 import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
 import type { ConfigVersion } from "@auburnarch/types/ConfigVersion";
-import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { LogFields } from "@auburnarch/types/LogFields";
 import type { Logger } from "@auburnarch/types/Logger";
@@ -16,23 +15,13 @@
 import { createSamplerDirectory } from "./createSamplerDirectory.js";
 import type { KnownSampler } from "./KnownSampler.js";
 import type { SamplerDirectory } from "./SamplerDirectory.js";
+import { createTestSampler } from "./testing/createTestSampler.js";
 import type { WatchedKind } from "./WatchedKind.js";
 import { watchKind } from "./watchKind.js";
 
 const absent = 0 as ObjectVersion;
 const service = "tiles" as ServiceId;
-const entryOf = (name: string, isDraining = false): KnownSampler => ({
-    incarnation: name as IncarnationId,
-    instance: name,
-    bornAtMs: undefined,
-    service,
-    host: "10.0.0.1",
-    port: 1,
-    failureDomain: "lugo" as FailureDomain,
-    maxBatch: 4,
-    isDraining,
-    served: [],
-});
+const entryOf = (name: string, isDraining = false): KnownSampler => createTestSampler(name, { isDraining });
 
 function createFixture(historyChanges?: number) {
     const clock = createFakeClock();
--- /dev/null
+++ b/packages/discovery/src/testing/createTestDirectory.ts
@@ -0,0 +1,15 @@
+import type { KnownSampler } from "../KnownSampler.js";
+import type { SamplerDirectory } from "../SamplerDirectory.js";
+
+/** A directory in which these samplers stand for every service. */
+export function createTestDirectory(samplers: KnownSampler[]): SamplerDirectory {
+    const find: SamplerDirectory["find"] = incarnation =>
+        samplers.find(sampler => sampler.incarnation === incarnation);
+    return {
+        isKnown: () => true,
+        serving: () => samplers,
+        find,
+        isListed: incarnation => find(incarnation) !== undefined,
+        ageMs: () => 0,
+    };
+}
--- a/packages/relay/src/testing/createTestSampler.ts
+++ b/packages/discovery/src/testing/createTestSampler.ts
@@ -1,10 +1,10 @@
-import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { ServiceId } from "@auburnarch/types/ServiceId";
+import type { KnownSampler } from "../KnownSampler.js";
 
-/** A sampler of the service that `createTestRoute` leads to. */
-export function createTestSampler(name: string, failureDomain = "lugo"): KnownSampler {
+/** A plain sampler of the service `tiles` that takes work, but for what `over` says. */
+export function createTestSampler(name: string, over: Partial<KnownSampler> = {}): KnownSampler {
     return {
         incarnation: name as IncarnationId,
         instance: name,
@@ -12,9 +12,10 @@
         service: "tiles" as ServiceId,
         host: "10.0.0.1",
         port: 1,
-        failureDomain: failureDomain as FailureDomain,
+        failureDomain: "lugo" as FailureDomain,
         maxBatch: 4,
         isDraining: false,
         served: [],
+        ...over,
     };
 }
--- a/packages/gateway/src/createGateway.test.ts
+++ b/packages/gateway/src/createGateway.test.ts
@@ -1,5 +1,6 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
 import { createRandom } from "@auburnarch/clock/createRandom";
+import { createTestDirectory } from "@auburnarch/discovery/testing/createTestDirectory";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
@@ -83,13 +84,7 @@
     };
     const gateway = createGateway({
         routing: over.routing ?? (() => table),
-        directory: {
-            isKnown: () => state.isKnown,
-            serving: () => [],
-            find: () => undefined,
-            isListed: () => true,
-            ageMs: () => 0,
-        },
+        directory: { ...createTestDirectory([]), isKnown: () => state.isKnown },
         relay: async () => relayed,
         lots,
         reader: createLotReader(lots, clock, async () => undefined),
--- a/packages/relay/src/createBreakMemory.test.ts
+++ b/packages/relay/src/createBreakMemory.test.ts
@@ -1,21 +1,15 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
-import { createRandom } from "@auburnarch/clock/createRandom";
+import { createTestSampler } from "@auburnarch/discovery/testing/createTestSampler";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
-import { createInvariants } from "@auburnarch/invariants/createInvariants";
-import { createMetrics } from "@auburnarch/metrics/createMetrics";
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
-import type { FailureDomain } from "@auburnarch/types/FailureDomain";
-import type { Logger } from "@auburnarch/types/Logger";
 import { expect, test } from "vitest";
 import type { BreakMemory } from "./BreakMemory.js";
 import { createBreakMemory } from "./createBreakMemory.js";
-import { createRelay } from "./createRelay.js";
 import type { RelayOutcome } from "./RelayOutcome.js";
 import type { SamplerReply } from "./SamplerReply.js";
+import { createTestRelay } from "./testing/createTestRelay.js";
 import { createTestRoute } from "./testing/createTestRoute.js";
-import { createTestSampler } from "./testing/createTestSampler.js";
 
-const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
 const noSignal = new AbortController().signal;
 const content = "c" as ContentDigest;
 
@@ -75,24 +69,12 @@
         if (isSharing) {
             clock.startTimer(at * tellEveryMs / gateways, () => exchange(breaks));
         }
-        return createRelay({
+        return createTestRelay({
             callSampler: ({ sampler, body }) =>
                 callSampler(sampler.instance, Buffer.from(body).toString() === "killer"),
-            directory: {
-                isKnown: () => true,
-                serving: () => names,
-                find: () => undefined,
-                isListed: () => true,
-                ageMs: () => 0,
-            },
             clock,
-            random: createRandom(at),
-            logger: silent,
-            metrics: createMetrics(),
-            invariants: createInvariants(silent, code => {
-                throw new Error(code.name);
-            }),
-            failureDomain: "lugo" as FailureDomain,
+            samplers: names,
+            seed: at,
             breaks,
         });
     });
--- a/packages/relay/src/createRelay.test.ts
+++ b/packages/relay/src/createRelay.test.ts
@@ -1,19 +1,14 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
-import { createRandom } from "@auburnarch/clock/createRandom";
+import { createTestSampler } from "@auburnarch/discovery/testing/createTestSampler";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
-import { createInvariants } from "@auburnarch/invariants/createInvariants";
-import { createMetrics } from "@auburnarch/metrics/createMetrics";
 import type { Route } from "@auburnarch/routing/Route";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
-import type { Logger } from "@auburnarch/types/Logger";
 import { expect, test } from "vitest";
-import { createRelay } from "./createRelay.js";
 import type { RelayOutcome } from "./RelayOutcome.js";
 import type { SamplerReply } from "./SamplerReply.js";
+import { createTestRelay } from "./testing/createTestRelay.js";
 import { createTestRoute } from "./testing/createTestRoute.js";
-import { createTestSampler } from "./testing/createTestSampler.js";
 
-const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
 async function* bytes(text: string, isCut = false): AsyncGenerator<Uint8Array> {
     yield Buffer.from(text);
     if (isCut) {
@@ -39,7 +34,7 @@
     const clock = createFakeClock();
     const sent: string[] = [];
     const cancelled: string[] = [];
-    const relay = createRelay({
+    const relay = createTestRelay({
         callSampler: async (request, signal) => {
             const name = request.sampler.incarnation;
             sent.push(`${name}@${Math.round(clock.monotonicMs())} ${Math.round(request.budgetMs)}`);
@@ -51,21 +46,8 @@
             }
             return step.reply as SamplerReply;
         },
-        directory: {
-            isKnown: () => true,
-            serving: () => samplers,
-            find: () => undefined,
-            isListed: () => true,
-            ageMs: () => 0,
-        },
         clock,
-        random: createRandom(1),
-        logger: silent,
-        metrics: createMetrics(),
-        invariants: createInvariants(silent, code => {
-            throw new Error(code.name);
-        }),
-        failureDomain: "lugo" as FailureDomain,
+        samplers,
     });
     const ask = (kind: Route["kind"], over: Partial<Route> = {}, deadlineMs = 2_000) => {
         const route = createTestRoute(kind, over);
@@ -174,7 +156,10 @@
 });
 
 test("a sampler in the own failure domain is taken unless it is slower by more than its bytes cost", async () => {
-    const samplers = [createTestSampler("far", "burgos"), createTestSampler("near")];
+    const samplers = [
+        createTestSampler("far", { failureDomain: "burgos" as FailureDomain }),
+        createTestSampler("near"),
+    ];
     const { clock, sent, ask } = createFixture({ near: [], far: [] }, samplers);
     ask("idempotent");
     await clock.advance(100);
--- a/packages/runner/src/weights/planLoads.test.ts
+++ b/packages/runner/src/weights/planLoads.test.ts
@@ -1,5 +1,5 @@
 import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
-import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import { createTestSampler } from "@auburnarch/discovery/testing/createTestSampler";
 import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { PolicyId } from "@auburnarch/types/PolicyId";
 import type { ServiceId } from "@auburnarch/types/ServiceId";
@@ -10,18 +10,12 @@
 const policies = ["plume", "ridge", "valley"] as PolicyId[];
 const at = (version: number): WeightVersion => version as WeightVersion;
 
-const sampler = (name: string, versions: number[] = [1, 1, 1]): KnownSampler => ({
-    incarnation: name as IncarnationId,
-    instance: name,
-    bornAtMs: undefined,
-    service: "rollout" as ServiceId,
-    host: "10.0.0.1",
-    port: 1,
-    failureDomain: "lugo" as FailureDomain,
-    maxBatch: 12,
-    isDraining: false,
-    served: policies.map((policy, index) => ({ policy, version: at(versions[index]!) })),
-});
+const sampler = (name: string, versions: number[] = [1, 1, 1]): KnownSampler =>
+    createTestSampler(name, {
+        service: "rollout" as ServiceId,
+        maxBatch: 12,
+        served: policies.map((policy, index) => ({ policy, version: at(versions[index]!) })),
+    });
 
 const six = ["a", "b", "c", "d", "e", "f"].map(name => sampler(name));
 const needs = (target: number | undefined, isQuiet: boolean, namedMs = 0) =>
