--- a/packages/daemon/src/startRunner.ts
+++ b/packages/daemon/src/startRunner.ts
@@ -21,7 +21,7 @@
 import { slowWaitMs } from "./slowWaitMs.js";
 import { startCommon } from "./startCommon.js";
 
-/** Each load of weights shows in a sampler's entry; those of one version come within 100 ms of each other. */
+/** Each load of weights shows in a sampler's entry; those of one version end close together. */
 const samplerGatherMs = 100;
 /** Kinds of which a change may be seen some seconds late if a connection falls silent. */
 const slowKinds: ReadonlySet<string> = new Set([`${platformKinds.retirements}/`, `${runnersKind}/`]);
--- a/packages/runner/src/items/createItemPolicy.ts
+++ b/packages/runner/src/items/createItemPolicy.ts
@@ -9,10 +9,7 @@
 import { createHintedLengthModel } from "./createHintedLengthModel.js";
 import { roomBesidePeers } from "./roomBesidePeers.js";
 
-/**
- * A run moves for 30 % and 300 ms of its time left. Reading a prompt of a thousand tokens and what was made costs 3 to
- * 30 ms, and the hand-over two messages; within 300 ms of the end it is done before the move shows.
- */
+/** A move costs the prompt read anew and a hand-over; a run near its end is done before the move shows. */
 const moveRule = createMoveRule({
     leastGainRatio: 0.3,
     leastGainMs: 300,
--- a/packages/runner/src/items/createItemSidecar.ts
+++ b/packages/runner/src/items/createItemSidecar.ts
@@ -34,7 +34,7 @@
 
 /** Time for one run; far above the longest item, since a slow run is moved and not cut off. */
 const runBudgetMs = 30_000;
-/** Pause before a sampler that refused is asked again: a load of weights takes 900 ms, a full queue less. */
+/** Pause before a sampler that refused is asked again: longer than a full queue lasts, shorter than a load of weights. */
 const refusedPauseMs = 150;
 const maxFailureBytes = 1_048_576;
 const itemFailedStatus = 500;
--- a/packages/runner/src/items/createSamplerEvidence.ts
+++ b/packages/runner/src/items/createSamplerEvidence.ts
@@ -15,8 +15,8 @@
 const longestGapMs = 400;
 
 /**
- * Events of one run come every 40 ms, on slow samplers every 140 to 300 ms, and a load of weights does not hold them
- * up. A sampler whose runs are all silent for longer is taken to be dead, seconds before its entry lapses.
+ * Longer than the gaps between events on slow samplers; a load of weights does not hold events up. A sampler whose runs
+ * are all silent for longer is taken to be dead, seconds before its entry lapses.
  */
 const silentMs = 700;
 /** A crashed sampler is back after some seconds, under another incarnation. */
--- a/packages/runner/src/items/createScoreItem.ts
+++ b/packages/runner/src/items/createScoreItem.ts
@@ -13,7 +13,7 @@
     logger: Logger;
 }
 
-/** Time of one reward call, retries at other samplers included; the slowest ones of the service take 600 ms. */
+/** Time of one reward call, retries at other samplers included. */
 const rewardBudgetMs = 1_500;
 /** A second try costs the service as much as the first, so only the slowest hundredth gets one. */
 const rewardHedgeMs = 400;
--- a/packages/runner/src/weights/createLoadRoller.ts
+++ b/packages/runner/src/weights/createLoadRoller.ts
@@ -16,7 +16,7 @@
     stop(): void;
 }
 
-/** A load takes about 900 ms and shows in the sampler's entry at once; how often that is looked for. */
+/** A load shows in the sampler's entry once it is done; how often that is looked for. */
 const lookMs = 50;
 /** An order of which nothing shows after this time is given again; the first one is void by its expected count. */
 const loadTimeoutMs = 2_500;
--- a/packages/send/src/pauseAfterBreaks.ts
+++ b/packages/send/src/pauseAfterBreaks.ts
@@ -10,7 +10,7 @@
 /**
  * How long a content waits before its next attempt, after so many in a row that broke off with nothing made. Without it
  * a content that kills samplers takes down each one as soon as it is back, with what runs beside it. Pauses that grow
- * leave it three retries in 18 minutes, and cost one that is harmless a second.
+ * leave it few retries, and cost one that is harmless a second.
  */
 export function pauseAfterBreaks(breaks: number): number {
     return breaks < maxBreaks
--- a/packages/spread/src/createRelay.ts
+++ b/packages/spread/src/createRelay.ts
@@ -10,7 +10,7 @@
 const idleMs = 1_000;
 /**
  * A process that has listed nothing yet serves nothing, and neither do the sidecars that learn from it: it does not wait
- * out the long pauses of an outage. At 8 s, half more by chance, it came up to 12 s late after a cut.
+ * out the long pauses of an outage.
  */
 const firstListBackoffMs = 1_500;
 
