--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -5,8 +5,8 @@
 import type { SamplerDirectory } from "@auburnarch/discovery/SamplerDirectory";
 import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
 import { watchKind } from "@auburnarch/discovery/watchKind";
-import { createAbsenceNote } from "@auburnarch/peers/createAbsenceNote";
 import { createFedStore } from "@auburnarch/peers/createFedStore";
+import { createOutageEvidence } from "@auburnarch/peers/createOutageEvidence";
 import { createRunnerCaller } from "@auburnarch/peers/createRunnerCaller";
 import type { FeedHub } from "@auburnarch/peers/FeedHub";
 import type { RunnerCaller } from "@auburnarch/peers/RunnerCaller";
@@ -96,7 +96,7 @@
         clock,
         logger,
     });
-    const absence = createAbsenceNote({
+    const outages = createOutageEvidence({
         storeSilentMs: health.silentMs,
         storeRegainedMs: health.regainedMs,
         clock,
@@ -108,7 +108,7 @@
         hub: () => feeding.hub,
         caller,
         send: links.feed,
-        absence,
+        outages,
         clock,
     });
     const watched = { store, clock, logger };
@@ -139,7 +139,7 @@
         routing: createRoutingView(tables, logger),
         directory: createSamplerDirectory({
             entries: samplers,
-            storeAwayMs: absence.awayMs,
+            sinceOutageMs: outages.sinceOutageMs,
             clock,
             logger,
         }),
--- a/packages/daemon/src/startRunner.ts
+++ b/packages/daemon/src/startRunner.ts
@@ -80,7 +80,7 @@
         gatherMsOf: prefix => prefix === `${platformKinds.samplers}/` ? samplerGatherMs : 0,
         waitMsOf: prefix => slowKinds.has(prefix) ? slowWaitMs : undefined,
         storeHeardMs: common.storeHeardMs,
-        storeAwayMs: runner.storeAwayMs,
+        sinceOutageMs: runner.sinceOutageMs,
         clock,
         logger,
     });
--- a/packages/daemon/src/testing/createFedFleet.ts
+++ b/packages/daemon/src/testing/createFedFleet.ts
@@ -9,14 +9,14 @@
 import { ResultError } from "@auburnarch/errors/ResultError";
 import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
 import { createMetrics } from "@auburnarch/metrics/createMetrics";
-import { createAbsenceNote } from "@auburnarch/peers/createAbsenceNote";
 import { createFedStore } from "@auburnarch/peers/createFedStore";
 import { createFeedHub } from "@auburnarch/peers/createFeedHub";
+import { createOutageEvidence } from "@auburnarch/peers/createOutageEvidence";
 import { createRunnerCaller } from "@auburnarch/peers/createRunnerCaller";
 import type { FeedAnswer } from "@auburnarch/peers/FeedAnswer";
 import type { FeedHub } from "@auburnarch/peers/FeedHub";
 import { chooseFeeder } from "@auburnarch/runner/peers/chooseFeeder";
-import { createStoreAbsence } from "@auburnarch/runner/peers/createStoreAbsence";
+import { createStoreOutageMonitor } from "@auburnarch/runner/peers/createStoreOutageMonitor";
 import type { RunnerStatus } from "@auburnarch/runner/peers/RunnerStatus";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
@@ -101,7 +101,7 @@
                 heardMs: 0,
                 status: { storeSilentMs: state.trouble.isStoreAway(name) ? 500 : 0 } as RunnerStatus,
             }));
-        const absence = createStoreAbsence({
+        const monitor = createStoreOutageMonitor({
             storeSilentMs: health.silentMs,
             peers: peersOf,
             clock,
@@ -113,7 +113,7 @@
                 store: health.store,
                 gatherMsOf: () => 0,
                 storeHeardMs: health.heardMs,
-                storeAwayMs: absence.awayMs,
+                sinceOutageMs: monitor.sinceOutageMs,
                 clock,
                 logger: silent,
             })
@@ -121,7 +121,7 @@
         if (hub !== undefined) {
             hubs.set(self, hub);
         }
-        const note = createAbsenceNote({
+        const outages = createOutageEvidence({
             storeSilentMs: health.silentMs,
             storeRegainedMs: health.regainedMs,
             clock,
@@ -139,7 +139,7 @@
             send: (address, query, timeoutMs) =>
                 send(self, address, () => hubs.get(address.host)!.answer(query), timeoutMs),
             waitForStore: health.waitUntilServed,
-            absence: note,
+            outages,
             clock,
         });
         const follow = <T>(kind: string): WatchedKind<T> =>
@@ -149,7 +149,7 @@
             runners: follow<unknown>("runners"),
             directory: createSamplerDirectory({
                 entries: follow<KnownSampler>("servers"),
-                storeAwayMs: note.awayMs,
+                sinceOutageMs: outages.sinceOutageMs,
                 clock,
                 logger: silent,
             }),
--- a/packages/discovery/src/createSamplerDirectory.ts
+++ b/packages/discovery/src/createSamplerDirectory.ts
@@ -6,9 +6,9 @@
 import type { WatchedKind } from "./WatchedKind.js";
 
 /**
- * The store drops the entries of samplers that it did not hear from while it was away, though they live; they are
- * back within two seconds of its return. A sampler whose entry vanished in an absence of the store is therefore kept
- * until this long after it; half a second is for its next entry to be read here.
+ * In an outage the store drops the entries of samplers that it does not hear from, though they live; they are back within
+ * two seconds of its end. A sampler whose entry vanished in an outage is therefore kept until this long after it; half a
+ * second is for its next entry to be read here.
  */
 const returnGraceMs = 2_500;
 
@@ -20,18 +20,15 @@
 
 interface SamplerDirectoryDeps {
     entries: WatchedKind<KnownSampler>;
-    /**
-     * Milliseconds since the store was last away, and not only this process cut off from it; infinite if it has been
-     * there all the while.
-     */
-    storeAwayMs: () => number;
+    /** Milliseconds since the latest outage of the store, or 0 while it lasts; infinite if none is known. */
+    sinceOutageMs: () => number;
     clock: Clock;
     logger: Logger;
 }
 
 /** Makes the directory over the copy of the samplers' entries. */
 export function createSamplerDirectory(deps: SamplerDirectoryDeps): SamplerDirectory {
-    const { entries, storeAwayMs, clock, logger } = deps;
+    const { entries, sinceOutageMs, clock, logger } = deps;
     let known = new Map<string, KnownSampler>();
     /** The same by start; looked up at each event of a run. */
     let byStart = new Map<IncarnationId, KnownSampler>();
@@ -39,19 +36,19 @@
     const latestBorn = new Map<string, number>();
     const lapsed = new Map<string, { sampler: KnownSampler; untilMs: number; }>();
 
-    /** The store may be away again before a sampler could register. */
+    /** The next outage may begin before a sampler could register. */
     function extendLapsed(): void {
-        const awayAtMs = clock.monotonicMs() - storeAwayMs();
+        const outageAtMs = clock.monotonicMs() - sinceOutageMs();
         for (const entry of lapsed.values()) {
-            if (awayAtMs <= entry.untilMs) {
-                entry.untilMs = awayAtMs + returnGraceMs;
+            if (outageAtMs <= entry.untilMs) {
+                entry.untilMs = outageAtMs + returnGraceMs;
             }
         }
     }
 
     function refresh(): void {
         const nowMs = clock.monotonicMs();
-        const graceUntilMs = nowMs - storeAwayMs() + returnGraceMs;
+        const graceUntilMs = nowMs - sinceOutageMs() + returnGraceMs;
         extendLapsed();
         const listed = new Map(
             [...entries.objects() ?? []].map(([name, entry]) => [name, newest(name, entry)]),
--- a/packages/discovery/src/discovery.test.ts
+++ b/packages/discovery/src/discovery.test.ts
@@ -52,7 +52,7 @@
     const directoryOf = (entries: WatchedKind<KnownSampler>): SamplerDirectory =>
         createSamplerDirectory({
             entries,
-            storeAwayMs: () => clock.monotonicMs() - away.atMs,
+            sinceOutageMs: () => clock.monotonicMs() - away.atMs,
             clock,
             logger,
         });
--- a/packages/peers/src/FeedAnswer.ts
+++ b/packages/peers/src/FeedAnswer.ts
@@ -2,12 +2,9 @@
 import type { StoredChange } from "@auburnarch/types/StoredChange";
 import type { StoredObject } from "@auburnarch/types/StoredObject";
 
-interface WordOfStore {
-    /**
-     * Milliseconds since the store was last away for the runners; absent if it has been there for one of them all the
-     * while.
-     */
-    storeAwayMs?: number;
+interface OutageReport {
+    /** Milliseconds since the latest outage of the store, or 0 while it lasts; absent if the runner knows of none. */
+    sinceOutageMs?: number;
 }
 
 /**
@@ -15,7 +12,7 @@
  * asked, or that its own view of the store may be out of date.
  */
 export type FeedAnswer =
-    | { kind: "listed"; objects: StoredObject[]; revision: ObjectVersion; } & WordOfStore
-    | { kind: "changed"; changes: StoredChange[]; revision: ObjectVersion; } & WordOfStore
+    | { kind: "listed"; objects: StoredObject[]; revision: ObjectVersion; } & OutageReport
+    | { kind: "changed"; changes: StoredChange[]; revision: ObjectVersion; } & OutageReport
     | { kind: "elsewhere"; runner: string; }
-    | { kind: "unsure"; } & WordOfStore;
+    | { kind: "unsure"; } & OutageReport;
--- a/packages/peers/src/createFedStore.ts
+++ b/packages/peers/src/createFedStore.ts
@@ -2,10 +2,10 @@
 import type { Clock } from "@auburnarch/types/Clock";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
 import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
-import type { AbsenceNote } from "./AbsenceNote.js";
 import type { FeedAnswer } from "./FeedAnswer.js";
 import type { FeedHub } from "./FeedHub.js";
 import type { FeedQuery } from "./FeedQuery.js";
+import type { OutageEvidence } from "./OutageEvidence.js";
 import type { RunnerCaller } from "./RunnerCaller.js";
 
 interface FedStoreDeps {
@@ -20,8 +20,8 @@
     send: (address: RunnerAddress, query: FeedQuery, timeoutMs: number) => Promise<FeedAnswer>;
     /** Resolves once calls to the store succeed, or have failed for long: true if they failed at first. */
     waitForStore: () => Promise<boolean>;
-    /** Hears what runners say of the store. */
-    absence: Pick<AbsenceNote, "noteAway" | "noteThere">;
+    /** Hears what runners tell of outages. */
+    outages: Pick<OutageEvidence, "noteOutage" | "noteStoreUp">;
     clock: Clock;
 }
 
@@ -56,7 +56,7 @@
  * cost as many calls as there are processes and kinds.
  */
 export function createFedStore(deps: FedStoreDeps): ObjectStore {
-    const { inner, clock, caller, self, absence } = deps;
+    const { inner, clock, caller, self, outages } = deps;
     let feeder: string | undefined;
     let askAgainAtMs = -Infinity;
     const direct = new Set<string>();
@@ -68,13 +68,13 @@
         return [...new Set([...caller.silent(), ...unsure])];
     }
 
-    /** A runner that has the store knows better than one that has lost it whether it was away. */
-    function noteStoreAway(answer: Exclude<FeedAnswer, { kind: "elsewhere"; }>): void {
-        if (answer.storeAwayMs !== undefined) {
-            absence.noteAway(answer.storeAwayMs);
+    /** A runner that has the store knows better than one that has lost it whether there was an outage. */
+    function noteOutages(answer: Exclude<FeedAnswer, { kind: "elsewhere"; }>): void {
+        if (answer.sinceOutageMs !== undefined) {
+            outages.noteOutage(answer.sinceOutageMs);
         }
         else if (isTold(answer)) {
-            absence.noteThere();
+            outages.noteStoreUp();
         }
     }
 
@@ -82,7 +82,7 @@
         runner: string,
         answer: Exclude<FeedAnswer, { kind: "elsewhere"; }>,
     ): Told | undefined {
-        noteStoreAway(answer);
+        noteOutages(answer);
         if (isTold(answer)) {
             return answer;
         }
--- a/packages/peers/src/createFeedHub.test.ts
+++ b/packages/peers/src/createFeedHub.test.ts
@@ -46,7 +46,7 @@
         // The process touches the store twice a second.
         gatherMsOf: () => 100,
         storeHeardMs: () => state.isCutOff ? clock.monotonicMs() - state.storeHeardAtMs : 0,
-        storeAwayMs: () => undefined,
+        sinceOutageMs: () => undefined,
         clock,
         logger: silent,
     });
@@ -67,7 +67,7 @@
     const fed = createFedStore({
         self: "front-1",
         waitForStore: async () => false,
-        absence: { noteAway: () => undefined, noteThere: () => undefined },
+        outages: { noteOutage: () => undefined, noteStoreUp: () => undefined },
         inner: ofFront,
         hub: () => undefined,
         caller: createRunnerCaller({
--- a/packages/peers/src/createFeedHub.ts
+++ b/packages/peers/src/createFeedHub.ts
@@ -18,8 +18,8 @@
     waitMsOf?: (prefix: string) => number | undefined;
     /** Milliseconds since the store last answered this process. */
     storeHeardMs: () => number;
-    /** Milliseconds since the store was last away for the runners; undefined if it has been there all the while. */
-    storeAwayMs: () => number | undefined;
+    /** Milliseconds since the latest outage of the store; undefined if this runner knows of none. */
+    sinceOutageMs: () => number | undefined;
     clock: Clock;
     logger: Logger;
 }
@@ -132,10 +132,10 @@
     return {
         answer: async query => {
             const answer = await tell(query);
-            const storeAwayMs = deps.storeAwayMs();
-            return storeAwayMs === undefined || answer.kind === "elsewhere"
+            const sinceOutageMs = deps.sinceOutageMs();
+            return sinceOutageMs === undefined || answer.kind === "elsewhere"
                 ? answer
-                : { ...answer, storeAwayMs };
+                : { ...answer, sinceOutageMs };
         },
         stop: () => {
             isStopped = true;
--- a/packages/peers/src/feedSchemas.ts
+++ b/packages/peers/src/feedSchemas.ts
@@ -5,7 +5,7 @@
 const version = z.number().int().nonnegative().transform(value => value as ObjectVersion);
 const object = z.object({ key: z.string(), version, value: z.unknown() });
 
-const storeAwayMs = z.number().nonnegative().optional();
+const sinceOutageMs = z.number().nonnegative().optional();
 
 const breakMark = z.object({
     content: z.string().transform(value => value as ContentDigest),
@@ -22,10 +22,10 @@
         waitMs: z.number().nonnegative(),
     }),
     answer: z.discriminatedUnion("kind", [
-        z.object({ kind: z.literal("listed"), objects: z.array(object), revision: version, storeAwayMs }),
-        z.object({ kind: z.literal("changed"), changes: z.array(object), revision: version, storeAwayMs }),
+        z.object({ kind: z.literal("listed"), objects: z.array(object), revision: version, sinceOutageMs }),
+        z.object({ kind: z.literal("changed"), changes: z.array(object), revision: version, sinceOutageMs }),
         z.object({ kind: z.literal("elsewhere"), runner: z.string() }),
-        z.object({ kind: z.literal("unsure"), storeAwayMs }),
+        z.object({ kind: z.literal("unsure"), sinceOutageMs }),
     ]),
     /** Beside a query or an answer; a process of an earlier version sends none. */
     breaks: z.object({ breaks: z.array(breakMark).default([]) }),
--- a/packages/runner/src/Runner.ts
+++ b/packages/runner/src/Runner.ts
@@ -8,8 +8,8 @@
     results: ResultBook["answer"];
     /** The runner that follows the store for all that can use it, as this one believes. */
     feeder(avoided?: readonly string[]): string | undefined;
-    /** Milliseconds since the store was last away for this runner and its peers; undefined if one has had it all the while. */
-    storeAwayMs(): number | undefined;
+    /** Milliseconds since the latest outage of the store, or 0 while it lasts; undefined if this runner knows of none. */
+    sinceOutageMs(): number | undefined;
     /** Hands over its jobs and duties; resolves once what was made is recorded, or the time is up. */
     leave(limitMs: number): Promise<void>;
 }
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -16,8 +16,8 @@
 import type { LotBoard } from "./jobs/LotBoard.js";
 import { chooseFeeder } from "./peers/chooseFeeder.js";
 import { createPeerBook } from "./peers/createPeerBook.js";
-import { createStoreAbsence } from "./peers/createStoreAbsence.js";
 import { createStoreCheck } from "./peers/createStoreCheck.js";
+import { createStoreOutageMonitor } from "./peers/createStoreOutageMonitor.js";
 import type { PeerView } from "./peers/PeerView.js";
 import { sentByPeers } from "./peers/sentByPeers.js";
 import { createResultBook } from "./results/createResultBook.js";
@@ -94,7 +94,7 @@
         clock,
         logger,
     });
-    const absence = createStoreAbsence({ ...deps, peers: peers.peers });
+    const outages = createStoreOutageMonitor({ ...deps, peers: peers.peers });
     const rivals = createRivals();
     const board: LotBoard = createLotBoard({
         ...deps,
@@ -176,7 +176,7 @@
         results: book.answer,
         feeder: avoided =>
             chooseFeeder(deps.name, !isLeaving && deps.storeSilentMs() === 0, peers.peers(), avoided),
-        storeAwayMs: absence.awayMs,
+        sinceOutageMs: outages.sinceOutageMs,
         leave: async limitMs => {
             sweeper.stop();
             retirement.stop();
@@ -185,7 +185,7 @@
             await Promise.race([left, clock.sleep(limitMs, limit.signal)]);
             limit.abort();
             peers.stop();
-            absence.stop();
+            outages.stop();
         },
     };
 }
--- a/packages/runner/src/peers/isStoreAwayForAll.ts
+++ b/packages/runner/src/peers/isStoreOutage.ts
@@ -1,10 +1,10 @@
 import type { PeerView } from "./PeerView.js";
 
 /**
- * Whether the store is away, and not only this runner cut off from it: each peer that answers has lost it too. Peers
+ * Whether the store is down, and not only this runner cut off from it: each peer that answers has lost it too. Peers
  * that are silent say nothing; a runner without registered peers has only its own calls to go by.
  */
-export function isStoreAwayForAll(ownSilentMs: number, peers: PeerView[]): boolean {
+export function isStoreOutage(ownSilentMs: number, peers: PeerView[]): boolean {
     const heard = peers.filter(({ isAlive, status }) => isAlive && status !== undefined);
     const isHeard = heard.length > 0 || peers.length === 0;
     return ownSilentMs > 0 && isHeard && heard.every(({ status }) => status!.storeSilentMs > 0);
