--- a/packages/daemon/src/backInTime.test.ts
+++ b/packages/daemon/src/backInTime.test.ts
@@ -11,7 +11,9 @@
 const processes = [["a gateway", "g0"], ["a runner", "r1"]] as const;
 const runnerNames = ["r1", "r2", "r3", "r4"];
 const seeds = [...Array.from({ length: 40 }, (_, at) => at + 1), 46, 85, 125, 150, 159];
-const cutsPerSeed = 4;
+/** One leaves in each cut. */
+const samplerNames = ["a", "b", "c", "d"];
+const cutsPerSeed = samplerNames.length;
 const longestCutMs = 12_000;
 /** A process counts as in touch again this long after the end of its trouble, on the tightest deployment. */
 const inTouchAfterMs = 3_000;
@@ -22,10 +24,10 @@
 
 /** The watched process reaches nobody; each runner may have lost the store, or everybody, and stays so for a while. */
 function drawCut(watched: string, random: Random): { during: FedTrouble; after: FedTrouble; } {
-    const isStormy = random.nextUnit() < 0.5;
+    const hasRunnerFaults = random.nextUnit() < 0.5;
     const others = runnerNames.filter(name => name !== watched);
-    const storeless = new Set(others.filter(() => isStormy && random.nextUnit() < 0.3));
-    const lost = new Set(others.filter(() => isStormy && random.nextUnit() < 0.3));
+    const storeless = new Set(others.filter(() => hasRunnerFaults && random.nextUnit() < 0.3));
+    const lost = new Set(others.filter(() => hasRunnerFaults && random.nextUnit() < 0.3));
     const after: FedTrouble = {
         isStoreAway: process => storeless.has(process),
         isReached: (from, to) => !lost.has(from) && !lost.has(to),
@@ -51,7 +53,7 @@
         state.trouble = trouble;
         state.sinceMs = clock.monotonicMs();
     };
-    for (const name of ["a", "b", "c", "d"]) {
+    for (const name of samplerNames) {
         await fleet.put(`servers/${name}`, createTestSampler(name));
     }
     await clock.advance(3_000);
@@ -72,8 +74,6 @@
     }
 }
 
-const leaving = ["a", "b", "c", "d"];
-
 test.each(processes)(
     "a sampler that left while %s was cut off gets nothing from it after its return",
     async (_, watched) => {
@@ -83,14 +83,14 @@
                 watched,
                 seed,
                 async ({ put, remove }, cut, random) => {
-                    const name = leaving[cut]!;
+                    const name = samplerNames[cut]!;
                     if (random.nextUnit() < 0.5) {
                         await put(`servers/${name}`, createTestSampler(name, { isDraining: true }));
                     }
                     await remove(`servers/${name}`);
                 },
                 ({ viewOf }, cut) => {
-                    const left = leaving.slice(0, cut + 1);
+                    const left = samplerNames.slice(0, cut + 1);
                     viewOf(watched).directory.serving(service)
                         .filter(({ instance }) => left.includes(instance))
                         .forEach(({ instance }) => sent.add(`seed ${seed} ${instance}`));
--- a/packages/soak/src/checkLeft.ts
+++ b/packages/soak/src/checkLeft.ts
@@ -16,7 +16,7 @@
     "reload",
 ]);
 
-/** Checks that samplers that left got nothing new while no process had an excuse. */
+/** Checks that samplers that left got nothing new while every process was in touch. */
 export function checkLeft(
     bed: Pick<SoakBed, "samplers" | "leftAtMs">,
     witness: Witness,
