--- a/packages/daemon/src/startGateway.ts
+++ b/packages/daemon/src/startGateway.ts
@@ -43,6 +43,7 @@
     const results = createRunnerResults({ caller: common.caller, send: common.links.results });
     const gateway = createGateway({
         ...common,
+        routingAgeMs: common.tables.ageMs,
         relay,
         lots,
         reader: createLotReader(lots, clock, results),
--- /dev/null
+++ b/packages/daemon/src/teams.test.ts
@@ -0,0 +1,173 @@
+import type { SamplerStandIn } from "@auburnarch/platform/testing/SamplerStandIn";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { createPlatformBed } from "./testing/createPlatformBed.js";
+
+const model = "m0";
+const firstKey = "first-s3cret-of-hule";
+const secondKey = "second-s3cret-of-hule";
+const otherKey = "s3cret-of-fida";
+const secrets = /s3cret/u;
+
+const config = (version: number, huleKeys: string[]): unknown => ({
+    version,
+    routes: [
+        {
+            "name": "tiles",
+            "host": "a.example",
+            "path-prefix": "/tiles/",
+            "kind": "idempotent",
+            "service": "tiles",
+        },
+        {
+            "name": "scores",
+            "host": "a.example",
+            "path-prefix": "/scores/",
+            "kind": "idempotent",
+            "service": "tiles",
+            "anonymous": true,
+        },
+        {
+            "name": "plume",
+            "host": "a.example",
+            "path-prefix": "/plume/",
+            "kind": "rollout",
+            "service": "llm",
+            "max-attempts": 3,
+            "item-ttl-s": 40,
+        },
+    ],
+    services: [{ name: "tiles" }, { name: "llm", engine: { models: [{ name: model }], stride: 10 } }],
+    limits: {
+        "max-header-bytes": 16_384,
+        "max-body-bytes": 1_000_000,
+        "header-timeout-ms": 3_000,
+        "idle-timeout-ms": 15_000,
+    },
+    tenants: [
+        { "name": "hule", "api-keys": huleKeys, "priority": 1 },
+        { "name": "fida", "api-keys": [otherKey] },
+        { "name": "broken", "api-keys": "no-list-s3cret" },
+    ],
+});
+
+let bed: Awaited<ReturnType<typeof createPlatformBed>>;
+let gateway: Awaited<ReturnType<typeof bed.startGatewayAt>>;
+let tiles: SamplerStandIn;
+let engine: SamplerStandIn;
+
+beforeEach(async () => {
+    bed = await createPlatformBed();
+    bed.store.put("config", "main", config(3, [firstKey, secondKey]));
+    gateway = await bed.startGatewayAt("front-1");
+    tiles = await bed.addSampler({ id: "t-1", service: "tiles" });
+    engine = await bed.addSampler({
+        id: "e-1",
+        service: "llm",
+        models: [model],
+        events: 40,
+        eventIntervalMs: 15,
+    });
+    await bed.until(async () =>
+        (await bed.call(gateway.readyPort, "GET", "/v1/ready")).status === 200 ? true : undefined
+    );
+});
+
+afterEach(() => {
+    bed.close();
+    expect(bed.broken).toEqual([]);
+});
+
+const call = (method: string, path: string, key: string, over: Record<string, string> = {}, body = "") =>
+    bed.call(gateway.port, method, path, { authorization: `bearer ${key}`, ...over }, body);
+
+const plain = (id: string, key: string) =>
+    call("POST", "/tiles/7", key, { "auburnarch-request-id": id, "auburnarch-tenant": "fida" });
+
+const submit = (id: string, key: string) =>
+    call(
+        "POST",
+        `/plume/${id}`,
+        key,
+        { "auburnarch-request-id": id },
+        JSON.stringify({
+            step: 0,
+            model,
+            items: [{
+                id: `${id}-item`,
+                path: `/plume/${id}/1`,
+                headers: {
+                    "Auburnarch-Model": model,
+                    "Auburnarch-Tenant": "fida",
+                    "Authorization": `Bearer ${otherKey}`,
+                },
+                body: "",
+                tokens: 100,
+                scorer: { id: `score-${id}`, host: "a.example", path: "/scores/1", body: "" },
+            }],
+        }),
+    );
+
+const told = ({ runs }: SamplerStandIn): unknown[] =>
+    runs().map(({ id, headers }) => [id, headers?.["auburnarch-tenant"], headers?.authorization]);
+
+const readResults = (id: string, key: string): Promise<number> =>
+    bed.until(async () => {
+        const { status, body } = await call("GET", `/v1/lots/${id}?after=0`, key, {
+            "auburnarch-wait-ms": "500",
+        });
+        const results = status === 200 ? (JSON.parse(body) as { results: unknown[]; }).results : [];
+        return results.length > 0 ? results.length : undefined;
+    });
+
+test("samplers hear the team of the key, whatever the client says, and reward calls name none", async () => {
+    await bed.startRunnerAt("runner-1");
+    expect((await plain("q-1", firstKey)).status).toBe(200);
+    expect((await submit("lot-1", secondKey)).status).toBe(202);
+    expect(await readResults("lot-1", firstKey)).toBe(1);
+    expect(told(engine)).toEqual([["lot-1-item", "hule", undefined]]);
+    expect(told(tiles)).toEqual([["q-1", "hule", undefined], ["score-lot-1", undefined, undefined]]);
+});
+
+test("an item goes on for its team after its runner is gone and its key is taken away", async () => {
+    const first = await bed.startRunnerAt("runner-1");
+    await submit("lot-1", firstKey);
+    await bed.until(() => engine.runs().length > 0 ? true : undefined);
+    bed.store.put("config", "main", config(4, [secondKey]));
+    await first.shutdown();
+    await bed.startRunnerAt("runner-2");
+    expect(await readResults("lot-1", secondKey)).toBe(1);
+    expect(new Set(engine.runs().map(run => run.headers?.["auburnarch-tenant"]))).toEqual(new Set(["hule"]));
+});
+
+test("a key that was taken away is refused on connections that are open, and no sampler runs its requests", async () => {
+    expect((await plain("q-1", firstKey)).status).toBe(200);
+    bed.store.put("config", "main", config(4, [secondKey]));
+    await bed.until(async () => (await plain("q-2", firstKey)).status === 401 ? true : undefined);
+    const runs = tiles.runs().length;
+    const refused = await plain("q-3", firstKey);
+    expect([refused.status, JSON.parse(refused.body)]).toMatchObject([401, {
+        code: 1017,
+        name: "unknownKey",
+    }]);
+    expect((await plain("q-4", secondKey)).status).toBe(200);
+    expect(tiles.runs().length).toBe(runs + 1);
+});
+
+test("no key is in any log line, metric, answer to a peer, or object of ours", async () => {
+    const runner = await bed.startRunnerAt("runner-1");
+    await submit("lot-1", firstKey);
+    await plain("q-1", "unknown-s3cret");
+    await call("GET", "/v1/lots/lot-1?after=0", "other s3cret words");
+    await call("GET", "/v1/lots/lot-1?after=0", otherKey);
+    expect(await readResults("lot-1", firstKey)).toBe(1);
+    const feed = await bed.until(async () => {
+        const told = await bed.callInternal("runner-1", "runner.feed", { prefix: "config/", waitMs: 200 });
+        return told.includes("key-digests") ? told : undefined;
+    });
+    const metrics = await bed.metricsOf("front-1");
+    const ours = bed.store.dump(kind => kind !== "config");
+    await runner.shutdown();
+    const written = [...bed.lines, feed, metrics, ours].filter(text => secrets.test(text));
+    expect(written).toEqual([]);
+    expect(bed.lines.filter(line => line.includes("event=configPartLeftOut")).length).toBeGreaterThan(0);
+});
--- a/packages/daemon/src/testing/createPlatformBed.ts
+++ b/packages/daemon/src/testing/createPlatformBed.ts
@@ -27,6 +27,7 @@
     const store = await servePlatformStore();
     const lines: string[] = [];
     const broken: string[] = [];
+    const contexts = new Map<string, RoleContext>();
     const closers: (() => void)[] = [store.close];
     let seed = 100;
 
@@ -56,7 +57,17 @@
         const invariants = createInvariants(logger, code => broken.push(code.name));
         const metrics = createMetrics();
         const random = createRandom(seed++);
-        return { settings, currentSettings: () => settings, clock, random, logger, metrics, invariants };
+        const context = {
+            settings,
+            currentSettings: () => settings,
+            clock,
+            random,
+            logger,
+            metrics,
+            invariants,
+        };
+        contexts.set(name, context);
+        return context;
     }
 
     async function startGatewayAt(name: string) {
@@ -109,6 +120,13 @@
         });
     }
 
+    /** What a peer gets as the answer of a call, as text. */
+    async function callInternal(name: string, method: string, params: unknown): Promise<string> {
+        const port = contexts.get(name)!.settings.internalPorts[0];
+        const sent = JSON.stringify({ jsonrpc: "2.0", id: 1, method, params });
+        return (await call(port, "POST", "/rpc", {}, sent)).body;
+    }
+
     /** Waits until `probe` gives a value; the test's own time limit is the only one. */
     async function until<T>(probe: () => Promise<T | undefined> | T | undefined): Promise<T> {
         for (;;) {
@@ -128,6 +146,8 @@
         startRunnerAt,
         addSampler,
         call,
+        callInternal,
+        metricsOf: (name: string): Promise<string> => contexts.get(name)!.metrics.render(),
         until,
         close: () => closers.forEach(close => close()),
     };
--- a/packages/discovery/src/createRoutingView.ts
+++ b/packages/discovery/src/createRoutingView.ts
@@ -10,6 +10,17 @@
 export function createRoutingView(tables: WatchedKind<RoutingTable>, logger: Logger): RoutingView {
     let inForce: RoutingTable | undefined;
 
+    function logLeftOut({ version, faults, services }: RoutingTable): void {
+        for (const { field, fault } of faults) {
+            logger.warn("configPartLeftOut", { version, field, fault });
+        }
+        for (const { service, wantsOrderedSamplers } of services.values()) {
+            if (wantsOrderedSamplers) {
+                logger.warn("samplersNotOrdered", { version, service, detail: "autoscale is not served" });
+            }
+        }
+    }
+
     function refresh(): void {
         for (const table of tables.objects()?.values() ?? []) {
             const version = inForce?.version ?? -1;
@@ -18,8 +29,10 @@
                     version: table.version,
                     before: inForce?.version,
                     routes: table.routes.length,
+                    teamKeys: table.teams?.size,
                 });
                 inForce = table;
+                logLeftOut(table);
             }
             else if (table.version < version) {
                 logger.warn("configOlderIgnored", { version: table.version, inForce: version });
--- a/packages/errors/src/resultCodes.ts
+++ b/packages/errors/src/resultCodes.ts
@@ -132,6 +132,13 @@
         "There is no such batch job, or no such item in it.",
         "Submit the job first.",
     ),
+    unknownKey: define(
+        1017,
+        "unknownKey",
+        401,
+        "The request needs a key of a team, and brings none that the configuration holds.",
+        "Send `Authorization: Bearer KEY`, once, with a key that the operator gave your team and has not taken away.",
+    ),
     overloaded: define(
         2000,
         "overloaded",
--- a/packages/gateway/src/GatewayDeps.ts
+++ b/packages/gateway/src/GatewayDeps.ts
@@ -11,6 +11,8 @@
 /** What a gateway is built from. */
 export interface GatewayDeps {
     routing: RoutingView;
+    /** Milliseconds since the configuration was last known to be the newest. */
+    routingAgeMs: () => number;
     directory: SamplerDirectory;
     relay: Relay;
     lots: LotStore;
--- a/packages/gateway/src/createGateway.test.ts
+++ b/packages/gateway/src/createGateway.test.ts
@@ -11,11 +11,15 @@
 import type { LotStore } from "@auburnarch/lots/LotStore";
 import { createMetrics } from "@auburnarch/metrics/createMetrics";
 import type { RelayOutcome } from "@auburnarch/relay/RelayOutcome";
+import type { RelayRequest } from "@auburnarch/relay/RelayRequest";
+import type { Credential } from "@auburnarch/routing/Credential";
 import type { Route } from "@auburnarch/routing/Route";
 import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
 import type { ConfigVersion } from "@auburnarch/types/ConfigVersion";
+import type { KeyDigest } from "@auburnarch/types/KeyDigest";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { SampleId } from "@auburnarch/types/SampleId";
+import type { TeamId } from "@auburnarch/types/TeamId";
 import { expect, test } from "vitest";
 import type { ClientAnswer } from "./ClientAnswer.js";
 import type { ClientCall } from "./ClientCall.js";
@@ -35,6 +39,8 @@
     deadlineMs: undefined,
     itemTtlMs: undefined,
     isSingleVersion: false,
+    isAnonymous: false,
+    priority: undefined,
     ...over,
 });
 const table: RoutingTable = {
@@ -47,9 +53,12 @@
         headerTimeoutMs: 1_000,
         idleTimeoutMs: 1_000,
     },
+    teams: undefined,
+    faults: [],
 };
 const lotOf = (id: LotId): Lot => ({
     lot: id,
+    team: undefined,
     host: "a.example",
     path: "/plume/1",
     step: 0 as Lot["step"],
@@ -75,7 +84,8 @@
     const { store, control } = createFakeObjectStore({ clock, random: createRandom(1) });
     const real = createLotStore(store);
     const lots = over.lots?.(real) ?? real;
-    const state = { storeSilentMs: 0, isKnown: true };
+    const state = { storeSilentMs: 0, isKnown: true, routingAgeMs: 0 };
+    const relayedRequests: RelayRequest[] = [];
     const relayed: RelayOutcome = {
         kind: "failed",
         code: resultCodes.noSampler,
@@ -85,7 +95,11 @@
     const gateway = createGateway({
         routing: over.routing ?? (() => table),
         directory: { ...createTestDirectory([]), isKnown: () => state.isKnown },
-        relay: async () => relayed,
+        routingAgeMs: () => state.routingAgeMs,
+        relay: async request => {
+            relayedRequests.push(request);
+            return relayed;
+        },
         lots,
         reader: createLotReader(lots, clock, async () => undefined),
         decodeLot: id => lotOf(id),
@@ -99,7 +113,11 @@
         await clock.advance(5_000);
         return show(await answering);
     };
-    const post = (path: string, requestId = "r-1"): Promise<string> =>
+    const post = (
+        path: string,
+        requestId = "r-1",
+        credential: Credential = { kind: "none" },
+    ): Promise<string> =>
         ask({
             kind: "request",
             request: {
@@ -108,11 +126,13 @@
                 host: "a.example",
                 path,
                 headers: {},
+                credential,
+                credentialHeaders: () => ({ authorization: "as sent" }),
                 deadlineMs: 1_000,
                 readBody: async () => new Uint8Array(),
             },
         });
-    return { gateway, state, control, ask, post };
+    return { gateway, state, control, ask, post, relayedRequests };
 }
 
 const show = (answer: ClientAnswer): string => {
@@ -124,16 +144,17 @@
         : answer.kind;
 };
 const lot = "r-1" as LotId;
+const nobody = { host: "a.example", credential: { kind: "none" } } as const;
 
 test("a job is accepted, read, its item shown, and ended, each as often as it is asked for", async () => {
     const { post, ask } = createFixture();
     const answers = [
         await post("/plume/1"),
         await post("/plume/1"),
-        await ask({ kind: "readLot", lot, after: 0, waitMs: 0 }),
-        await ask({ kind: "readItem", lot, item: "item-1" }),
-        await ask({ kind: "endLot", lot }),
-        await ask({ kind: "endLot", lot }),
+        await ask({ kind: "readLot", ...nobody, lot, after: 0, waitMs: 0 }),
+        await ask({ kind: "readItem", ...nobody, lot, item: "item-1" }),
+        await ask({ kind: "endLot", ...nobody, lot }),
+        await ask({ kind: "endLot", ...nobody, lot }),
     ];
     expect(answers).toEqual(["lotAccepted", "lotAccepted", "page 0 of 1", "lotItem", "lotEnded", "lotEnded"]);
 });
@@ -143,7 +164,7 @@
     const none = createFixture({ routing: () => undefined });
     expect({
         route: await post("/other/1"),
-        lot: await ask({ kind: "readLot", lot: "r-9" as LotId, after: 0, waitMs: 0 }),
+        lot: await ask({ kind: "readLot", ...nobody, lot: "r-9" as LotId, after: 0, waitMs: 0 }),
         id: await post("/plume/1", ""),
         noConfiguration: await none.post("/tiles/1"),
         noSampler: await post("/tiles/1"),
@@ -163,7 +184,9 @@
     const { post, ask, control } = createFixture();
     await post("/plume/1");
     control.setOutage(true);
-    expect(await ask({ kind: "readLot", lot, after: 0, waitMs: 0 })).toBe("503 storeUnavailable 250");
+    expect(await ask({ kind: "readLot", ...nobody, lot, after: 0, waitMs: 0 })).toBe(
+        "503 storeUnavailable 250",
+    );
 });
 
 test("a job whose acceptance is not known is not refused with a promise", async () => {
@@ -194,3 +217,75 @@
     seen.push(gateway.isReady());
     expect(seen).toEqual([true, false, false, true, false]);
 });
+
+const keyOf = (digest: string): Credential => ({ kind: "key", digest: digest as KeyDigest });
+const withTeams: RoutingTable = {
+    ...table,
+    routes: [...table.routes, route({ name: "open", pathPrefix: "/open/", isAnonymous: true })],
+    teams: new Map([
+        ["d-hule" as KeyDigest, { team: "hule" as TeamId, priority: undefined }],
+        ["d-fida" as KeyDigest, { team: "fida" as TeamId, priority: undefined }],
+    ]),
+};
+
+test("a request without a key that the configuration holds is refused at once and reaches no sampler", async () => {
+    const { post, relayedRequests } = createFixture({ routing: () => withTeams });
+    const answers = [
+        await post("/tiles/1"),
+        await post("/tiles/1", "r-2", keyOf("d-nobody")),
+        await post("/tiles/1", "r-3", { kind: "unusable", fault: "more than one credential" }),
+        await post("/plume/1", "r-4", keyOf("d-nobody")),
+    ];
+    expect(answers).toEqual(Array.from({ length: 4 }, () => "401 unknownKey -"));
+    expect(relayedRequests).toEqual([]);
+});
+
+test("a sampler hears the team of the key and never the key", async () => {
+    const { post, relayedRequests } = createFixture({ routing: () => withTeams });
+    await post("/tiles/1", "r-1", keyOf("d-hule"));
+    await post("/open/1", "r-2");
+    await post("/open/1", "r-3", keyOf("d-nobody"));
+    await post("/open/1", "r-4", keyOf("d-fida"));
+    expect(relayedRequests.map(({ team, headers }) => [team, headers])).toEqual([
+        ["hule", {}],
+        [undefined, {}],
+        [undefined, {}],
+        ["fida", {}],
+    ]);
+});
+
+test("where the configuration has no teams a credential is the sampler's business", async () => {
+    const { post, relayedRequests } = createFixture();
+    await post("/tiles/1", "r-1", keyOf("d-hule"));
+    expect(relayedRequests.map(({ team, headers }) => [team, headers])).toEqual([
+        [undefined, { authorization: "as sent" }],
+    ]);
+});
+
+test("a job is its team's: for others there is none, and an end of theirs ends nothing", async () => {
+    const { post, ask } = createFixture({ routing: () => withTeams });
+    await post("/plume/1", "r-1", keyOf("d-hule"));
+    const callsOf = (credential: Credential): Promise<string>[] => {
+        const call = { host: "a.example", credential, lot };
+        return [
+            ask({ kind: "readLot", ...call, after: 0, waitMs: 0 }),
+            ask({ kind: "readItem", ...call, item: "item-1" }),
+            ask({ kind: "endLot", ...call }),
+        ];
+    };
+    expect(await Promise.all(callsOf(keyOf("d-fida")))).toEqual(
+        Array.from({ length: 3 }, () => "404 unknownLot -"),
+    );
+    expect(await Promise.all(callsOf({ kind: "none" }))).toEqual(
+        Array.from({ length: 3 }, () => "401 unknownKey -"),
+    );
+    expect(await Promise.all(callsOf(keyOf("d-hule")))).toEqual(["page 0 of 1", "lotItem", "lotEnded"]);
+});
+
+test("what only a newer configuration may hold is not refused for good by a process that may lack it", async () => {
+    // Guards against: clients of a process that was cut off were told for good that their new key is unknown.
+    const { post, state } = createFixture({ routing: () => withTeams });
+    state.routingAgeMs = 10_000;
+    expect([await post("/tiles/1", "r-1", keyOf("d-new")), await post("/new/1", "r-2", keyOf("d-hule"))])
+        .toEqual(["503 notReady 250", "503 notReady 250"]);
+});
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -1,9 +1,11 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
-import { findRoute } from "@auburnarch/routing/findRoute";
+import type { Credential } from "@auburnarch/routing/Credential";
+import { isRouteOfHost } from "@auburnarch/routing/isRouteOfHost";
 import type { Route } from "@auburnarch/routing/Route";
 import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
+import type { TeamId } from "@auburnarch/types/TeamId";
 import { match } from "ts-pattern";
 import type { ClientAnswer } from "./ClientAnswer.js";
 import type { ClientCall } from "./ClientCall.js";
@@ -11,6 +13,8 @@
 import { createLotDesk } from "./createLotDesk.js";
 import type { Gateway } from "./Gateway.js";
 import type { GatewayDeps } from "./GatewayDeps.js";
+import { requireCaller } from "./requireCaller.js";
+import { requireRoute } from "./requireRoute.js";
 
 /** When a client should come back that was refused because the store is away or nothing is known yet. */
 const retryAfterMs = 250;
@@ -21,6 +25,9 @@
  */
 const storeSilenceMs = 700;
 
+/** Changes are known within two seconds of their acknowledgement; an older copy may lack some. */
+const outdatedAfterMs = 2_500;
+
 /** Makes the gateway of one process. */
 export function createGateway(deps: GatewayDeps): Gateway {
     const { clock, logger, metrics, routing } = deps;
@@ -49,8 +56,19 @@
         return request.requestId;
     }
 
+    /** A newer configuration may hold what an old copy does not: another process can tell, so that is no final answer. */
+    function orNotReady(error: unknown): unknown {
+        const isOld = deps.routingAgeMs() > outdatedAfterMs;
+        const isUnknown = codeOf(error) === resultCodes.unknownRoute
+            || codeOf(error) === resultCodes.unknownKey;
+        return isOld && isUnknown
+            ? new ResultError(resultCodes.notReady, "the configuration here may be out of date")
+            : error;
+    }
+
     async function relayRequest(
         request: ClientRequest,
+        team: TeamId | undefined,
         route: Route,
         table: RoutingTable,
         signal: AbortSignal,
@@ -58,11 +76,14 @@
         const receivedAtMs = clock.monotonicMs();
         const requestId = requireRequestId(request);
         const body = await request.readBody(table.clientLimits.maxBodyBytes);
-        const { method, host, path, headers } = request;
+        const { method, host, path } = request;
+        const headers = table.teams === undefined
+            ? { ...request.headers, ...request.credentialHeaders() }
+            : request.headers;
         const readMs = clock.monotonicMs() - receivedAtMs;
         const deadlineMs = request.deadlineMs === undefined ? undefined : request.deadlineMs - readMs;
         const outcome = await deps.relay(
-            { requestId, route, method, host, path, headers, body, deadlineMs },
+            { requestId, team, route, method, host, path, headers, body, deadlineMs },
             signal,
         );
         return outcome.kind === "answered"
@@ -77,34 +98,51 @@
 
     async function takeRequest(request: ClientRequest, signal: AbortSignal): Promise<ClientAnswer> {
         const table = requireTable();
-        const route = findRoute(table, request.host, request.path);
-        if (route === undefined) {
-            throw new ResultError(
-                resultCodes.unknownRoute,
-                `${request.host}${request.path} in version ${table.version}`,
-            );
-        }
+        const route = requireRoute(table, request);
+        const team = requireCaller(table, request.credential, route.isAnonymous);
         return route.kind === "rollout" && request.method === "POST"
-            ? lots.accept(requireRequestId(request), request, table)
-            : relayRequest(request, route, table, signal);
+            ? lots.accept(requireRequestId(request), team, request, table)
+            : relayRequest(request, team, route, table, signal);
     }
 
-    function dispatch(call: ClientCall, signal: AbortSignal): Promise<ClientAnswer> {
+    /** The path of such a call names a job and no route; a job of a route without keys has no team. */
+    function callerOfLotCall(
+        { host, credential }: { host: string; credential: Credential; },
+    ): TeamId | undefined {
+        const table = requireTable();
+        const isOpen = table.routes.some(route =>
+            route.kind === "rollout" && route.isAnonymous && isRouteOfHost(route, host)
+        );
+        return requireCaller(table, credential, isOpen);
+    }
+
+    /** Without a configuration nobody can be told apart. */
+    async function answerLotCall(
+        call: Exclude<ClientCall, { kind: "request"; }>,
+        signal: AbortSignal,
+    ): Promise<ClientAnswer> {
+        const caller = callerOfLotCall(call);
         return match(call)
-            .with({ kind: "request" }, ({ request }) => takeRequest(request, signal))
-            .with({ kind: "readLot" }, ({ lot, after, waitMs }) => lots.read(lot, after, waitMs, signal))
-            .with({ kind: "readItem" }, ({ lot, item }) => lots.readItem(lot, item))
-            .with({ kind: "endLot" }, ({ lot }) => lots.end(lot))
+            .with(
+                { kind: "readLot" },
+                ({ lot, after, waitMs }) => lots.read(lot, caller, after, waitMs, signal),
+            )
+            .with({ kind: "readItem" }, ({ lot, item }) => lots.readItem(lot, caller, item))
+            .with({ kind: "endLot" }, ({ lot }) => lots.end(lot, caller))
             .exhaustive();
     }
 
+    function dispatch(call: ClientCall, signal: AbortSignal): Promise<ClientAnswer> {
+        return call.kind === "request" ? takeRequest(call.request, signal) : answerLotCall(call, signal);
+    }
+
     const subjectOf = (call: ClientCall): string | undefined =>
         call.kind === "request" ? call.request.requestId : call.lot;
 
     return {
         answer: async (call, signal) => {
             const startedAtMs = clock.monotonicMs();
-            const answer = await dispatch(call, signal).catch(fail);
+            const answer = await dispatch(call, signal).catch((error: unknown) => fail(orNotReady(error)));
             const tookMs = clock.monotonicMs() - startedAtMs;
             const result = answer.kind === "failed" ? answer.code.name : "answered";
             metrics.observeMs("client_calls_ms", { kind: call.kind, result }, tookMs);
--- a/packages/gateway/src/createLotDesk.ts
+++ b/packages/gateway/src/createLotDesk.ts
@@ -3,26 +3,43 @@
 import { ResultError } from "@auburnarch/errors/ResultError";
 import type { LotId } from "@auburnarch/lots/LotId";
 import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
+import type { TeamId } from "@auburnarch/types/TeamId";
 import type { ClientAnswer } from "./ClientAnswer.js";
 import type { ClientRequest } from "./ClientRequest.js";
 import type { GatewayDeps } from "./GatewayDeps.js";
 
-/** Answers what concerns batch jobs. Every call may reject with a `ResultError`. */
+/** Answers what concerns batch jobs, for the caller's team. Every call may reject with a `ResultError`. */
 interface LotDesk {
-    accept(id: string, request: ClientRequest, table: RoutingTable): Promise<ClientAnswer>;
-    read(lot: LotId, after: number, waitMs: number, signal: AbortSignal): Promise<ClientAnswer>;
-    readItem(lot: LotId, item: string): Promise<ClientAnswer>;
-    end(lot: LotId): Promise<ClientAnswer>;
+    accept(
+        id: string,
+        caller: TeamId | undefined,
+        request: ClientRequest,
+        table: RoutingTable,
+    ): Promise<ClientAnswer>;
+    read(
+        lot: LotId,
+        caller: TeamId | undefined,
+        after: number,
+        waitMs: number,
+        signal: AbortSignal,
+    ): Promise<ClientAnswer>;
+    readItem(lot: LotId, caller: TeamId | undefined, item: string): Promise<ClientAnswer>;
+    end(lot: LotId, caller: TeamId | undefined): Promise<ClientAnswer>;
 }
 
 /** Makes the desk of one gateway. */
 export function createLotDesk(deps: GatewayDeps): LotDesk {
     const { clock, logger } = deps;
 
-    async function accept(id: string, request: ClientRequest, table: RoutingTable): Promise<ClientAnswer> {
+    async function accept(
+        id: string,
+        team: TeamId | undefined,
+        request: ClientRequest,
+        table: RoutingTable,
+    ): Promise<ClientAnswer> {
         const startedAtMs = clock.monotonicMs();
         const body = await request.readBody(table.clientLimits.maxBodyBytes);
-        const lot = deps.decodeLot(id as LotId, request.host, request.path, body);
+        const lot = { ...deps.decodeLot(id as LotId, request.host, request.path, body), team };
         try {
             await deps.lots.accept(lot, clock.wallMs());
         }
@@ -33,6 +50,7 @@
         deps.reader.keep(lot);
         logger.info("lotAccepted", {
             lot: id,
+            team,
             policy: lot.policy,
             step: lot.step,
             minVersion: lot.minVersion,
@@ -47,12 +65,13 @@
 
     async function read(
         lot: LotId,
+        caller: TeamId | undefined,
         after: number,
         waitMs: number,
         signal: AbortSignal,
     ): Promise<ClientAnswer> {
         const startedAtMs = clock.monotonicMs();
-        const page = await deps.reader.read(lot, after, waitMs, signal);
+        const page = await deps.reader.read(lot, caller, after, waitMs, signal);
         if (page === undefined) {
             throw new ResultError(resultCodes.unknownLot, lot);
         }
@@ -64,16 +83,20 @@
         return { kind: "lotPage", page };
     }
 
-    async function readItem(lot: LotId, item: string): Promise<ClientAnswer> {
-        const found = await deps.reader.readItem(lot, item);
+    async function readItem(
+        lot: LotId,
+        caller: TeamId | undefined,
+        item: string,
+    ): Promise<ClientAnswer> {
+        const found = await deps.reader.readItem(lot, caller, item);
         if (found === undefined) {
             throw new ResultError(resultCodes.unknownLot, `${lot} item ${item}`);
         }
         return { kind: "lotItem", body: Buffer.from(found.bodyBase64, "base64") };
     }
 
-    async function end(lot: LotId): Promise<ClientAnswer> {
-        if (!await deps.lots.end(lot)) {
+    async function end(lot: LotId, caller: TeamId | undefined): Promise<ClientAnswer> {
+        if (!await deps.lots.end(lot, caller)) {
             throw new ResultError(resultCodes.unknownLot, lot);
         }
         logger.info("lotEnded", { lot });
--- a/packages/gateway/src/createRunnerResults.test.ts
+++ b/packages/gateway/src/createRunnerResults.test.ts
@@ -28,11 +28,11 @@
     return { clock, asked, source };
 }
 
-const known: ResultsAnswer = { kind: "known", total: 4, chunks: [], hasMore: false };
+const known: ResultsAnswer = { kind: "known", total: 4, team: undefined, chunks: [], hasMore: false };
 
 test("the runner that is named is asked, and from then on at once", async () => {
     const { asked, source } = createFixture(port => port === 2 ? known : { kind: "elsewhere", runner: "r2" });
-    expect(await source(lot, 0, 0)).toEqual({ total: 4, chunks: [], hasMore: false });
+    expect(await source(lot, 0, 0)).toEqual({ total: 4, team: undefined, chunks: [], hasMore: false });
     const hops = asked.length;
     await source(lot, 0, 500);
     await source(lot, 1, 500);
--- a/packages/gateway/src/createRunnerResults.ts
+++ b/packages/gateway/src/createRunnerResults.ts
@@ -40,7 +40,7 @@
             return undefined;
         }
         remember(lot, found.runner);
-        const { total, chunks, hasMore } = found.answer;
-        return { total, chunks, hasMore };
+        const { total, team, chunks, hasMore } = found.answer;
+        return { total, team, chunks, hasMore };
     };
 }
--- /dev/null
+++ b/packages/gateway/src/requireCaller.ts
@@ -0,0 +1,28 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
+import type { Credential } from "@auburnarch/routing/Credential";
+import { identifyCaller } from "@auburnarch/routing/identifyCaller";
+import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import { match } from "ts-pattern";
+
+/**
+ * The caller's team, undefined for one that needs no key; throws `unknownKey` for one that needs a key and brings none
+ * that counts. The fault never shows what was sent.
+ */
+export function requireCaller(
+    table: RoutingTable,
+    credential: Credential,
+    mayBeAnonymous: boolean,
+): TeamId | undefined {
+    const caller = identifyCaller(table, credential, mayBeAnonymous);
+    if (caller === undefined) {
+        const fault = match(credential)
+            .with({ kind: "none" }, () => "no key was sent")
+            .with({ kind: "unusable" }, unusable => unusable.fault)
+            .with({ kind: "key" }, () => "no team holds this key")
+            .exhaustive();
+        throw new ResultError(resultCodes.unknownKey, `${fault}; configuration version ${table.version}`);
+    }
+    return caller.kind === "team" ? caller.team.team : undefined;
+}
--- a/packages/lots/src/Lot.ts
+++ b/packages/lots/src/Lot.ts
@@ -1,5 +1,6 @@
 import type { PolicyId } from "@auburnarch/types/PolicyId";
 import type { StepNumber } from "@auburnarch/types/StepNumber";
+import type { TeamId } from "@auburnarch/types/TeamId";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
 import type { LotId } from "./LotId.js";
 import type { LotItem } from "./LotItem.js";
@@ -7,6 +8,8 @@
 /** A batch job as it was submitted. */
 export interface Lot {
     lot: LotId;
+    /** Whose job it is; undefined where it was accepted without a key. */
+    team: TeamId | undefined;
     host: string;
     path: string;
     step: StepNumber;
--- a/packages/lots/src/LotEntry.ts
+++ b/packages/lots/src/LotEntry.ts
@@ -1,8 +1,11 @@
 import type { PolicyId } from "@auburnarch/types/PolicyId";
+import type { TeamId } from "@auburnarch/types/TeamId";
 
 /** What is small about an accepted batch job; runners watch these. */
 export interface LotEntry {
     total: number;
+    /** Whose job it is; undefined where it was accepted without a key. */
+    team: TeamId | undefined;
     /** Wall time of the acceptance. */
     submittedAtMs: number;
     policy: PolicyId | undefined;
--- a/packages/lots/src/LotReader.ts
+++ b/packages/lots/src/LotReader.ts
@@ -1,3 +1,4 @@
+import type { TeamId } from "@auburnarch/types/TeamId";
 import type { Lot } from "./Lot.js";
 import type { LotId } from "./LotId.js";
 import type { LotItem } from "./LotItem.js";
@@ -7,11 +8,17 @@
 export interface LotReader {
     /**
      * Results from position `after` on, waiting up to `waitMs` for the first of them; undefined if there is no such
-     * job.
+     * job of the caller's team.
      */
-    read(lot: LotId, after: number, waitMs: number, signal: AbortSignal): Promise<LotPage | undefined>;
+    read(
+        lot: LotId,
+        caller: TeamId | undefined,
+        after: number,
+        waitMs: number,
+        signal: AbortSignal,
+    ): Promise<LotPage | undefined>;
     /** Notes a job that was accepted here. */
     keep(lot: Lot): void;
-    /** An item as it was submitted; undefined if there is none. */
-    readItem(lot: LotId, item: string): Promise<LotItem | undefined>;
+    /** An item as it was submitted; undefined if there is none of the caller's team. */
+    readItem(lot: LotId, caller: TeamId | undefined, item: string): Promise<LotItem | undefined>;
 }
--- a/packages/lots/src/LotStore.ts
+++ b/packages/lots/src/LotStore.ts
@@ -1,3 +1,4 @@
+import type { TeamId } from "@auburnarch/types/TeamId";
 import type { Lot } from "./Lot.js";
 import type { LotEntry } from "./LotEntry.js";
 import type { LotId } from "./LotId.js";
@@ -15,8 +16,8 @@
     readChunk(lot: LotId, number: number): Promise<ResultChunk | undefined>;
     /** Resolves with the chunk that stands at this number: the given one, or another runner's. */
     appendChunk(lot: LotId, number: number, chunk: ResultChunk): Promise<ResultChunk>;
-    /** Marks a job as ended; false if there is no such job. */
-    end(lot: LotId): Promise<boolean>;
+    /** Marks a job as ended; false if there is no such job of the caller's team. */
+    end(lot: LotId, caller: TeamId | undefined): Promise<boolean>;
     /** Deletes all that is kept of a job, its entry last, so that a deletion that breaks off is taken up again. */
     remove(lot: LotId): Promise<void>;
 }
--- a/packages/lots/src/ResultsAnswer.ts
+++ b/packages/lots/src/ResultsAnswer.ts
@@ -1,3 +1,4 @@
+import type { TeamId } from "@auburnarch/types/TeamId";
 import type { ResultChunk } from "./ResultChunk.js";
 
 /**
@@ -5,6 +6,6 @@
  * no further one yet; `hasMore` if more stand there than one answer holds), which other runner has the job, or that it cannot tell.
  */
 export type ResultsAnswer =
-    | { kind: "known"; total: number; chunks: ResultChunk[]; hasMore: boolean; }
+    | { kind: "known"; total: number; team: TeamId | undefined; chunks: ResultChunk[]; hasMore: boolean; }
     | { kind: "elsewhere"; runner: string; }
     | { kind: "unsure"; };
--- a/packages/lots/src/ResultsSource.ts
+++ b/packages/lots/src/ResultsSource.ts
@@ -1,4 +1,5 @@
 import type { LotId } from "./LotId.js";
+import type { LotOwner } from "./LotOwner.js";
 import type { ResultChunk } from "./ResultChunk.js";
 
 /** Results as the runner of a job tells them; undefined if none can: then the store is to be read. */
@@ -6,4 +7,4 @@
     lot: LotId,
     fromChunk: number,
     waitMs: number,
-) => Promise<{ total: number; chunks: ResultChunk[]; hasMore: boolean; } | undefined>;
+) => Promise<LotOwner & { chunks: ResultChunk[]; hasMore: boolean; } | undefined>;
--- a/packages/lots/src/createLotReader.test.ts
+++ b/packages/lots/src/createLotReader.test.ts
@@ -44,10 +44,10 @@
             await clock.sleep(50);
         }
         const chunks = state.chunks.slice(from, from + state.mostChunks);
-        return { total: 3, chunks, hasMore: from + chunks.length < state.chunks.length };
+        return { total: 3, team: undefined, chunks, hasMore: from + chunks.length < state.chunks.length };
     });
     const read = async (after: number, waitMs: number): Promise<string> => {
-        const reading = reader.read(lot, after, waitMs, signal);
+        const reading = reader.read(lot, undefined, after, waitMs, signal);
         await clock.advance(waitMs + 100);
         return show(await reading);
     };
@@ -59,7 +59,7 @@
     const { clock, state, reader, read } = createFixture();
     state.chunks.push(chunkOf(0, "a"));
     const seen = [await read(0, 0), await read(1, 400)];
-    const waiting = reader.read(lot, 1, 1_000, signal);
+    const waiting = reader.read(lot, undefined, 1, 1_000, signal);
     await clock.advance(200);
     state.chunks.push(chunkOf(1, "b"));
     await clock.advance(100);
@@ -80,11 +80,11 @@
 
 test("readers who wait and readers who do not add each chunk once", async () => {
     const { clock, state, reader } = createFixture();
-    const waiting = reader.read(lot, 0, 1_000, signal);
+    const waiting = reader.read(lot, undefined, 0, 1_000, signal);
     await clock.advance(100);
     state.chunks.push(chunkOf(0, "a"));
-    const [now] = await Promise.all([reader.read(lot, 0, 0, signal), clock.advance(200)]);
-    expect([show(now), show(await waiting), show(await reader.read(lot, 0, 0, signal))]).toEqual([
+    const [now] = await Promise.all([reader.read(lot, undefined, 0, 0, signal), clock.advance(200)]);
+    expect([show(now), show(await waiting), show(await reader.read(lot, undefined, 0, 0, signal))]).toEqual([
         "a>1",
         "a>1",
         "a>1",
--- a/packages/lots/src/createLotReader.ts
+++ b/packages/lots/src/createLotReader.ts
@@ -1,16 +1,17 @@
 import type { Clock } from "@auburnarch/types/Clock";
 import { createLotBodies } from "./createLotBodies.js";
 import type { LotId } from "./LotId.js";
+import type { LotOwner } from "./LotOwner.js";
 import type { LotPage } from "./LotPage.js";
 import type { LotReader } from "./LotReader.js";
 import type { LotResult } from "./LotResult.js";
 import type { LotStore } from "./LotStore.js";
+import { mayUseLot } from "./mayUseLot.js";
 import type { ResultChunk } from "./ResultChunk.js";
 import type { ResultsSource } from "./ResultsSource.js";
 
 /** One job as far as it was read here. Results never change, so they are kept as they come. */
-interface Copy {
-    total: number;
+interface Copy extends LotOwner {
     results: LotResult[];
     /** Chunks read so far; the number of the next one. */
     chunks: number;
@@ -85,14 +86,15 @@
             return present;
         }
         const told = await source(lot, 0, 0);
-        const total = told?.total ?? (await lots.readEntry(lot))?.total;
-        if (total === undefined) {
+        const owner = told ?? await lots.readEntry(lot);
+        if (owner === undefined) {
             return undefined;
         }
         let copy = copies.get(lot);
         if (copy === undefined) {
             copy = {
-                total,
+                total: owner.total,
+                team: owner.team,
                 results: [],
                 chunks: 0,
                 lookedAtMs: clock.monotonicMs(),
@@ -162,9 +164,9 @@
     }
 
     return {
-        read: async (lot, after, waitMs, signal) => {
+        read: async (lot, caller, after, waitMs, signal) => {
             const copy = await open(lot);
-            if (copy === undefined) {
+            if (copy === undefined || !mayUseLot(copy.team, caller)) {
                 return undefined;
             }
             const untilMs = clock.monotonicMs() + waitMs;
@@ -188,9 +190,11 @@
             return pageOf(copy, after);
         },
         keep: bodies.keep,
-        readItem: async (lot, item) => {
+        readItem: async (lot, caller, item) => {
             const found = await bodies.read(lot);
-            return found?.items.find(each => each.item === item);
+            return found === undefined || !mayUseLot(found.team, caller)
+                ? undefined
+                : found.items.find(each => each.item === item);
         },
     };
 }
--- a/packages/lots/src/createLotStore.test.ts
+++ b/packages/lots/src/createLotStore.test.ts
@@ -29,7 +29,7 @@
     await here.accept(job, 5);
     await here.accept(job, 6);
     const accepted = calls();
-    expect([await here.end(lot), await here.end(lot)]).toEqual([true, true]);
+    expect([await here.end(lot, undefined), await here.end(lot, undefined)]).toEqual([true, true]);
     expect([accepted, calls()]).toEqual([2, 3]);
     expect(await here.readEntry(lot)).toMatchObject({ total: 2, isEnded: true, submittedAtMs: 5 });
 });
@@ -37,8 +37,8 @@
 test("an end at another gateway is found before the entry is changed once more", async () => {
     const { here, elsewhere } = createFixture();
     await here.accept(job, 5);
-    expect([await elsewhere.end(lot), await here.end(lot)]).toEqual([true, true]);
-    expect(await elsewhere.end("lot-2" as LotId)).toBe(false);
+    expect([await elsewhere.end(lot, undefined), await here.end(lot, undefined)]).toEqual([true, true]);
+    expect(await elsewhere.end("lot-2" as LotId, undefined)).toBe(false);
 });
 
 test("an end whose answer is lost is read back before it is told", async () => {
@@ -46,9 +46,9 @@
     const { control, here, elsewhere } = createFixture();
     await here.accept(job, 5);
     control.setOutage(true);
-    await expect(here.end(lot)).rejects.toThrow();
+    await expect(here.end(lot, undefined)).rejects.toThrow();
     control.setOutage(false);
     expect((await elsewhere.readEntry(lot))?.isEnded).toBe(false);
-    expect(await here.end(lot)).toBe(true);
+    expect(await here.end(lot, undefined)).toBe(true);
     expect((await elsewhere.readEntry(lot))?.isEnded).toBe(true);
 });
--- a/packages/lots/src/createLotStore.ts
+++ b/packages/lots/src/createLotStore.ts
@@ -3,6 +3,7 @@
 import { ResultError } from "@auburnarch/errors/ResultError";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
 import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { TeamId } from "@auburnarch/types/TeamId";
 import type { z } from "zod";
 import { createKnownEntries } from "./createKnownEntries.js";
 import type { LotEntry } from "./LotEntry.js";
@@ -11,6 +12,7 @@
 import { lotKinds } from "./lotKinds.js";
 import { lotSchemas } from "./lotSchemas.js";
 import type { LotStore } from "./LotStore.js";
+import { mayUseLot } from "./mayUseLot.js";
 
 const absent = 0 as ObjectVersion;
 /** Tries to mark a job as ended while another writer changes its entry. */
@@ -82,10 +84,10 @@
         return outcome.kind === "written";
     }
 
-    async function tryEnd(lot: LotId): Promise<"done" | "unknown" | "raced"> {
+    async function tryEnd(lot: LotId, caller: TeamId | undefined): Promise<"done" | "unknown" | "raced"> {
         const entry = known.get(lot)?.entry ?? await readEntry(lot);
         const found = known.get(lot);
-        if (entry === undefined || found === undefined) {
+        if (entry === undefined || found === undefined || !mayUseLot(entry.team, caller)) {
             return "unknown";
         }
         if (entry.isEnded) {
@@ -122,9 +124,10 @@
                 return;
             }
             await store.write(bodyKey(lot.lot), lot, absent);
-            const { items, policy } = lot;
+            const { items, team, policy } = lot;
             await createEntry(lot.lot, {
                 total: items.length,
+                team,
                 submittedAtMs,
                 policy,
                 expectedTokens: expectedTokensOf(items),
@@ -139,9 +142,9 @@
             const outcome = await store.write(key, chunk, absent);
             return outcome.kind === "written" ? chunk : parse(lotSchemas.chunk, key, outcome.current?.value);
         },
-        end: async lot => {
+        end: async (lot, caller) => {
             for (let tries = 0; tries < endTries; tries++) {
-                const ended = await tryEnd(lot);
+                const ended = await tryEnd(lot, caller);
                 if (ended !== "raced") {
                     return ended === "done";
                 }
--- a/packages/lots/src/lotSchemas.ts
+++ b/packages/lots/src/lotSchemas.ts
@@ -1,6 +1,7 @@
 import type { PolicyId } from "@auburnarch/types/PolicyId";
 import type { SampleId } from "@auburnarch/types/SampleId";
 import type { StepNumber } from "@auburnarch/types/StepNumber";
+import type { TeamId } from "@auburnarch/types/TeamId";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
 import { z } from "zod";
 import type { LotId } from "./LotId.js";
@@ -8,6 +9,7 @@
 const count = z.number().int().nonnegative();
 const version = count.transform(value => value as WeightVersion);
 const policy = z.string().transform(value => value as PolicyId).optional();
+const team = z.string().transform(value => value as TeamId).optional();
 const sample = z.string().transform(value => value as SampleId);
 const reward = z.object({
     requestId: z.string(),
@@ -50,13 +52,20 @@
 export const lotSchemas = {
     entry: z.object({
         total: count,
+        team,
         submittedAtMs: z.number(),
         policy,
         expectedTokens: z.number().nonnegative().optional(),
         isEnded: z.boolean(),
-    }).transform(value => ({ ...value, policy: value.policy, expectedTokens: value.expectedTokens })),
+    }).transform(value => ({
+        ...value,
+        team: value.team,
+        policy: value.policy,
+        expectedTokens: value.expectedTokens,
+    })),
     lot: z.object({
         lot: z.string().transform(value => value as LotId),
+        team,
         host: z.string(),
         path: z.string(),
         step: count.transform(value => value as StepNumber),
@@ -64,7 +73,12 @@
         minVersion: version,
         neededGroups: count.optional(),
         items: z.array(item),
-    }).transform(value => ({ ...value, policy: value.policy, neededGroups: value.neededGroups })),
+    }).transform(value => ({
+        ...value,
+        team: value.team,
+        policy: value.policy,
+        neededGroups: value.neededGroups,
+    })),
     chunk,
     /** What a gateway asks a runner. */
     resultsQuery: z.object({
@@ -74,7 +88,13 @@
     }),
     /** What a runner answers; see `ResultsAnswer`. */
     resultsAnswer: z.discriminatedUnion("kind", [
-        z.object({ kind: z.literal("known"), total: count, chunks: z.array(chunk), hasMore: z.boolean() }),
+        z.object({
+            kind: z.literal("known"),
+            total: count,
+            team,
+            chunks: z.array(chunk),
+            hasMore: z.boolean(),
+        }).transform(value => ({ ...value, team: value.team })),
         z.object({ kind: z.literal("elsewhere"), runner: z.string() }),
         z.object({ kind: z.literal("unsure") }),
     ]),
--- a/packages/relay/src/RelayRequest.ts
+++ b/packages/relay/src/RelayRequest.ts
@@ -1,8 +1,11 @@
 import type { Route } from "@auburnarch/routing/Route";
+import type { TeamId } from "@auburnarch/types/TeamId";
 
 /** A caller's request with its route. */
 export interface RelayRequest {
     requestId: string;
+    /** Whose request it is; undefined where callers need no key. */
+    team: TeamId | undefined;
     route: Route;
     method: string;
     host: string;
--- a/packages/relay/src/SamplerRequest.ts
+++ b/packages/relay/src/SamplerRequest.ts
@@ -1,10 +1,13 @@
 import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
+import type { TeamId } from "@auburnarch/types/TeamId";
 
 /** A request as it is sent to one sampler. */
 export interface SamplerRequest {
     sampler: KnownSampler;
     /** The caller's id of the request, which the sampler echoes. */
     requestId: string;
+    /** Whose request it is; undefined where callers need no key. */
+    team: TeamId | undefined;
     method: string;
     host: string;
     /** Path and query. */
--- a/packages/relay/src/createBreakMemory.test.ts
+++ b/packages/relay/src/createBreakMemory.test.ts
@@ -82,6 +82,7 @@
         const body = Buffer.from(text);
         const asked = {
             requestId: `${text}${at}`,
+            team: undefined,
             route,
             method: "POST",
             host: "a",
--- a/packages/relay/src/createRelay.test.ts
+++ b/packages/relay/src/createRelay.test.ts
@@ -54,6 +54,7 @@
         const caller = new AbortController();
         const request = {
             requestId: "q",
+            team: undefined,
             route,
             method: "POST",
             host: "a",
--- a/packages/relay/src/createSamplerTries.ts
+++ b/packages/relay/src/createSamplerTries.ts
@@ -92,8 +92,8 @@
                 noteUnlisted(request, sampler);
             }
             const sentAtMs = noteStart(record, clock.monotonicMs());
-            const { requestId, method, host, path, headers, body, route } = request;
-            const sent = { sampler, requestId, method, host, path, headers, body, budgetMs };
+            const { requestId, team, method, host, path, headers, body, route } = request;
+            const sent = { sampler, requestId, team, method, host, path, headers, body, budgetMs };
             const reply = await deps.callSampler(sent, signal);
             let tried: Tried;
             if (reply.kind !== "answered") {
--- a/packages/relay/src/killingRequest.test.ts
+++ b/packages/relay/src/killingRequest.test.ts
@@ -48,6 +48,7 @@
         const body = Buffer.from("killer");
         const request = {
             requestId: `q${sent}`,
+            team: undefined,
             route,
             method: "POST",
             host: "a",
--- a/packages/relay/src/testing/createTestRoute.ts
+++ b/packages/relay/src/testing/createTestRoute.ts
@@ -16,6 +16,8 @@
         deadlineMs: undefined,
         itemTtlMs: undefined,
         isSingleVersion: false,
+        isAnonymous: false,
+        priority: undefined,
         ...over,
     };
 }
--- a/packages/routing/src/RoutingTable.ts
+++ b/packages/routing/src/RoutingTable.ts
@@ -1,8 +1,11 @@
 import type { ConfigVersion } from "@auburnarch/types/ConfigVersion";
+import type { KeyDigest } from "@auburnarch/types/KeyDigest";
 import type { ServiceId } from "@auburnarch/types/ServiceId";
 import type { ClientLimits } from "./ClientLimits.js";
+import type { ConfigurationFault } from "./ConfigurationFault.js";
 import type { Route } from "./Route.js";
 import type { ServiceLimits } from "./ServiceLimits.js";
+import type { Team } from "./Team.js";
 
 /** One version of the routing configuration. */
 export interface RoutingTable {
@@ -10,4 +13,8 @@
     routes: Route[];
     services: Map<ServiceId, ServiceLimits>;
     clientLimits: ClientLimits;
+    /** Teams by the digest of each of their keys; undefined where callers need no key. */
+    teams: ReadonlyMap<KeyDigest, Team> | undefined;
+    /** What was left out. */
+    faults: ConfigurationFault[];
 }
--- a/packages/routing/src/ServiceLimits.ts
+++ b/packages/routing/src/ServiceLimits.ts
@@ -10,4 +10,6 @@
     policies: PolicyId[];
     /** Tokens that its engines put into one event of a stream. */
     tokensPerEvent: number;
+    /** The operator wants its samplers ordered by need, which is not done here. */
+    wantsOrderedSamplers: boolean;
 }
--- a/packages/routing/src/routing.test.ts
+++ b/packages/routing/src/routing.test.ts
@@ -22,6 +22,8 @@
     deadlineMs: undefined,
     itemTtlMs: undefined,
     isSingleVersion: false,
+    isAnonymous: false,
+    priority: undefined,
 });
 
 const table = {
@@ -33,6 +35,8 @@
     ],
     services: new Map(),
     clientLimits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    teams: undefined,
+    faults: [],
 };
 
 test("the longest prefix of the host wins, and another host's routes never do", () => {
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -22,7 +22,7 @@
 import { sentByPeers } from "./peers/sentByPeers.js";
 import { createResultBook } from "./results/createResultBook.js";
 import { createRivals } from "./results/createRivals.js";
-import { endedTotal } from "./results/endedTotal.js";
+import { endedEntry } from "./results/endedEntry.js";
 import { holderOf } from "./results/holderOf.js";
 import { isSoleWriter } from "./results/isSoleWriter.js";
 import { readerOf } from "./results/readerOf.js";
@@ -47,7 +47,7 @@
         lots,
         holderOf: lot => holderOf(lot, peers()),
         readerOf: lot => readerOf(lot, deps.name, peers()),
-        endedTotal: lot => endedTotal(deps.entries, lot),
+        endedEntry: lot => endedEntry(deps.entries, lot),
         isSoleWriter: lot => deps.storeSilentMs() === 0 && isSoleWriter(lot, peers()),
         clock: deps.clock,
     });
--- a/packages/runner/src/items/createItemSidecar.ts
+++ b/packages/runner/src/items/createItemSidecar.ts
@@ -119,6 +119,7 @@
         const reply = await deps.callSampler({
             sampler,
             requestId: item.item,
+            team: lot.team,
             method: "POST",
             host: lot.host,
             path: item.path,
--- a/packages/runner/src/items/createScoreItem.ts
+++ b/packages/runner/src/items/createScoreItem.ts
@@ -44,6 +44,7 @@
                 const body = Buffer.from(call.bodyBase64, "base64");
                 const request = {
                     requestId,
+                    team: undefined,
                     route,
                     method: "POST",
                     host,
--- a/packages/runner/src/jobs/createLotRun.ts
+++ b/packages/runner/src/jobs/createLotRun.ts
@@ -83,7 +83,7 @@
         }
     }
 
-    book.open(lotId, entry.total);
+    book.open(lotId, entry);
     void start();
     return {
         isComplete: () => recorder.recorded() >= entry.total,
--- a/packages/runner/src/results/BookPage.ts
+++ b/packages/runner/src/results/BookPage.ts
@@ -1,8 +1,8 @@
+import type { LotOwner } from "@auburnarch/lots/LotOwner";
 import type { ResultChunk } from "@auburnarch/lots/ResultChunk";
 
 /** Results of one job, as far as they are known here. */
-export interface BookPage {
-    total: number;
+export interface BookPage extends LotOwner {
     chunks: ResultChunk[];
     results: number;
     isLoaded: boolean;
--- a/packages/runner/src/results/ResultBook.ts
+++ b/packages/runner/src/results/ResultBook.ts
@@ -1,11 +1,12 @@
 import type { LotId } from "@auburnarch/lots/LotId";
+import type { LotOwner } from "@auburnarch/lots/LotOwner";
 import type { ResultChunk } from "@auburnarch/lots/ResultChunk";
 import type { ResultsAnswer } from "@auburnarch/lots/ResultsAnswer";
 
 /** Results of the jobs that run or ran here, for gateways that ask. */
 export interface ResultBook {
     /** A run of the job starts here; what stands in the store is not known yet. */
-    open(lot: LotId, total: number): void;
+    open(lot: LotId, owner: LotOwner): void;
     note(lot: LotId, number: number, chunk: ResultChunk): void;
     /** All chunks that stood in the store when the run started have been noted. */
     markLoaded(lot: LotId): void;
--- a/packages/runner/src/results/createBookPages.ts
+++ b/packages/runner/src/results/createBookPages.ts
@@ -1,4 +1,5 @@
 import type { LotId } from "@auburnarch/lots/LotId";
+import type { LotOwner } from "@auburnarch/lots/LotOwner";
 import type { ResultChunk } from "@auburnarch/lots/ResultChunk";
 import type { BookPage } from "./BookPage.js";
 import { charsOf } from "./charsOf.js";
@@ -7,7 +8,7 @@
 interface BookPages {
     get(lot: LotId): BookPage | undefined;
     /** Begins a page anew, for a job that runs here. */
-    open(lot: LotId, total: number): BookPage;
+    open(lot: LotId, owner: LotOwner): BookPage;
     /** Adds a chunk where it is the next one. */
     add(page: BookPage, number: number, chunk: ResultChunk): void;
     delete(lot: LotId): void;
@@ -54,9 +55,10 @@
 
     return {
         get: lot => pages.get(lot),
-        open: (lot, total) => {
+        open: (lot, { total, team }) => {
             const page: BookPage = {
                 total,
+                team,
                 chunks: [],
                 results: 0,
                 isLoaded: false,
--- a/packages/runner/src/results/createResultBook.test.ts
+++ b/packages/runner/src/results/createResultBook.test.ts
@@ -2,6 +2,7 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import type { LotId } from "@auburnarch/lots/LotId";
+import type { LotOwner } from "@auburnarch/lots/LotOwner";
 import type { LotResult } from "@auburnarch/lots/LotResult";
 import type { ResultChunk } from "@auburnarch/lots/ResultChunk";
 import type { ResultsAnswer } from "@auburnarch/lots/ResultsAnswer";
@@ -29,7 +30,7 @@
         holder: undefined as string | undefined,
         stored: [] as ResultChunk[],
         isAway: false,
-        endedTotal: undefined as number | undefined,
+        endedEntry: undefined as LotOwner | undefined,
         reader: undefined as string | undefined,
         reads: 0,
     };
@@ -45,7 +46,7 @@
         },
         isSoleWriter: () => state.isSoleWriter,
         holderOf: () => state.holder,
-        endedTotal: () => state.endedTotal,
+        endedEntry: () => state.endedEntry,
         readerOf: () => state.reader,
         clock,
     });
@@ -73,7 +74,7 @@
 test("chunks are told from memory as they come, and the end of a job after its run", async () => {
     const { clock, state, book, append, ask } = createFixture();
     expect(await ask(0)).toBe('{"kind":"unsure"}');
-    book.open(lot, 3);
+    book.open(lot, { total: 3, team: undefined });
     expect(await ask(0)).toBe('{"kind":"unsure"}');
     book.markLoaded(lot);
     append("a");
@@ -89,7 +90,7 @@
 test("a runner that another may have replaced asks the store before it says that there is nothing more", async () => {
     // Guards against: a position that one gateway had shown was missing at another.
     const { clock, state, book, append, ask } = createFixture();
-    book.open(lot, 9);
+    book.open(lot, { total: 9, team: undefined });
     book.markLoaded(lot);
     append("a");
     state.isSoleWriter = false;
@@ -106,7 +107,7 @@
 test("a runner whose rival has had the job asks the store once before it is sure again", async () => {
     // Guards against: three results that one gateway had shown for a second were missing at another.
     const { state, book, append, ask } = createFixture();
-    book.open(lot, 9);
+    book.open(lot, { total: 9, team: undefined });
     book.markLoaded(lot);
     append("a");
     expect([await ask(1), state.reads]).toEqual(["/9", 0]);
@@ -147,7 +148,7 @@
     const { clock, state, ask } = createFixture();
     state.stored = [chunkOf(0, "a"), chunkOf(1, "b", "c")];
     expect([await ask(0), state.reads]).toEqual(['{"kind":"unsure"}', 0]);
-    state.endedTotal = 3;
+    state.endedEntry = { total: 3, team: undefined };
     state.reader = "r2";
     expect([await ask(0), state.reads]).toEqual(['{"kind":"elsewhere","runner":"r2"}', 0]);
     state.reader = undefined;
@@ -159,7 +160,7 @@
 test("a job that is over but not whole is looked behind again, and one that can't be read is not told", async () => {
     const { clock, state, ask } = createFixture();
     state.stored = [chunkOf(0, "a")];
-    state.endedTotal = 3;
+    state.endedEntry = { total: 3, team: undefined };
     state.isAway = true;
     expect(await ask(0)).toBe('{"kind":"unsure"}');
     state.isAway = false;
@@ -172,7 +173,7 @@
 
 test("a job that another runner has is asked for there", async () => {
     const { state, book, append, ask } = createFixture();
-    book.open(lot, 2);
+    book.open(lot, { total: 2, team: undefined });
     book.markLoaded(lot);
     append("a");
     state.holder = "r2";
@@ -184,7 +185,7 @@
 test("several chunks that another runner recorded are all asked for", async () => {
     // Guards against: the last position of a whole job was missing at one gateway.
     const { state, book, append, ask } = createFixture();
-    book.open(lot, 4);
+    book.open(lot, { total: 4, team: undefined });
     book.markLoaded(lot);
     append("a");
     book.close(lot);
--- a/packages/runner/src/results/createResultBook.ts
+++ b/packages/runner/src/results/createResultBook.ts
@@ -1,4 +1,5 @@
 import type { LotId } from "@auburnarch/lots/LotId";
+import type { LotOwner } from "@auburnarch/lots/LotOwner";
 import type { LotStore } from "@auburnarch/lots/LotStore";
 import type { ResultChunk } from "@auburnarch/lots/ResultChunk";
 import type { ResultsAnswer } from "@auburnarch/lots/ResultsAnswer";
@@ -14,8 +15,8 @@
     isSoleWriter: (lot: LotId) => boolean;
     /** The other runner that runs a job. */
     holderOf: (lot: LotId) => string | undefined;
-    /** Items of a job that is over; undefined for any other. */
-    endedTotal: (lot: LotId) => number | undefined;
+    /** A job that is over; undefined for any other. */
+    endedEntry: (lot: LotId) => LotOwner | undefined;
     /** The runner that reads a job for all that nobody holds any more; undefined if that is this one. */
     readerOf: (lot: LotId) => string | undefined;
     clock: Clock;
@@ -109,11 +110,11 @@
      * each job from the store.
      */
     async function loadEnded(lot: LotId): Promise<BookPage | undefined> {
-        const total = deps.endedTotal(lot);
-        if (total === undefined) {
+        const ended = deps.endedEntry(lot);
+        if (ended === undefined) {
             return undefined;
         }
-        const page = pages.open(lot, total);
+        const page = pages.open(lot, ended);
         page.isRunning = false;
         page.loading = readAll(lot, page);
         const isRead = await page.loading;
@@ -124,10 +125,10 @@
     }
 
     const toReader = (lot: LotId, page: BookPage | undefined): string | undefined =>
-        page === undefined && deps.endedTotal(lot) !== undefined ? deps.readerOf(lot) : undefined;
+        page === undefined && deps.endedEntry(lot) !== undefined ? deps.readerOf(lot) : undefined;
 
     return {
-        open: (lot, total) => void pages.open(lot, total),
+        open: (lot, owner) => void pages.open(lot, owner),
         note: (lot, number, chunk) => {
             const page = pages.get(lot);
             if (page !== undefined) {
@@ -174,7 +175,7 @@
             const standing = page.chunks.slice(fromChunk);
             const chunks = takeFitting(standing);
             const isLast = chunks.length === standing.length && (chunks.length === 0 || isEnd(lot, page));
-            return { kind: "known", total: page.total, chunks, hasMore: !isLast };
+            return { kind: "known", total: page.total, team: page.team, chunks, hasMore: !isLast };
         },
     };
 }
--- a/packages/runner/src/weights/shareSamplers.test.ts
+++ b/packages/runner/src/weights/shareSamplers.test.ts
@@ -7,6 +7,7 @@
 const plume = "plume" as PolicyId;
 const entry = (submittedAtMs: number, expectedTokens: number | undefined, policy = plume): LotEntry => ({
     total: 8,
+    team: undefined,
     submittedAtMs,
     policy,
     expectedTokens,
