Report the use of each window, counted at gateways and sent by the holder of the duties

Gateways count the requests of teams that began to run by window of true time and tell a runner beside the question for the configuration; the holder of the duties collects the counts beside its probes, records a report in the store before it sends it, and sends the same again until it is due. The duties of loads and reports share one lease, whose holder is now `duties/createDutyHolder`.

Property test (`runner/usage/usageProtocol`): runners that pause, end, lose answers and whose clocks jump, and runners that all believe to hold the duty; taking a conflict of the ledger for a success makes it fail. Taking away the hand-over time does not: the lease alone keeps holders apart in these runs. Whole path: daemon/usage.

--- /dev/null
+++ b/packages/account/src/createStartMeter.ts
@@ -0,0 +1,53 @@
+import type { Clock } from "@auburnarch/types/Clock";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import type { TrueTime } from "@auburnarch/types/TrueTime";
+import type { StartCount } from "./StartCount.js";
+import type { StartMeter } from "./StartMeter.js";
+
+interface StartMeterDeps {
+    /** Unique to the start of the process. */
+    source: string;
+    windowMs: number;
+    trueTime: TrueTime;
+    clock: Clock;
+}
+
+/** Windows that are told: those that may not be reported yet, and a few more for a new holder of the duty. */
+const keptWindows = 6;
+
+/** Makes the meter of one process. What it tells only grows, so that its reports may be repeated and disordered. */
+export function createStartMeter({ source, windowMs, trueTime, clock }: StartMeterDeps): StartMeter {
+    const counts = new Map<string, StartCount>();
+    const open = new Map<symbol, number>();
+
+    function count(team: TeamId, startedAtMs: number): void {
+        const window = Math.floor(trueTime.atMs(startedAtMs) / windowMs);
+        const key = `${window} ${team}`;
+        const present = counts.get(key) ?? { window, team, requests: 0 };
+        counts.set(key, { ...present, requests: present.requests + 1 });
+    }
+
+    function dropOld(nowMs: number): void {
+        const oldest = Math.floor(nowMs / windowMs) - keptWindows;
+        [...counts].filter(([, { window }]) => window < oldest).forEach(([key]) => counts.delete(key));
+    }
+
+    return {
+        open: team => {
+            const request = Symbol(team);
+            open.set(request, clock.monotonicMs());
+            return startedAtMs => {
+                if (open.delete(request) && startedAtMs !== undefined) {
+                    count(team, startedAtMs);
+                }
+            };
+        },
+        report: () => {
+            const nowMs = trueTime.nowMs();
+            dropOld(nowMs);
+            const oldestOpenMs = Math.min(...open.values());
+            const countedUntilMs = Math.min(nowMs, trueTime.atMs(oldestOpenMs));
+            return { source, countedUntilMs, counts: [...counts.values()] };
+        },
+    };
+}
--- a/packages/account/src/mergeUsage.ts
+++ b/packages/account/src/mergeUsage.ts
@@ -1,20 +1,10 @@
 import type { UsageCounter } from "@auburnarch/types/UsageCounter";
+import { mergeByMaximum } from "./mergeByMaximum.js";
 import { usageKey } from "./usageKey.js";
 
-/**
- * Merges reports by the maximum of each counter, keyed by sampler, incarnation, team and job. Repeated, late and
- * disordered reports change nothing: adding them up instead would charge a team twice for one report.
- */
+/** Merges reports of sidecars, keyed by sampler, incarnation, team and job. */
 export function mergeUsage(...reports: Iterable<UsageCounter>[]): UsageCounter[] {
-    const merged = new Map<string, UsageCounter>();
-    for (const report of reports) {
-        for (const counter of report) {
-            const key = usageKey(counter);
-            const present = merged.get(key);
-            merged.set(key, present === undefined ? { ...counter } : maximum(present, counter));
-        }
-    }
-    return [...merged.values()];
+    return mergeByMaximum(usageKey, maximum, ...reports);
 }
 
 function maximum(a: UsageCounter, b: UsageCounter): UsageCounter {
--- a/packages/config/src/roleSettingsSchema.ts
+++ b/packages/config/src/roleSettingsSchema.ts
@@ -23,6 +23,13 @@
     orderHandOverMs: milliseconds,
     gracePeriodMs: milliseconds,
     lotRetentionMs: milliseconds.default(120_000),
+    /** Where the use of teams is reported; left out, it is not counted. */
+    usage: z.strictObject({
+        address,
+        windowS: z.number().positive(),
+        /** A report is due this long after the end of its window. */
+        dueS: z.number().nonnegative(),
+    }).optional(),
     maxLoadingSamplers: z.int().min(1).optional(),
     logLevel: z.enum(["info", "warn", "error"]).default("info"),
 });
--- /dev/null
+++ b/packages/daemon/src/createFeedExtras.ts
@@ -0,0 +1,39 @@
+import { createStartBook } from "@auburnarch/account/createStartBook";
+import { createStartMeter } from "@auburnarch/account/createStartMeter";
+import { createClockVote } from "@auburnarch/clock/createClockVote";
+import { createToldTime } from "@auburnarch/clock/createToldTime";
+import { createBreakMemory } from "@auburnarch/relay/createBreakMemory";
+import type { FeedExtras } from "./FeedExtras.js";
+import type { RoleContext } from "./RoleContext.js";
+
+/** How often the clock's distance from true time is shown. */
+const showIntervalMs = 1_000;
+
+/**
+ * Makes what a process tells and hears along with changes of the store. Gateways count what begins to run and hear the
+ * true time; runners agree on it by their clocks and keep the counts.
+ */
+export function createFeedExtras({ settings, clock, random, metrics }: RoleContext): FeedExtras {
+    const { role, usage } = settings;
+    const isRunner = role === "runner";
+    const trueTime = isRunner ? createClockVote(clock) : createToldTime(clock);
+    const source = random.fork().nextId();
+    const meter = usage === undefined || isRunner
+        ? undefined
+        : createStartMeter({ source, windowMs: usage.windowS * 1_000, trueTime, clock });
+
+    function show(): void {
+        metrics.set("clock_ahead_of_true_time_ms", {}, clock.wallMs() - trueTime.nowMs());
+        clock.startTimer(showIntervalMs, show);
+    }
+
+    if (usage !== undefined) {
+        show();
+    }
+    return {
+        breaks: createBreakMemory(clock),
+        trueTime,
+        meter,
+        starts: usage === undefined || !isRunner ? undefined : createStartBook(clock),
+    };
+}
--- a/packages/daemon/src/createPeerAnswers.test.ts
+++ b/packages/daemon/src/createPeerAnswers.test.ts
@@ -1,4 +1,5 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createToldTime } from "@auburnarch/clock/createToldTime";
 import { codeOf } from "@auburnarch/errors/codeOf";
 import type { LotId } from "@auburnarch/lots/LotId";
 import { createBreakMemory } from "@auburnarch/relay/createBreakMemory";
@@ -23,7 +24,7 @@
             return { kind: "elsewhere", runner: "r2" };
         },
     }),
-    breaks,
+    extras: { breaks, trueTime: createToldTime(createFakeClock()), meter: undefined, starts: undefined },
 });
 
 test("each call reaches the part that answers it, and no other is answered", async () => {
--- a/packages/daemon/src/createPeerAnswers.ts
+++ b/packages/daemon/src/createPeerAnswers.ts
@@ -3,34 +3,44 @@
 import { lotSchemas } from "@auburnarch/lots/lotSchemas";
 import type { FeedHub } from "@auburnarch/peers/FeedHub";
 import { feedSchemas } from "@auburnarch/peers/feedSchemas";
-import type { BreakMemory } from "@auburnarch/relay/BreakMemory";
+import { statusQuerySchema } from "@auburnarch/runner/peers/statusQuerySchema";
 import type { Runner } from "@auburnarch/runner/Runner";
 import { match } from "ts-pattern";
 import { breaksToldMs } from "./breaksToldMs.js";
+import type { FeedExtras } from "./FeedExtras.js";
+import { feedExtrasSchemas } from "./feedExtrasSchemas.js";
 import { rpcMethods } from "./rpcMethods.js";
 
 interface PeerAnswersDeps {
     /** Both are asked for at each call: they are made after the process listens. */
     runner: () => Pick<Runner, "status" | "results">;
     hub: () => Pick<FeedHub, "answer">;
-    breaks: BreakMemory;
+    extras: FeedExtras;
 }
 
 /** Answers the calls of gateways and other runners; rejects with `badRequest` for a method that it does not know. */
 export function createPeerAnswers(
-    { runner, hub, breaks }: PeerAnswersDeps,
+    { runner, hub, extras: { breaks, starts, trueTime } }: PeerAnswersDeps,
 ): (method: string, params: unknown) => Promise<unknown> {
     async function answerFeed(params: unknown): Promise<unknown> {
         const query = feedSchemas.query.parse(params);
         breaks.learn(feedSchemas.breaks.parse(params).breaks);
+        const report = feedExtrasSchemas.query.parse(params).starts;
+        if (report !== undefined) {
+            starts?.learn(report);
+        }
         const answer = await hub().answer(query);
         const marks = breaks.known(query.since === undefined ? Infinity : breaksToldMs);
-        return marks.length === 0 ? answer : { ...answer, breaks: marks };
+        return {
+            ...answer,
+            ...(starts === undefined ? {} : { trueMs: trueTime.nowMs() }),
+            ...(marks.length === 0 ? {} : { breaks: marks }),
+        };
     }
 
     return async (method, params) =>
         match(method)
-            .with(rpcMethods.status, () => runner().status())
+            .with(rpcMethods.status, () => runner().status(statusQuerySchema.parse(params ?? {})))
             .with(rpcMethods.results, () => {
                 const { lot, fromChunk, waitMs } = lotSchemas.resultsQuery.parse(params);
                 return runner().results(lot, fromChunk, waitMs);
--- a/packages/daemon/src/createPeerLinks.ts
+++ b/packages/daemon/src/createPeerLinks.ts
@@ -5,17 +5,20 @@
 import type { FeedAnswer } from "@auburnarch/peers/FeedAnswer";
 import type { FeedQuery } from "@auburnarch/peers/FeedQuery";
 import { feedSchemas } from "@auburnarch/peers/feedSchemas";
-import type { BreakMemory } from "@auburnarch/relay/BreakMemory";
+import { platformKinds } from "@auburnarch/platform/platformKinds";
 import type { RunnerStatus } from "@auburnarch/runner/peers/RunnerStatus";
+import type { StatusQuery } from "@auburnarch/runner/peers/StatusQuery";
 import { createRpcClient } from "@auburnarch/send/createRpcClient";
 import type { Clock } from "@auburnarch/types/Clock";
 import { Agent } from "node:http";
 import { breaksToldMs } from "./breaksToldMs.js";
+import type { FeedExtras } from "./FeedExtras.js";
+import { feedExtrasSchemas } from "./feedExtrasSchemas.js";
 import { rpcMethods } from "./rpcMethods.js";
 
 /** Calls to a runner; each rejects if it does not answer in time. */
 interface PeerLinks {
-    status(address: RunnerAddress, timeoutMs: number): Promise<RunnerStatus>;
+    status(address: RunnerAddress, timeoutMs: number, query: StatusQuery): Promise<RunnerStatus>;
     results(
         address: RunnerAddress,
         query: { lot: LotId; fromChunk: number; waitMs: number; },
@@ -24,11 +27,15 @@
     feed(address: RunnerAddress, query: FeedQuery, timeoutMs: number): Promise<FeedAnswer>;
 }
 
+/** Counts go along with one kind only: what they say does not change faster. */
+const startsPrefix = `${platformKinds.configuration}/`;
+
 /**
  * Makes the calls of one process to runners, over connections that are kept. Questions for changes of the store carry
- * what broke off at samplers here, and their answers what broke off elsewhere.
+ * what broke off at samplers and what began to run here, and their answers what broke off elsewhere and the true time.
  */
-export function createPeerLinks(clock: Clock, breaks: BreakMemory): PeerLinks {
+export function createPeerLinks(clock: Clock, extras: FeedExtras): PeerLinks {
+    const { breaks, trueTime, meter } = extras;
     const agent = new Agent({ keepAlive: true });
 
     function call(
@@ -41,14 +48,22 @@
     }
 
     return {
-        status: async (address, timeoutMs) =>
-            await call(address, rpcMethods.status, {}, timeoutMs) as RunnerStatus,
+        status: async (address, timeoutMs, query) =>
+            await call(address, rpcMethods.status, query, timeoutMs) as RunnerStatus,
         results: async (address, query, timeoutMs) =>
             lotSchemas.resultsAnswer.parse(await call(address, rpcMethods.results, query, timeoutMs)),
         feed: async (address, query, timeoutMs) => {
             const marks = breaks.noted(breaksToldMs);
-            const asked = marks.length === 0 ? query : { ...query, breaks: marks };
+            const asked = {
+                ...query,
+                ...(marks.length === 0 ? {} : { breaks: marks }),
+                ...(query.prefix === startsPrefix && meter !== undefined ? { starts: meter.report() } : {}),
+            };
             const answer = await call(address, rpcMethods.feed, asked, timeoutMs);
+            const { trueMs } = feedExtrasSchemas.answer.parse(answer);
+            if (trueMs !== undefined) {
+                trueTime.learn(address.host, trueMs, clock.monotonicMs());
+            }
             breaks.learn(feedSchemas.breaks.parse(answer).breaks);
             return feedSchemas.answer.parse(answer);
         },
--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -19,11 +19,12 @@
 import { splitAddress } from "@auburnarch/platform/splitAddress";
 import type { BreakMemory } from "@auburnarch/relay/BreakMemory";
 import type { CallSampler } from "@auburnarch/relay/CallSampler";
-import { createBreakMemory } from "@auburnarch/relay/createBreakMemory";
 import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import { createFeedExtras } from "./createFeedExtras.js";
 import { createPeerLinks } from "./createPeerLinks.js";
 import { createStoreHealth } from "./createStoreHealth.js";
+import type { FeedExtras } from "./FeedExtras.js";
 import type { RoleContext } from "./RoleContext.js";
 import { watchRunners } from "./watchRunners.js";
 
@@ -37,6 +38,8 @@
     runners: WatchedKind<RunnerAddress>;
     links: ReturnType<typeof createPeerLinks>;
     caller: RunnerCaller;
+    /** What is told between processes along with changes of the store. */
+    extras: FeedExtras;
     /** Contents that broke off at samplers, as told between processes. */
     breaks: BreakMemory;
     storeSilentMs: () => number;
@@ -86,8 +89,8 @@
         logger,
         idleTouchIntervalMs,
     );
-    const breaks = createBreakMemory(clock);
-    const links = createPeerLinks(clock, breaks);
+    const extras = createFeedExtras(context);
+    const links = createPeerLinks(clock, extras);
     const known: { runners?: WatchedKind<RunnerAddress>; } = {};
     const caller = createRunnerCaller({
         self: context.settings.name,
@@ -131,7 +134,8 @@
         runners,
         links,
         caller,
-        breaks,
+        extras,
+        breaks: extras.breaks,
         storeSilentMs: health.silentMs,
         storeHeardMs: health.heardMs,
         storeRegainedMs: health.regainedMs,
--- a/packages/daemon/src/startGateway.ts
+++ b/packages/daemon/src/startGateway.ts
@@ -39,6 +39,7 @@
         metrics,
         invariants,
         failureDomain: settings.failureDomain as FailureDomain,
+        meter: common.extras.meter,
     });
     const results = createRunnerResults({ caller: common.caller, send: common.links.results });
     const gateway = createGateway({
--- a/packages/daemon/src/startRunner.ts
+++ b/packages/daemon/src/startRunner.ts
@@ -4,10 +4,12 @@
 import { createFeedHub } from "@auburnarch/peers/createFeedHub";
 import type { FeedHub } from "@auburnarch/peers/FeedHub";
 import { createEngineOrders } from "@auburnarch/platform/createEngineOrders";
+import { createSendUsageReport } from "@auburnarch/platform/createSendUsageReport";
 import { decodeNamedVersion } from "@auburnarch/platform/decodeNamedVersion";
 import { decodeRetirement } from "@auburnarch/platform/decodeRetirement";
 import { platformKinds } from "@auburnarch/platform/platformKinds";
 import { readItemEvents } from "@auburnarch/platform/readItemEvents";
+import { splitAddress } from "@auburnarch/platform/splitAddress";
 import { createRunner } from "@auburnarch/runner/createRunner";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import { createPeerAnswers } from "./createPeerAnswers.js";
@@ -40,7 +42,7 @@
     const { shelf, flush } = await openTextShelf(context);
     const internal = await serveInternal(
         context,
-        createPeerAnswers({ runner: () => runner, hub: () => hub, breaks: common.breaks }),
+        createPeerAnswers({ runner: () => runner, hub: () => hub, extras: common.extras }),
     );
     const runner = createRunner({
         ...common,
@@ -69,6 +71,15 @@
         readEvents: readItemEvents,
         orders: createEngineOrders(clock, common.agentFor),
         probe: common.links.status,
+        usage: settings.usage === undefined || common.extras.starts === undefined ? undefined : {
+            times: { windowMs: settings.usage.windowS * 1_000, dueMs: settings.usage.dueS * 1_000 },
+            starts: common.extras.starts,
+            send: createSendUsageReport({
+                address: () => splitAddress((context.currentSettings().usage ?? settings.usage!).address)!,
+                clock,
+            }),
+        },
+        trueTime: common.extras.trueTime,
         orderHandOverMs: settings.orderHandOverMs,
         lotRetentionMs: settings.lotRetentionMs,
         maxLoading: settings.maxLoadingSamplers,
@@ -86,7 +97,7 @@
     });
     feeding.hub = hub;
     isBusy = () => {
-        const { running, holdsWeights } = runner.status();
+        const { running, holdsWeights } = runner.status({ wantsStarts: false });
         return running.length > 0 || holdsWeights;
     };
     const registered = registerRunner({
--- a/packages/daemon/src/testing/createPlatformBed.ts
+++ b/packages/daemon/src/testing/createPlatformBed.ts
@@ -70,8 +70,8 @@
         return context;
     }
 
-    async function startGatewayAt(name: string) {
-        const context = await contextOf("gateway", name, {});
+    async function startGatewayAt(name: string, over: Partial<RoleSettings> = {}) {
+        const context = await contextOf("gateway", name, over);
         const role = await startGateway(context);
         const portOf = (address: string | undefined): number => Number(address!.split(":")[1]);
         return {
--- /dev/null
+++ b/packages/daemon/src/usage.test.ts
@@ -0,0 +1,77 @@
+import { serveUsageReports } from "@auburnarch/platform/testing/serveUsageReports";
+import { expect, test } from "vitest";
+import { createPlatformBed } from "./testing/createPlatformBed.js";
+
+const windowMs = 1_000;
+const key = "key-of-hule";
+
+const config = {
+    version: 3,
+    routes: [
+        {
+            "name": "tiles",
+            "host": "a.example",
+            "path-prefix": "/tiles/",
+            "kind": "idempotent",
+            "service": "tiles",
+        },
+        {
+            "name": "open",
+            "host": "a.example",
+            "path-prefix": "/open/",
+            "kind": "idempotent",
+            "service": "tiles",
+            "anonymous": true,
+        },
+    ],
+    services: [{ name: "tiles" }],
+    limits: {
+        "max-header-bytes": 16_384,
+        "max-body-bytes": 1_000_000,
+        "header-timeout-ms": 3_000,
+        "idle-timeout-ms": 15_000,
+    },
+    tenants: [{ "name": "hule", "api-keys": [key] }],
+};
+
+test("what teams' requests began to run is reported, each window once, by one holder, through refusals", async () => {
+    const bed = await createPlatformBed();
+    const reports = await serveUsageReports();
+    bed.store.put("config", "main", config);
+    const usage = { address: `127.0.0.1:${reports.port}`, windowS: windowMs / 1_000, dueS: 6 };
+    const gateways = [
+        await bed.startGatewayAt("front-1", { usage }),
+        await bed.startGatewayAt("front-2", { usage }),
+    ];
+    await bed.startRunnerAt("runner-1", { usage });
+    await bed.startRunnerAt("runner-2", { usage });
+    const tiles = await bed.addSampler({ id: "t-1", service: "tiles" });
+    for (const { readyPort } of gateways) {
+        await bed.until(async () =>
+            (await bed.call(readyPort, "GET", "/v1/ready")).status === 200 ? true : undefined
+        );
+    }
+    await bed.until(() => reports.calls().length > 0 ? true : undefined);
+    reports.answerNext([429, 503]);
+    for (let index = 0; index < 40; index++) {
+        const path = index % 10 === 0 ? "/open/7" : "/tiles/7";
+        const headers = { "authorization": `Bearer ${key}`, "auburnarch-request-id": `q-${index}` };
+        const anonymous = { "auburnarch-request-id": `q-${index}` };
+        const { port } = gateways[index % 2]!;
+        await bed.call(port, "POST", path, index % 10 === 0 ? anonymous : headers, "x");
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+    const ran = tiles.runs().filter(({ headers }) => headers?.["auburnarch-tenant"] === "hule").length;
+    const lastWindow = Math.floor(Date.now() / windowMs);
+    const accepted = await bed.until(() => {
+        const taken = reports.calls().filter(call => call.status === 200);
+        return taken.some(call => call.window > lastWindow) ? taken : undefined;
+    });
+    const windows = accepted.map(call => call.window);
+    bed.close();
+    reports.close();
+    expect(windows).toEqual(windows.map((_, index) => windows[0]! + index));
+    expect(accepted.reduce((sum, call) => sum + (call.counts["hule"] ?? 0), 0)).toBe(ran);
+    expect(new Set(reports.calls().map(call => `${call.path} ${call.holder} ${call.fencing}`)).size).toBe(1);
+    expect(bed.broken).toEqual([]);
+});
--- a/packages/relay/src/RelayDeps.ts
+++ b/packages/relay/src/RelayDeps.ts
@@ -7,6 +7,7 @@
 import type { Random } from "@auburnarch/types/Random";
 import type { BreakMemory } from "./BreakMemory.js";
 import type { CallSampler } from "./CallSampler.js";
+import type { RunMeter } from "./RunMeter.js";
 
 /** What a relay is built from. */
 export interface RelayDeps {
@@ -21,4 +22,6 @@
     failureDomain: FailureDomain;
     /** Shared with other processes by whoever passes it; by default what this relay alone has seen. */
     breaks?: BreakMemory;
+    /** Counts the requests of teams; none where that is not asked for. */
+    meter?: RunMeter | undefined;
 }
--- a/packages/relay/src/startRelayCall.ts
+++ b/packages/relay/src/startRelayCall.ts
@@ -2,6 +2,7 @@
 import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { ResultCode } from "@auburnarch/types/ResultCode";
 import type { ContentGuard } from "./ContentGuard.js";
+import { createRunStart } from "./createRunStart.js";
 import { logRelayOutcome } from "./logRelayOutcome.js";
 import type { RelayDeps } from "./RelayDeps.js";
 import type { RelayOutcome } from "./RelayOutcome.js";
@@ -25,9 +26,14 @@
 const describeTry = (sampler: IncarnationId, tried: Tried): string =>
     `${sampler}:${tried.kind === "done" ? tried.answer.status : tried.kind}`;
 
+const hedgeMsOf = ({ hedgeMs, route }: RelayRequest): number =>
+    hedgeMs ?? Math.max(leastHedgeMs, hedgePart * (route.targetLatencyMs ?? defaultTargetMs));
+
+const left: RelayOutcome = { kind: "failed", code: resultCodes.cancelled, detail: "the caller left" };
+
 /** Runs one request to its outcome: `settle` is called exactly once. */
 export function startRelayCall(
-    deps: Pick<RelayDeps, "clock" | "directory" | "logger" | "invariants">,
+    deps: Pick<RelayDeps, "clock" | "directory" | "logger" | "invariants" | "meter">,
     samplers: SamplerTries,
     content: ContentGuard,
     request: RelayRequest,
@@ -38,8 +44,7 @@
     const { route } = request;
     const startedAtMs = clock.monotonicMs();
     const limitMs = Math.min(request.deadlineMs ?? defaultBudgetMs, route.timeoutMs ?? defaultBudgetMs);
-    const hedgeMs = request.hedgeMs
-        ?? Math.max(leastHedgeMs, hedgePart * (route.targetLatencyMs ?? defaultTargetMs));
+    const hedgeMs = hedgeMsOf(request);
     const isRepeatable = route.kind === "idempotent";
     const tried = new Set<IncarnationId>();
     const cancel = new AbortController();
@@ -48,13 +53,12 @@
     let mayHaveRun = false;
     let lastAnswer: Extract<RelayOutcome, { kind: "answered"; }> | undefined;
     let isSettled = false;
+    const runStart = createRunStart(clock, deps.meter, request.team);
     let cancelHedge = (): void => {};
     const leftMs = (): number => limitMs - (clock.monotonicMs() - startedAtMs);
     const cancelAll = (): void => cancel.abort();
-    const cancelTimeout = clock.startTimer(
-        limitMs,
-        () => finish(failure(resultCodes.deadlinePassed, "time limit")),
-    );
+    const endInTime = (): void => finish(failure(resultCodes.deadlinePassed, "time limit"));
+    const cancelTimeout = clock.startTimer(limitMs, endInTime);
     signal.addEventListener("abort", cancelAll, { once: true });
 
     /** A promise that nothing ran holds only while no try is out or of unknown outcome. */
@@ -77,6 +81,7 @@
         isSettled = true;
         cancelTimeout();
         cancelHedge();
+        runStart.close();
         logRelayOutcome(logger, request, outcome, {
             tries: ended.join(","),
             underWay,
@@ -120,10 +125,12 @@
         });
         tried.add(sampler.incarnation);
         underWay++;
+        runStart.noteSent(sampler.incarnation);
         content.noteSent();
         scheduleHedge();
         const outcome = await samplers.run(request, sampler, budgetMs, cancel.signal);
         underWay--;
+        runStart.noteEnded(sampler.incarnation, outcome);
         ended.push(describeTry(sampler.incarnation, outcome));
         noteEnd(outcome);
         take(outcome);
@@ -147,7 +154,7 @@
             return;
         }
         if (signal.aborted) {
-            finish({ kind: "failed", code: resultCodes.cancelled, detail: "the caller left" });
+            finish(left);
         }
         else if (outcome.kind === "done" && (!isRepeatable || outcome.answer.status < 500)) {
             finish(outcome.answer);
@@ -161,7 +168,7 @@
     }
 
     if (signal.aborted) {
-        finish({ kind: "failed", code: resultCodes.cancelled, detail: "the caller left" });
+        finish(left);
         return;
     }
     void start();
--- a/packages/runner/src/Runner.ts
+++ b/packages/runner/src/Runner.ts
@@ -1,9 +1,10 @@
 import type { RunnerStatus } from "./peers/RunnerStatus.js";
+import type { StatusQuery } from "./peers/StatusQuery.js";
 import type { ResultBook } from "./results/ResultBook.js";
 
 /** A process that runs the items of batch jobs. */
 export interface Runner {
-    status(): RunnerStatus;
+    status(query: StatusQuery): RunnerStatus;
     /** Results of a job that runs or ran here, from a chunk on, waiting up to `waitMs` for the first. */
     results: ResultBook["answer"];
     /** The runner that follows the store for all that can use it, as this one believes. */
--- a/packages/runner/src/RunnerDeps.ts
+++ b/packages/runner/src/RunnerDeps.ts
@@ -1,3 +1,4 @@
+import type { TrueTimeEstimate } from "@auburnarch/clock/TrueTimeEstimate";
 import type { RoutingView } from "@auburnarch/discovery/RoutingView";
 import type { RunnerAddress } from "@auburnarch/discovery/RunnerAddress";
 import type { SamplerDirectory } from "@auburnarch/discovery/SamplerDirectory";
@@ -14,7 +15,9 @@
 import type { ReadItemEvents } from "./items/ReadItemEvents.js";
 import type { TextShelf } from "./items/TextShelf.js";
 import type { RunnerStatus } from "./peers/RunnerStatus.js";
+import type { StatusQuery } from "./peers/StatusQuery.js";
 import type { RetirementRequest } from "./RetirementRequest.js";
+import type { UsageDeps } from "./usage/UsageDeps.js";
 import type { EngineOrders } from "./weights/EngineOrders.js";
 import type { NamedVersion } from "./weights/NamedVersion.js";
 
@@ -40,7 +43,10 @@
     callSampler: CallSampler;
     readEvents: ReadItemEvents;
     orders: EngineOrders;
-    probe: (address: RunnerAddress, timeoutMs: number) => Promise<RunnerStatus>;
+    probe: (address: RunnerAddress, timeoutMs: number, query: StatusQuery) => Promise<RunnerStatus>;
+    trueTime: TrueTimeEstimate;
+    /** Undefined where the use of teams is not reported. */
+    usage: UsageDeps | undefined;
     retirements: WatchedKind<RetirementRequest>;
     reportRetirement: (state: "running" | "completed") => Promise<void>;
     /** Unfinished texts, in memory or on a disk. */
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -1,9 +1,14 @@
 import { createLeaseKeeper } from "@auburnarch/lease/createLeaseKeeper";
+import type { LeaseKeeper } from "@auburnarch/lease/LeaseKeeper";
 import { createLotStore } from "@auburnarch/lots/createLotStore";
 import type { LotStore } from "@auburnarch/lots/LotStore";
 import { createRelay } from "@auburnarch/relay/createRelay";
 import { findRoute } from "@auburnarch/routing/findRoute";
 import type { Route } from "@auburnarch/routing/Route";
+import { createAwakeGuard } from "./duties/createAwakeGuard.js";
+import { createDutyHolder } from "./duties/createDutyHolder.js";
+import type { Duty } from "./duties/Duty.js";
+import type { HeldDuties } from "./duties/HeldDuties.js";
 import { followRetirement } from "./followRetirement.js";
 import { createItemDispatch } from "./items/createItemDispatch.js";
 import { createSamplerEvidence } from "./items/createSamplerEvidence.js";
@@ -18,6 +23,7 @@
 import { createPeerBook } from "./peers/createPeerBook.js";
 import { createStoreCheck } from "./peers/createStoreCheck.js";
 import { createStoreOutageMonitor } from "./peers/createStoreOutageMonitor.js";
+import { createTimedProbe } from "./peers/createTimedProbe.js";
 import type { PeerView } from "./peers/PeerView.js";
 import { sentByPeers } from "./peers/sentByPeers.js";
 import { createResultBook } from "./results/createResultBook.js";
@@ -29,8 +35,8 @@
 import type { ResultBook } from "./results/ResultBook.js";
 import type { Runner } from "./Runner.js";
 import type { RunnerDeps } from "./RunnerDeps.js";
-import { createAwakeGuard } from "./weights/createAwakeGuard.js";
-import { createWeightsDuty } from "./weights/createWeightsDuty.js";
+import { createUsageDuty } from "./usage/createUsageDuty.js";
+import { createLoadRoller } from "./weights/createLoadRoller.js";
 
 /** Without renewal another runner takes the orders over after this time; a renewal costs a call each third of it. */
 const leaseTtlMs = 2_500;
@@ -53,6 +59,25 @@
     });
 }
 
+const createLeases = (deps: RunnerDeps): LeaseKeeper =>
+    createLeaseKeeper({
+        ...deps,
+        random: deps.random.fork(),
+        holder: deps.name,
+        ttlMs: leaseTtlMs,
+        resumesOwn: true,
+    });
+
+/** The usage duty is only there where the platform wants reports. */
+function listDuties(deps: RunnerDeps): ((held: HeldDuties) => Duty)[] {
+    const { name: self, usage } = deps;
+    const loads = (held: HeldDuties): Duty =>
+        createLoadRoller({ ...deps, self, mayOrder: held.mayAct, fencing: held.fencing });
+    return usage === undefined
+        ? [loads]
+        : [loads, held => createUsageDuty({ ...deps, ...usage, self }, held)];
+}
+
 /** Puts a runner together and starts it. */
 export function createRunner(deps: RunnerDeps): Runner {
     const { clock, random, logger, routing, directory } = deps;
@@ -66,13 +91,7 @@
         evidence,
         sentByPeers: sampler => sentByPeers(sampler, peers.peers()),
     });
-    const leases = createLeaseKeeper({
-        ...deps,
-        random: random.fork(),
-        holder: deps.name,
-        ttlMs: leaseTtlMs,
-        resumesOwn: true,
-    });
+    const leases = createLeases(deps);
     const awake = createAwakeGuard(clock, logger, leaseTtlMs / 2);
     const seenGroups = createSeenGroups();
     let isLeaving = false;
@@ -86,7 +105,11 @@
     const peers = createPeerBook({
         self: deps.name,
         registered: deps.registered,
-        probe: deps.probe,
+        probe: createTimedProbe({
+            ...deps,
+            starts: deps.usage?.starts,
+            wantsStarts: () => deps.usage !== undefined && duty.isHeld(),
+        }),
         onChange: () => {
             book.noteRivals(rivals(peers.peers()));
             board.refresh();
@@ -128,13 +151,14 @@
         clock,
         logger,
     });
-    const duty = createWeightsDuty({
-        ...deps,
-        self: deps.name,
+    const duty = createDutyHolder({
         leases,
         leaseTtlMs,
         isAwake: awake.isAwake,
         handOverMs: deps.orderHandOverMs,
+        duties: listDuties(deps),
+        clock,
+        logger,
     });
 
     const sweeper = createLotSweeper({
@@ -163,7 +187,7 @@
     });
 
     return {
-        status: () => ({
+        status: ({ wantsStarts }) => ({
             incarnation: deps.incarnation,
             failureDomain: deps.failureDomain,
             running: board.running(),
@@ -172,6 +196,8 @@
             holdsWeights: duty.isHeld(),
             isLeaving,
             storeSilentMs: Math.round(deps.storeSilentMs()),
+            wallMs: clock.wallMs(),
+            ...(wantsStarts && deps.usage !== undefined ? { starts: deps.usage.starts.tell() } : {}),
         }),
         results: book.answer,
         feeder: avoided =>
--- a/packages/runner/src/peers/RunnerStatus.ts
+++ b/packages/runner/src/peers/RunnerStatus.ts
@@ -1,3 +1,4 @@
+import type { StartReport } from "@auburnarch/account/StartReport";
 import type { LotId } from "@auburnarch/lots/LotId";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import type { RunningLot } from "../jobs/RunningLot.js";
@@ -19,4 +20,8 @@
     isLeaving: boolean;
     /** Milliseconds since it could last use the store; it records nothing meanwhile. */
     storeSilentMs: number;
+    /** Its time of day; undefined from a process of an earlier version. */
+    wallMs?: number;
+    /** What gateways told it, where it was asked for. */
+    starts?: StartReport[];
 }
--- /dev/null
+++ b/packages/runner/src/peers/createTimedProbe.ts
@@ -0,0 +1,29 @@
+import type { StartBook } from "@auburnarch/account/StartBook";
+import type { TrueTimeEstimate } from "@auburnarch/clock/TrueTimeEstimate";
+import type { RunnerAddress } from "@auburnarch/discovery/RunnerAddress";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { RunnerStatus } from "./RunnerStatus.js";
+import type { StatusQuery } from "./StatusQuery.js";
+
+interface TimedProbeDeps {
+    probe: (address: RunnerAddress, timeoutMs: number, query: StatusQuery) => Promise<RunnerStatus>;
+    /** Asked at each probe: only the holder of the duties needs the counts. */
+    wantsStarts: () => boolean;
+    starts: Pick<StartBook, "learn"> | undefined;
+    trueTime: Pick<TrueTimeEstimate, "learn">;
+    clock: Clock;
+}
+
+/** Makes the probe of peers that also learns from each answer what time it is there and what began to run. */
+export function createTimedProbe(deps: TimedProbeDeps) {
+    const { clock, trueTime, starts } = deps;
+    return async (address: RunnerAddress, timeoutMs: number): Promise<RunnerStatus> => {
+        const sentAtMs = clock.monotonicMs();
+        const status = await deps.probe(address, timeoutMs, { wantsStarts: deps.wantsStarts() });
+        if (status.wallMs !== undefined) {
+            trueTime.learn(status.incarnation, status.wallMs, (sentAtMs + clock.monotonicMs()) / 2);
+        }
+        status.starts?.forEach(report => starts?.learn(report));
+        return status;
+    };
+}
--- /dev/null
+++ b/packages/runner/src/testing/ReportingProcess.ts
@@ -0,0 +1,10 @@
+import type { StartBook } from "@auburnarch/account/StartBook";
+import type { createPausableProcess } from "@auburnarch/fakes/createPausableProcess";
+
+/** A runner of which only the duty of reports is played. */
+export interface ReportingProcess {
+    name: string;
+    paused: ReturnType<typeof createPausableProcess>;
+    state: { isPaused: boolean; resumedAtMs: number; stepMs: number; isEnded: boolean; };
+    starts: StartBook;
+}
--- /dev/null
+++ b/packages/runner/src/testing/createReportingProcess.ts
@@ -0,0 +1,118 @@
+import { createStartBook } from "@auburnarch/account/createStartBook";
+import { createPausableProcess } from "@auburnarch/fakes/createPausableProcess";
+import { createInvariants } from "@auburnarch/invariants/createInvariants";
+import { createLeaseKeeper } from "@auburnarch/lease/createLeaseKeeper";
+import { createMetrics } from "@auburnarch/metrics/createMetrics";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { FencingNumber } from "@auburnarch/types/FencingNumber";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { Random } from "@auburnarch/types/Random";
+import { createAwakeGuard } from "../duties/createAwakeGuard.js";
+import { createDutyHolder } from "../duties/createDutyHolder.js";
+import type { Duty } from "../duties/Duty.js";
+import type { HeldDuties } from "../duties/HeldDuties.js";
+import { createUsageDuty } from "../usage/createUsageDuty.js";
+import type { SendUsageReport } from "../usage/SendUsageReport.js";
+import type { UsageTimes } from "../usage/UsageTimes.js";
+import type { ReportCall } from "./ReportCall.js";
+import type { ReportingProcess } from "./ReportingProcess.js";
+
+interface ReportingProcessOptions {
+    name: string;
+    clock: Clock;
+    store: ObjectStore;
+    random: Random;
+    times: UsageTimes;
+    /** How the platform behaves now. */
+    platform: { isDown: boolean; losesAnswers: boolean; };
+    /** It acts as if the lease were its own all the time. */
+    believesAlways: boolean;
+    /** Takes the calls that arrive there. */
+    calls: ReportCall[];
+}
+
+const leaseTtlMs = 2_500;
+const handOverMs = 3_000;
+/** Calls of a sender that was stopped are excused for this long after it. */
+const thawMs = 300;
+const wayMs = 4;
+const tickMs = 150;
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
+const never = (): never => {
+    throw new Error("promise broken");
+};
+
+function runAlways(clock: Clock, duty: Duty): void {
+    duty.round();
+    clock.startTimer(tickMs, () => runAlways(clock, duty));
+}
+
+/** Starts the real duty, with its lease, in a process that can be stopped and whose time of day can jump. */
+export function createReportingProcess(options: ReportingProcessOptions): ReportingProcess {
+    const { name, clock, store, random, times, platform, believesAlways, calls } = options;
+    const paused = createPausableProcess(clock, store);
+    const state = { isPaused: false, resumedAtMs: -Infinity, stepMs: 0, isEnded: false };
+    const own: Clock = { ...paused.clock, wallMs: () => clock.wallMs() + state.stepMs };
+    const starts = createStartBook(own);
+    const receive: SendUsageReport = async ({ window, counts }, { holder, fencing }) => {
+        await clock.sleep(wayMs);
+        calls.push({
+            atMs: clock.monotonicMs(),
+            holder,
+            fencing,
+            window,
+            counts: JSON.stringify(counts),
+            isAccepted: !platform.isDown,
+            isAfterPause: state.isPaused || clock.monotonicMs() - state.resumedAtMs < thawMs,
+        });
+        return platform.isDown ? "unknown" : platform.losesAnswers ? "unknown" : "accepted";
+    };
+    const send: SendUsageReport = async (...args) => {
+        const outcome = await receive(...args);
+        // An answer reaches a stopped process only once it goes on.
+        await own.sleep(1);
+        return outcome;
+    };
+    const leases = createLeaseKeeper({
+        store: paused.store,
+        clock: own,
+        random: random.fork(),
+        logger: silent,
+        invariants: createInvariants(silent, never),
+        holder: name,
+        ttlMs: leaseTtlMs,
+        resumesOwn: true,
+    });
+    const trueTime = {
+        nowMs: clock.wallMs,
+        atMs: (ms: number) => ms + clock.wallMs() - clock.monotonicMs(),
+    };
+    const startDuty = (held: HeldDuties): Duty =>
+        createUsageDuty({
+            self: name,
+            times,
+            store: paused.store,
+            starts,
+            send,
+            trueTime,
+            clock: own,
+            logger: silent,
+            metrics: createMetrics(),
+        }, held);
+    if (believesAlways) {
+        runAlways(own, startDuty({ fencing: random.nextUnit() as FencingNumber, mayAct: () => true }));
+    }
+    else {
+        createDutyHolder({
+            leases,
+            leaseTtlMs,
+            isAwake: createAwakeGuard(own, silent, leaseTtlMs / 2).isAwake,
+            handOverMs,
+            duties: [startDuty],
+            clock: own,
+            logger: silent,
+        });
+    }
+    return { name, paused, state, starts };
+}
--- /dev/null
+++ b/packages/runner/src/usage/UsageTimes.ts
@@ -0,0 +1,6 @@
+/** When windows begin, and when their reports are due. */
+export interface UsageTimes {
+    windowMs: number;
+    /** A report is due this long after the end of its window. */
+    dueMs: number;
+}
--- /dev/null
+++ b/packages/runner/src/usage/createReportLedger.ts
@@ -0,0 +1,68 @@
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
+import type { StoredObject } from "@auburnarch/types/StoredObject";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import { z } from "zod";
+import type { RecordedReport } from "./RecordedReport.js";
+import type { ReportLedger } from "./ReportLedger.js";
+
+const key = "usage-reports/ledger";
+const absent = 0 as ObjectVersion;
+/** Far more windows than may still be sent. */
+const keptReports = 12;
+
+const ledgerSchema = z.object({
+    reports: z.array(z.object({
+        window: z.number().int().nonnegative(),
+        counts: z.record(z.string().transform(name => name as TeamId), z.number().int().nonnegative()),
+        isSent: z.boolean(),
+    })),
+});
+
+/**
+ * Makes the ledger of one holder of the duty. It is one object, replaced under its version: what another holder has
+ * recorded meanwhile is read before anything is added, so that the counts of a window never change.
+ */
+export function createReportLedger(store: Pick<ObjectStore, "read" | "write">): ReportLedger {
+    const sent = new Set<number>();
+    let version = absent;
+    let known: RecordedReport[] | undefined;
+
+    function take(object: StoredObject | undefined): void {
+        version = object?.version ?? absent;
+        known = object === undefined ? [] : ledgerSchema.parse(object.value).reports;
+    }
+
+    const withSent = (reports: RecordedReport[]): RecordedReport[] =>
+        reports.map(report => ({ ...report, isSent: report.isSent || sent.has(report.window) }));
+
+    async function load(): Promise<void> {
+        take(await store.read(key));
+    }
+
+    return {
+        reports: () => known === undefined ? undefined : withSent(known),
+        load,
+        noteSent: window => void sent.add(window),
+        record: async report => {
+            const reports = withSent(known ?? []);
+            if (reports.some(({ window }) => window === report.window)) {
+                return;
+            }
+            const next = [...reports, { ...report, isSent: false }]
+                .sort((a, b) => a.window - b.window)
+                .slice(-keptReports);
+            const before = version;
+            // Until the answer it is not known what stands there.
+            known = undefined;
+            const outcome = await store.write(key, { reports: next }, before);
+            if (outcome.kind === "written") {
+                version = outcome.version;
+                known = next;
+            }
+            else {
+                take(outcome.current);
+            }
+        },
+    };
+}
--- /dev/null
+++ b/packages/runner/src/usage/createUsageDuty.ts
@@ -0,0 +1,153 @@
+import type { StartBook } from "@auburnarch/account/StartBook";
+import { codeOf } from "@auburnarch/errors/codeOf";
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { Metrics } from "@auburnarch/metrics/Metrics";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ObjectStore } from "@auburnarch/types/ObjectStore";
+import type { TeamId } from "@auburnarch/types/TeamId";
+import type { TrueTime } from "@auburnarch/types/TrueTime";
+import type { Duty } from "../duties/Duty.js";
+import type { HeldDuties } from "../duties/HeldDuties.js";
+import { createReportLedger } from "./createReportLedger.js";
+import { planReport } from "./planReport.js";
+import type { RecordedReport } from "./RecordedReport.js";
+import type { SendUsageReport } from "./SendUsageReport.js";
+import type { UsageTimes } from "./UsageTimes.js";
+
+interface UsageDutyDeps {
+    self: string;
+    times: UsageTimes;
+    store: Pick<ObjectStore, "read" | "write">;
+    starts: Pick<StartBook, "countsOf" | "isCountedUntil">;
+    send: SendUsageReport;
+    trueTime: TrueTime;
+    clock: Clock;
+    logger: Logger;
+    metrics: Metrics;
+}
+
+/** Pause after a failure, doubled with each further one. */
+const firstPauseMs = 250;
+const maxPauseMs = 1_000;
+
+const sumOf = (counts: Iterable<number>): number => [...counts].reduce((sum, count) => sum + count, 0);
+
+/**
+ * Reports the use of each window, for the holder of the duty. A report is recorded in the store before it is sent, so
+ * that whoever sends it again, after a crash or a lost answer, sends the same.
+ */
+export function createUsageDuty(deps: UsageDutyDeps, held: HeldDuties): Duty {
+    const { times, clock, logger, metrics, trueTime } = deps;
+    const ledger = createReportLedger(deps.store);
+    const firstWindow = Math.floor(trueTime.nowMs() / times.windowMs);
+    const givenUp = new Set<number>();
+    /** What each window was recorded with here, to notice counts that come later. */
+    const recordedTotals = new Map<number, number>();
+    let isStopped = false;
+    let isBusy = false;
+    let failures = 0;
+    let resumeAtMs = -Infinity;
+    let lastFailure = "noHolderInTime";
+
+    function noteFailure(cause: string): void {
+        lastFailure = cause;
+        resumeAtMs = clock.monotonicMs() + Math.min(maxPauseMs, firstPauseMs * 2 ** failures);
+        failures++;
+    }
+
+    function giveUp(window: number): void {
+        givenUp.add(window);
+        metrics.count("usage_reports_total", { result: "missed" });
+        logger.warn("usageReportMissed", { window, cause: lastFailure, fencing: held.fencing });
+    }
+
+    async function record(window: number): Promise<void> {
+        const counts = Object.fromEntries(deps.starts.countsOf(window)) as Record<TeamId, number>;
+        const total = sumOf(Object.values(counts));
+        await ledger.record({ window, counts });
+        recordedTotals.set(window, total);
+        logger.info("usageRecorded", { window, teams: Object.keys(counts).length, requests: total });
+    }
+
+    async function send({ window, counts }: RecordedReport): Promise<void> {
+        const outcome = await deps.send({ window, counts }, { holder: deps.self, fencing: held.fencing });
+        const lateMs = Math.round(trueTime.nowMs() - (window + 1) * times.windowMs);
+        metrics.count("usage_reports_total", { result: outcome });
+        logger.info("usageReportSent", { window, outcome, fencing: held.fencing, sinceEndMs: lateMs });
+        if (outcome === "accepted") {
+            failures = 0;
+            ledger.noteSent(window);
+        }
+        else if (outcome === "refused") {
+            lastFailure = outcome;
+            giveUp(window);
+        }
+        else {
+            noteFailure(outcome);
+        }
+    }
+
+    /** Counts that come after a window was recorded are never sent: they are told to the operator instead. */
+    function noteLateCounts(): void {
+        for (const [window, before] of recordedTotals) {
+            const total = sumOf(deps.starts.countsOf(window).values());
+            if (total > before) {
+                metrics.count("usage_counted_late_total", {}, total - before);
+                logger.warn("usageCountedLate", { window, requests: total - before });
+                recordedTotals.set(window, total);
+            }
+            if (trueTime.nowMs() - window * times.windowMs > 2 * (times.dueMs + times.windowMs)) {
+                recordedTotals.delete(window);
+            }
+        }
+    }
+
+    async function step(): Promise<void> {
+        const reports = ledger.reports();
+        if (reports === undefined) {
+            await ledger.load();
+            return;
+        }
+        const next = planReport({
+            times,
+            nowMs: trueTime.nowMs(),
+            reports,
+            firstWindow,
+            isGivenUp: window => givenUp.has(window),
+            isCountedUntil: deps.starts.isCountedUntil,
+        });
+        if (next.kind === "giveUp") {
+            giveUp(next.window);
+        }
+        else if (next.kind !== "wait" && held.mayAct()) {
+            await (next.kind === "record" ? record(next.window) : send(next.report));
+        }
+    }
+
+    async function run(): Promise<void> {
+        isBusy = true;
+        try {
+            await step();
+            noteLateCounts();
+        }
+        catch (error) {
+            const code = codeOf(error);
+            const isStoreAway = code === resultCodes.storeUnavailable || code === resultCodes.storeThrottled;
+            noteFailure(isStoreAway ? code.name : String(error));
+            logger.warn("usageStepFailed", { code: code.number, name: code.name, detail: String(error) });
+        }
+        isBusy = false;
+    }
+
+    return {
+        round: () => {
+            if (!isBusy && !isStopped && clock.monotonicMs() >= resumeAtMs) {
+                void run();
+            }
+        },
+        stop: () => {
+            isStopped = true;
+        },
+    };
+}
--- /dev/null
+++ b/packages/runner/src/usage/usageProtocol.test.ts
@@ -0,0 +1,90 @@
+import { expect, test } from "vitest";
+import { playUsageReports } from "../testing/playUsageReports.js";
+
+const leaseMs = 3_000;
+const lengthMs = 20_000;
+const faults = 8;
+/** Runs of each test; more by hand. */
+const runs = Number(process.env["USAGE_RUNS"] ?? 250);
+
+type Calls = Awaited<ReturnType<typeof playUsageReports>>["calls"];
+
+/** Windows that were accepted with different counts. */
+function differing(calls: Calls): string[] {
+    const counts = new Map<number, string>();
+    return calls.filter(call => call.isAccepted).flatMap(call => {
+        const before = counts.get(call.window) ?? call.counts;
+        counts.set(call.window, before);
+        return before === call.counts ? [] : [`window ${call.window}: ${before} then ${call.counts}`];
+    });
+}
+
+/** Calls with a lower number than one before, or with a number of another holder. */
+function outOfOrder(calls: Calls): string[] {
+    const holders = new Map<number, string>();
+    let highest = 0;
+    return calls.flatMap(call => {
+        const holder = holders.get(call.fencing) ?? call.holder;
+        holders.set(call.fencing, holder);
+        const isLower = call.fencing < highest && !call.isAfterPause;
+        highest = Math.max(highest, call.fencing);
+        return isLower || holder !== call.holder
+            ? [`${call.holder} with ${call.fencing} after ${highest} of ${holder} at ${call.atMs}`]
+            : [];
+    });
+}
+
+/** Holders that took turns within the time that belongs to one. */
+function takingTurns(calls: Calls): string[] {
+    const judged = calls.filter(call => !call.isAfterPause);
+    return judged.flatMap((call, index) => {
+        const within = judged.slice(0, index).filter(earlier => call.atMs - earlier.atMs < leaseMs);
+        const between = within.findIndex(earlier => earlier.holder === call.holder);
+        const isTurn = between >= 0 && within.slice(between).some(other => other.holder !== call.holder);
+        return isTurn ? [`${call.holder} again at ${call.atMs}`] : [];
+    });
+}
+
+async function playAll(
+    seeds: number[],
+    believeAlways: boolean,
+    judge: (calls: Calls) => string[],
+): Promise<string[]> {
+    const broken: string[] = [];
+    for (const seed of seeds) {
+        const { calls } = await playUsageReports({ seed, faults, lengthMs, believeAlways });
+        const found = judge(calls);
+        broken.push(...found.map(fault => `seed ${seed}: ${fault}`));
+    }
+    return broken;
+}
+
+const seedsFrom = (first: number, count: number): number[] =>
+    Array.from({ length: count }, (_, index) => first + index);
+
+test("each window is reported in time while nothing fails", async () => {
+    const { calls, dueWindows } = await playUsageReports({
+        seed: 1,
+        faults: 0,
+        lengthMs,
+        believeAlways: false,
+    });
+    expect(calls.map(call => call.window).slice(0, dueWindows.length)).toEqual(dueWindows);
+    expect(calls.every(call => call.isAccepted)).toBe(true);
+    expect(new Set(calls.map(call => call.holder)).size).toBe(1);
+});
+
+test("whatever fails, no window gets two different reports, and holders never take turns", async () => {
+    // Guards against: a team is charged twice, or by a process that has been replaced.
+    const judge = (calls: Calls): string[] => [
+        ...differing(calls),
+        ...outOfOrder(calls),
+        ...takingTurns(calls),
+    ];
+    expect(await playAll(seedsFrom(1_000, runs), false, judge)).toEqual([]);
+});
+
+test("runners that all believe to hold the duty send no two different reports of a window", async () => {
+    // Guards against: a lease that is believed for too long changes what teams are charged.
+    expect(await playAll(seedsFrom(9_000, runs), true, differing)).toEqual([]);
+});
