--- a/packages/runner/src/usage/ReportLedger.ts
+++ b/packages/runner/src/usage/ReportLedger.ts
@@ -9,6 +9,6 @@
     load(): Promise<void>;
     /** Adds a report; if the window stands there already, with whatever counts, nothing changes. */
     record(report: UsageReport): Promise<void>;
-    /** Notes that a report was accepted; it is written with the next one that is recorded. */
-    noteSent(window: number): void;
+    /** Notes that a report was accepted or given up; it is written with the next one that is recorded. */
+    noteSettled(window: number): void;
 }
--- a/packages/runner/src/usage/createReportLedger.ts
+++ b/packages/runner/src/usage/createReportLedger.ts
@@ -15,7 +15,7 @@
     reports: z.array(z.object({
         window: z.number().int().nonnegative(),
         counts: z.record(z.string().transform(name => name as TeamId), z.number().int().nonnegative()),
-        isSent: z.boolean(),
+        isSettled: z.boolean(),
     })),
 });
 
@@ -24,7 +24,7 @@
  * recorded meanwhile is read before anything is added, so that the counts of a window never change.
  */
 export function createReportLedger(store: Pick<ObjectStore, "read" | "write">): ReportLedger {
-    const sent = new Set<number>();
+    const settled = new Set<number>();
     let version = absent;
     let known: RecordedReport[] | undefined;
 
@@ -33,23 +33,23 @@
         known = object === undefined ? [] : ledgerSchema.parse(object.value).reports;
     }
 
-    const withSent = (reports: RecordedReport[]): RecordedReport[] =>
-        reports.map(report => ({ ...report, isSent: report.isSent || sent.has(report.window) }));
+    const withSettled = (reports: RecordedReport[]): RecordedReport[] =>
+        reports.map(report => ({ ...report, isSettled: report.isSettled || settled.has(report.window) }));
 
     async function load(): Promise<void> {
         take(await store.read(key));
     }
 
     return {
-        reports: () => known === undefined ? undefined : withSent(known),
+        reports: () => known === undefined ? undefined : withSettled(known),
         load,
-        noteSent: window => void sent.add(window),
+        noteSettled: window => void settled.add(window),
         record: async report => {
-            const reports = withSent(known ?? []);
+            const reports = withSettled(known ?? []);
             if (reports.some(({ window }) => window === report.window)) {
                 return;
             }
-            const next = [...reports, { ...report, isSent: false }]
+            const next = [...reports, { ...report, isSettled: false }]
                 .sort((a, b) => a.window - b.window)
                 .slice(-keptReports);
             const before = version;
--- a/packages/runner/src/usage/createUsageDuty.ts
+++ b/packages/runner/src/usage/createUsageDuty.ts
@@ -42,6 +42,8 @@
     const ledger = createReportLedger(deps.store);
     const firstWindow = Math.floor(trueTime.nowMs() / times.windowMs);
     const givenUp = new Set<number>();
+    /** Windows whose reports were sent here, with whatever outcome. */
+    const tried = new Set<number>();
     /** What each window was recorded with here, to notice counts that come later. */
     const recordedTotals = new Map<number, number>();
     let isStopped = false;
@@ -56,10 +58,15 @@
         failures++;
     }
 
+    /** An earlier holder that recorded a report and never said so may well have sent it. */
     function giveUp(window: number): void {
+        const isOfEarlierHolder = !recordedTotals.has(window)
+            && ledger.reports()?.some(report => report.window === window) === true;
+        const result = isOfEarlierHolder && !tried.has(window) ? "unconfirmed" : "missed";
         givenUp.add(window);
-        metrics.count("usage_reports_total", { result: "missed" });
-        logger.warn("usageReportMissed", { window, cause: lastFailure, fencing: held.fencing });
+        ledger.noteSettled(window);
+        metrics.count("usage_reports_total", { result });
+        logger.warn("usageReportGivenUp", { window, result, cause: lastFailure, fencing: held.fencing });
     }
 
     async function record(window: number): Promise<void> {
@@ -71,13 +78,14 @@
     }
 
     async function send({ window, counts }: RecordedReport): Promise<void> {
+        tried.add(window);
         const outcome = await deps.send({ window, counts }, { holder: deps.self, fencing: held.fencing });
         const lateMs = Math.round(trueTime.nowMs() - (window + 1) * times.windowMs);
         metrics.count("usage_reports_total", { result: outcome });
         logger.info("usageReportSent", { window, outcome, fencing: held.fencing, sinceEndMs: lateMs });
         if (outcome === "accepted") {
             failures = 0;
-            ledger.noteSent(window);
+            ledger.noteSettled(window);
         }
         else if (outcome === "refused") {
             lastFailure = outcome;
--- a/packages/runner/src/usage/planReport.ts
+++ b/packages/runner/src/usage/planReport.ts
@@ -51,7 +51,7 @@
         const isPressing = sinceEndMs > dueMs - reserveMs;
         return match({ report, isLate, mayRecord: isCounted || isPressing })
             .returnType<ReportStep>()
-            .with({ report: { isSent: true } }, () => ({ kind: "wait" }))
+            .with({ report: { isSettled: true } }, () => ({ kind: "wait" }))
             .with({ isLate: true }, () => ({ kind: "giveUp", window }))
             .with({ report: P.nonNullable }, ({ report: found }) => ({ kind: "send", report: found }))
             .with({ mayRecord: true }, () => ({ kind: "record", window }))
