Widen the shares of policies whose steps have more items than places

Where all samplers serve the version (the first steps) nothing waits.

A share is now at least as many samplers as a step's items have places on, as far as all shares together stay within one and a half times the samplers, since each further one is a load for every second version.

--- a/packages/runner/src/weights/PolicyNeed.ts
+++ b/packages/runner/src/weights/PolicyNeed.ts
@@ -12,4 +12,6 @@
     isQuiet: boolean;
     /** Output tokens of one of its jobs; undefined until one that says is known. */
     jobTokens: number | undefined;
+    /** Items of one of its jobs; undefined until one is known. */
+    jobItems: number | undefined;
 }
--- a/packages/runner/src/weights/createLoadRoller.ts
+++ b/packages/runner/src/weights/createLoadRoller.ts
@@ -1,13 +1,16 @@
 import type { KnownSampler } from "@auburnarch/discovery/KnownSampler";
+import type { LotEntry } from "@auburnarch/lots/LotEntry";
 import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { PolicyId } from "@auburnarch/types/PolicyId";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
 import type { EngineStatus } from "./EngineStatus.js";
+import { jobItemsOf } from "./jobItemsOf.js";
 import { jobTokensOf } from "./jobTokensOf.js";
 import type { LoadRollerDeps } from "./LoadRollerDeps.js";
 import { loadsAtOnce } from "./loadsAtOnce.js";
 import type { OrderOutcome } from "./OrderOutcome.js";
 import { planLoads } from "./planLoads.js";
+import type { PolicyNeed } from "./PolicyNeed.js";
 import { versionOf } from "./versionOf.js";
 
 interface LoadRoller {
@@ -29,6 +32,11 @@
 const isOfAnotherStart = (status: EngineStatus, sampler: KnownSampler): boolean =>
     status.bornAtMs !== undefined && sampler.bornAtMs !== undefined && status.bornAtMs !== sampler.bornAtMs;
 
+const jobsOf = (lots: readonly LotEntry[], policy: PolicyId): Pick<PolicyNeed, "jobTokens" | "jobItems"> => ({
+    jobTokens: jobTokensOf(lots, policy),
+    jobItems: jobItemsOf(lots, policy),
+});
+
 /** Orders samplers to load the versions that trainers name, for the holder of the duty. */
 export function createLoadRoller(deps: LoadRollerDeps): LoadRoller {
     const { clock, logger, metrics, directory, orders } = deps;
@@ -145,13 +153,8 @@
         for (const { service, policies } of table.services.values()) {
             const needs = policies.map(policy => {
                 const target = versions.objects()?.get(policy)?.version;
-                return {
-                    policy,
-                    target,
-                    namedMs: namedMs(policy, target),
-                    isQuiet: !open.has(policy),
-                    jobTokens: jobTokensOf(lots, policy),
-                };
+                const isQuiet = !open.has(policy);
+                return { policy, target, namedMs: namedMs(policy, target), isQuiet, ...jobsOf(lots, policy) };
             });
             const samplers = directory.serving(service);
             const maxLoading = deps.maxLoading ?? loadsAtOnce(samplers.length);
--- a/packages/runner/src/weights/planLoads.test.ts
+++ b/packages/runner/src/weights/planLoads.test.ts
@@ -25,6 +25,7 @@
         namedMs,
         isQuiet,
         jobTokens: undefined,
+        jobItems: undefined,
     }));
 const shown = (loads: ReturnType<typeof planLoads>): string[] =>
     loads.map(load => `${load.sampler.incarnation} ${load.policy} ${load.version}`).sort();
@@ -72,9 +73,30 @@
     const plan = createPlan();
     const old = six.map(each => sampler(each.incarnation, [1, 3, 3]));
     const mixed = [
-        { policy: policies[0]!, target: at(4), namedMs: 0, isQuiet: false, jobTokens: undefined },
-        { policy: policies[1]!, target: at(4), namedMs: 0, isQuiet: true, jobTokens: undefined },
-        { policy: policies[2]!, target: at(4), namedMs: 0, isQuiet: false, jobTokens: undefined },
+        {
+            policy: policies[0]!,
+            target: at(4),
+            namedMs: 0,
+            isQuiet: false,
+            jobTokens: undefined,
+            jobItems: undefined,
+        },
+        {
+            policy: policies[1]!,
+            target: at(4),
+            namedMs: 0,
+            isQuiet: true,
+            jobTokens: undefined,
+            jobItems: undefined,
+        },
+        {
+            policy: policies[2]!,
+            target: at(4),
+            namedMs: 0,
+            isQuiet: false,
+            jobTokens: undefined,
+            jobItems: undefined,
+        },
     ];
     const loads = plan({ samplers: old, needs: mixed, maxLoading: 4 });
     expect(loads.map(load => load.policy)).toEqual(["plume", "plume", "plume", "ridge"]);
--- a/packages/runner/src/weights/planLoads.ts
+++ b/packages/runner/src/weights/planLoads.ts
@@ -8,6 +8,7 @@
 import type { PolicyNeed } from "./PolicyNeed.js";
 import { shareSamplers } from "./shareSamplers.js";
 import { versionOf } from "./versionOf.js";
+import { widenShares } from "./widenShares.js";
 
 interface PlanLoadsInput {
     samplers: KnownSampler[];
@@ -42,7 +43,11 @@
 
 /** Samplers of each policy. */
 function sharesOf({ samplers, needs }: PlanLoadsInput): Map<PolicyId, number> {
-    const shares = shareSamplers(samplers.length, needs.map(need => need.jobTokens));
+    const shares = widenShares(shareSamplers(samplers.length, needs.map(need => need.jobTokens)), {
+        samplers: samplers.length,
+        placesPerSampler: samplers[0]?.maxBatch ?? 1,
+        jobItems: needs.map(need => need.jobItems),
+    });
     return new Map(needs.map(({ policy }, at) => [policy, shares[at]!]));
 }
 
--- /dev/null
+++ b/packages/runner/src/weights/widenShares.ts
@@ -0,0 +1,33 @@
+/**
+ * Shares of all policies together, in samplers: half of them serve a second policy. Each further one is a load for
+ * every second version, and only some samplers may load at once.
+ */
+const mostServed = 1.5;
+
+interface WidenQuery {
+    samplers: number;
+    /** Requests that one sampler processes at once. */
+    placesPerSampler: number;
+    /** Items of one job of each policy; undefined where no job is known. */
+    jobItems: readonly (number | undefined)[];
+}
+
+/**
+ * Widens shares for steps whose items come all at once. A share in proportion to the work keeps up over time, but the
+ * items of a step beyond its places wait while the places of other policies' samplers are free; and a step ends with its
+ * longest items, which are slower beside more others.
+ */
+export function widenShares(
+    shares: readonly number[],
+    { samplers, placesPerSampler, jobItems }: WidenQuery,
+): number[] {
+    const lacking = shares.map((share, at) => {
+        const wanted = Math.ceil((jobItems[at] ?? 0) / Math.max(1, placesPerSampler));
+        return Math.max(0, Math.min(samplers, wanted) - share);
+    });
+    const total = lacking.reduce((sum, each) => sum + each, 0);
+    const given = shares.reduce((sum, share) => sum + share, 0);
+    const spare = Math.max(0, Math.floor(mostServed * samplers) - given);
+    const part = total === 0 ? 0 : Math.min(1, spare / total);
+    return shares.map((share, at) => share + Math.floor(lacking[at]! * part));
+}
