Let results gather until what is left can still be read in time

From two seconds before the due time on, when the longest items end, results were recorded every 200 ms.

Results now gather for a second, or as long as they can still be recorded and read half a second before the step is due. What completes the need is recorded at once as before.

results/recordPause.load.test.ts plays trainers that read so: they act 116 ms after the last result instead of 267 ms, in as many records, and nothing made in time is read late.

--- a/packages/runner/src/results/createGathering.ts
+++ b/packages/runner/src/results/createGathering.ts
@@ -10,8 +10,11 @@
     end(): void;
 }
 
-/** Makes the gathering; `pauseMs` is how long results wait for others, as of now. */
-export function createGathering(clock: Clock, pauseMs: () => number): Gathering {
+/** Timers are no finer; a rest below it would be waited for again and again. */
+const timerStepMs = 1;
+
+/** Makes the gathering; `pauseMs` is how long results wait for others in all, of which they have waited `waitedMs`. */
+export function createGathering(clock: Clock, pauseMs: (waitedMs: number) => number): Gathering {
     let isEnded = false;
     let news = new AbortController();
 
@@ -24,8 +27,9 @@
         wait: async () => {
             const sinceMs = clock.monotonicMs();
             for (;;) {
-                const leftMs = sinceMs + pauseMs() - clock.monotonicMs();
-                if (leftMs <= 0 || isEnded) {
+                const waitedMs = clock.monotonicMs() - sinceMs;
+                const leftMs = pauseMs(waitedMs) - waitedMs;
+                if (leftMs < timerStepMs || isEnded) {
                     return;
                 }
                 await clock.sleep(leftMs, news.signal);
--- a/packages/runner/src/results/createRecorder.ts
+++ b/packages/runner/src/results/createRecorder.ts
@@ -91,13 +91,14 @@
         take(standing);
     }
 
-    function pauseMs(): number {
+    function pauseMs(waitedMs: number): number {
         return recordPauseMs({
             total: deps.total,
             made: done.size + waiting.length,
             isNeedMet: need?.isMet(),
             isNeedRecorded,
             untilDueMs: dueAtMs - clock.monotonicMs(),
+            waitedMs,
         });
     }
 
--- /dev/null
+++ b/packages/runner/src/results/recordPause.load.test.ts
@@ -0,0 +1,99 @@
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { expect, test } from "vitest";
+import { recordPauseMs } from "./recordPauseMs.js";
+
+const items = 128;
+const dueMs = 7_500;
+const eventMs = 50;
+const longestEvents = 128;
+const recordMs = 20;
+/** A trainer reads twice a second at most, and acts on what it has read at its next turn. */
+const turnMs = 500;
+
+type Pause = typeof recordPauseMs;
+
+/** Results shortly before the due time were recorded every 200 ms. */
+const pauseBefore: Pause = state => state.made >= items ? 0 : state.untilDueMs < 2_000 ? 200 : 1_000;
+
+/** When items of a step end: most soon, a tenth five times as late. */
+function endsOf(seed: number): number[] {
+    const random = createRandom(seed);
+    const draw = (): number => {
+        const events = 1 + Math.floor(24 * random.nextUnit()) * (random.nextUnit() < 0.1 ? 5 : 1);
+        return Math.min(longestEvents, events) * eventMs + 150 + 250 * random.nextUnit();
+    };
+    return Array.from({ length: items }, draw).sort((a, b) => a - b);
+}
+
+/** When each record stands, with how many results. */
+function recordsOf(ends: number[], pause: Pause): { atMs: number; results: number; }[] {
+    const records: { atMs: number; results: number; }[] = [];
+    let recorded = 0;
+    while (recorded < items) {
+        const sinceMs = Math.max(ends[recorded]!, records.at(-1)?.atMs ?? 0);
+        let atMs = sinceMs;
+        for (;; atMs += 10) {
+            const made = ends.filter(endMs => endMs <= atMs).length;
+            const isNeedMet = made >= items;
+            const waitedMs = atMs - sinceMs;
+            const state = { total: items, made, isNeedMet, isNeedRecorded: false, untilDueMs: dueMs - atMs };
+            if (waitedMs >= pause({ ...state, waitedMs })) {
+                break;
+            }
+        }
+        recorded = ends.filter(endMs => endMs <= atMs).length;
+        records.push({ atMs: atMs + recordMs, results: recorded });
+    }
+    return records;
+}
+
+/** When the trainer has read all and acts on it, and how many results it has read when the step is due. */
+function readAll(records: { atMs: number; results: number; }[]): { endedMs: number; readInTime: number; } {
+    let nowMs = 0;
+    let read = 0;
+    let readInTime = 0;
+    while (read < items) {
+        const turnAtMs = nowMs;
+        const next = records.find(({ results }) => results > read)!;
+        nowMs = Math.max(nowMs, next.atMs);
+        read = records.filter(({ atMs }) => atMs <= nowMs).at(-1)!.results;
+        readInTime = nowMs <= dueMs ? read : readInTime;
+        nowMs = Math.max(nowMs, turnAtMs + turnMs);
+    }
+    return { endedMs: nowMs, readInTime };
+}
+
+function playSteps(pause: Pause): { lateMs: number; records: number; unread: number; } {
+    const steps = Array.from({ length: 40 }, (_, seed) => endsOf(seed));
+    const played = steps.map(ends => {
+        const records = recordsOf(ends, pause);
+        const { endedMs, readInTime } = readAll(records);
+        const made = ends.filter(endMs => endMs <= dueMs - turnMs).length;
+        return { lateMs: endedMs - ends.at(-1)!, records: records.length, unread: made - readInTime };
+    });
+    const meanOf = (value: (step: (typeof played)[number]) => number): number =>
+        Math.round(played.reduce((sum, step) => sum + value(step), 0) / played.length);
+    return {
+        lateMs: meanOf(step => step.lateMs),
+        records: meanOf(step => step.records),
+        unread: Math.max(0, ...played.map(step => step.unread)),
+    };
+}
+
+test("a trainer that waits for its last items acts sooner, and what is made in time is read in time", () => {
+    // Guards against: a page told just before the last one keeps the trainer from acting for up to a second.
+    expect({ before: playSteps(pauseBefore), now: playSteps(recordPauseMs) }).toMatchInlineSnapshot(`
+      {
+        "before": {
+          "lateMs": 267,
+          "records": 5,
+          "unread": 0,
+        },
+        "now": {
+          "lateMs": 116,
+          "records": 5,
+          "unread": 0,
+        },
+      }
+    `);
+});
--- a/packages/runner/src/results/recordPauseMs.ts
+++ b/packages/runner/src/results/recordPauseMs.ts
@@ -8,6 +8,8 @@
     isNeedRecorded: boolean;
     /** Time left until the step is due. */
     untilDueMs: number;
+    /** How long the first of the results has waited. */
+    waitedMs: number;
 }
 
 /**
@@ -21,8 +23,8 @@
  * A group earns only if it can be read when its step is due. Time for a record, for the answer to a waiting reader and
  * for the reader that asks twice a second.
  */
-const dueSoonMs = 2_000;
-const dueSoonGatherMs = 200;
+const beforeDueMs = 500;
+const leastGatherMs = 200;
 
 /** Where it is not known what a trainer waits for: results gather for this long, and for less towards the end. */
 const gatherMs = 350;
@@ -41,10 +43,11 @@
 /**
  * How long a result waits for others to share its record. Each record is a call to the store, and a reader that is told
  * of every few results spends its time between two questions: when the last one that it needs comes, it asks half a
- * second later. So what completes a trainer's need is recorded at once, and all else gathers.
+ * second later. So what completes a trainer's need is recorded at once, and all else gathers, for as long as it can still
+ * be read when the step is due.
  */
 export function recordPauseMs(state: RecordingState): number {
-    const { total, made, isNeedMet, isNeedRecorded, untilDueMs } = state;
+    const { total, made, isNeedMet, isNeedRecorded, untilDueMs, waitedMs } = state;
     if (isNeedMet === undefined) {
         return pauseOfAnyMs(made, total);
     }
@@ -54,5 +57,5 @@
     if (isNeedMet) {
         return surplusGatherMs;
     }
-    return untilDueMs < dueSoonMs ? dueSoonGatherMs : openGatherMs;
+    return Math.min(openGatherMs, Math.max(leastGatherMs, waitedMs + untilDueMs - beforeDueMs));
 }
