--- /dev/null
+++ b/packages/daemon/src/createUsageDeps.ts
@@ -0,0 +1,23 @@
+import type { StartBook } from "@auburnarch/account/StartBook";
+import { createSendUsageReport } from "@auburnarch/platform/createSendUsageReport";
+import { splitAddress } from "@auburnarch/platform/splitAddress";
+import type { UsageDeps } from "@auburnarch/runner/usage/UsageDeps";
+import type { RoleContext } from "./RoleContext.js";
+
+/** What a runner needs to report the use of teams; undefined where that is not asked for. */
+export function createUsageDeps(
+    { settings, currentSettings, clock }: RoleContext,
+    starts: StartBook | undefined,
+): UsageDeps | undefined {
+    const { usage } = settings;
+    if (usage === undefined || starts === undefined) {
+        return undefined;
+    }
+    const address = (): { host: string; port: number; } =>
+        splitAddress((currentSettings().usage ?? usage).address)!;
+    return {
+        times: { windowMs: usage.windowS * 1_000, dueMs: usage.dueS * 1_000 },
+        starts,
+        send: createSendUsageReport({ address, clock }),
+    };
+}
--- a/packages/daemon/src/startRunner.ts
+++ b/packages/daemon/src/startRunner.ts
@@ -4,15 +4,14 @@
 import { createFeedHub } from "@auburnarch/peers/createFeedHub";
 import type { FeedHub } from "@auburnarch/peers/FeedHub";
 import { createEngineOrders } from "@auburnarch/platform/createEngineOrders";
-import { createSendUsageReport } from "@auburnarch/platform/createSendUsageReport";
 import { decodeNamedVersion } from "@auburnarch/platform/decodeNamedVersion";
 import { decodeRetirement } from "@auburnarch/platform/decodeRetirement";
 import { platformKinds } from "@auburnarch/platform/platformKinds";
 import { readItemEvents } from "@auburnarch/platform/readItemEvents";
-import { splitAddress } from "@auburnarch/platform/splitAddress";
 import { createRunner } from "@auburnarch/runner/createRunner";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
 import { createPeerAnswers } from "./createPeerAnswers.js";
+import { createUsageDeps } from "./createUsageDeps.js";
 import { decodeWith } from "./decodeWith.js";
 import { openTextShelf } from "./openTextShelf.js";
 import { registerRunner } from "./registerRunner.js";
@@ -71,14 +70,7 @@
         readEvents: readItemEvents,
         orders: createEngineOrders(clock, common.agentFor),
         probe: common.links.status,
-        usage: settings.usage === undefined || common.extras.starts === undefined ? undefined : {
-            times: { windowMs: settings.usage.windowS * 1_000, dueMs: settings.usage.dueS * 1_000 },
-            starts: common.extras.starts,
-            send: createSendUsageReport({
-                address: () => splitAddress((context.currentSettings().usage ?? settings.usage!).address)!,
-                clock,
-            }),
-        },
+        usage: createUsageDeps(context, common.extras.starts),
         trueTime: common.extras.trueTime,
         orderHandOverMs: settings.orderHandOverMs,
         lotRetentionMs: settings.lotRetentionMs,
--- a/packages/daemon/src/teams.test.ts
+++ b/packages/daemon/src/teams.test.ts
@@ -1,3 +1,4 @@
+import { encodeStandInConfiguration } from "@auburnarch/platform/testing/encodeStandInConfiguration";
 import type { SamplerStandIn } from "@auburnarch/platform/testing/SamplerStandIn";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { createPlatformBed } from "./testing/createPlatformBed.js";
@@ -8,47 +9,18 @@
 const otherKey = "s3cret-of-fida";
 const secrets = /s3cret/u;
 
-const config = (version: number, huleKeys: string[]): unknown => ({
-    version,
-    routes: [
-        {
-            "name": "tiles",
-            "host": "a.example",
-            "path-prefix": "/tiles/",
-            "kind": "idempotent",
-            "service": "tiles",
-        },
-        {
-            "name": "scores",
-            "host": "a.example",
-            "path-prefix": "/scores/",
-            "kind": "idempotent",
-            "service": "tiles",
-            "anonymous": true,
-        },
-        {
-            "name": "plume",
-            "host": "a.example",
-            "path-prefix": "/plume/",
-            "kind": "rollout",
-            "service": "llm",
-            "max-attempts": 3,
-            "item-ttl-s": 40,
-        },
-    ],
-    services: [{ name: "tiles" }, { name: "llm", engine: { models: [{ name: model }], stride: 10 } }],
-    limits: {
-        "max-header-bytes": 16_384,
-        "max-body-bytes": 1_000_000,
-        "header-timeout-ms": 3_000,
-        "idle-timeout-ms": 15_000,
-    },
-    tenants: [
-        { "name": "hule", "api-keys": huleKeys, "priority": 1 },
-        { "name": "fida", "api-keys": [otherKey] },
-        { "name": "broken", "api-keys": "no-list-s3cret" },
-    ],
-});
+const config = (version: number, huleKeys: string[]): unknown =>
+    encodeStandInConfiguration({
+        version,
+        models: [model],
+        extraRoutes: [],
+        openRoutes: ["scores"],
+        tenants: [
+            { "name": "hule", "api-keys": huleKeys, "priority": 1 },
+            { "name": "fida", "api-keys": [otherKey] },
+            { "name": "broken", "api-keys": "no-list-s3cret" },
+        ],
+    });
 
 let bed: Awaited<ReturnType<typeof createPlatformBed>>;
 let gateway: Awaited<ReturnType<typeof bed.startGatewayAt>>;
@@ -86,7 +58,7 @@
 const submit = (id: string, key: string) =>
     call(
         "POST",
-        `/plume/${id}`,
+        `/${model}/${id}`,
         key,
         { "auburnarch-request-id": id },
         JSON.stringify({
@@ -94,7 +66,7 @@
             model,
             items: [{
                 id: `${id}-item`,
-                path: `/plume/${id}/1`,
+                path: `/${model}/${id}/1`,
                 headers: {
                     "Auburnarch-Model": model,
                     "Auburnarch-Tenant": "fida",
--- a/packages/daemon/src/usage.test.ts
+++ b/packages/daemon/src/usage.test.ts
@@ -1,3 +1,4 @@
+import { encodeStandInConfiguration } from "@auburnarch/platform/testing/encodeStandInConfiguration";
 import { serveUsageReports } from "@auburnarch/platform/testing/serveUsageReports";
 import { expect, test } from "vitest";
 import { createPlatformBed } from "./testing/createPlatformBed.js";
@@ -5,34 +6,13 @@
 const windowMs = 1_000;
 const key = "key-of-hule";
 
-const config = {
+const config = encodeStandInConfiguration({
     version: 3,
-    routes: [
-        {
-            "name": "tiles",
-            "host": "a.example",
-            "path-prefix": "/tiles/",
-            "kind": "idempotent",
-            "service": "tiles",
-        },
-        {
-            "name": "open",
-            "host": "a.example",
-            "path-prefix": "/open/",
-            "kind": "idempotent",
-            "service": "tiles",
-            "anonymous": true,
-        },
-    ],
-    services: [{ name: "tiles" }],
-    limits: {
-        "max-header-bytes": 16_384,
-        "max-body-bytes": 1_000_000,
-        "header-timeout-ms": 3_000,
-        "idle-timeout-ms": 15_000,
-    },
+    models: [],
+    extraRoutes: [],
+    openRoutes: ["open"],
     tenants: [{ "name": "hule", "api-keys": [key] }],
-};
+});
 
 test("what teams' requests began to run is reported, each window once, by one holder, through refusals", async () => {
     const bed = await createPlatformBed();
