Soak with keys and reports of use

The randomised runs of the real programs had no teams. All clients of a run now send a team's key, and runs end with a look at what samplers heard (the team, never the key), at the reports (a window never with two different counts) and at the logs (no key).

--- a/packages/soak/src/SoakBed.ts
+++ b/packages/soak/src/SoakBed.ts
@@ -1,5 +1,6 @@
 import type { PlatformStoreStandIn } from "@auburnarch/platform/testing/PlatformStoreStandIn";
 import type { SamplerStandIn } from "@auburnarch/platform/testing/SamplerStandIn";
+import type { UsageReportsStandIn } from "@auburnarch/platform/testing/UsageReportsStandIn";
 import type { LinkProxy } from "./LinkProxy.js";
 import type { Program } from "./Program.js";
 
@@ -20,6 +21,7 @@
     /** Events of each item's text. */
     eventsOfItem: number;
     store: PlatformStoreStandIn;
+    usageReports: UsageReportsStandIn;
     gateways: Program[];
     /** Gateways and runners. */
     programs: Program[];
--- /dev/null
+++ b/packages/soak/src/checkTeams.ts
@@ -0,0 +1,31 @@
+import type { SoakBed } from "./SoakBed.js";
+import { soakTeam } from "./soakTeam.js";
+import type { Witness } from "./Witness.js";
+
+/** Checks what samplers heard of the clients' team, what was reported of it, and that its key stayed with the clients. */
+export function checkTeams(bed: SoakBed, witness: Witness, itemIds: Set<string>): void {
+    for (const sampler of bed.samplers) {
+        for (const { id, headers } of sampler.runs()) {
+            const team = headers?.["auburnarch-tenant"];
+            const isNamed = team === soakTeam.name || (team === undefined && !itemIds.has(id));
+            witness.check(isNamed, "a sampler hears the team of the key", { id, team });
+            witness.check(headers?.authorization === undefined, "a sampler hears no key", { id });
+        }
+    }
+
+    const reported = new Map<number, string>();
+    for (const { window, counts } of bed.usageReports.calls()) {
+        const text = JSON.stringify(counts);
+        const before = reported.get(window) ?? text;
+        reported.set(window, before);
+        witness.check(before === text, "a window is reported with the same counts", { window, before, text });
+    }
+
+    for (const program of bed.programs) {
+        const told = program.lines().filter(line => line.includes(soakTeam.key));
+        witness.check(told.length === 0, "no log line shows a key", {
+            program: program.name,
+            lines: told.length,
+        });
+    }
+}
--- a/packages/soak/src/checks.test.ts
+++ b/packages/soak/src/checks.test.ts
@@ -4,9 +4,11 @@
 import { checkEnd } from "./checkEnd.js";
 import { checkLeft } from "./checkLeft.js";
 import { checkPage } from "./checkPage.js";
+import { checkTeams } from "./checkTeams.js";
 import { createWitness } from "./createWitness.js";
 import { drawFaults } from "./drawFaults.js";
 import type { SoakBed } from "./SoakBed.js";
+import { soakTeam } from "./soakTeam.js";
 import type { StepRecord } from "./StepRecord.js";
 import type { Trouble } from "./Trouble.js";
 
@@ -154,3 +156,53 @@
         "terminate",
     ]);
 });
+
+test("a team that is not named, a key that goes on, and a window reported with other counts are noticed", () => {
+    const breachesOf = (
+        headers: Record<string, string>,
+        counts: Record<string, number>[],
+        line = "event=started",
+    ): string[] => {
+        const witness = createWitness(createFakeClock());
+        const runs = [{ id: "item-1", after: 0, version: 1, atMs: 0, headers }];
+        const calls = counts.map(each => ({
+            path: "/usage",
+            holder: "r",
+            fencing: 1,
+            window: 7,
+            counts: each,
+            status: 200,
+        }));
+        const bed = {
+            samplers: [{ runs: () => runs }],
+            usageReports: { calls: () => calls },
+            programs: [{ name: "r", lines: () => [line] }],
+        };
+        checkTeams(bed as unknown as SoakBed, witness, new Set(["item-1"]));
+        return witness.breaches().map(breach => breach.promise);
+    };
+    const named = { "auburnarch-tenant": soakTeam.name };
+    expect({
+        fine: breachesOf(named, [{ hule: 2 }, { hule: 2 }]),
+        unnamed: breachesOf({}, []),
+        key: breachesOf({ ...named, authorization: "Bearer x" }, []),
+        counts: breachesOf(named, [{ hule: 2 }, { hule: 3 }]),
+        line: breachesOf(named, [], `detail=${soakTeam.key}`),
+    }).toMatchInlineSnapshot(`
+      {
+        "counts": [
+          "a window is reported with the same counts",
+        ],
+        "fine": [],
+        "key": [
+          "a sampler hears no key",
+        ],
+        "line": [
+          "no log line shows a key",
+        ],
+        "unnamed": [
+          "a sampler hears the team of the key",
+        ],
+      }
+    `);
+});
--- a/packages/soak/src/createProgram.ts
+++ b/packages/soak/src/createProgram.ts
@@ -11,6 +11,7 @@
     role: "gateway" | "runner";
     folder: string;
     storePort: number;
+    usagePort: number;
     clientPort: number;
     readyPort: number;
     internalPort: number;
@@ -53,6 +54,7 @@
             clientAddress: `127.0.0.1:${clientPort}`,
             readyAddress: `127.0.0.1:${readyPort}`,
             ...(role === "runner" ? { dataFolder } : {}),
+            usage: { address: `127.0.0.1:${options.usagePort}`, windowS: 1, dueS: 6 },
             orderHandOverMs,
             lotRetentionMs,
             gracePeriodMs,
--- a/packages/soak/src/createSoakBed.ts
+++ b/packages/soak/src/createSoakBed.ts
@@ -4,6 +4,7 @@
 import type { SamplerStandIn } from "@auburnarch/platform/testing/SamplerStandIn";
 import { servePlatformStore } from "@auburnarch/platform/testing/servePlatformStore";
 import { serveSampler } from "@auburnarch/platform/testing/serveSampler";
+import { serveUsageReports } from "@auburnarch/platform/testing/serveUsageReports";
 import type { Clock } from "@auburnarch/types/Clock";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
@@ -13,6 +14,7 @@
 import type { LinkProxy } from "./LinkProxy.js";
 import type { Program } from "./Program.js";
 import type { SoakBed } from "./SoakBed.js";
+import { soakTeam } from "./soakTeam.js";
 
 interface SoakBedOptions {
     gateways: number;
@@ -24,6 +26,7 @@
 
 const eventsOfItem = 25;
 const eventIntervalMs = 20;
+const tenants = [{ "name": soakTeam.name, "api-keys": [soakTeam.key] }];
 /** A draining sampler serves on for this long. */
 const drainMs = 2_500;
 
@@ -32,6 +35,7 @@
     const { models } = options;
     const folder = await mkdtemp(join(tmpdir(), "auburnarch-soak-"));
     const store = await servePlatformStore();
+    const usageReports = await serveUsageReports();
     const writes = createPlatformWrites(store);
     const storeLinks = new Map<string, LinkProxy>();
     const programs: Program[] = [];
@@ -43,7 +47,7 @@
     function putConfiguration(): void {
         const version = configVersions.at(-1)!;
         const extraRoutes = configVersions.map(each => `v${each}`);
-        writes.configure(encodeStandInConfiguration({ version, models, extraRoutes }));
+        writes.configure(encodeStandInConfiguration({ version, models, extraRoutes, tenants }));
     }
 
     async function startSampler(id: string, service: string, port: () => number): Promise<SamplerStandIn> {
@@ -112,6 +116,7 @@
             role,
             folder,
             storePort: link.port,
+            usagePort: usageReports.port,
             clientPort: await findFreePort(),
             readyPort: await findFreePort(),
             internalPort: await findFreePort(),
@@ -138,6 +143,7 @@
         models,
         eventsOfItem,
         store,
+        usageReports,
         gateways,
         programs,
         storeLinks,
@@ -156,10 +162,8 @@
         },
         close: async () => {
             await Promise.all(programs.map(program => program.end("SIGKILL")));
-            storeLinks.forEach(link => link.close());
-            places.forEach(place => place.link.close());
-            samplers.forEach(sampler => sampler.close());
-            store.close();
+            const links = [...storeLinks.values(), ...places.map(place => place.link)];
+            [...links, ...samplers, store, usageReports].forEach(each => each.close());
             await rm(folder, { recursive: true, force: true });
         },
     };
--- a/packages/soak/src/runCaller.ts
+++ b/packages/soak/src/runCaller.ts
@@ -4,6 +4,7 @@
 import type { PlainCall } from "./PlainCall.js";
 import type { Program } from "./Program.js";
 import type { SoakBed } from "./SoakBed.js";
+import { soakTeam } from "./soakTeam.js";
 import type { Witness } from "./Witness.js";
 
 interface CallerDeps {
@@ -32,7 +33,7 @@
 
 /** Makes one client of plain requests, which keeps its connections until they end. */
 export function runCaller({ bed, clock, random, witness, name }: CallerDeps): Caller {
-    const client = createClientStandIn();
+    const client = createClientStandIn(soakTeam.key);
     const calls: PlainCall[] = [];
     /** Newest version whose route each start of a gateway has served. */
     const served = new Map<string, number>();
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "@auburnarch/types/Clock";
 import { checkEnd } from "./checkEnd.js";
 import { checkLeft } from "./checkLeft.js";
+import { checkTeams } from "./checkTeams.js";
 import { createSoakBed } from "./createSoakBed.js";
 import { createWitness } from "./createWitness.js";
 import { drawFaults } from "./drawFaults.js";
@@ -150,6 +151,7 @@
         await checkHealed();
         const steps = trainers.flatMap(trainer => trainer.steps());
         checkEnd(bed, witness, steps, caller.calls());
+        checkTeams(bed, witness, new Set(steps.flatMap(step => step.items)));
         checkLeft(bed, witness, troubles);
         return {
             seed: options.seed,
--- a/packages/soak/src/runTrainer.ts
+++ b/packages/soak/src/runTrainer.ts
@@ -6,6 +6,7 @@
 import { checkPage } from "./checkPage.js";
 import type { Program } from "./Program.js";
 import type { SoakBed } from "./SoakBed.js";
+import { soakTeam } from "./soakTeam.js";
 import type { StepRecord } from "./StepRecord.js";
 import type { Witness } from "./Witness.js";
 
@@ -40,7 +41,7 @@
 
 /** Makes one trainer: it submits a step, reads it at any gateway from any position, ends it, and names a version. */
 export function runTrainer({ bed, clock, random, witness, model }: TrainerDeps): Trainer {
-    const client = createClientStandIn();
+    const client = createClientStandIn(soakTeam.key);
     const steps: StepRecord[] = [];
     const anyGateway = (): Program => bed.gateways[random.nextInt(bed.gateways.length)]!;
 
