--- a/packages/runner/src/usage/planReport.ts
+++ b/packages/runner/src/usage/planReport.ts
@@ -27,7 +27,7 @@
 const settleMs = 400;
 /** Processes that do not tell are waited for until this long before a report is due. */
 const reserveMs = 4_000;
-/** Windows that ended longer ago than this many times the time until they are due are nobody's business any more. */
+/** Windows that ended this many times `dueMs` ago are neither sent nor told as given up. */
 const forgottenAfter = 3;
 /** A report sent later would not arrive in time. */
 const sendSlackMs = 200;
