--- a/packages/bench/src/faults/RunParts.ts
+++ b/packages/bench/src/faults/RunParts.ts
@@ -16,6 +16,8 @@
     trainer: TrainerSide;
     /** Digests of the contents that truly kill engines. */
     poisonDigests: Set<string>;
+    /** Prompt of the next content that kills engines; they take turns. */
+    nextKiller(): string;
     /** Counts a fault that truly struck. */
     struck(kind: FaultKind): void;
     /** A process sleeps so long from now; the run goes on until it has woken. */
--- a/packages/bench/src/faults/focusKinds.ts
+++ b/packages/bench/src/faults/focusKinds.ts
@@ -1,5 +1,12 @@
 import type { FaultKind } from "./FaultKind.js";
 
+const kindsOfDeath: readonly FaultKind[] = [
+    "engineCrash",
+    "poisonRequest",
+    "sidecarKill",
+    "engineOtherWeights",
+];
+
 /** Kinds of fault in which each guard matters; every other run without a guard draws from these alone. */
 export const focusKinds: Record<string, readonly FaultKind[]> = {
     "owner.mayRun": ["ownerPause"],
@@ -35,4 +42,6 @@
     "keyRange.isSeen": ["nonIdempotentResend"],
     "quarantine.isConvicted": ["poisonRequest"],
     "quarantine.isTrialDue": ["poisonRequest"],
+    "quarantine.trials": kindsOfDeath,
+    "quarantine.explainedDeaths": kindsOfDeath,
 };
--- a/packages/bench/src/faults/listGuardNames.ts
+++ b/packages/bench/src/faults/listGuardNames.ts
@@ -1,8 +1,10 @@
 import { defaultFaultGuards } from "./defaultFaultGuards.js";
+import { removedMechanisms } from "./removedMechanisms.js";
 
-/** Names of all guards, as `part.guard`. */
+/** Names of all guards, as `part.guard`, and of the mechanisms that can be taken away like them. */
 export function listGuardNames(): string[] {
-    return Object.entries(defaultFaultGuards).flatMap(([part, guards]) =>
-        Object.keys(guards).map(guard => `${part}.${guard}`)
+    const guards = Object.entries(defaultFaultGuards).flatMap(([part, ofPart]) =>
+        Object.keys(ofPart).map(guard => `${part}.${guard}`)
     );
+    return [...guards, ...Object.keys(removedMechanisms)];
 }
--- a/packages/bench/src/faults/removeGuard.ts
+++ b/packages/bench/src/faults/removeGuard.ts
@@ -1,5 +1,6 @@
 import { defaultFaultGuards } from "./defaultFaultGuards.js";
 import type { FaultGuards } from "./FaultGuards.js";
+import { removedMechanisms } from "./removedMechanisms.js";
 
 type AnyGuards = Record<string, (...args: never[]) => unknown>;
 
@@ -12,13 +13,27 @@
     "quarantine.isConvicted": () => false,
 };
 
-/** All guards but the one named `part.guard`, which lets everything through. Undefined for an unknown name. */
-export function removeGuard(name: string): FaultGuards | undefined {
+function removeOne(guards: FaultGuards, name: string): FaultGuards | undefined {
+    const removed = removedMechanisms[name];
+    if (removed !== undefined) {
+        return { ...guards, quarantine: { ...guards.quarantine, ...removed } };
+    }
     const [part = "", guard = ""] = name.split(".");
-    const guards = (defaultFaultGuards as unknown as Record<string, AnyGuards>)[part];
-    if (guards?.[guard] === undefined) {
+    const ofPart = (guards as unknown as Record<string, AnyGuards>)[part];
+    if (ofPart?.[guard] === undefined) {
         return undefined;
     }
-    const without = { ...guards, [guard]: permissive[name] ?? (() => true) };
-    return { ...defaultFaultGuards, [part]: without };
+    const without = { ...ofPart, [guard]: permissive[name] ?? (() => true) };
+    return { ...guards, [part]: without };
+}
+
+/**
+ * All guards but those named, separated by commas: a guard `part.guard` lets everything through, a mechanism is taken
+ * away. Undefined for an unknown name.
+ */
+export function removeGuard(names: string): FaultGuards | undefined {
+    return names.split(",").reduce<FaultGuards | undefined>(
+        (guards, name) => guards === undefined ? undefined : removeOne(guards, name),
+        defaultFaultGuards,
+    );
 }
--- a/packages/bench/src/faults/runScripts.ts
+++ b/packages/bench/src/faults/runScripts.ts
@@ -1,4 +1,5 @@
 import type { FaultGuards } from "./FaultGuards.js";
+import { runBystanderScript } from "./runBystanderScript.js";
 import { runShutdownScript } from "./runShutdownScript.js";
 import { runSuspectsScript } from "./runSuspectsScript.js";
 import { runTrialScript } from "./runTrialScript.js";
@@ -10,6 +11,7 @@
         await runSuspectsScript(guards),
         await runTrialScript(guards),
         await runShutdownScript(guards),
+        runBystanderScript(guards),
     ];
     return found.filter(each => each !== undefined);
 }
--- a/packages/bench/src/faults/runWithFaults.ts
+++ b/packages/bench/src/faults/runWithFaults.ts
@@ -75,6 +75,8 @@
 interface RunOptions {
     /** Ends the run at the first violation. */
     stopAtFirst?: boolean;
+    /** How many different contents kill engines; one by default. */
+    killers?: number;
     /** Kinds of fault to draw from; all by default. */
     only?: readonly FaultKind[];
     /** Where the log of all processes goes; nowhere by default. */
@@ -94,11 +96,16 @@
     const strikes = Object.fromEntries(faultKinds.map(kind => [kind, 0])) as FaultRun["strikes"];
     let isHealed = false;
     let frozenUntilMs = 0;
+    let killersSent = 0;
     let healNotBeforeMs = 0;
     void world.store.write(manifestKey, createManifest(0), 0 as ObjectVersion);
     const parts: RunParts = {
         ...createRunParts(world, () => isHealed),
         poisonDigests: new Set(),
+        nextKiller: () => {
+            const number = killersSent++ % (options.killers ?? 1);
+            return number === 0 ? "poison" : `poison ${number}`;
+        },
         struck: kind => {
             strikes[kind]++;
             options.onStrike?.(kind, clock.monotonicMs());
--- a/packages/bench/src/faults/strikeFault.ts
+++ b/packages/bench/src/faults/strikeFault.ts
@@ -245,8 +245,7 @@
 /** A content that kills every engine that runs it, sent again and again under new ids. */
 async function sendPoison(parts: RunParts): Promise<void> {
     const { clock } = parts.world;
-    const content = "poison";
-    const request = createPoisonRequest(content);
+    const request = createPoisonRequest(parts.nextKiller());
     parts.poisonDigests.add(digestRequest(request));
     for (let sent = 0; sent < 4; sent++) {
         const entry = pickOne(parts, parts.entries)!;
