Take no work at a sidecar until an entry has told it what is in force

Callers saw: a content with deaths on two VMs killed one more engine, and what ran there had to be made again; a team's requests queued beyond the manifest's bound.

Cause: a sidecar took work from its start on, with no list of refused contents and default limits, until the answer to its first report. Two checks of the fault runs had found that and were then eased: left sidecars younger than 2 s out of the probe, let a queue stand that was filled before.

Change: a sidecar refuses work as notReady, not run, until it has taken a manifest, for 2 s at most, so that one that reaches no entry still serves. The new guard's loss is noticed by a scripted run.

--- a/packages/bench/src/faults/createSidecarProcess.ts
+++ b/packages/bench/src/faults/createSidecarProcess.ts
@@ -1,6 +1,7 @@
 import { faultsOfDocument } from "@auburnarch/config/faultsOfDocument";
 import { createGate } from "@auburnarch/gate/createGate";
 import type { GateDeps } from "@auburnarch/gate/GateDeps";
+import { learnWithinMs } from "@auburnarch/gate/learnWithinMs";
 import { createInvariants } from "@auburnarch/invariants/createInvariants";
 import { createReadFencing } from "@auburnarch/lease/createReadFencing";
 import { createReporter } from "@auburnarch/membership/createReporter";
@@ -73,6 +74,7 @@
         backend: deps.backend === undefined ? undefined : process.connect(deps.backend),
         weightStore: process.connect(deps.weightStore),
         readFencing: createReadFencing(process.connect(createStoreLink(world, deps.name))),
+        learnWithinMs,
     };
     const gate = createGate(gateDeps, guards.gate);
     let down = (): void => undefined;
--- a/packages/bench/src/faults/judgeRun.ts
+++ b/packages/bench/src/faults/judgeRun.ts
@@ -1,6 +1,7 @@
 import { isConvicted } from "@auburnarch/admit/isConvicted";
 import { validateManifest } from "@auburnarch/config/validateManifest";
 import { digestRequest } from "@auburnarch/entry/digestRequest";
+import { learnWithinMs } from "@auburnarch/gate/learnWithinMs";
 import type { OwnerStatus } from "@auburnarch/own/OwnerStatus";
 import type { AttemptId } from "@auburnarch/types/AttemptId";
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
@@ -11,7 +12,8 @@
 
 const manifestKey = "config/manifest";
 const askMs = 1_000;
-const startMs = 150;
+/** Without word from an entry a sidecar takes work after this time. */
+const startMs = learnWithinMs + 150;
 /** A process that has just started hears of the manifest and the quarantine within this time. */
 const learnMs = 2_000;
 
@@ -68,9 +70,7 @@
             void entry.enter(present => present.call(request, signal)).catch(() => undefined)
         );
         const plain = { ...request, idempotent: true, digest: digestRequest(request), budgetMs: askMs };
-        // One that has just started knows no list yet; what entries know keeps the content from it.
-        const informed = parts.models.map(({ node }) => node).filter(hasLearned);
-        const targets = direct ? informed.map(node => node.port()) : [];
+        const targets = direct ? parts.models.map(({ node }) => node.port()) : [];
         targets.forEach(port =>
             void port.callPlain({ ...plain, attempt: world.random.nextId() as AttemptId }, signal)
         );
@@ -79,7 +79,7 @@
         return hasRun();
     }
 
-    /** Sidecars that have just started and whose entries they cannot reach yet know no list. */
+    /** Sidecars that were started again and cannot reach an entry know no list, and take work all the same. */
     async function forgetAtSidecars(): Promise<void> {
         for (const { node } of parts.models) {
             entries.forEach(entry => world.network.cut(`${node.name}#reports`, entry.name));
--- a/packages/bench/src/faults/runScripts.ts
+++ b/packages/bench/src/faults/runScripts.ts
@@ -3,6 +3,7 @@
 import { runShutdownScript } from "./runShutdownScript.js";
 import { runSuspectsScript } from "./runSuspectsScript.js";
 import { runTrialScript } from "./runTrialScript.js";
+import { runUninformedScript } from "./runUninformedScript.js";
 import type { ScriptedViolation } from "./ScriptedViolation.js";
 
 /** Runs all scripted runs, which come before the random ones of a series, and gives what they found. */
@@ -11,6 +12,7 @@
         await runSuspectsScript(guards),
         await runTrialScript(guards),
         await runShutdownScript(guards),
+        await runUninformedScript(guards),
         runBystanderScript(guards),
     ];
     return found.filter(each => each !== undefined);
--- /dev/null
+++ b/packages/bench/src/faults/runUninformedScript.ts
@@ -0,0 +1,27 @@
+import { createTestGate } from "@auburnarch/gate/testing/createTestGate";
+import type { FaultGuards } from "./FaultGuards.js";
+import type { ScriptedViolation } from "./ScriptedViolation.js";
+
+const describedMs = 1_500;
+const learnWithinMs = 10_000;
+
+/**
+ * A scripted run for what the random ones bring about too rarely: work arrives at a sidecar that has just started, from
+ * a sender that does not know that its content is refused, and before the sidecar has heard of it.
+ */
+export async function runUninformedScript(guards: FaultGuards): Promise<ScriptedViolation | undefined> {
+    const { gate, clock, control, attempt } = createTestGate({ guards: guards.gate, learnWithinMs });
+    await clock.advance(describedMs);
+    const sent = attempt("refused elsewhere");
+    void gate.runSample(sent, () => undefined, new AbortController().signal);
+    await clock.advance(1);
+    const hasStarted = control.starts().has(sent.attempt);
+    gate.kill();
+    return hasStarted
+        ? {
+            promise: "ranUninformed",
+            detail: "work ran before the sidecar knew what is refused",
+            atMs: clock.monotonicMs(),
+        }
+        : undefined;
+}
--- a/packages/bench/src/faults/strikeFault.ts
+++ b/packages/bench/src/faults/strikeFault.ts
@@ -401,7 +401,6 @@
         return;
     }
     parts.struck("requestBurst");
-    const waitingBefore = plain.node.gate()?.report().waiting ?? 0;
     plain.setLatencyMs(400);
     world.clock.startTimer(1_000, () => plain.setLatencyMs(20));
     for (let sent = 0; sent < burstRequests; sent++) {
@@ -410,9 +409,8 @@
     world.clock.startTimer(burstLookMs, () => {
         const report = plain.node.gate()?.report();
         const waiting = report?.waiting ?? 0;
-        // Before it has a manifest a sidecar knows no bound of the manifest's. What it queued until then it may serve, but
-        // this burst must add nothing to a queue that is over the bound.
-        if (report?.configVersion !== 0 && waiting > Math.max(maxQueuedPerTeam, waitingBefore)) {
+        // Before it has a manifest a sidecar knows no bound of the manifest's.
+        if (report?.configVersion !== 0 && waiting > maxQueuedPerTeam) {
             world.violations.add("queueUnbounded", `${plain.node.name}: ${waiting} waiting`);
         }
     });
--- a/packages/daemon/src/startSidecar.ts
+++ b/packages/daemon/src/startSidecar.ts
@@ -4,6 +4,7 @@
 import { createGate } from "@auburnarch/gate/createGate";
 import type { Gate } from "@auburnarch/gate/Gate";
 import type { GateDeps } from "@auburnarch/gate/GateDeps";
+import { learnWithinMs } from "@auburnarch/gate/learnWithinMs";
 import { serveGate } from "@auburnarch/gate/serveGate";
 import { createReadFencing } from "@auburnarch/lease/createReadFencing";
 import { createReporter } from "@auburnarch/membership/createReporter";
@@ -67,6 +68,7 @@
         backend: settings.backendUrl === undefined ? undefined : createHttpPlainBackend(settings.backendUrl),
         weightStore: createHttpWeightStore(settings.weightStoreUrl ?? ""),
         readFencing: createReadFencing(store),
+        learnWithinMs,
     };
 }
 
--- a/packages/daemon/src/testing/createMemorySystem.ts
+++ b/packages/daemon/src/testing/createMemorySystem.ts
@@ -18,6 +18,7 @@
 import type { FakeStoreControl } from "@auburnarch/fakes/FakeStoreControl";
 import { createGate } from "@auburnarch/gate/createGate";
 import type { Gate } from "@auburnarch/gate/Gate";
+import { learnWithinMs } from "@auburnarch/gate/learnWithinMs";
 import { createInvariants } from "@auburnarch/invariants/createInvariants";
 import { createReadFencing } from "@auburnarch/lease/createReadFencing";
 import { createLogger } from "@auburnarch/log/createLogger";
@@ -159,6 +160,7 @@
             backend,
             weightStore,
             readFencing: createReadFencing(store),
+            learnWithinMs,
         });
         samplers.set(sampler.sampler, { gate, ...controls });
         const follower = createFollower(
--- a/packages/gate/src/GateContext.ts
+++ b/packages/gate/src/GateContext.ts
@@ -22,6 +22,8 @@
     guards: GateGuards;
     incarnation: IncarnationId;
     flags: GateFlags;
+    /** Whether an entry has told this incarnation what is in force, or it has waited for that long enough. */
+    isInformed: () => boolean;
     limits: () => Pick<LimitsManifest, "maxQueuedPerTeam" | "interactiveWaitMs">;
     attempts: AttemptTable;
     fencing: FencingTable;
--- a/packages/gate/src/GateDeps.ts
+++ b/packages/gate/src/GateDeps.ts
@@ -23,4 +23,6 @@
     weightStore: WeightStore;
     /** Reads a job lease's present number from the object API; rejects while that is down. */
     readFencing: (job: JobId) => Promise<FencingNumber>;
+    /** Takes no work until it has been told what is in force, for so long at most; at once by default. */
+    learnWithinMs?: number;
 }
--- a/packages/gate/src/GateFlags.ts
+++ b/packages/gate/src/GateFlags.ts
@@ -1,5 +1,7 @@
-/** What a gate has been told about its own end; each only ever becomes true. */
+/** What a gate has been told; each only ever becomes true. */
 export interface GateFlags {
+    /** What is in force, by an entry. */
+    informed: boolean;
     leaving: boolean;
     shuttingDown: boolean;
     killed: boolean;
--- a/packages/gate/src/GateGuards.ts
+++ b/packages/gate/src/GateGuards.ts
@@ -11,6 +11,8 @@
     tombstone(standing: AttemptStanding): boolean;
     /** An attempt id runs once. */
     duplicate(standing: AttemptStanding): boolean;
+    /** Work before this incarnation has been told what is in force: limits, and contents that are refused. */
+    informed(isInformed: boolean): boolean;
     leaving(isLeaving: boolean): boolean;
     shuttingDown(isShuttingDown: boolean): boolean;
     /** `deadVms` is the number of VMs that the content killed. */
--- a/packages/gate/src/createContext.ts
+++ b/packages/gate/src/createContext.ts
@@ -52,6 +52,8 @@
     });
     const suspects = createSuspects({ vm: identity.vm, nowMs });
     const generations: GateContext["generations"] = new Set();
+    const flags = { informed: false, leaving: false, shuttingDown: false, killed: false };
+    const informedFromMs = nowMs() + (deps.learnWithinMs ?? 0);
     let describedBootId: string | undefined;
 
     /** Called at each heartbeat: a limit that has adapted is kept until the engine is another. */
@@ -84,7 +86,8 @@
         deps,
         guards,
         incarnation,
-        flags: { leaving: false, shuttingDown: false, killed: false },
+        flags,
+        isInformed: () => flags.informed || nowMs() >= informedFromMs,
         limits,
         attempts: createAttemptTable({ nowMs }),
         fencing: createFencingTable(deps.readFencing),
--- a/packages/gate/src/createGate.ts
+++ b/packages/gate/src/createGate.ts
@@ -86,6 +86,7 @@
         const fields = { present, offered: offered.version };
         invariants.check(resultCodes.configReverted, offered.version > present, fields);
         manifest = offered;
+        flags.informed = true;
         logger.info("manifestTaken", { configVersion: offered.version, before: present });
         slots.wake();
         return true;
--- a/packages/gate/src/defaultGateGuards.ts
+++ b/packages/gate/src/defaultGateGuards.ts
@@ -7,6 +7,7 @@
 export const defaultGateGuards: GateGuards = {
     tombstone: standing => standing !== "tombstone" && standing !== "refused",
     duplicate: standing => standing !== "running" && standing !== "finished",
+    informed: isInformed => isInformed,
     leaving: isLeaving => !isLeaving,
     shuttingDown: isShuttingDown => !isShuttingDown,
     quarantine: deadVms => deadVms < quarantineVms,
--- a/packages/gate/src/refuseCommon.ts
+++ b/packages/gate/src/refuseCommon.ts
@@ -25,5 +25,8 @@
     if (!guards.shuttingDown(flags.shuttingDown)) {
         return resultCodes.shuttingDown;
     }
+    if (!guards.informed(context.isInformed())) {
+        return resultCodes.notReady;
+    }
     return refuseSuspect(context, work);
 }
--- a/packages/gate/src/testing/createTestGate.ts
+++ b/packages/gate/src/testing/createTestGate.ts
@@ -37,6 +37,7 @@
     readFencing?: () => Promise<number>;
     clock?: FakeClock;
     sampler?: string;
+    learnWithinMs?: number;
 }
 
 interface TestGate {
@@ -108,6 +109,7 @@
         ...options.engine,
     });
     const deps: GateDeps = {
+        learnWithinMs: options.learnWithinMs,
         identity: identityOf(options.sampler ?? "s1"),
         clock,
         random: createRandom(8),
