--- a/packages/bench/src/faults/createCompanyJudge.ts
+++ b/packages/bench/src/faults/createCompanyJudge.ts
@@ -30,7 +30,8 @@
                 return;
             }
             const others = [...runningAt(node).values()].filter(digest => digest !== arrival.digest);
-            const suspects = listSuspects();
+            const own = arrival.sidecar.gate.report().suspects.map(each => each.digest);
+            const suspects = new Set<string>([...listSuspects(), ...own]);
             if (suspects.has(arrival.digest) && others.some(digest => suspects.has(digest))) {
                 violations.add("suspectsTogether", node);
             }
