--- a/packages/bench/src/faults/faultsCommand.ts
+++ b/packages/bench/src/faults/faultsCommand.ts
@@ -26,6 +26,10 @@
     args: {
         "seed": { type: "string", default: "1", description: "Seed; the same one gives the same bytes" },
         "runs": { type: "string", default: "1000", description: "Number of runs" },
+        "run": {
+            type: "string",
+            description: "Plays one run instead: the seed that a violation's line names",
+        },
         "json": { type: "string", description: "File for the summary as JSON" },
         "without": {
             type: "string",
@@ -38,8 +42,13 @@
             process.stdout.write(`${listGuardNames().join("\n")}\n`);
             return;
         }
+        const onlyRun = args.run === undefined ? undefined : parseCount(args.run, 0);
+        if (args.run !== undefined && onlyRun === undefined) {
+            fail("--run takes a whole number from 0, as a line event=violation names it.");
+            return;
+        }
         const seed = parseCount(args.seed, 0);
-        const runs = parseCount(args.runs, 1);
+        const runs = onlyRun === undefined ? parseCount(args.runs, 1) : 1;
         if (seed === undefined || runs === undefined) {
             fail("--seed takes a whole number from 0, --runs one from 1.");
             return;
@@ -53,9 +62,10 @@
         const summary = await runFaultSeries({
             seed,
             runs,
+            onlyRun,
             guards,
             without,
-            stopAtFirst: without !== undefined,
+            stopAtFirst: without !== undefined && onlyRun === undefined,
             onRun: (_, index) => {
                 if ((index + 1) % progressEvery === 0) {
                     process.stderr.write(`${index + 1} of ${runs} runs\n`);
--- a/packages/bench/src/faults/runFaultSeries.ts
+++ b/packages/bench/src/faults/runFaultSeries.ts
@@ -13,6 +13,8 @@
 interface SeriesOptions {
     seed: number;
     runs: number;
+    /** Seed of the one run to play, with all kinds of fault, instead of a series. */
+    onlyRun?: number;
     guards: FaultGuards;
     without: string | undefined;
     /** Ends the series at the first violation. */
@@ -51,14 +53,15 @@
     };
     // Refusals are errors here by the thousand, and nobody reads their stacks.
     Error.stackTraceLimit = 0;
-    const scripted = await runScripts(options.guards);
+    const { onlyRun } = options;
+    const scripted = onlyRun === undefined ? await runScripts(options.guards) : [];
     summary.violations.push(...scripted.map(each => ({ seed: options.seed, ...each })));
     summary.violationCount += scripted.length;
     const runs = scripted.length > 0 && options.stopAtFirst ? 0 : options.runs;
     for (let index = 0; index < runs; index++) {
-        const seed = options.seed * seedStride + index;
+        const seed = onlyRun ?? options.seed * seedStride + index;
         const focus = options.without === undefined ? undefined : focusKinds[options.without];
-        const only = index % 2 === 0 ? focus : undefined;
+        const only = index % 2 === 0 && onlyRun === undefined ? focus : undefined;
         const run = await runWithFaults(seed, options.guards, { stopAtFirst: options.stopAtFirst, only });
         summary.runs++;
         addRun(summary, run);
