Leave a trial to contents whose deaths have another explanation

Callers saw: a step waited up to an hour for its last sample, which kills nothing and was refused (2007); a step is to be whole in 6 minutes.

Cause: the fleet has three trials an hour that don't end cleanly, and contents that had killed in a trial, or were alone at deaths on two VMs, took all three again and again.

Evidence: the new test, four such killers sent every minute for six hours: a harmless content that was in company at two deaths is due in 3,060 s before, 5 s after.

Change: such contents may use two of the three.

--- a/packages/admit/src/createTrials.test.ts
+++ b/packages/admit/src/createTrials.test.ts
@@ -186,3 +186,32 @@
     const deaths = await countTrialDeaths(["a", "b", "c", "d", "e", "f", "g", "h"], 6);
     expect(Math.max(...deaths)).toBe(3);
 });
+
+test("killers whose senders never give up leave a trial to a content that was never alone at a death", async () => {
+    // Guards against: a step waits an hour for its last sample.
+    const { clock, entries: [entry], die } = createFixture(1);
+    const killers = ["a", "b", "c", "d"].map(digestOf);
+    killers.forEach((killer, index) => {
+        die(`vm-${index}-1`, killer);
+        die(`vm-${index}-2`, killer);
+    });
+    const runDue = async (): Promise<void> => {
+        for (const killer of killers) {
+            if (await entry!.takeTrial(killer, "sample") !== undefined) {
+                die(`vm-of-${killer}`, killer);
+            }
+        }
+    };
+    const waits: number[] = [];
+    for (let minute = 0; minute < 6 * 60; minute++) {
+        await clock.advance(60_000);
+        await runDue();
+        if (minute % 10 === 9) {
+            const harmless = digestOf(`harmless ${minute}`);
+            die("vm-1", harmless, digestOf(`beside ${minute}`));
+            die("vm-2", harmless, digestOf(`beside it too ${minute}`));
+            waits.push(entry!.trialDueInMs(harmless, "sample"));
+        }
+    }
+    expect(Math.max(...waits)).toBe(5_000);
+});
--- a/packages/admit/src/trialDueAtMs.ts
+++ b/packages/admit/src/trialDueAtMs.ts
@@ -7,10 +7,10 @@
 
 const vmsToProve = 2;
 
-/** Wall time from which one more trial keeps the whole fleet within its limit. */
-function withinLimitFromMs(records: readonly QuarantineRecord[]): number {
+/** Wall time from which one more trial keeps the whole fleet within `limit` in a window. */
+function withinLimitFromMs(records: readonly QuarantineRecord[], limit: number): number {
     const begunAtMs = records.flatMap(openTrials).map(trial => trial.atMs).sort((a, b) => b - a);
-    const oldestInFullWindow = begunAtMs[trialLimits.maxInWindow - 1];
+    const oldestInFullWindow = begunAtMs[limit - 1];
     return oldestInFullWindow === undefined ? 0 : oldestInFullWindow + trialLimits.windowMs;
 }
 
@@ -61,5 +61,9 @@
     const evidence = { killed, unknown: trials.length - killed, wasAlone: vmsAlone >= vmsToProve };
     const waitMs = waitBeforeTrialMs(evidence, kind);
     const latestMs = Math.max(...deaths.map(death => death.atMs), ...trials.map(trial => trial.atMs));
-    return Math.max(latestMs + waitMs, withinLimitFromMs(records));
+    // Contents that most likely kill leave a trial to those whose deaths have other explanations.
+    const limit = evidence.killed > 0 || evidence.wasAlone
+        ? trialLimits.maxOfLikelyKillers
+        : trialLimits.maxInWindow;
+    return Math.max(latestMs + waitMs, withinLimitFromMs(records, limit));
 }
--- a/packages/admit/src/trialLimits.ts
+++ b/packages/admit/src/trialLimits.ts
@@ -20,5 +20,7 @@
     firstOfSampleMs: 60_000,
     /** Trials of all contents that did not end cleanly, in any such window. */
     maxInWindow: 3,
+    /** Of these, trials of contents that were alone at deaths on two VMs or have killed in a trial. */
+    maxOfLikelyKillers: 2,
     windowMs: 3_600_000,
 } as const;
