--- a/packages/admit/src/Quarantine.ts
+++ b/packages/admit/src/Quarantine.ts
@@ -12,10 +12,7 @@
     noteReport(report: Pick<SamplerReport, "suspects">): void;
     /** Takes a death that this entry saw itself. */
     noteDeath(vm: VmId, bootId: string, digests: ContentDigest[]): void;
-    /**
-     * A clean finish clears a suspect, also one that is refused: a content that kills does so wherever it runs. Without
-     * the latter an innocent content whose last attempt ends just after it is refused answers `quarantined` for 24 h.
-     */
+    /** A clean finish clears a suspect, also one that is refused: a content that kills does so wherever it runs. */
     noteCleanFinish(digest: ContentDigest): void;
     /** True for convicted content: it is not to run anywhere. */
     isRefused(digest: ContentDigest): boolean;
--- a/packages/admit/src/trialDueAtMs.ts
+++ b/packages/admit/src/trialDueAtMs.ts
@@ -34,10 +34,8 @@
 /**
  * Wall time from which a refused content may run once more, alone on a sampler.
  *
- * What goes wrong without: a content that kills nothing is in flight at deaths of other causes, is refused everywhere,
- * and a step that holds it never ends. One notices by a step whose last sample answers `quarantined` for hours. The
- * number of deaths cannot tell it from a killer; whether it was alone at them can, and one run alone decides. Only a
- * sidecar knows what was in flight at its engine; where one died with its VM, or alone, nobody counted.
+ * The number of deaths cannot tell a bystander from a killer; whether it was alone at them can, and one run alone
+ * decides. Only a sidecar knows what was in flight at its engine; where one died with its VM, or alone, nobody counted.
  *
  * A content that was always in company is tried soon, since its deaths have other explanations. One that was alone at
  * deaths on two VMs, or has killed in a trial, most likely kills, and each trial costs a sampler: it waits an hour, then
--- a/packages/bench/src/faults/judgeServed.ts
+++ b/packages/bench/src/faults/judgeServed.ts
@@ -1,6 +1,6 @@
 import type { RunParts } from "./RunParts.js";
 
-/** The users' aim for the samples of a step; a content that kills nothing is served within it wherever it was in flight. */
+/** Time within which a step is to be whole; a content that kills nothing is served within it. */
 const servedWithinMs = 6 * 60_000;
 
 /**
--- a/packages/entry/src/createBodyPool.ts
+++ b/packages/entry/src/createBodyPool.ts
@@ -6,8 +6,7 @@
 
 /**
  * Bounds the memory that the bodies of all requests in flight take together, and what one owner of requests may take
- * of it. Each body has its own bound, but a few hundred large ones at once would end the process; they would be
- * noticed only by its death.
+ * of it. Each body has its own bound, but a few hundred large ones at once would end the process.
  */
 export function createBodyPool(maxBytes: number, maxOwnerBytes: number): (owner: string) => BodyBudget {
     const heldBytes = new Map<string, number>();
--- a/packages/gate/src/createAttemptTable.ts
+++ b/packages/gate/src/createAttemptTable.ts
@@ -16,9 +16,8 @@
 const tombstoneMemoryMs = 3_600_000;
 
 /**
- * Makes the table. What goes wrong without it: a sender whose connection broke is told "never seen", sends the
- * request elsewhere, and the first message, late, runs here as well. One notices by the effect happening twice.
- * The tombstone refuses the late message.
+ * Makes the table. A sender whose connection broke and who is told "never seen" sends its request elsewhere; the
+ * tombstone then refuses the first message, which may still come.
  *
  * Memory is bounded. Where more attempts end within the memory time than the table holds, the oldest are
  * forgotten, and until that time has passed an unknown id is answered `finished`, which a sender takes as unknown:
--- a/packages/gate/src/createServedWeights.ts
+++ b/packages/gate/src/createServedWeights.ts
@@ -27,10 +27,8 @@
 const describeTimeoutMs = 5_000;
 
 /**
- * Makes the watch over an engine's weights: it is described at each heartbeat. What goes wrong without it: an
- * engine restarts with an old image, or a hand swaps weights at the machine, and its samples pass for fresh ones
- * for weeks. One notices by drifting forecasts. Here another boot id or version than expected is seen within one
- * heartbeat, and no sample starts until the served version is known again.
+ * Makes the watch over an engine's weights, which is described at each heartbeat. After another boot id or version than
+ * expected, as when an engine restarts with an old image, no sample starts until the served version is known again.
  */
 export function createServedWeights(deps: ServedWeightsDeps): ServedWeights {
     const { clock, logger, engine } = deps;
--- a/packages/own/src/mayRun.ts
+++ b/packages/own/src/mayRun.ts
@@ -8,8 +8,8 @@
  * refuse a lower number. Within the lease it may. Past it, it may only while the object API is known to be silent
  * right now: then nobody can take the lease over either, or if somebody did, the destinations refuse us.
  *
- * What goes wrong otherwise: an owner that wakes from a pause acts on a lease that another holds. It finds its
- * last proof of silence too old, so it does nothing before a fresh probe has told it which of the two it is.
+ * An owner that wakes from a pause finds its last proof of silence too old, and does nothing before a fresh probe has
+ * told it which of the two it is.
  */
 export function mayRun(state: ActingState): boolean {
     if (state.isLeaseLost || state.isFencedOff) {
