Probe all killing contents at the sidecars before these forget the list

All contents are now probed directly first, then all through entries. With one killing content the order is as before.

--- a/packages/bench/src/faults/judgeRun.ts
+++ b/packages/bench/src/faults/judgeRun.ts
@@ -91,15 +91,16 @@
 
     /** What has killed engines on two VMs is refused by sidecars whatever entry sends it, and by every entry. */
     async function probePoison(): Promise<void> {
-        for (const [prompt, { vms }] of [...world.poison()]) {
-            if (vms.size < 2) {
-                continue;
-            }
+        const killers = [...world.poison()].filter(([, { vms }]) => vms.size > 1).map(([prompt]) => prompt);
+        for (const prompt of killers) {
             if (await sendPoison(prompt, true)) {
                 violations.add("poisonRanAgain", `${prompt} at a sidecar`);
                 return;
             }
-            await forgetAtSidecars();
+        }
+        // The sidecars know no list from here on, so this comes after all the probes that ask them.
+        await forgetAtSidecars();
+        for (const prompt of killers) {
             if (await sendPoison(prompt, false)) {
                 violations.add("poisonRanAgain", `${prompt} through an entry`);
             }
