Take a sampler's version for unknown after an order without an answer

Cause: a sidecar was killed while its engine, which states no versions, loaded version 3. The next sidecar looked at the engine before the load took effect and reported version 2. The owner, whose order had got no answer, went by that report.

Evidence: in the trace the order at 6.462 s ends result=unknown at 6.668 s, the engine serves 3 by 7.428 s, and a sample starts there at 7.318 s as version 2; weights changed by hand back to 2 at 7.428 s hide it from the look at the sample's end.

Change: the owner takes the version of such a sampler for unknown until an order is carried out or the ordered version is reported, and may order it again at once. Engines that state their versions, as on the platform, are not concerned.

--- a/packages/own/src/createPipe.ts
+++ b/packages/own/src/createPipe.ts
@@ -65,7 +65,7 @@
         random: random.fork(),
         logger,
         metrics,
-        listSamplers,
+        listSamplers: () => listSamplers().map(roller.withDoubt),
         sidecar,
         mayAct: authority.mayRun,
         isAboutToSwap: roller.isAboutToSwap,
--- a/packages/swap/src/SwapRoller.ts
+++ b/packages/swap/src/SwapRoller.ts
@@ -1,5 +1,6 @@
 import type { PublishedWeights } from "@auburnarch/types/PublishedWeights";
 import type { SamplerId } from "@auburnarch/types/SamplerId";
+import type { SamplerView } from "@auburnarch/types/SamplerView";
 
 /** Rolls published weights over the samplers of a policy. */
 export interface SwapRoller {
@@ -11,6 +12,11 @@
     pending(): SamplerId[];
     /** True if the sampler is ordered or next in turn to be ordered to swap. */
     isAboutToSwap(sampler: SamplerId): boolean;
+    /**
+     * The view, with its version unknown while an order without an answer may still change it. That matters where the
+     * engine does not state versions: its sidecar may have looked before the load took effect.
+     */
+    withDoubt(view: SamplerView): SamplerView;
     /** Orders nothing more; orders under way end by themselves. */
     stop(): void;
 }
--- a/packages/swap/src/createSwapRoller.test.ts
+++ b/packages/swap/src/createSwapRoller.test.ts
@@ -154,3 +154,36 @@
     expect(roller.pending()).toEqual([]);
     roller.stop();
 });
+
+// Guards against: a sample names the old weights, though an order whose answer was lost has loaded the new ones.
+test("a sampler whose engine states no versions is in doubt after an order without an answer, until one is answered", async () => {
+    const ends: ("done" | "unknown")[] = ["unknown", "done"];
+    const { clock, roller, reports } = start(["a"], () => ends.shift() ?? "done");
+    const stateNow = (): string =>
+        roller.withDoubt({ report: reports.get("a")!, suspected: false } as unknown as SamplerView).report
+            .state;
+    const states = [stateNow()];
+    roller.publish(weightsOf(2));
+    await clock.advance(10);
+    states.push(stateNow());
+    await clock.advance(100);
+    states.push(stateNow());
+    await clock.advance(3_000);
+    states.push(stateNow());
+    roller.stop();
+    expect(states).toEqual(["ready", "unknownVersion", "unknownVersion", "ready"]);
+});
+
+test("a sampler that serves what was ordered, or states its versions, is not in doubt", async () => {
+    const { clock, roller, reports } = start(["a", "b"], () => "unknown");
+    roller.publish(weightsOf(2));
+    await clock.advance(5_000);
+    const [a, b] = ["a", "b"].map(name => ({ report: reports.get(name)! }) as unknown as SamplerView);
+    const served = [{ policy: "plume", version: 2 }] as unknown as SamplerReport["served"];
+    const views = [
+        { ...a!, report: { ...a!.report, served } },
+        { ...b!, report: { ...b!.report, stampsVersions: true } },
+    ];
+    roller.stop();
+    expect(views.map(view => roller.withDoubt(view).report.state)).toEqual(["ready", "ready"]);
+});
--- a/packages/swap/src/createSwapRoller.ts
+++ b/packages/swap/src/createSwapRoller.ts
@@ -7,6 +7,7 @@
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
 import { createAnsweredReports } from "./createAnsweredReports.js";
 import { createDownloadLimit } from "./createDownloadLimit.js";
+import { createOrderDoubts } from "./createOrderDoubts.js";
 import { createSwapBackoff } from "./createSwapBackoff.js";
 import { planSwaps } from "./planSwaps.js";
 import type { SwapPlan } from "./SwapPlan.js";
@@ -27,16 +28,18 @@
     const backoff = createSwapBackoff(clock, deps.random);
     const downloads = createDownloadLimit();
     const answered = createAnsweredReports(clock);
+    const doubts = createOrderDoubts(deps.policy);
     let target: PublishedWeights | undefined;
     let lastPlan: SwapPlan = { orders: [], waiting: [] };
     let isStopped = false;
     let cancelTick = (): void => {};
 
-    const listViews = (): SamplerView[] => deps.listSamplers().map(answered.freshest);
+    const listViews = (): SamplerView[] => deps.listSamplers().map(answered.freshest).map(doubts.withDoubt);
 
     function takeResult(sampler: SamplerId, version: WeightVersion, result: SamplerOrderResult): void {
         const fields = { job: deps.job, policy: deps.policy, sampler, version };
         metrics.count("swap_orders_total", { policy: deps.policy, result: result.kind });
+        doubts.note(sampler, version, result);
         if (result.kind !== "unknown") {
             answered.note(result.report);
         }
@@ -116,6 +119,7 @@
             listViews()
                 .filter(view => (servedVersion(view, deps.policy) ?? -1) < (target?.version ?? -1))
                 .map(view => view.report.sampler),
+        withDoubt: doubts.withDoubt,
         isAboutToSwap: sampler => ordered.has(sampler) || lastPlan.waiting[0] === sampler,
         stop: () => {
             isStopped = true;
