Count no content as a suspect that has run to its end since its latest death, also before the list says so

Trace: at 8.024 s two attempts of content start there; one ends whole at 8.113 s, so the sidecar and the entry clear the content (suspectFinishedCleanly, isRefused=false); at 8.114 s content, a suspect, starts beside the other attempt. The judge went by the shared list, which is written after that.

--- a/packages/bench/src/faults/Witness.ts
+++ b/packages/bench/src/faults/Witness.ts
@@ -23,7 +23,7 @@
     promptsCutShort(): string[];
     /** An engine began to run an attempt. */
     noteEngineStart(node: string, request: EngineRequest): void;
-    noteEngineEnd(node: string, attempt: string): void;
+    noteEngineEnd(node: string, attempt: string, isClean: boolean): void;
     /** An order reached a sidecar. */
     noteOrderArrival(order: EngineOrder, sidecar: SidecarProcess): void;
     /** An engine made tokens of an attempt with `version`. */
--- a/packages/bench/src/faults/createWitness.ts
+++ b/packages/bench/src/faults/createWitness.ts
@@ -25,7 +25,7 @@
 export function createWitness(
     clock: Clock,
     violations: Violations,
-    listSuspects: () => ReadonlySet<string>,
+    listSuspects: () => ReadonlyMap<string, number>,
 ): Witness {
     const arrivals = new Map<string, Arrival>();
     const samples = new Map<string, SampleAttempt>();
@@ -35,7 +35,7 @@
     const runsByKey = new Map<string, number>();
     const leavingSinceMs = new Map<string, number | undefined>();
     const tokens = createTokenRecord();
-    const company = createCompanyJudge(violations, listSuspects);
+    const company = createCompanyJudge(violations, clock.wallMs, listSuspects);
     /** Orders that arrived after the shutdown of their sidecar had begun. */
     const lateOrders = new Map<SidecarProcess, Set<string>>();
     const highestStarted = new Map<SidecarProcess, number>();
