--- a/packages/bench/src/faults/faultsCommand.ts
+++ b/packages/bench/src/faults/faultsCommand.ts
@@ -1,20 +1,13 @@
 import { defineCommand } from "citty";
 import { writeFileSync } from "node:fs";
-import { defaultFaultGuards } from "./defaultFaultGuards.js";
 import { listGuardNames } from "./listGuardNames.js";
-import { removeGuard } from "./removeGuard.js";
+import { parseFaultOptions } from "./parseFaultOptions.js";
 import { renderFaultSummary } from "./renderFaultSummary.js";
 import { runFaultSeries } from "./runFaultSeries.js";
 
 const exitCodes = { clean: 0, violations: 1, usage: 2 };
 const progressEvery = 50;
 
-/** A whole number in bounds, or undefined. */
-function parseCount(text: string, least: number): number | undefined {
-    const value = Number(text);
-    return Number.isSafeInteger(value) && value >= least ? value : undefined;
-}
-
 function fail(message: string): void {
     process.stderr.write(`${message}\n`);
     process.exitCode = exitCodes.usage;
@@ -30,10 +23,15 @@
             type: "string",
             description: "Plays one run instead: the seed that a violation's line names",
         },
+        "kinds": {
+            type: "string",
+            description: "Kinds of fault to draw from, apart by commas; all by default",
+        },
+        "killers": { type: "string", default: "1", description: "Different contents that kill engines" },
         "json": { type: "string", description: "File for the summary as JSON" },
         "without": {
             type: "string",
-            description: "Guard that lets everything through; ends at the first violation",
+            description: "Guards or mechanisms to take away, apart by commas; ends at the first violation",
         },
         "list-guards": { type: "boolean", default: false, description: "Lists the guards and ends" },
     },
@@ -42,33 +40,16 @@
             process.stdout.write(`${listGuardNames().join("\n")}\n`);
             return;
         }
-        const onlyRun = args.run === undefined ? undefined : parseCount(args.run, 0);
-        if (args.run !== undefined && onlyRun === undefined) {
-            fail("--run takes a whole number from 0, as a line event=violation names it.");
-            return;
-        }
-        const seed = parseCount(args.seed, 0);
-        const runs = onlyRun === undefined ? parseCount(args.runs, 1) : 1;
-        if (seed === undefined || runs === undefined) {
-            fail("--seed takes a whole number from 0, --runs one from 1.");
-            return;
-        }
-        const { without } = args;
-        const guards = without === undefined ? defaultFaultGuards : removeGuard(without);
-        if (guards === undefined) {
-            fail(`There is no guard "${without}"; --list-guards names them all.`);
+        const options = parseFaultOptions(args);
+        if (typeof options === "string") {
+            fail(options);
             return;
         }
         const summary = await runFaultSeries({
-            seed,
-            runs,
-            onlyRun,
-            guards,
-            without,
-            stopAtFirst: without !== undefined && onlyRun === undefined,
+            ...options,
             onRun: (_, index) => {
                 if ((index + 1) % progressEvery === 0) {
-                    process.stderr.write(`${index + 1} of ${runs} runs\n`);
+                    process.stderr.write(`${index + 1} of ${options.runs} runs\n`);
                 }
             },
         });
--- a/packages/bench/src/faults/runFaultSeries.ts
+++ b/packages/bench/src/faults/runFaultSeries.ts
@@ -1,27 +1,15 @@
-import type { FaultGuards } from "./FaultGuards.js";
 import { faultKinds } from "./faultKinds.js";
 import type { FaultRun } from "./FaultRun.js";
 import type { FaultSummary } from "./FaultSummary.js";
 import { focusKinds } from "./focusKinds.js";
 import { runScripts } from "./runScripts.js";
 import { runWithFaults } from "./runWithFaults.js";
+import type { SeriesOptions } from "./SeriesOptions.js";
 
 const keptViolations = 100;
 /** Seeds of the runs of a series lie apart from those of a neighbouring series. */
 const seedStride = 1_000_003;
 
-interface SeriesOptions {
-    seed: number;
-    runs: number;
-    /** Seed of the one run to play, with all kinds of fault, instead of a series. */
-    onlyRun?: number;
-    guards: FaultGuards;
-    without: string | undefined;
-    /** Ends the series at the first violation. */
-    stopAtFirst: boolean;
-    onRun?: (run: FaultRun, index: number) => void;
-}
-
 function addRun(summary: FaultSummary, run: FaultRun): void {
     for (const kind of faultKinds) {
         summary.strikes[kind] += run.strikes[kind];
@@ -57,12 +45,14 @@
     const scripted = onlyRun === undefined ? await runScripts(options.guards) : [];
     summary.violations.push(...scripted.map(each => ({ seed: options.seed, ...each })));
     summary.violationCount += scripted.length;
+    const isFocused = options.without !== undefined && onlyRun === undefined && options.kinds === undefined;
+    const focus = isFocused ? focusKinds[options.without!] : undefined;
     const runs = scripted.length > 0 && options.stopAtFirst ? 0 : options.runs;
     for (let index = 0; index < runs; index++) {
         const seed = onlyRun ?? options.seed * seedStride + index;
-        const focus = options.without === undefined ? undefined : focusKinds[options.without];
-        const only = index % 2 === 0 && onlyRun === undefined ? focus : undefined;
-        const run = await runWithFaults(seed, options.guards, { stopAtFirst: options.stopAtFirst, only });
+        const { stopAtFirst, killers } = options;
+        const only = index % 2 === 0 ? focus ?? options.kinds : options.kinds;
+        const run = await runWithFaults(seed, options.guards, { stopAtFirst, killers, only });
         summary.runs++;
         addRun(summary, run);
         options.onRun?.(run, index);
