Keep the platform's header names of what samplers heard in its folder

The soak's check of teams knew the header that names the team. The stand-in of a sampler tells the team and the credential of each run as fields of their own; the checks are the same.

--- a/packages/daemon/src/teams.test.ts
+++ b/packages/daemon/src/teams.test.ts
@@ -80,7 +80,7 @@
     );
 
 const told = ({ runs }: SamplerStandIn): unknown[] =>
-    runs().map(({ id, headers }) => [id, headers?.["auburnarch-tenant"], headers?.authorization]);
+    runs().map(({ id, team, credential }) => [id, team, credential]);
 
 const readResults = (id: string, key: string): Promise<number> =>
     bed.until(async () => {
@@ -108,7 +108,7 @@
     await first.shutdown();
     await bed.startRunnerAt("runner-2");
     expect(await readResults("lot-1", secondKey)).toBe(1);
-    expect(new Set(engine.runs().map(run => run.headers?.["auburnarch-tenant"]))).toEqual(new Set(["hule"]));
+    expect(new Set(engine.runs().map(run => run.team))).toEqual(new Set(["hule"]));
 });
 
 test("a key that was taken away is refused on connections that are open, and no sampler runs its requests", async () => {
--- a/packages/daemon/src/usage.test.ts
+++ b/packages/daemon/src/usage.test.ts
@@ -41,7 +41,7 @@
         await bed.call(port, "POST", path, index % 10 === 0 ? anonymous : headers, "x");
         await new Promise(resolve => setTimeout(resolve, 50));
     }
-    const ran = tiles.runs().filter(({ headers }) => headers?.["auburnarch-tenant"] === "hule").length;
+    const ran = tiles.runs().filter(({ team }) => team === "hule").length;
     const lastWindow = Math.floor(Date.now() / windowMs);
     const accepted = await bed.until(() => {
         const taken = reports.calls().filter(call => call.status === 200);
--- a/packages/soak/src/checkTeams.ts
+++ b/packages/soak/src/checkTeams.ts
@@ -5,11 +5,10 @@
 /** Checks what samplers heard of the clients' team, what was reported of it, and that its key stayed with the clients. */
 export function checkTeams(bed: SoakBed, witness: Witness, itemIds: Set<string>): void {
     for (const sampler of bed.samplers) {
-        for (const { id, headers } of sampler.runs()) {
-            const team = headers?.["auburnarch-tenant"];
+        for (const { id, team, credential } of sampler.runs()) {
             const isNamed = team === soakTeam.name || (team === undefined && !itemIds.has(id));
             witness.check(isNamed, "a sampler hears the team of the key", { id, team });
-            witness.check(headers?.authorization === undefined, "a sampler hears no key", { id });
+            witness.check(credential === undefined, "a sampler hears no key", { id });
         }
     }
 
--- a/packages/soak/src/checks.test.ts
+++ b/packages/soak/src/checks.test.ts
@@ -159,12 +159,12 @@
 
 test("a team that is not named, a key that goes on, and a window reported with other counts are noticed", () => {
     const breachesOf = (
-        headers: Record<string, string>,
+        heard: { team?: string; credential?: string; },
         counts: Record<string, number>[],
         line = "event=started",
     ): string[] => {
         const witness = createWitness(createFakeClock());
-        const runs = [{ id: "item-1", after: 0, version: 1, atMs: 0, headers }];
+        const runs = [{ id: "item-1", after: 0, version: 1, atMs: 0, ...heard }];
         const calls = counts.map(each => ({
             path: "/usage",
             holder: "r",
@@ -181,11 +181,11 @@
         checkTeams(bed as unknown as SoakBed, witness, new Set(["item-1"]));
         return witness.breaches().map(breach => breach.promise);
     };
-    const named = { "auburnarch-tenant": soakTeam.name };
+    const named = { team: soakTeam.name };
     expect({
         fine: breachesOf(named, [{ hule: 2 }, { hule: 2 }]),
         unnamed: breachesOf({}, []),
-        key: breachesOf({ ...named, authorization: "Bearer x" }, []),
+        key: breachesOf({ ...named, credential: "Bearer x" }, []),
         counts: breachesOf(named, [{ hule: 2 }, { hule: 3 }]),
         line: breachesOf(named, [], `detail=${soakTeam.key}`),
     }).toMatchInlineSnapshot(`
