--- a/packages/bench/src/faults/World.ts
+++ b/packages/bench/src/faults/World.ts
@@ -8,9 +8,9 @@
 import type { VmList } from "@auburnarch/types/VmList";
 import type { VmRecord } from "@auburnarch/types/VmRecord";
 import type { FaultGuards } from "./FaultGuards.js";
+import type { Violations } from "./judges/Violations.js";
+import type { Witness } from "./judges/Witness.js";
 import type { Network } from "./Network.js";
-import type { Violations } from "./Violations.js";
-import type { Witness } from "./Witness.js";
 
 /** What all parts of one run share. */
 export interface World {
--- a/packages/bench/src/faults/createEntryPorts.ts
+++ b/packages/bench/src/faults/createEntryPorts.ts
@@ -7,9 +7,9 @@
 import type { TestProcess } from "@auburnarch/own/testing/TestProcess";
 import type { SamplerReport } from "@auburnarch/types/SamplerReport";
 import type { SidecarPort } from "@auburnarch/types/SidecarPort";
-import { createJudgedSidecar } from "./createJudgedSidecar.js";
 import { createSidecarLink } from "./createSidecarLink.js";
 import type { EntryNode } from "./EntryNode.js";
+import { createJudgedSidecar } from "./judges/createJudgedSidecar.js";
 import type { SamplerNode } from "./SamplerNode.js";
 import type { World } from "./World.js";
 
--- a/packages/bench/src/faults/createWitnessedEngine.ts
+++ b/packages/bench/src/faults/createWitnessedEngine.ts
@@ -3,8 +3,8 @@
 import type { EngineFinish } from "@auburnarch/types/EngineFinish";
 import type { EnginePort } from "@auburnarch/types/EnginePort";
 import type { EngineRequest } from "@auburnarch/types/EngineRequest";
+import type { Witness } from "./judges/Witness.js";
 import type { SidecarProcess } from "./SidecarProcess.js";
-import type { Witness } from "./Witness.js";
 
 interface WitnessedEngineDeps {
     node: string;
--- a/packages/bench/src/faults/createWorld.ts
+++ b/packages/bench/src/faults/createWorld.ts
@@ -5,12 +5,12 @@
 import type { Clock } from "@auburnarch/types/Clock";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
-import { createJudgedStore } from "./createJudgedStore.js";
 import { createNetwork } from "./createNetwork.js";
 import { createQuietLogger } from "./createQuietLogger.js";
-import { createViolations } from "./createViolations.js";
-import { createWitness } from "./createWitness.js";
 import type { FaultGuards } from "./FaultGuards.js";
+import { createJudgedStore } from "./judges/createJudgedStore.js";
+import { createViolations } from "./judges/createViolations.js";
+import { createWitness } from "./judges/createWitness.js";
 import type { World } from "./World.js";
 
 /** In every other run calls take time, so that faults also strike between effect and answer. */
--- a/packages/bench/src/faults/faults.test.ts
+++ b/packages/bench/src/faults/faults.test.ts
@@ -6,8 +6,8 @@
 import { removeGuard } from "./removeGuard.js";
 import { renderFaultSummary } from "./renderFaultSummary.js";
 import { runFaultSeries } from "./runFaultSeries.js";
-import { runScripts } from "./runScripts.js";
 import { runWithFaults } from "./runWithFaults.js";
+import { runScripts } from "./scripts/runScripts.js";
 
 const runsToFind = 40;
 
--- a/packages/bench/src/faults/Witness.ts
+++ b/packages/bench/src/faults/judges/Witness.ts
@@ -6,7 +6,7 @@
 import type { GroupsPage } from "@auburnarch/types/GroupsPage";
 import type { PlainRequest } from "@auburnarch/types/PlainRequest";
 import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
-import type { SidecarProcess } from "./SidecarProcess.js";
+import type { SidecarProcess } from "../SidecarProcess.js";
 
 /** Sees what truly happens at the backend servers, and judges by it. */
 export interface Witness {
--- a/packages/bench/src/faults/createCompanyJudge.ts
+++ b/packages/bench/src/faults/judges/createCompanyJudge.ts
@@ -1,4 +1,4 @@
-import type { SidecarProcess } from "./SidecarProcess.js";
+import type { SidecarProcess } from "../SidecarProcess.js";
 import type { Violations } from "./Violations.js";
 
 /** Judges in whose company contents run. */
--- a/packages/bench/src/faults/createJudgedSidecar.ts
+++ b/packages/bench/src/faults/judges/createJudgedSidecar.ts
@@ -1,7 +1,7 @@
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
 import type { SampleAnswer } from "@auburnarch/types/SampleAnswer";
 import type { SidecarPort } from "@auburnarch/types/SidecarPort";
-import type { World } from "./World.js";
+import type { World } from "../World.js";
 
 /** A process that could reach the object API for so long must have learnt who holds the lease. */
 const learnMs = 3_300;
--- a/packages/bench/src/faults/createWitness.ts
+++ b/packages/bench/src/faults/judges/createWitness.ts
@@ -1,9 +1,9 @@
 import type { Clock } from "@auburnarch/types/Clock";
 import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
+import type { SidecarProcess } from "../SidecarProcess.js";
 import { createCompanyJudge } from "./createCompanyJudge.js";
 import { createTokenRecord } from "./createTokenRecord.js";
 import { judgeKnowledge } from "./judgeKnowledge.js";
-import type { SidecarProcess } from "./SidecarProcess.js";
 import type { Violations } from "./Violations.js";
 import type { Witness } from "./Witness.js";
 
--- a/packages/bench/src/faults/judgeRun.ts
+++ b/packages/bench/src/faults/judges/judgeRun.ts
@@ -5,10 +5,10 @@
 import type { OwnerStatus } from "@auburnarch/own/OwnerStatus";
 import type { AttemptId } from "@auburnarch/types/AttemptId";
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
-import { createPoisonRequest } from "./createPoisonRequest.js";
+import { createPoisonRequest } from "../createPoisonRequest.js";
+import type { RunParts } from "../RunParts.js";
+import type { SamplerNode } from "../SamplerNode.js";
 import { judgeServed } from "./judgeServed.js";
-import type { RunParts } from "./RunParts.js";
-import type { SamplerNode } from "./SamplerNode.js";
 
 const manifestKey = "config/manifest";
 const askMs = 1_000;
--- a/packages/bench/src/faults/judgeServed.ts
+++ b/packages/bench/src/faults/judges/judgeServed.ts
@@ -1,4 +1,4 @@
-import type { RunParts } from "./RunParts.js";
+import type { RunParts } from "../RunParts.js";
 
 /** Time within which a step is to be whole; a content that kills nothing is served within it. */
 const servedWithinMs = 6 * 60_000;
--- a/packages/bench/src/faults/runFaultSeries.ts
+++ b/packages/bench/src/faults/runFaultSeries.ts
@@ -2,8 +2,8 @@
 import type { FaultRun } from "./FaultRun.js";
 import type { FaultSummary } from "./FaultSummary.js";
 import { focusKinds } from "./focusKinds.js";
-import { runScripts } from "./runScripts.js";
 import { runWithFaults } from "./runWithFaults.js";
+import { runScripts } from "./scripts/runScripts.js";
 import type { SeriesOptions } from "./SeriesOptions.js";
 
 const keptViolations = 100;
--- a/packages/bench/src/faults/runWithFaults.ts
+++ b/packages/bench/src/faults/runWithFaults.ts
@@ -9,7 +9,7 @@
 import type { FaultKind } from "./FaultKind.js";
 import { faultKinds } from "./faultKinds.js";
 import type { FaultRun } from "./FaultRun.js";
-import { judgeRun } from "./judgeRun.js";
+import { judgeRun } from "./judges/judgeRun.js";
 import type { RunParts } from "./RunParts.js";
 import { strikeFault } from "./strikeFault.js";
 import { watchRun } from "./watchRun.js";
--- a/packages/bench/src/faults/runBystanderScript.ts
+++ b/packages/bench/src/faults/scripts/runBystanderScript.ts
@@ -4,8 +4,8 @@
 import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { VmId } from "@auburnarch/types/VmId";
-import { createQuietLogger } from "./createQuietLogger.js";
-import type { FaultGuards } from "./FaultGuards.js";
+import { createQuietLogger } from "../createQuietLogger.js";
+import type { FaultGuards } from "../FaultGuards.js";
 import type { ScriptedViolation } from "./ScriptedViolation.js";
 
 const bystander = "bystander" as ContentDigest;
--- a/packages/bench/src/faults/runScripts.ts
+++ b/packages/bench/src/faults/scripts/runScripts.ts
@@ -1,4 +1,4 @@
-import type { FaultGuards } from "./FaultGuards.js";
+import type { FaultGuards } from "../FaultGuards.js";
 import { runBystanderScript } from "./runBystanderScript.js";
 import { runShutdownScript } from "./runShutdownScript.js";
 import { runSuspectsScript } from "./runSuspectsScript.js";
--- a/packages/bench/src/faults/runShutdownScript.ts
+++ b/packages/bench/src/faults/scripts/runShutdownScript.ts
@@ -1,6 +1,6 @@
 import { createTestGate } from "@auburnarch/gate/testing/createTestGate";
 import type { SamplerOrderResult } from "@auburnarch/types/SamplerOrderResult";
-import type { FaultGuards } from "./FaultGuards.js";
+import type { FaultGuards } from "../FaultGuards.js";
 import type { ScriptedViolation } from "./ScriptedViolation.js";
 
 const describedMs = 1_500;
--- a/packages/bench/src/faults/runSuspectsScript.ts
+++ b/packages/bench/src/faults/scripts/runSuspectsScript.ts
@@ -2,7 +2,7 @@
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
 import type { VmId } from "@auburnarch/types/VmId";
-import type { FaultGuards } from "./FaultGuards.js";
+import type { FaultGuards } from "../FaultGuards.js";
 import type { ScriptedViolation } from "./ScriptedViolation.js";
 
 const describedMs = 1_500;
--- a/packages/bench/src/faults/runUninformedScript.ts
+++ b/packages/bench/src/faults/scripts/runUninformedScript.ts
@@ -1,5 +1,5 @@
 import { createTestGate } from "@auburnarch/gate/testing/createTestGate";
-import type { FaultGuards } from "./FaultGuards.js";
+import type { FaultGuards } from "../FaultGuards.js";
 import type { ScriptedViolation } from "./ScriptedViolation.js";
 
 const describedMs = 1_500;
