Reload the settings one read after the other

What operators saw: after two changes of the settings, each with its signal, a gateway or runner could go on with the first of them until the next signal or start.

Cause: each SIGHUP read the file and applied what it had read. If the second read was answered first, the first one came last and undid the newer change.

Evidence: the reads of two reloads answered in reverse order. Before the change the new test "reloads that overlap end on the newest content of the file" fails: storeAddress is 10.0.0.7:80 where the file says 10.0.0.8:80; now it passes.

Change: createCoalescedRun runs reloads one at a time; signals during a reload share one that starts after it, so the newest content is read last.

--- a/packages/daemon/src/createSettingsFile.test.ts
+++ b/packages/daemon/src/createSettingsFile.test.ts
@@ -78,3 +78,30 @@
         'settingsReloaded {"changed":"storeAddress,gracePeriodMs","atNextStart":"gracePeriodMs"}',
     );
 });
+
+test("reloads that overlap end on the newest content of the file", async () => {
+    // Guards against a process that keeps using the store's old address after two changes in quick succession.
+    const pendingReads: (() => void)[] = [];
+    const state = { text: JSON.stringify(valid), isHeld: false };
+    const opened = await createSettingsFile(() => {
+        const textAtRead = state.text;
+        return state.isHeld
+            ? new Promise(resolve => pendingReads.push(() => resolve(textAtRead)))
+            : Promise.resolve(textAtRead);
+    });
+    if (opened.kind !== "opened") {
+        throw new Error("settings not valid");
+    }
+    const { logger } = createFixture();
+    state.isHeld = true;
+    state.text = JSON.stringify({ ...valid, storeAddress: "10.0.0.7:80" });
+    const reloads = [opened.file.reload(logger)];
+    state.text = JSON.stringify({ ...valid, storeAddress: "10.0.0.8:80" });
+    reloads.push(opened.file.reload(logger));
+    while (pendingReads.length > 0) {
+        pendingReads.pop()!();
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    await Promise.all(reloads);
+    expect(opened.file.current().storeAddress).toBe("10.0.0.8:80");
+});
--- a/packages/daemon/src/createSettingsFile.ts
+++ b/packages/daemon/src/createSettingsFile.ts
@@ -2,10 +2,14 @@
 import { validateRoleSettings } from "@auburnarch/config/validateRoleSettings";
 import type { ConfigFault } from "@auburnarch/types/ConfigFault";
 import type { Logger } from "@auburnarch/types/Logger";
+import { createCoalescedRun } from "./createCoalescedRun.js";
 
 interface SettingsFile {
     current(): RoleSettings;
-    /** Reads the file again. If it has faults, they are logged and the previous settings stay in effect. */
+    /**
+     * Reads the file again, after a read that is under way. If it has faults, they are logged and the previous settings
+     * stay in effect.
+     */
     reload(logger: Logger): Promise<void>;
 }
 
@@ -41,20 +45,22 @@
         });
     }
 
+    async function readAndApply(logger: Logger): Promise<void> {
+        const next = parse(await readText().catch(error => `unreadable: ${String(error)}`));
+        if (next.kind === "valid") {
+            apply(next.settings, logger);
+            return;
+        }
+        for (const { path, message } of next.faults) {
+            logger.error("settingsInvalid", { path, message });
+        }
+    }
+
     return {
         kind: "opened",
         file: {
             current: () => settings,
-            reload: async logger => {
-                const next = parse(await readText().catch(error => `unreadable: ${String(error)}`));
-                if (next.kind === "valid") {
-                    apply(next.settings, logger);
-                    return;
-                }
-                for (const { path, message } of next.faults) {
-                    logger.error("settingsInvalid", { path, message });
-                }
-            },
+            reload: createCoalescedRun(readAndApply),
         },
     };
 }
