Read the settings file of a running process without a signal too

What operators saw: the store's new address is written into the settings file, and a gateway keeps calling the old one until someone starts it again.

Cause: the file was read at the start and after a SIGHUP, at no other time. The platform says that it may change without any signal; and a signal between the first read and the second handler was swallowed by the handler of the entry point, with no read after it.

Change: followSettingsFile reads the file when the handler is in place, and every second. Signals and looks share one path; a content is applied, and its faults are logged, once. Two gauges tell whether the file is valid and since when the settings are in force.

--- /dev/null
+++ b/packages/daemon/src/SettingsFile.ts
@@ -0,0 +1,14 @@
+import type { RoleSettings } from "@auburnarch/config/RoleSettings";
+import type { Logger } from "@auburnarch/types/Logger";
+
+/**
+ * Settings file of a running gateway or runner. Reads follow each other, so the newest content is applied last. A
+ * content with faults is logged once, and the previous settings stay in effect.
+ */
+export interface SettingsFile {
+    current(): RoleSettings;
+    /** Reads the file and applies a content that differs from the one read before. */
+    check(logger: Logger): Promise<void>;
+    /** Does the same, and logs the reload of valid settings even if they have not changed. */
+    reload(logger: Logger): Promise<void>;
+}
--- a/packages/daemon/src/createSettingsFile.test.ts
+++ b/packages/daemon/src/createSettingsFile.test.ts
@@ -1,5 +1,6 @@
 import type { LogFields } from "@auburnarch/types/LogFields";
 import type { Logger } from "@auburnarch/types/Logger";
+import fc from "fast-check";
 import { expect, test } from "vitest";
 import { createSettingsFile } from "./createSettingsFile.js";
 
@@ -105,3 +106,96 @@
     await Promise.all(reloads);
     expect(opened.file.current().storeAddress).toBe("10.0.0.8:80");
 });
+
+test("a content with faults is logged once and taken as soon as it is valid again", async () => {
+    // Guards against a log flooded by a broken file, and against a process that stays on its old settings after a repair.
+    const { state, lines, logger } = createFixture();
+    const outcomes: string[] = [];
+    const opened = await createSettingsFile(async () => state.text, outcome => void outcomes.push(outcome));
+    if (opened.kind !== "opened") {
+        throw new Error("settings not valid");
+    }
+    const { file } = opened;
+    const texts = [state.text, "", JSON.stringify({ ...valid, storeAddress: "nowhere" }), state.text];
+    for (const text of texts) {
+        state.text = text;
+        await file.check(logger);
+        await file.check(logger);
+    }
+    expect(file.current().storeAddress).toBe(valid.storeAddress);
+    expect(outcomes).toEqual(["invalid", "invalid", "applied"]);
+    expect(lines).toMatchInlineSnapshot(`
+      [
+        "settingsInvalid {"path":"","message":"Not JSON: SyntaxError: Unexpected end of JSON input"}",
+        "settingsInvalid {"path":"storeAddress","message":"Expected \`ip:port\`."}",
+        "settingsReloaded {"changed":"","atNextStart":""}",
+      ]
+    `);
+});
+
+test("a reload of an unchanged file is logged, a check of it is not", async () => {
+    const { lines, logger, open } = createFixture();
+    const opened = await open();
+    if (opened.kind !== "opened") {
+        throw new Error("settings not valid");
+    }
+    await opened.file.check(logger);
+    expect(lines).toEqual([]);
+    await Promise.all([opened.file.check(logger), opened.file.reload(logger)]);
+    expect(lines).toEqual(['settingsReloaded {"changed":"","atNextStart":""}']);
+});
+
+test("the last content of the file wins in any order of writes, reads and signals", async () => {
+    const texts = [
+        ...["10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"].map(storeAddress =>
+            JSON.stringify({ ...valid, storeAddress })
+        ),
+        "{",
+    ];
+    const write = fc.record({ kind: fc.constant("write" as const), text: fc.constantFrom(...texts) });
+    const others = fc.record({ kind: fc.constantFrom("check", "reload", "answerOldest", "answerNewest") });
+    await fc.assert(
+        fc.asyncProperty(fc.array(fc.oneof(write, others), { maxLength: 30 }), async steps => {
+            const { state, logger } = createFixture();
+            const pendingReads: (() => void)[] = [];
+            let isHeld = false;
+            const opened = await createSettingsFile(() => {
+                const textAtRead = state.text;
+                return isHeld
+                    ? new Promise(resolve => pendingReads.push(() => resolve(textAtRead)))
+                    : Promise.resolve(textAtRead);
+            });
+            if (opened.kind !== "opened") {
+                throw new Error("settings not valid");
+            }
+            const { file } = opened;
+            isHeld = true;
+            let lastValid = state.text;
+            const requested: Promise<void>[] = [];
+            for (const step of steps) {
+                if (step.kind === "write") {
+                    state.text = step.text;
+                    lastValid = step.text === "{" ? lastValid : step.text;
+                }
+                else if (step.kind === "check" || step.kind === "reload") {
+                    requested.push(file[step.kind](logger));
+                }
+                else {
+                    (step.kind === "answerOldest" ? pendingReads.shift() : pendingReads.pop())?.();
+                }
+                await new Promise(resolve => setImmediate(resolve));
+            }
+            const hasFinalContent = state.text !== "{";
+            requested.push(file.reload(logger));
+            isHeld = false;
+            pendingReads.reverse().forEach(answer => answer());
+            await Promise.all(requested);
+            if (hasFinalContent) {
+                expect(JSON.stringify({ ...valid, storeAddress: file.current().storeAddress })).toBe(
+                    lastValid,
+                );
+            }
+        }),
+        { seed: 41, numRuns: 300 },
+    );
+});
--- a/packages/daemon/src/createSettingsFile.ts
+++ b/packages/daemon/src/createSettingsFile.ts
@@ -3,15 +3,7 @@
 import type { ConfigFault } from "@auburnarch/types/ConfigFault";
 import type { Logger } from "@auburnarch/types/Logger";
 import { createCoalescedRun } from "./createCoalescedRun.js";
-
-interface SettingsFile {
-    current(): RoleSettings;
-    /**
-     * Reads the file again, after a read that is under way. If it has faults, they are logged and the previous settings
-     * stay in effect.
-     */
-    reload(logger: Logger): Promise<void>;
-}
+import type { SettingsFile } from "./SettingsFile.js";
 
 type OpenResult = { kind: "opened"; file: SettingsFile; } | { kind: "invalid"; faults: ConfigFault[]; };
 
@@ -27,13 +19,21 @@
 /** Keys whose changes take effect in a running process; all others take effect at the next start. */
 const liveKeys = new Set<string>(["storeAddress"]);
 
-/** Opens the settings file of a gateway or a runner; `readText` reads it. */
-export async function createSettingsFile(readText: () => Promise<string>): Promise<OpenResult> {
-    const first = parse(await readText());
+/**
+ * Opens the settings file of a gateway or a runner. `readText` reads it; `onNewContent` is called with the outcome
+ * whenever a later read finds a content that differs from the one before.
+ */
+export async function createSettingsFile(
+    readText: () => Promise<string>,
+    onNewContent: (outcome: "applied" | "invalid") => void = () => undefined,
+): Promise<OpenResult> {
+    let lastText = await readText();
+    const first = parse(lastText);
     if (first.kind === "invalid") {
         return first;
     }
     let { settings } = first;
+    let isReloadRequested = false;
 
     function apply(next: RoleSettings, logger: Logger): void {
         const keys = [...new Set([...Object.keys(settings), ...Object.keys(next)])] as (keyof RoleSettings)[];
@@ -46,21 +46,36 @@
     }
 
     async function readAndApply(logger: Logger): Promise<void> {
-        const next = parse(await readText().catch(error => `unreadable: ${String(error)}`));
+        const mustReport = isReloadRequested;
+        isReloadRequested = false;
+        const text = await readText().catch(error => `unreadable: ${String(error)}`);
+        const isNew = text !== lastText;
+        lastText = text;
+        if (!isNew && !mustReport) {
+            return;
+        }
+        const next = parse(text);
         if (next.kind === "valid") {
             apply(next.settings, logger);
-            return;
         }
-        for (const { path, message } of next.faults) {
-            logger.error("settingsInvalid", { path, message });
+        else if (isNew) {
+            next.faults.forEach(({ path, message }) => logger.error("settingsInvalid", { path, message }));
+        }
+        if (isNew) {
+            onNewContent(next.kind === "valid" ? "applied" : "invalid");
         }
     }
 
+    const checkOnce = createCoalescedRun(readAndApply);
     return {
         kind: "opened",
         file: {
             current: () => settings,
-            reload: createCoalescedRun(readAndApply),
+            check: checkOnce,
+            reload: logger => {
+                isReloadRequested = true;
+                return checkOnce(logger);
+            },
         },
     };
 }
--- a/packages/daemon/src/runRole.ts
+++ b/packages/daemon/src/runRole.ts
@@ -4,6 +4,8 @@
 import { readFile } from "node:fs/promises";
 import { match } from "ts-pattern";
 import { createSettingsFile } from "./createSettingsFile.js";
+import { followSettingsFile } from "./followSettingsFile.js";
+import { onHangUp } from "./onHangUp.js";
 import type { ProcessContext } from "./ProcessContext.js";
 import type { RoleContext } from "./RoleContext.js";
 import type { RunningRole } from "./RunningRole.js";
@@ -21,8 +23,16 @@
 
 /** Runs a gateway or a runner until a signal, then shuts it down; resolves with the exit code. */
 export async function runRole(settingsPath: string, context: ProcessContext): Promise<number> {
-    const startedAtMs = context.clock.monotonicMs();
-    const opened = await createSettingsFile(() => readFile(settingsPath, "utf8"));
+    const { clock, random } = context;
+    const startedAtMs = clock.monotonicMs();
+    const metrics = createMetrics();
+    const recordSettings = (outcome: "applied" | "invalid"): void => {
+        metrics.set("settings_valid", {}, outcome === "applied" ? 1 : 0);
+        if (outcome === "applied") {
+            metrics.set("settings_applied_at_ms", {}, clock.wallMs());
+        }
+    };
+    const opened = await createSettingsFile(() => readFile(settingsPath, "utf8"), recordSettings);
     if (opened.kind === "invalid") {
         for (const { path, message } of opened.faults) {
             context.writeLine(`level=error event=settingsInvalid path=${path} message="${message}"`);
@@ -31,12 +41,11 @@
     }
     const { file } = opened;
     const settings = file.current();
-    const { clock, random } = context;
+    recordSettings("applied");
     const logger = createLogger(clock, context.writeLine, settings.logLevel).child({
         process: settings.name,
     });
-    process.on("SIGHUP", () => void file.reload(logger));
-    const metrics = createMetrics();
+    const stopFollowing = followSettingsFile({ file, clock, logger, onSignal: onHangUp });
     const invariants = createInvariants(
         logger,
         code => metrics.count("promises_broken_total", { name: code.name }),
@@ -55,6 +64,7 @@
     await waitForSignal();
     logger.info("stopping", { gracePeriodMs: settings.gracePeriodMs });
     await running.shutdown();
+    stopFollowing();
     logger.info("stopped", {});
     return 0;
 }
