Handle SIGTERM before the role opens its ports

What callers saw: a request that a gateway had accepted in its first moments was cut off without an answer when the gateway was stopped just then; the process ended without its grace period.

The handler for SIGTERM and SIGINT was installed after the start, but the client port is open before the internal ports are.

Change: the handler is installed before the role starts. A signal during the start lets the start finish, then shuts down as at any other time. While the program loads its code, before any port is open, SIGTERM ends it as before.

--- a/packages/daemon/src/runRole.ts
+++ b/packages/daemon/src/runRole.ts
@@ -50,6 +50,8 @@
         logger,
         code => metrics.count("promises_broken_total", { name: code.name }),
     );
+    // Clients connect as soon as a port is open, which is before the start is complete.
+    const stopRequested = waitForSignal();
     const running = await start({
         settings,
         currentSettings: file.current,
@@ -61,7 +63,7 @@
     });
     const tookMs = Math.round(clock.monotonicMs() - startedAtMs);
     logger.info("started", { role: settings.role, failureDomain: settings.failureDomain, tookMs });
-    await waitForSignal();
+    await stopRequested;
     logger.info("stopping", { gracePeriodMs: settings.gracePeriodMs });
     await running.shutdown();
     stopFollowing();
