Say truly which changed settings wait for the next start

What operators saw: the line settingsReloaded listed a new usage.address under atNextStart, though the process reports there at once; docs/settings.md said the same.

Cause: the keys that take effect at once were looked up among those of the file's first level, where the change is called "usage".

Evidence: the two cases of the new test fail without the change (atNextStart is "usage") and pass with it.

Change: changed settings are named by their full key; usage.address is live if usage was configured when the process started.

--- a/packages/daemon/src/createSettingsFile.test.ts
+++ b/packages/daemon/src/createSettingsFile.test.ts
@@ -107,6 +107,33 @@
     expect(opened.file.current().storeAddress).toBe("10.0.0.8:80");
 });
 
+const usage = { address: "10.0.0.5:80", windowS: 10, dueS: 6 };
+const movedUsage = { ...usage, address: "10.0.0.6:80", dueS: 7 };
+
+test.each([
+    {
+        atStart: { ...valid, usage },
+        contents: [{ ...valid, usage: movedUsage }, { ...valid, internalPorts: [1, 2] }],
+    },
+    { atStart: valid, contents: [{ ...valid, usage }, { ...valid, usage: movedUsage }] },
+])(
+    "the log says of each changed key whether it takes effect at the next start",
+    async ({ atStart, contents }) => {
+        // Guards against an operator who restarts a process for an address that is in use already, or waits for one that is not.
+        const { state, lines, logger, open } = createFixture();
+        state.text = JSON.stringify(atStart);
+        const opened = await open();
+        if (opened.kind !== "opened") {
+            throw new Error("settings not valid");
+        }
+        for (const content of contents) {
+            state.text = JSON.stringify(content);
+            await opened.file.check(logger);
+        }
+        expect(lines).toMatchSnapshot();
+    },
+);
+
 test("a content with faults is logged once and taken as soon as it is valid again", async () => {
     // Guards against a log flooded by a broken file, and against a process that stays on its old settings after a repair.
     const { state, lines, logger } = createFixture();
--- a/packages/daemon/src/createSettingsFile.ts
+++ b/packages/daemon/src/createSettingsFile.ts
@@ -17,7 +17,18 @@
 }
 
 /** Keys whose changes take effect in a running process; all others take effect at the next start. */
-const liveKeys = new Set<string>(["storeAddress"]);
+const liveKeys = new Set(["storeAddress", "usage.address"]);
+
+/** Settings by the path of their key; a list is one setting. */
+function listByPath(value: object, prefix = ""): Map<string, string> {
+    return new Map(
+        Object.entries(value).flatMap(([key, field]: [string, unknown]) =>
+            field instanceof Object && !Array.isArray(field)
+                ? [...listByPath(field, `${prefix}${key}.`)]
+                : [[`${prefix}${key}`, JSON.stringify(field)] as const]
+        ),
+    );
+}
 
 /**
  * Opens the settings file of a gateway or a runner. `readText` reads it; `onNewContent` is called with the outcome
@@ -33,15 +44,21 @@
         return first;
     }
     let { settings } = first;
+    // A part of the process that was not configured at the start does not run.
+    const pathsAtStart = new Set(listByPath(settings).keys());
     let isReloadRequested = false;
 
     function apply(next: RoleSettings, logger: Logger): void {
-        const keys = [...new Set([...Object.keys(settings), ...Object.keys(next)])] as (keyof RoleSettings)[];
-        const changed = keys.filter(key => JSON.stringify(settings[key]) !== JSON.stringify(next[key]));
+        const before = listByPath(settings);
+        const after = listByPath(next);
+        const changed = [...new Set([...before.keys(), ...after.keys()])]
+            .filter(path => before.get(path) !== after.get(path));
+        const isLive = (path: string): boolean =>
+            liveKeys.has(path) && pathsAtStart.has(path) && after.has(path);
         settings = next;
         logger.info("settingsReloaded", {
             changed: changed.join(","),
-            atNextStart: changed.filter(key => !liveKeys.has(key)).join(","),
+            atNextStart: changed.filter(path => !isLive(path)).join(","),
         });
     }
 
