Let a reload of the settings tell what is in effect

What operators saw: a setting put back to its value at the start was still listed under atNextStart; a second reload listed nothing though a change waited; SIGHUP with a file that still has its faults logged nothing; a file that can't be read was called "Not JSON". A file that is missing at the start ended the program by an exception.

Cause: a reload was compared with the content read before instead of with what the process runs with, and the text of an error took the place of the file's.

Change: atNextStart is compared with the settings at the start; a signal is always answered by a line; an error of reading is a fault of its own. A counter tells how many changes were applied and how many had faults.

--- a/packages/daemon/src/SettingsFile.ts
+++ b/packages/daemon/src/SettingsFile.ts
@@ -9,6 +9,6 @@
     current(): RoleSettings;
     /** Reads the file and applies a content that differs from the one read before. */
     check(logger: Logger): Promise<void>;
-    /** Does the same, and logs the reload of valid settings even if they have not changed. */
+    /** Does the same, and logs the outcome even if the content has not changed. */
     reload(logger: Logger): Promise<void>;
 }
--- a/packages/daemon/src/createSettingsFile.test.ts
+++ b/packages/daemon/src/createSettingsFile.test.ts
@@ -138,7 +138,9 @@
     // Guards against a log flooded by a broken file, and against a process that stays on its old settings after a repair.
     const { state, lines, logger } = createFixture();
     const outcomes: string[] = [];
-    const opened = await createSettingsFile(async () => state.text, outcome => void outcomes.push(outcome));
+    const opened = await createSettingsFile(async () => state.text, {
+        onNewContent: outcome => void outcomes.push(outcome),
+    });
     if (opened.kind !== "opened") {
         throw new Error("settings not valid");
     }
@@ -160,6 +162,67 @@
     `);
 });
 
+test("a reload of a file that still has its faults says so, a check of it does not", async () => {
+    // Guards against an operator who sends SIGHUP and sees no line, though the file is not in effect.
+    const { state, lines, logger, open } = createFixture();
+    const opened = await open();
+    if (opened.kind !== "opened") {
+        throw new Error("settings not valid");
+    }
+    state.text = "{";
+    await opened.file.check(logger);
+    lines.length = 0;
+    await opened.file.check(logger);
+    expect(lines).toEqual([]);
+    await opened.file.reload(logger);
+    expect(lines.length).toBe(1);
+});
+
+test("the log of a file that can't be read names the reason, at the start too", async () => {
+    // Guards against an operator who looks for a fault of syntax in a file that is missing or not readable.
+    const { state, lines, logger } = createFixture();
+    let isReadable = false;
+    const read = async (): Promise<string> => {
+        if (!isReadable) {
+            throw new Error("EACCES: permission denied");
+        }
+        return state.text;
+    };
+    expect(await createSettingsFile(read)).toEqual({
+        kind: "invalid",
+        faults: [{ path: "", message: "Not readable: Error: EACCES: permission denied" }],
+    });
+    isReadable = true;
+    const opened = await createSettingsFile(read);
+    if (opened.kind !== "opened") {
+        throw new Error("settings not valid");
+    }
+    isReadable = false;
+    await opened.file.check(logger);
+    expect(lines).toEqual([
+        'settingsInvalid {"path":"","message":"Not readable: Error: EACCES: permission denied"}',
+    ]);
+});
+
+test("a reload lists the settings that wait for the next start, and no others", async () => {
+    // Guards against a restart of a process that runs with the file's settings already, and against none where one is due.
+    const { state, lines, logger, open } = createFixture();
+    const opened = await open();
+    if (opened.kind !== "opened") {
+        throw new Error("settings not valid");
+    }
+    state.text = JSON.stringify({ ...valid, gracePeriodMs: 9_000 });
+    await opened.file.check(logger);
+    await opened.file.reload(logger);
+    state.text = JSON.stringify(valid);
+    await opened.file.check(logger);
+    expect(lines).toEqual([
+        'settingsReloaded {"changed":"gracePeriodMs","atNextStart":"gracePeriodMs"}',
+        'settingsReloaded {"changed":"","atNextStart":"gracePeriodMs"}',
+        'settingsReloaded {"changed":"gracePeriodMs","atNextStart":""}',
+    ]);
+});
+
 test("a reload of an unchanged file is logged, a check of it is not", async () => {
     const { lines, logger, open } = createFixture();
     const opened = await open();
--- a/packages/daemon/src/createSettingsFile.ts
+++ b/packages/daemon/src/createSettingsFile.ts
@@ -2,17 +2,37 @@
 import { validateRoleSettings } from "@auburnarch/config/validateRoleSettings";
 import type { ConfigFault } from "@auburnarch/types/ConfigFault";
 import type { Logger } from "@auburnarch/types/Logger";
+import { isDeepStrictEqual } from "node:util";
 import { createCoalescedRun } from "./createCoalescedRun.js";
 import type { SettingsFile } from "./SettingsFile.js";
 
 type OpenResult = { kind: "opened"; file: SettingsFile; } | { kind: "invalid"; faults: ConfigFault[]; };
 
-function parse(text: string): ReturnType<typeof validateRoleSettings> {
+type Checked = ReturnType<typeof validateRoleSettings>;
+
+/** What a read of the file gave: its text, or why there is none. */
+type Content = { kind: "read"; text: string; } | { kind: "unreadable"; reason: string; };
+
+const fault = (message: string): Checked => ({ kind: "invalid", faults: [{ path: "", message }] });
+
+async function readContent(readText: () => Promise<string>): Promise<Content> {
     try {
-        return validateRoleSettings(JSON.parse(text));
+        return { kind: "read", text: await readText() };
     }
     catch (error) {
-        return { kind: "invalid", faults: [{ path: "", message: `Not JSON: ${String(error)}` }] };
+        return { kind: "unreadable", reason: String(error) };
+    }
+}
+
+function checkContent(content: Content): Checked {
+    if (content.kind === "unreadable") {
+        return fault(`Not readable: ${content.reason}`);
+    }
+    try {
+        return validateRoleSettings(JSON.parse(content.text));
+    }
+    catch (error) {
+        return fault(`Not JSON: ${String(error)}`);
     }
 }
 
@@ -30,52 +50,56 @@
     );
 }
 
-/**
- * Opens the settings file of a gateway or a runner. `readText` reads it; `onNewContent` is called with the outcome
- * whenever a later read finds a content that differs from the one before.
- */
+/** Paths whose values differ, or that only one of both has. */
+function listDifferences(a: Map<string, string>, b: Map<string, string>): string[] {
+    return [...new Set([...a.keys(), ...b.keys()])].filter(path => a.get(path) !== b.get(path));
+}
+
+interface SettingsFileOptions {
+    /** Called with the outcome whenever a later read finds a content that differs from the one before. */
+    onNewContent?: (outcome: "applied" | "invalid") => void;
+}
+
+/** Opens the settings file of a gateway or a runner; `readText` reads it. */
 export async function createSettingsFile(
     readText: () => Promise<string>,
-    onNewContent: (outcome: "applied" | "invalid") => void = () => undefined,
+    { onNewContent = () => undefined }: SettingsFileOptions = {},
 ): Promise<OpenResult> {
-    let lastText = await readText();
-    const first = parse(lastText);
+    let last = await readContent(readText);
+    const first = checkContent(last);
     if (first.kind === "invalid") {
         return first;
     }
     let { settings } = first;
-    // A part of the process that was not configured at the start does not run.
-    const pathsAtStart = new Set(listByPath(settings).keys());
+    const atStart = listByPath(settings);
     let isReloadRequested = false;
 
+    // A part of the process that was not configured at the start does not run.
+    const isLive = (path: string, next: Map<string, string>): boolean =>
+        liveKeys.has(path) && atStart.has(path) && next.has(path);
+
     function apply(next: RoleSettings, logger: Logger): void {
-        const before = listByPath(settings);
-        const after = listByPath(next);
-        const changed = [...new Set([...before.keys(), ...after.keys()])]
-            .filter(path => before.get(path) !== after.get(path));
-        const isLive = (path: string): boolean =>
-            liveKeys.has(path) && pathsAtStart.has(path) && after.has(path);
+        const nextByPath = listByPath(next);
+        const changed = listDifferences(listByPath(settings), nextByPath);
+        const atNextStart = listDifferences(atStart, nextByPath).filter(path => !isLive(path, nextByPath));
         settings = next;
-        logger.info("settingsReloaded", {
-            changed: changed.join(","),
-            atNextStart: changed.filter(path => !isLive(path)).join(","),
-        });
+        logger.info("settingsReloaded", { changed: changed.join(","), atNextStart: atNextStart.join(",") });
     }
 
     async function readAndApply(logger: Logger): Promise<void> {
         const mustReport = isReloadRequested;
         isReloadRequested = false;
-        const text = await readText().catch(error => `unreadable: ${String(error)}`);
-        const isNew = text !== lastText;
-        lastText = text;
+        const content = await readContent(readText);
+        const isNew = !isDeepStrictEqual(content, last);
+        last = content;
         if (!isNew && !mustReport) {
             return;
         }
-        const next = parse(text);
+        const next = checkContent(content);
         if (next.kind === "valid") {
             apply(next.settings, logger);
         }
-        else if (isNew) {
+        else {
             next.faults.forEach(({ path, message }) => logger.error("settingsInvalid", { path, message }));
         }
         if (isNew) {
--- a/packages/daemon/src/runRole.ts
+++ b/packages/daemon/src/runRole.ts
@@ -32,7 +32,12 @@
             metrics.set("settings_applied_at_ms", {}, clock.wallMs());
         }
     };
-    const opened = await createSettingsFile(() => readFile(settingsPath, "utf8"), recordSettings);
+    const opened = await createSettingsFile(() => readFile(settingsPath, "utf8"), {
+        onNewContent: outcome => {
+            metrics.count("settings_changes_total", { result: outcome });
+            recordSettings(outcome);
+        },
+    });
     if (opened.kind === "invalid") {
         for (const { path, message } of opened.faults) {
             context.writeLine(`level=error event=settingsInvalid path=${path} message="${message}"`);
