Give up a read of the settings that hangs

What operators would see: a read on a file system that stops to answer keeps the process from ever reading its settings again, with no line in the log.

Change: a read is given up after 2 s and logged; at most two are under way, each of which occupies a thread of the pool.

--- /dev/null
+++ b/packages/daemon/src/SettingsReadError.ts
@@ -0,0 +1,4 @@
+/** The settings file could not be read in time. */
+export class SettingsReadError extends Error {
+    override name = "SettingsReadError";
+}
--- a/packages/daemon/src/createSettingsFile.ts
+++ b/packages/daemon/src/createSettingsFile.ts
@@ -58,12 +58,14 @@
 interface SettingsFileOptions {
     /** Called with the outcome whenever a later read finds a content that differs from the one before. */
     onNewContent?: (outcome: "applied" | "invalid") => void;
+    /** Limits the time of reads after the first one; the default sets no limit. */
+    limitRead?: (readText: () => Promise<string>) => () => Promise<string>;
 }
 
 /** Opens the settings file of a gateway or a runner; `readText` reads it. */
 export async function createSettingsFile(
     readText: () => Promise<string>,
-    { onNewContent = () => undefined }: SettingsFileOptions = {},
+    { onNewContent = () => undefined, limitRead = read => read }: SettingsFileOptions = {},
 ): Promise<OpenResult> {
     let last = await readContent(readText);
     const first = checkContent(last);
@@ -72,6 +74,7 @@
     }
     let { settings } = first;
     const atStart = listByPath(settings);
+    const readAgain = limitRead(readText);
     let isReloadRequested = false;
 
     // A part of the process that was not configured at the start does not run.
@@ -89,7 +92,7 @@
     async function readAndApply(logger: Logger): Promise<void> {
         const mustReport = isReloadRequested;
         isReloadRequested = false;
-        const content = await readContent(readText);
+        const content = await readContent(readAgain);
         const isNew = !isDeepStrictEqual(content, last);
         last = content;
         if (!isNew && !mustReport) {
--- a/packages/daemon/src/followSettingsFile.test.ts
+++ b/packages/daemon/src/followSettingsFile.test.ts
@@ -2,6 +2,7 @@
 import type { LogFields } from "@auburnarch/types/LogFields";
 import type { Logger } from "@auburnarch/types/Logger";
 import { expect, test } from "vitest";
+import { createLimitedRead } from "./createLimitedRead.js";
 import { createSettingsFile } from "./createSettingsFile.js";
 import { followSettingsFile } from "./followSettingsFile.js";
 
@@ -18,16 +19,26 @@
 };
 const newAddress = "10.0.0.8:80";
 const boundMs = 2_000;
+const readLimitMs = 2_000;
 
 async function createFixture() {
     const clock = createFakeClock();
-    const state = { text: JSON.stringify(settings) };
+    const state = { text: JSON.stringify(settings), isHanging: false };
+    let readsInFlight = 0;
     const lines: string[] = [];
     const record = (event: string, fields: LogFields = {}): void =>
         void lines.push(`${event} ${JSON.stringify(fields)}`);
     const logger: Logger = { info: record, warn: record, error: record, child: () => logger };
     const handlers = new Set<() => void>();
-    const opened = await createSettingsFile(async () => state.text);
+    const read = async (): Promise<string> => {
+        readsInFlight++;
+        await new Promise<void>(resolve => state.isHanging || resolve());
+        readsInFlight--;
+        return state.text;
+    };
+    const opened = await createSettingsFile(read, {
+        limitRead: readText => createLimitedRead({ readText, clock, limitMs: readLimitMs }),
+    });
     if (opened.kind !== "opened") {
         throw new Error("settings not valid");
     }
@@ -42,14 +53,15 @@
                 return () => void handlers.delete(reload);
             },
         });
-    return { clock, state, lines, file, handlers, follow };
+    return { clock, state, lines, file, handlers, follow, countReadsInFlight: () => readsInFlight };
 }
 
 test("a change without a signal takes effect within two seconds", async () => {
     // Guards against a process that calls the store at an address it has left because a signal was never sent or lost.
     const { clock, state, file, lines, follow } = await createFixture();
     follow();
-    await clock.advance(10_000);
+    // Just after a read of the file, so that the wait for the next one is longest.
+    await clock.advance(10_001);
     state.text = JSON.stringify({ ...settings, storeAddress: newAddress });
     await clock.advance(boundMs);
     expect(file.current().storeAddress).toBe(newAddress);
@@ -65,6 +77,30 @@
     expect(file.current().storeAddress).toBe(newAddress);
 });
 
+test("a read that hangs does not keep a later change from taking effect", async () => {
+    // Guards against a process that never reads its settings again after one read of a file system that hangs.
+    const { clock, state, file, lines, follow } = await createFixture();
+    follow();
+    await clock.advance(1);
+    state.isHanging = true;
+    await clock.advance(1_000);
+    state.isHanging = false;
+    state.text = JSON.stringify({ ...settings, storeAddress: newAddress });
+    await clock.advance(readLimitMs + boundMs);
+    expect(file.current().storeAddress).toBe(newAddress);
+    expect(lines[0]).toContain("not read within");
+});
+
+test("reads that hang occupy two threads at most", async () => {
+    // Guards against a file system that hangs and takes all threads on which the process works with files.
+    const { clock, state, lines, follow, countReadsInFlight } = await createFixture();
+    follow();
+    state.isHanging = true;
+    await clock.advance(60_000);
+    expect(countReadsInFlight()).toBe(2);
+    expect(lines.length).toBe(1);
+});
+
 test("a signal reloads at once, and nothing is read after the end", async () => {
     const { clock, state, file, handlers, follow } = await createFixture();
     const stop = follow();
--- a/packages/daemon/src/runRole.ts
+++ b/packages/daemon/src/runRole.ts
@@ -3,6 +3,7 @@
 import { createMetrics } from "@auburnarch/metrics/createMetrics";
 import { readFile } from "node:fs/promises";
 import { match } from "ts-pattern";
+import { createLimitedRead } from "./createLimitedRead.js";
 import { createSettingsFile } from "./createSettingsFile.js";
 import { followSettingsFile } from "./followSettingsFile.js";
 import { onHangUp } from "./onHangUp.js";
@@ -12,6 +13,7 @@
 import { waitForSignal } from "./waitForSignal.js";
 
 const settingsExitCode = 2;
+const settingsReadLimitMs = 2_000;
 
 /** Loads only the code of the configured role; loading the other one would delay the start by 200 ms. */
 function start(context: RoleContext): Promise<RunningRole> {
@@ -37,6 +39,7 @@
             metrics.count("settings_changes_total", { result: outcome });
             recordSettings(outcome);
         },
+        limitRead: readText => createLimitedRead({ readText, clock, limitMs: settingsReadLimitMs }),
     });
     if (opened.kind === "invalid") {
         for (const { path, message } of opened.faults) {
