Keep the address of usage reports until the next start

What operators saw: usage.address is changed in a running process, later usage is removed from its file. settingsReloaded says that this waits for the next start, but reports go back to the address of the start at once.

Cause: without an address in the file, the one at the start was taken instead of the one in use.

Evidence: the new test fails without the change (the second report arrives at the address of the start) and passes with it.

--- a/packages/daemon/src/createUsageDeps.ts
+++ b/packages/daemon/src/createUsageDeps.ts
@@ -13,8 +13,11 @@
     if (usage === undefined || starts === undefined) {
         return undefined;
     }
-    const address = (): { host: string; port: number; } =>
-        splitAddress((currentSettings().usage ?? usage).address)!;
+    let addressInUse = usage.address;
+    const address = (): { host: string; port: number; } => {
+        addressInUse = currentSettings().usage?.address ?? addressInUse;
+        return splitAddress(addressInUse)!;
+    };
     return {
         times: { windowMs: usage.windowS * 1_000, dueMs: usage.dueS * 1_000 },
         starts,
