Refuse settings with a port that does not exist

What operators would see: a mistyped port in storeAddress was valid, took effect at once in a running process, and cut it off from the store.

Evidence: a reviewer's gateway with ports 0 and 99999 logged settingsReloaded without a fault. Four of the new cases fail without the change and pass with it.

--- a/packages/config/src/roleSettingsSchema.ts
+++ b/packages/config/src/roleSettingsSchema.ts
@@ -1,7 +1,10 @@
 import { z } from "zod";
 
 const port = z.int().min(1).max(65_535);
-const address = z.string().regex(/^[^:\s]+:\d{1,5}$/u, "Expected `ip:port`.");
+const address = z.string().regex(
+    /^[^:\s]+:(?:[1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d|6553[0-5])$/u,
+    "Expected `ip:port`.",
+);
 const milliseconds = z.int().min(0);
 
 /** Schema of the settings of a gateway or a runner; `docs/settings.md` describes each. */
--- a/packages/daemon/src/createSettingsFile.test.ts
+++ b/packages/daemon/src/createSettingsFile.test.ts
@@ -61,6 +61,20 @@
     });
 });
 
+test.each([
+    ["10.0.0.9:0", "invalid"],
+    ["10.0.0.9:1", "opened"],
+    ["10.0.0.9:65535", "opened"],
+    ["10.0.0.9:65536", "invalid"],
+    ["10.0.0.9:99999", "invalid"],
+    ["10.0.0.9:080", "invalid"],
+])("the settings with the store at %s are %s", async (storeAddress, kind) => {
+    // Guards against a mistyped port that cuts a running process off from the store.
+    const { state, open } = createFixture();
+    state.text = JSON.stringify({ ...valid, storeAddress });
+    expect((await open()).kind).toBe(kind);
+});
+
 test("a reload applies valid settings and keeps the previous ones if the file is invalid", async () => {
     // Guards against a process that loses the store while its settings file is being rewritten.
     const { state, lines, logger, open } = createFixture();
