--- /dev/null
+++ b/packages/daemon/src/hangUp.test.ts
@@ -0,0 +1,112 @@
+import { createRandom } from "@auburnarch/clock/createRandom";
+import { createSystemClock } from "@auburnarch/clock/createSystemClock";
+import { validateManifest } from "@auburnarch/config/validateManifest";
+import { execFileSync } from "node:child_process";
+import { mkdtemp, open, readdir, readFile, readlink, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { demoManifest } from "./demoManifest.js";
+import { createProcessTestBed } from "./testing/createProcessTestBed.js";
+import { spawnDaemon } from "./testing/spawnDaemon.js";
+
+// Guards against a daemon that ends, with what it serves, once its settings change or its terminal closes.
+const entryPoint = fileURLToPath(new URL("../dist/auburnarchd.js", import.meta.url));
+const settingsExitCode = 2;
+const within = { timeout: 20_000, interval: 10 };
+
+let folder: string;
+const daemons: ReturnType<typeof spawnDaemon>[] = [];
+
+beforeEach(async () => {
+    folder = await mkdtemp(join(tmpdir(), "auburnarch-hang-up-"));
+});
+
+afterEach(async () => {
+    daemons.forEach(({ child }) => child.kill("SIGKILL"));
+    await Promise.all(daemons.splice(0).map(each => each.ended));
+    await rm(folder, { recursive: true, force: true });
+});
+
+function spawnTracked(args: string[]): ReturnType<typeof spawnDaemon> {
+    const daemon = spawnDaemon(args);
+    daemons.push(daemon);
+    return daemon;
+}
+
+async function hasOpened(pid: number, path: string): Promise<boolean> {
+    const descriptors = await readdir(`/proc/${pid}/fd`);
+    const targets = await Promise.all(
+        descriptors.map(each => readlink(`/proc/${pid}/fd/${each}`).catch(() => "")),
+    );
+    return targets.includes(path);
+}
+
+/** Starts a daemon whose settings come from a pipe, and resolves once it waits for them. */
+async function spawnWaiting() {
+    const path = join(folder, "settings.json");
+    execFileSync("mkfifo", [path]);
+    // Open for reading too, so that opening doesn't wait for the daemon.
+    const pipe = await open(path, "r+");
+    const daemon = spawnTracked(["run", "--settings", path]);
+    await expect.poll(() => hasOpened(daemon.child.pid!, path), within).toBe(true);
+    const writeSettings = (text: string) => pipe.writeFile(text).finally(() => pipe.close());
+    return { ...daemon, writeSettings };
+}
+
+async function isServing(address: string): Promise<boolean> {
+    return (await fetch(`${address}/healthz`)).ok;
+}
+
+test("the daemon installs its handler for SIGHUP before it loads any module", async () => {
+    // A static import would run before the first statement.
+    const code = await readFile(entryPoint, "utf8");
+    const firstStatement = code.split("\n").find(line => /^[a-z]/u.test(line));
+    expect(firstStatement).toMatch(/^process\.on\("SIGHUP"/u);
+});
+
+test("SIGHUP while the daemon starts does not end it", async () => {
+    const { child, ended, writeSettings } = await spawnWaiting();
+    child.kill("SIGHUP");
+    await writeSettings("{}");
+    expect(await ended).toBe(settingsExitCode);
+});
+
+test.each(["SIGTERM", "SIGINT"] as const)("%s while the daemon starts ends it at once", async signal => {
+    const { child, ended, writeSettings } = await spawnWaiting();
+    child.kill(signal);
+    expect(await ended).toBe(signal);
+    await writeSettings("");
+});
+
+test("an entry and a sidecar serve on after SIGHUP and leave cleanly on SIGTERM", async () => {
+    const checked = validateManifest(demoManifest({ plume: "plume token", ridge: "ridge token" }));
+    if (checked.kind === "invalid") {
+        throw new Error(JSON.stringify(checked.faults));
+    }
+    const context = { clock: createSystemClock(), random: createRandom(12), writeLine: () => undefined };
+    const bed = await createProcessTestBed(checked.manifest, context);
+    try {
+        const running = [
+            await bed.startEntry("entry-1"),
+            await bed.startSidecar(checked.manifest.samplers[0]!),
+        ];
+        running.forEach(({ child }) => child.kill("SIGHUP"));
+        expect(await Promise.all(running.map(each => isServing(each.address)))).toEqual([true, true]);
+        running.forEach(({ child }) => child.kill("SIGTERM"));
+        expect(await Promise.all(running.map(each => each.ended))).toEqual([0, 0]);
+    }
+    finally {
+        await bed.close();
+    }
+});
+
+test("the system in one process serves on after SIGHUP and leaves cleanly on SIGTERM", async () => {
+    const { child, ended, waitForPrinted } = spawnTracked(["standalone", "--log", join(folder, "log")]);
+    const address = await waitForPrinted(/^entries: (\S+)/u);
+    child.kill("SIGHUP");
+    expect(await isServing(address)).toBe(true);
+    child.kill("SIGTERM");
+    expect(await ended).toBe(0);
+});
--- a/packages/daemon/src/testing/createProcessTestBed.ts
+++ b/packages/daemon/src/testing/createProcessTestBed.ts
@@ -3,20 +3,16 @@
 import type { Region } from "@auburnarch/types/Region";
 import type { SamplerManifest } from "@auburnarch/types/SamplerManifest";
 import type { VmId } from "@auburnarch/types/VmId";
-import { type ChildProcess, spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { createInterface } from "node:readline";
-import { fileURLToPath } from "node:url";
 import type { ExternalFakes } from "../ExternalFakes.js";
 import type { ProcessContext } from "../ProcessContext.js";
 import { startExternalFakes } from "../startExternalFakes.js";
+import { spawnDaemon } from "./spawnDaemon.js";
 
-const binary = fileURLToPath(new URL("../../dist/auburnarchd.js", import.meta.url));
 const token = "a token of the process tests, long enough";
-/** A process that still runs after this time is killed, even if its test did not clean up. */
-const maxLifetimeMs = 240_000;
 const testBedFailureDomain = "Lugo" as FailureDomain;
 
 interface TestBedProcess {
@@ -69,17 +65,8 @@
         };
         const path = join(folder, `${name}.json`);
         await writeFile(path, JSON.stringify(settings));
-        const child = spawn(process.execPath, [binary, "run", "--settings", path], {
-            stdio: ["ignore", "ignore", "pipe"],
-        });
-        const kill = setTimeout(() => child.kill("SIGKILL"), maxLifetimeMs);
-        const ended = new Promise<number | string>(resolve =>
-            child.once("exit", (code, signal) => {
-                clearTimeout(kill);
-                resolve(code ?? signal ?? "");
-            })
-        );
-        const address = await readAddress(child, ended);
+        const { child, ended, waitForPrinted } = spawnDaemon(["run", "--settings", path]);
+        const address = await waitForPrinted(/ listens at (http:\S+)$/u);
         const started = { name, address, child, ended };
         processes.push(started);
         return started;
@@ -124,20 +111,3 @@
         },
     };
 }
-
-/** Reads the address that a process prints once it listens; rejects with the output if it exits first. */
-function readAddress(child: ChildProcess, ended: Promise<unknown>): Promise<string> {
-    const printed: string[] = [];
-    return new Promise((resolve, reject) => {
-        createInterface({ input: child.stderr! }).on("line", line => {
-            printed.push(line);
-            const found = / listens at (http:\S+)$/u.exec(line)?.[1];
-            if (found !== undefined) {
-                resolve(found);
-            }
-        });
-        void ended.then(end =>
-            reject(new Error(`process exited with ${String(end)} before it listened: ${printed.join(" | ")}`))
-        );
-    });
-}
