Read the settings of an entry or a sidecar again on SIGHUP

Operators saw: the signal that makes gateways and runners read their settings again had no effect in `auburnarchd run`, and nothing was logged.

Cause: only the program of gateways and runners reads its settings again.

Evidence: each setting of `run` is handed on or digested once at the start (logger, server, tokens, seeds, deadline of the shutdown), so none can change while it runs. The contents of the files of `tls` and of `manifestPath` are already read again without a signal.

Change: on SIGHUP `run` reads the file again, under the flags of its start, one read after the other. `settingsReloaded` names what differs from the last read (`changed`) and from the settings in force (`atNextStart`). Unlike a gateway's line, `atNextStart` keeps a setting until the file is as it was at the start. A file with faults is logged once for each content; the parser's message is not, since it quotes the file, which contains secrets. The handler is installed before the first read, so a change signalled meanwhile is not missed.

With runProcess as it was, "an entry and a sidecar read their settings again on SIGHUP" fails: no settingsInvalid within 20 s.

--- a/packages/daemon/src/hangUp.test.ts
+++ b/packages/daemon/src/hangUp.test.ts
@@ -2,7 +2,7 @@
 import { createSystemClock } from "@auburnarch/clock/createSystemClock";
 import { validateManifest } from "@auburnarch/config/validateManifest";
 import { execFileSync } from "node:child_process";
-import { mkdtemp, open, readdir, readFile, readlink, rm } from "node:fs/promises";
+import { mkdtemp, open, readdir, readFile, readlink, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -80,18 +80,24 @@
     await writeSettings("");
 });
 
-test("an entry and a sidecar serve on after SIGHUP and leave cleanly on SIGTERM", async () => {
+async function countEvents(logPath: string, event: string): Promise<number> {
+    return (await readFile(logPath, "utf8")).split(` event=${event} `).length - 1;
+}
+
+async function createBed() {
     const checked = validateManifest(demoManifest({ plume: "plume token", ridge: "ridge token" }));
     if (checked.kind === "invalid") {
         throw new Error(JSON.stringify(checked.faults));
     }
     const context = { clock: createSystemClock(), random: createRandom(12), writeLine: () => undefined };
     const bed = await createProcessTestBed(checked.manifest, context);
+    return { ...bed, startSidecar: () => bed.startSidecar(checked.manifest.samplers[0]!) };
+}
+
+test("an entry and a sidecar serve on after SIGHUP and leave cleanly on SIGTERM", async () => {
+    const bed = await createBed();
     try {
-        const running = [
-            await bed.startEntry("entry-1"),
-            await bed.startSidecar(checked.manifest.samplers[0]!),
-        ];
+        const running = [await bed.startEntry("entry-1"), await bed.startSidecar()];
         running.forEach(({ child }) => child.kill("SIGHUP"));
         expect(await Promise.all(running.map(each => isServing(each.address)))).toEqual([true, true]);
         running.forEach(({ child }) => child.kill("SIGTERM"));
@@ -102,6 +108,27 @@
     }
 });
 
+test("an entry and a sidecar read their settings again on SIGHUP", async () => {
+    const bed = await createBed();
+    try {
+        const running = [await bed.startEntry("entry-1"), await bed.startSidecar()];
+        for (const { settingsPath, logPath, child, address } of running) {
+            const written = await readFile(settingsPath, "utf8");
+            await writeFile(settingsPath, written.slice(0, 100));
+            child.kill("SIGHUP");
+            await expect.poll(() => countEvents(logPath, "settingsInvalid"), within).toBe(1);
+            await writeFile(settingsPath, written.replace('"leaseTtlMs":2000', '"leaseTtlMs":3000'));
+            child.kill("SIGHUP");
+            await expect.poll(() => countEvents(logPath, "settingsReloaded"), within).toBe(1);
+            expect(await readFile(logPath, "utf8")).toMatch(/ changed=leaseTtlMs atNextStart=leaseTtlMs$/mu);
+            expect(await isServing(address)).toBe(true);
+        }
+    }
+    finally {
+        await bed.close();
+    }
+});
+
 test("the system in one process serves on after SIGHUP and leaves cleanly on SIGTERM", async () => {
     const { child, ended, waitForPrinted } = spawnTracked(["standalone", "--log", join(folder, "log")]);
     const address = await waitForPrinted(/^entries: (\S+)/u);
--- a/packages/daemon/src/runProcess.ts
+++ b/packages/daemon/src/runProcess.ts
@@ -1,7 +1,8 @@
 import type { Settings } from "@auburnarch/config/Settings";
-import { validateSettings } from "@auburnarch/config/validateSettings";
+import { createLogger } from "@auburnarch/log/createLogger";
 import { readFile } from "node:fs/promises";
 import { match } from "ts-pattern";
+import { createProcessSettings } from "./createProcessSettings.js";
 import type { ProcessContext } from "./ProcessContext.js";
 import type { RunningProcess } from "./RunningProcess.js";
 import { startEntry } from "./startEntry.js";
@@ -24,7 +25,15 @@
     context: ProcessContext,
     printLine: (line: string) => void,
 ): Promise<number> {
-    const checked = validateSettings(JSON.parse(await readFile(settingsPath, "utf8")), flags);
+    const file = createProcessSettings({
+        readText: () => readFile(settingsPath, "utf8"),
+        flags,
+        createLogger: ({ logLevel, name }) =>
+            createLogger(context.clock, context.writeLine, logLevel).child({ process: name }),
+    });
+    // Before the first read, so that a change that is signalled meanwhile is read too.
+    process.on("SIGHUP", () => void file.reload());
+    const checked = await file.open();
     if (checked.kind === "invalid") {
         checked.faults.forEach(fault => printLine(`${settingsPath}: ${fault.path}: ${fault.message}`));
         printLine("Correct the settings and start again; docs/settings.md lists each.");
--- a/packages/daemon/src/testing/createProcessTestBed.ts
+++ b/packages/daemon/src/testing/createProcessTestBed.ts
@@ -4,7 +4,7 @@
 import type { SamplerManifest } from "@auburnarch/types/SamplerManifest";
 import type { VmId } from "@auburnarch/types/VmId";
 import type { ChildProcess } from "node:child_process";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, open, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { ExternalFakes } from "../ExternalFakes.js";
@@ -18,6 +18,8 @@
 interface TestBedProcess {
     name: string;
     address: string;
+    settingsPath: string;
+    logPath: string;
     child: ChildProcess;
     /** Resolves with the exit code or the name of the signal. */
     ended: Promise<number | string>;
@@ -63,11 +65,14 @@
             seeds: processes.filter(each => each.name.startsWith("entry")).map(each => each.address),
             ...own,
         };
-        const path = join(folder, `${name}.json`);
-        await writeFile(path, JSON.stringify(settings));
-        const { child, ended, waitForPrinted } = spawnDaemon(["run", "--settings", path]);
+        const settingsPath = join(folder, `${name}.json`);
+        const logPath = join(folder, `${name}.log`);
+        await writeFile(settingsPath, JSON.stringify(settings));
+        const log = await open(logPath, "w");
+        const { child, ended, waitForPrinted } = spawnDaemon(["run", "--settings", settingsPath], log.fd);
+        await log.close();
         const address = await waitForPrinted(/ listens at (http:\S+)$/u);
-        const started = { name, address, child, ended };
+        const started = { name, address, settingsPath, logPath, child, ended };
         processes.push(started);
         return started;
     }
