Close connections of a leaving entry whenever they are idle

Cause: the entry's server closed idle connections once. One with a report under way stayed open, and each further report on it came before it had been idle for the 5 s after which it is closed.

Evidence: 8 s and 11 s after the signal one established connection to each entry, no listener; the process is there after 31 s. With serveEntry as it was, the new test times out after 10 s: a peer whose request is under way at the close goes on every 100 ms.

Change: connections are closed whenever they are idle until none is left. Sidecars did this already; the code moves to transport/closeServer and both use it.

--- a/packages/entry/src/serveEntry.test.ts
+++ b/packages/entry/src/serveEntry.test.ts
@@ -2,6 +2,8 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import type { GroupStore } from "@auburnarch/types/GroupStore";
 import fc from "fast-check";
+import { once } from "node:events";
+import { Agent, request } from "node:http";
 import { connect } from "node:net";
 import { v7 as newKey } from "uuid";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
@@ -64,6 +66,13 @@
     prompts: [{ prompt: "ridge", maxTokens: 5 }, { prompt: "x", maxTokens: 5 }],
 });
 
+function isRefused(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1", () => resolve(false));
+        socket.on("error", () => resolve(true)).end();
+    });
+}
+
 /** Waits until the entry has acquired its jobs and key ranges, so that its own writes do not count as a caller's. */
 async function waitForOwnWrites(): Promise<void> {
     const jobs = ["forecast", "estimates"];
@@ -387,3 +396,34 @@
     const stranger = createPeerCall("token of another cluster")(address, "describe", {}, 5_000);
     await expect(stranger).rejects.toMatchObject({ code: resultCodes.peerUnreachable });
 });
+
+test("an entry that leaves does not wait for peers that keep using their connections", async () => {
+    // Guards against an entry that never ends after SIGTERM because sidecars go on reporting to it.
+    const leaving = await createServedEntry();
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const target = { agent, port: leaving.port, host: "127.0.0.1" };
+    const first = request({
+        ...target,
+        method: "POST",
+        path: "/v1/services/tiles/alerts",
+        headers: { "authorization": `Bearer ${leaving.tokens.plume}`, "expect": "100-continue" },
+    });
+    first.flushHeaders();
+    await once(first, "continue");
+    const closing = leaving.close();
+    await vi.waitUntil(() => isRefused(leaving.port));
+    const answered = once(first, "response");
+    first.end();
+    (await answered)[0].resume();
+    const peer = setInterval(() => {
+        request({ ...target, path: "/healthz" }, answer => answer.resume()).on("error", () => undefined)
+            .end();
+    }, 100);
+    try {
+        await closing;
+    }
+    finally {
+        clearInterval(peer);
+        agent.destroy();
+    }
+}, 10_000);
--- a/packages/entry/src/serveEntry.ts
+++ b/packages/entry/src/serveEntry.ts
@@ -1,6 +1,7 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { closeServer } from "@auburnarch/transport/closeServer";
 import type { ResultCode } from "@auburnarch/types/ResultCode";
 import type { TeamId } from "@auburnarch/types/TeamId";
 import { createServer } from "node:http";
@@ -243,10 +244,6 @@
     return {
         port,
         entry,
-        close: () =>
-            new Promise(resolve => {
-                server.close(() => resolve());
-                server.closeIdleConnections();
-            }),
+        close: () => closeServer(server, options.clock),
     };
 }
--- a/packages/sidecar/src/serveSidecar.ts
+++ b/packages/sidecar/src/serveSidecar.ts
@@ -1,4 +1,5 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { closeServer } from "@auburnarch/transport/closeServer";
 import { sidecarHeaders } from "@auburnarch/transport/sidecarHeaders";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
@@ -21,7 +22,6 @@
 const defaultHeadersTimeoutMs = 10_000;
 const keepAliveTimeoutMs = 75_000;
 const timeoutCheckMs = 1_000;
-const idleCloseIntervalMs = 25;
 const maxHeaderBytes = 16_384;
 
 /**
@@ -85,27 +85,14 @@
     const { port } = server.address() as AddressInfo;
     logger.info("gateServed", { host: options.host, port });
 
-    function closeIdleConnections(): () => void {
-        server.closeIdleConnections();
-        let cancel = clock.startTimer(idleCloseIntervalMs, function closeIdle() {
-            server.closeIdleConnections();
-            cancel = clock.startTimer(idleCloseIntervalMs, closeIdle);
-        });
-        return () => cancel();
-    }
-
     return {
         port,
         close: async graceful => {
-            const closed = once(server, "close");
-            server.close();
+            const closed = closeServer(server, clock);
             if (!graceful) {
                 server.closeAllConnections();
             }
-            // A connection kept alive after its last response would keep the server open for its whole idle timeout.
-            const stopClosingIdle = closeIdleConnections();
             await closed;
-            stopClosingIdle();
         },
     };
 }
