Log on SIGHUP that the system in one process has nothing to reload

Operators saw: `auburnarchd standalone` said nothing at SIGHUP, so that it was not to be told whether a changed manifest file had been read.

Cause: nothing listened. Nothing needs to be read: the first entry looks at the manifest file every second by itself.

Change: one line, event=nothingToReload with the path of the manifest file.

--- a/packages/daemon/src/hangUp.test.ts
+++ b/packages/daemon/src/hangUp.test.ts
@@ -130,9 +130,11 @@
 });
 
 test("the system in one process serves on after SIGHUP and leaves cleanly on SIGTERM", async () => {
-    const { child, ended, waitForPrinted } = spawnTracked(["standalone", "--log", join(folder, "log")]);
+    const logPath = join(folder, "log");
+    const { child, ended, waitForPrinted } = spawnTracked(["standalone", "--log", logPath]);
     const address = await waitForPrinted(/^entries: (\S+)/u);
     child.kill("SIGHUP");
+    await expect.poll(() => countEvents(logPath, "nothingToReload"), within).toBe(1);
     expect(await isServing(address)).toBe(true);
     child.kill("SIGTERM");
     expect(await ended).toBe(0);
--- a/packages/daemon/src/runStandalone.ts
+++ b/packages/daemon/src/runStandalone.ts
@@ -3,6 +3,7 @@
 import { validateManifest } from "@auburnarch/config/validateManifest";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { createLogger } from "@auburnarch/log/createLogger";
 import type { Manifest } from "@auburnarch/types/Manifest";
 import { createWriteStream } from "node:fs";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
@@ -57,6 +58,9 @@
         ? context.writeLine
         // Timers may still write a line after the log file has been closed.
         : (line: string) => void (log.writableEnded || log.write(`${line}\n`));
+    const logger = createLogger(context.clock, writeLine);
+    // The first entry reads the manifest file itself and publishes each change.
+    process.on("SIGHUP", () => logger.info("nothingToReload", { manifestPath }));
 
     const system = await startStandalone({
         plan: { manifest, region: "norte", entries: entryCount, tokensPerSecond, swapMs, plainLatencyMs },
