Keep the daemon running after its terminal has closed

Operators saw: a daemon that survives SIGHUP still ended once its terminal had closed: an entry after 0.5 s, a sidecar after 1.5 s, standalone's demo after 1.7 s, each with its next line of output.

Cause: each write to a closed terminal fails (write EIO), and standard output without a listener for it ends the process.

Change: EIO of standard output and standard error is ignored; other faults, such as a closed pipe, end the process as before.

Without the change the new test of hangUp fails: no shutdownEnded instead of two. Tests of daemon, entry, sidecar, transport and config pass.

--- a/packages/daemon/src/hangUp.test.ts
+++ b/packages/daemon/src/hangUp.test.ts
@@ -1,7 +1,7 @@
 import { createRandom } from "@auburnarch/clock/createRandom";
 import { createSystemClock } from "@auburnarch/clock/createSystemClock";
 import { validateManifest } from "@auburnarch/config/validateManifest";
-import { execFileSync } from "node:child_process";
+import { execFileSync, spawn } from "node:child_process";
 import { mkdtemp, open, readdir, readFile, readlink, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -139,3 +139,29 @@
     child.kill("SIGTERM");
     expect(await ended).toBe(0);
 });
+
+test("the system in one process shuts down fully on SIGTERM after its terminal has closed", async () => {
+    // Guards against a daemon that its next line of output ends, since each write to a closed terminal fails.
+    const logPath = join(folder, "log");
+    const printedPath = join(folder, "printed");
+    const command = `exec ${process.execPath} ${entryPoint} standalone --log ${logPath}`;
+    const terminal = spawn("script", ["--quiet", "--flush", "--command", command, printedPath], {
+        stdio: "ignore",
+    });
+    const readPrinted = () => readFile(printedPath, "utf8").catch(() => "");
+    await expect.poll(readPrinted, within).toContain("team tokens:");
+    const pid = Number(await readFile(`/proc/${terminal.pid}/task/${terminal.pid}/children`, "utf8"));
+    const readCommand = () => readFile(`/proc/${pid}/cmdline`, "utf8").catch(() => "");
+    try {
+        terminal.kill("SIGKILL");
+        await expect.poll(() => countEvents(logPath, "nothingToReload"), within).toBe(1);
+        process.kill(pid, "SIGTERM");
+        await expect.poll(readCommand, within).toBe("");
+        expect(await countEvents(logPath, "shutdownEnded")).toBe(2);
+    }
+    finally {
+        if (await readCommand() !== "") {
+            process.kill(pid, "SIGKILL");
+        }
+    }
+});
--- a/packages/daemon/src/runDaemonProgram.ts
+++ b/packages/daemon/src/runDaemonProgram.ts
@@ -2,12 +2,15 @@
 import { createSystemClock } from "@auburnarch/clock/createSystemClock";
 import { defineCommand, runMain } from "citty";
 import { randomInt } from "node:crypto";
+import { ignoreClosedTerminal } from "./ignoreClosedTerminal.js";
 import type { ProcessContext } from "./ProcessContext.js";
 import { runProcess } from "./runProcess.js";
 import { runStandalone } from "./runStandalone.js";
 
 const maxSeed = 2 ** 31;
 
+[process.stdout, process.stderr].forEach(ignoreClosedTerminal);
+
 const context: ProcessContext = {
     clock: createSystemClock(),
     random: createRandom(randomInt(maxSeed)),
