Soak: change settings files, and check which store is used

What the soak did not show: a gateway or runner goes on with the old address of the store if its settings file changes without a signal. The soak sent SIGHUP with an unchanged file only.

Change: each program has two links to the store. A new fault writes its settings file anew with the other one: one change or a series, replaced by rename or written in place, with a signal or without, half of the series over a restart of the process. A new check judges by what the links see: from 5 s after a change or a start on, a running program makes no connection and sends no request to a store that its file no longer names, and uses the one that it names. The faults are drawn from a fork of their own after the others, so each seed draws the same other faults as before. Tests that create a program or take its link to the store do so for all its links; what they check is the same.

--- a/packages/soak/src/SoakFault.ts
+++ b/packages/soak/src/SoakFault.ts
@@ -1,5 +1,13 @@
 import type { LinkMode } from "./LinkMode.js";
 
+/** A change of a settings file, `afterMs` after the one before. */
+interface SettingsChangeFault {
+    afterMs: number;
+    /** Whether a new file replaces the old one, rather than the old one being written anew. */
+    isReplaced: boolean;
+    isSignalled: boolean;
+}
+
 /** One fault; processes and samplers are given by their index in the run. */
 export type SoakFault =
     | { kind: "storeMode"; mode: "busy" | "reset" | "loseAnswers"; forMs: number; }
@@ -14,4 +22,5 @@
     | { kind: "replaceSampler"; sampler: number; isAnnounced: boolean; }
     | { kind: "leaveSampler"; sampler: number; isAnnounced: boolean; }
     | { kind: "breakStreams"; sampler: number; }
-    | { kind: "changeConfiguration"; };
+    | { kind: "changeConfiguration"; }
+    | { kind: "changeSettings"; process: number; changes: SettingsChangeFault[]; };
--- a/packages/soak/src/SoakTestBed.ts
+++ b/packages/soak/src/SoakTestBed.ts
@@ -25,8 +25,8 @@
     gateways: Program[];
     /** All gateways and runners. */
     programs: Program[];
-    /** Link from each program to the store, by the program's name. */
-    storeLinks: Map<string, LinkProxy>;
+    /** Links from each program to the store, by the program's name; its settings file names one of them. */
+    storeLinks: Map<string, LinkProxy[]>;
     slots: SamplerSlot[];
     /** Every sampler of the run, including replaced and removed ones. */
     samplers: FakeSampler[];
--- /dev/null
+++ b/packages/soak/src/TimeSpan.ts
@@ -0,0 +1,6 @@
+/** Period on the monotonic clock. */
+export interface TimeSpan {
+    fromMs: number;
+    /** Infinity while the period lasts. */
+    untilMs: number;
+}
--- a/packages/soak/src/checkDepartedSamplers.ts
+++ b/packages/soak/src/checkDepartedSamplers.ts
@@ -13,6 +13,7 @@
     "leaveSampler",
     "breakStreams",
     "changeConfiguration",
+    "changeSettings",
     "reload",
 ]);
 
--- a/packages/soak/src/checks.test.ts
+++ b/packages/soak/src/checks.test.ts
@@ -4,10 +4,13 @@
 import { checkDepartedSamplers } from "./checkDepartedSamplers.js";
 import { checkFinalState } from "./checkFinalState.js";
 import { checkPage } from "./checkPage.js";
+import { checkSettings } from "./checkSettings.js";
 import { checkTeams } from "./checkTeams.js";
 import { createPromiseChecker } from "./createPromiseChecker.js";
 import { drawFaults } from "./drawFaults.js";
+import { drawSettingsChanges } from "./drawSettingsChanges.js";
 import type { FaultInterval } from "./FaultInterval.js";
+import type { LinkUse } from "./LinkUse.js";
 import { soakTeam } from "./soakTeam.js";
 import type { SoakTestBed } from "./SoakTestBed.js";
 import type { StepRecord } from "./StepRecord.js";
@@ -142,6 +145,107 @@
     }).toEqual({ due: 0, late: 1, cutOff: 0, justBack: 0, inTouch: 1, harmless: 1 });
 });
 
+/** Returns the promises broken by a program that ran in `running`, if its file names link 1 from 10 s on. */
+function settingsBreaches(
+    uses: [number[], number[]],
+    running: [number, number][] = [[0, Infinity]],
+    changes: [number, number][] = [[0, 0], [10_000, 1]],
+): string[] {
+    const checker = createPromiseChecker(createFakeClock());
+    const program = {
+        name: "front-1",
+        runningSpans: () => running.map(([fromMs, untilMs]) => ({ fromMs, untilMs })),
+        settingsChanges: () =>
+            changes.map(([atMs, storeLink]) => ({ beganAtMs: atMs, writtenAtMs: atMs + 5, storeLink })),
+    };
+    const links = uses.map(times => ({
+        uses: () => times.map((atMs): LinkUse => ({ atMs, kind: "bytes" })),
+    }));
+    checkSettings(program, links, checker, 20_000);
+    return checker.breaches().map(breach => breach.promise);
+}
+
+test("a program must use the store that its settings file names within 5 s of a change or its start", () => {
+    const moved: [number[], number[]] = [[100, 9_000, 14_900], [11_000, 19_000]];
+    const stays: [number[], number[]] = [[100, 11_000, 15_100], []];
+    const both: [number[], number[]] = [[100, 15_100], [11_000]];
+    const restart: [number, number][] = [[0, 9_000], [12_000, Infinity]];
+    const back: [number, number][] = [[0, 0], [10_000, 1], [13_000, 0]];
+    expect({
+        moved: settingsBreaches(moved),
+        stays: settingsBreaches(stays),
+        both: settingsBreaches(both),
+        neither: settingsBreaches([[100], []]),
+        early: settingsBreaches([[100], [9_000, 11_000]]),
+        startedAgain: settingsBreaches([[100, 16_900], [16_900]], restart),
+        startedAgainSlowly: settingsBreaches([[100], [18_000]], restart),
+        startedAgainOnly: settingsBreaches([[100], []], restart),
+        startedAgainUnused: settingsBreaches([[100, 14_000], [19_100]], restart),
+        startedAgainStays: settingsBreaches([[100, 17_100], [17_000]], restart),
+        paused: settingsBreaches([[100, 16_000], [16_000]], [[0, 10_100], [14_000, Infinity]]),
+        changedBack: settingsBreaches([[100, 15_000, 19_000], []], undefined, back),
+    }).toMatchInlineSnapshot(`
+      {
+        "both": [
+          "no store is used that the settings no longer name",
+        ],
+        "changedBack": [],
+        "early": [
+          "no store is used that the settings no longer name",
+        ],
+        "moved": [],
+        "neither": [
+          "the store that the settings name is used",
+        ],
+        "paused": [],
+        "startedAgain": [],
+        "startedAgainOnly": [
+          "the store that the settings name is used",
+        ],
+        "startedAgainSlowly": [],
+        "startedAgainStays": [
+          "no store is used that the settings no longer name",
+        ],
+        "startedAgainUnused": [
+          "the store that the settings name is used",
+        ],
+        "stays": [
+          "no store is used that the settings no longer name",
+          "the store that the settings name is used",
+        ],
+      }
+    `);
+});
+
+test("changes of settings are drawn in every way, and a seed always draws the same", () => {
+    const draw = (seed: number) =>
+        drawSettingsChanges(createRandom(seed), { processes: 5, lengthMs: 12_000, series: 4 });
+    expect(draw(7)).toEqual(draw(7));
+    const drawn = Array.from({ length: 40 }, (_, seed) => draw(seed)).flat().map(({ fault }) => fault);
+    const changes = drawn.flatMap(fault => fault.kind === "changeSettings" ? fault.changes : []);
+    const ways = new Set(
+        changes.map(({ isReplaced, isSignalled }) =>
+            `${isReplaced ? "replaced" : "in place"}, ${isSignalled ? "signal" : "no signal"}`
+        ),
+    );
+    expect({ kinds: [...new Set(drawn.map(({ kind }) => kind))].sort(), ways: [...ways].sort() })
+        .toMatchInlineSnapshot(`
+          {
+            "kinds": [
+              "changeSettings",
+              "kill",
+              "terminate",
+            ],
+            "ways": [
+              "in place, no signal",
+              "in place, signal",
+              "replaced, no signal",
+              "replaced, signal",
+            ],
+          }
+        `);
+});
+
 test("a seed always draws the same faults, and a range of seeds draws every kind", () => {
     const options = { processes: 5, samplers: 7, lengthMs: 12_000, faults: 10 };
     const draw = (seed: number) => drawFaults(createRandom(seed), options);
--- a/packages/soak/src/createLinkProxy.ts
+++ b/packages/soak/src/createLinkProxy.ts
@@ -2,6 +2,7 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import type { LinkMode } from "./LinkMode.js";
 import type { LinkProxy } from "./LinkProxy.js";
+import type { LinkUse } from "./LinkUse.js";
 
 interface SocketPair {
     client: Socket;
@@ -14,8 +15,11 @@
 /** Creates a proxy that listens on loopback and forwards connections to `targetPort` according to its current mode. */
 export async function createLinkProxy(clock: Clock, targetPort: () => number): Promise<LinkProxy> {
     const pairs = new Set<SocketPair>();
+    const uses: LinkUse[] = [];
     let mode: LinkMode = "well";
 
+    const recordUse = (kind: LinkUse["kind"]): void => void uses.push({ atMs: clock.monotonicMs(), kind });
+
     function isForwarded(pair: SocketPair, isAnswer: boolean): boolean {
         return !pair.isSilenced && mode !== "silent" && !(mode === "deaf" && isAnswer);
     }
@@ -49,6 +53,7 @@
     }
 
     const server = createServer({ allowHalfOpen: true }, client => {
+        recordUse("connection");
         if (mode === "reset") {
             client.on("error", () => undefined);
             client.resetAndDestroy();
@@ -57,6 +62,7 @@
         const target = connect({ host: "127.0.0.1", port: targetPort(), allowHalfOpen: true });
         const pair = { client, target, isSilenced: false };
         pairs.add(pair);
+        client.on("data", () => recordUse("bytes"));
         forward(pair, client, target, false);
         forward(pair, target, client, true);
     });
@@ -75,6 +81,7 @@
                 }
             }
         },
+        uses: () => uses,
         close: () => {
             server.close();
             pairs.forEach(({ client: near, target: far }) => {
--- a/packages/soak/src/createProgram.ts
+++ b/packages/soak/src/createProgram.ts
@@ -1,16 +1,19 @@
 import type { Clock } from "@auburnarch/types/Clock";
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdir, readdir, rm, stat, truncate, writeFile } from "node:fs/promises";
+import { mkdir, readdir, rm, stat, truncate } from "node:fs/promises";
 import { createRequire } from "node:module";
 import { join } from "node:path";
 import { createInterface } from "node:readline";
+import { createProgramSettings } from "./createProgramSettings.js";
+import { createSpanRecorder } from "./createSpanRecorder.js";
 import type { Program } from "./Program.js";
 
 interface ProgramOptions {
     name: string;
     role: "gateway" | "runner";
     folder: string;
-    storePort: number;
+    /** Ports of the links to the store; the settings name the first one until they are changed. */
+    storePorts: number[];
     usagePort: number;
     clientPort: number;
     readyPort: number;
@@ -27,6 +30,7 @@
 const maxLifetimeMs = 180_000;
 const maxLines = 40_000;
 const truncatedBytes = 40;
+const startedPattern = / event=started /u;
 
 /** Writes the settings of a program and creates its handle, without starting it. */
 export async function createProgram(clock: Clock, options: ProgramOptions): Promise<Program> {
@@ -36,21 +40,23 @@
     const lines: string[] = [];
     const unexpectedExits: string[] = [];
     let incarnation = 0;
+    const running = createSpanRecorder(clock);
     let child: ChildProcess | undefined;
+    let hasStarted = false;
     let ended: Promise<void> = Promise.resolve();
     let isEndRequested = false;
 
     await mkdir(dataFolder, { recursive: true });
-    await writeFile(
-        settingsPath,
-        JSON.stringify({
+    const settingsFile = await createProgramSettings(clock, {
+        path: settingsPath,
+        storePorts: options.storePorts,
+        settings: {
             name,
             role,
             failureDomain: "lugo",
             region: "norte",
             internalHost: "127.0.0.1",
             internalPorts: [internalPort, internalPort],
-            storeAddress: `127.0.0.1:${options.storePort}`,
             clientAddress: `127.0.0.1:${clientPort}`,
             readyAddress: `127.0.0.1:${readyPort}`,
             ...(role === "runner" ? { dataFolder } : {}),
@@ -58,8 +64,8 @@
             orderHandOverMs,
             lotRetentionMs,
             gracePeriodMs,
-        }),
-    );
+        },
+    });
 
     function recordLine(line: string): void {
         lines.push(line);
@@ -71,13 +77,17 @@
     function start(): void {
         incarnation++;
         isEndRequested = false;
+        hasStarted = false;
         const startedAtMs = clock.monotonicMs();
         const linesBefore = lines.length;
         const started = spawn(process.execPath, [binary, settingsPath], {
             stdio: ["ignore", "pipe", "pipe"],
         });
         const cancelLifetime = clock.startTimer(maxLifetimeMs, () => started.kill("SIGKILL"));
-        createInterface({ input: started.stdout! }).on("line", recordLine);
+        createInterface({ input: started.stdout! }).on("line", line => {
+            recordLine(line);
+            hasStarted ||= child === started && startedPattern.test(line);
+        });
         createInterface({ input: started.stderr! }).on("line", line => recordLine(`stderr ${line}`));
         ended = new Promise(resolve => {
             started.once("exit", (code, signal) => {
@@ -93,10 +103,22 @@
                     );
                 }
                 child = undefined;
+                running.close();
                 resolve();
             });
         });
         child = started;
+        running.open();
+    }
+
+    function signalProcess(signal: NodeJS.Signals): void {
+        child?.kill(signal);
+        if (signal === "SIGSTOP") {
+            running.close();
+        }
+        if (signal === "SIGCONT" && child !== undefined) {
+            running.open();
+        }
     }
 
     async function truncateFiles(): Promise<void> {
@@ -115,15 +137,19 @@
         readyPort,
         incarnation: () => incarnation,
         isUp: () => child !== undefined,
+        hasStarted: () => hasStarted,
+        runningSpans: running.spans,
+        settingsChanges: settingsFile.changes,
+        changeSettings: settingsFile.change,
         lines: () => lines,
         unexpectedExits: () => unexpectedExits,
         start,
-        signal: signal => void child?.kill(signal),
+        signal: signalProcess,
         end: async signal => {
             isEndRequested = true;
             // A stopped process handles SIGTERM only once it is continued.
-            child?.kill("SIGCONT");
-            child?.kill(signal);
+            signalProcess("SIGCONT");
+            signalProcess(signal);
             await ended;
         },
         damageDisk: async damage => {
--- a/packages/soak/src/createSoakTestBed.ts
+++ b/packages/soak/src/createSoakTestBed.ts
@@ -29,6 +29,12 @@
 const tenants = [{ "name": soakTeam.name, "api-keys": [soakTeam.key] }];
 /** Time for which a draining sampler continues to serve. */
 const drainMs = 2_500;
+/** Links from one program to the store, of which its settings file names one. */
+const linksToStore = 2;
+
+function createLinks(clock: Clock, targetPort: number): Promise<LinkProxy[]> {
+    return Promise.all(Array.from({ length: linksToStore }, () => createLinkProxy(clock, () => targetPort)));
+}
 
 /** Starts the fakes and the programs of one run, with links from each program to the store and to each sampler. */
 export async function createSoakTestBed(clock: Clock, options: SoakTestBedOptions): Promise<SoakTestBed> {
@@ -37,7 +43,7 @@
     const store = await serveFakePlatformStore();
     const usageReports = await serveFakeUsageReports();
     const writes = createPlatformWrites(store);
-    const storeLinks = new Map<string, LinkProxy>();
+    const storeLinks = new Map<string, LinkProxy[]>();
     const programs: Program[] = [];
     const samplers: FakeSampler[] = [];
     const leftAtMs = new Map<string, number>();
@@ -109,13 +115,13 @@
     }
 
     async function startProgram(name: string, role: Program["role"]): Promise<Program> {
-        const link = await createLinkProxy(clock, () => store.port);
-        storeLinks.set(name, link);
+        const links = await createLinks(clock, store.port);
+        storeLinks.set(name, links);
         const program = await createProgram(clock, {
             name,
             role,
             folder,
-            storePort: link.port,
+            storePorts: links.map(link => link.port),
             usagePort: usageReports.port,
             clientPort: await findFreePort(),
             readyPort: await findFreePort(),
@@ -162,7 +168,7 @@
         },
         close: async () => {
             await Promise.all(programs.map(program => program.end("SIGKILL")));
-            const links = [...storeLinks.values(), ...slots.map(slot => slot.link)];
+            const links = [...[...storeLinks.values()].flat(), ...slots.map(slot => slot.link)];
             [...links, ...samplers, store, usageReports].forEach(each => each.close());
             await rm(folder, { recursive: true, force: true });
         },
--- a/packages/soak/src/injectFault.ts
+++ b/packages/soak/src/injectFault.ts
@@ -6,14 +6,17 @@
 import type { SoakFault } from "./SoakFault.js";
 import type { SoakTestBed } from "./SoakTestBed.js";
 
+const startLimitMs = 5_000;
+const startPollMs = 20;
+
 /** Injects one fault; resolves once it is over. */
 export async function injectFault(bed: SoakTestBed, clock: Clock, fault: SoakFault): Promise<void> {
     const { programs, slots, store } = bed;
 
-    async function disturbLink(link: LinkProxy, mode: LinkMode, forMs: number): Promise<void> {
-        link.setMode(mode);
+    async function disturbLinks(links: LinkProxy[], mode: LinkMode, forMs: number): Promise<void> {
+        links.forEach(link => link.setMode(mode));
         await clock.sleep(forMs);
-        link.setMode("well");
+        links.forEach(link => link.setMode("well"));
     }
 
     async function restart(program: Program, signal: "SIGKILL" | "SIGTERM", downMs: number): Promise<void> {
@@ -43,6 +46,32 @@
         program.signal("SIGCONT");
     }
 
+    /** A process is signalled once it has started: SIGHUP ends one that has not run any code yet, a listed failure. */
+    async function signalStarted(program: Program): Promise<void> {
+        const limitMs = clock.monotonicMs() + startLimitMs;
+        while (!program.hasStarted() && clock.monotonicMs() < limitMs) {
+            await clock.sleep(startPollMs);
+        }
+        if (program.hasStarted()) {
+            program.signal("SIGHUP");
+        }
+    }
+
+    async function changeSettings(
+        { process, changes }: Extract<SoakFault, { kind: "changeSettings"; }>,
+    ): Promise<void> {
+        const program = programs[process]!;
+        const signals: Promise<void>[] = [];
+        for (const { afterMs, isReplaced, isSignalled } of changes) {
+            await clock.sleep(afterMs);
+            await program.changeSettings(isReplaced);
+            if (isSignalled) {
+                signals.push(signalStarted(program));
+            }
+        }
+        await Promise.all(signals);
+    }
+
     await match(fault)
         .with({ kind: "storeMode" }, async ({ mode, forMs }) => {
             store.setMode(mode);
@@ -53,11 +82,11 @@
         .with(
             { kind: "storeLink" },
             ({ process, mode, forMs }) =>
-                disturbLink(bed.storeLinks.get(programs[process]!.name)!, mode, forMs),
+                disturbLinks(bed.storeLinks.get(programs[process]!.name)!, mode, forMs),
         )
         .with(
             { kind: "samplerLink" },
-            ({ sampler, mode, forMs }) => disturbLink(slots[sampler]!.link, mode, forMs),
+            ({ sampler, mode, forMs }) => disturbLinks([slots[sampler]!.link], mode, forMs),
         )
         .with({ kind: "kill" }, kill)
         .with({ kind: "killAll" }, async ({ downMs }) => {
@@ -70,5 +99,6 @@
         .with({ kind: "leaveSampler" }, ({ sampler, isAnnounced }) => slots[sampler]!.leave(isAnnounced))
         .with({ kind: "breakStreams" }, async ({ sampler }) => slots[sampler]!.current().breakStreams())
         .with({ kind: "changeConfiguration" }, async () => bed.changeConfiguration())
+        .with({ kind: "changeSettings" }, changeSettings)
         .exhaustive();
 }
--- a/packages/soak/src/reloadMoments.test.ts
+++ b/packages/soak/src/reloadMoments.test.ts
@@ -53,13 +53,13 @@
 
 test("a gateway that cannot reach the store reloads its settings and serves on", async () => {
     // Guards against a reload that waits for a store that does not answer.
-    const link = bed.storeLinks.get(gateway.name)!;
+    const links = bed.storeLinks.get(gateway.name)!;
     const before = countReloads();
-    link.setMode("silent");
+    links.forEach(link => link.setMode("silent"));
     gateway.signal("SIGHUP");
     await vi.waitUntil(() => countReloads() > before, { timeout: reloadLimitMs });
     expect(await call()).toBe("200");
-    link.setMode("well");
+    links.forEach(link => link.setMode("well"));
 });
 
 test("signals that come while a gateway is paused are answered by a reload after it", async () => {
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "@auburnarch/types/Clock";
 import { checkDepartedSamplers } from "./checkDepartedSamplers.js";
 import { checkFinalState } from "./checkFinalState.js";
+import { checkSettings } from "./checkSettings.js";
 import { checkTeams } from "./checkTeams.js";
 import { createPromiseChecker } from "./createPromiseChecker.js";
 import { createSoakCaller } from "./createSoakCaller.js";
@@ -11,9 +12,11 @@
 import { createSoakTrainer } from "./createSoakTrainer.js";
 import { drawDepartures } from "./drawDepartures.js";
 import { drawFaults } from "./drawFaults.js";
+import { drawSettingsChanges } from "./drawSettingsChanges.js";
 import type { FaultInterval } from "./FaultInterval.js";
 import { injectFault } from "./injectFault.js";
 import type { Program } from "./Program.js";
+import { settingsLimitMs } from "./settingsLimitMs.js";
 import type { SoakFault } from "./SoakFault.js";
 import type { SoakReport } from "./SoakReport.js";
 import type { SoakTestBed } from "./SoakTestBed.js";
@@ -29,6 +32,8 @@
     calmMs?: number;
     /** Whether a sampler of each service leaves permanently during the faults; false by default. */
     hasDepartures?: boolean;
+    /** Whether settings files change during the faults; false by default. */
+    hasSettingsChanges?: boolean;
 }
 
 const models = ["plume", "ridge"];
@@ -39,6 +44,10 @@
 /** Time after the last fault for processes to start, leases to expire and jobs to be taken over. */
 const recoveryLimitMs = 20_000;
 const pollMs = 200;
+/** One series of changes of a settings file is drawn for this many other faults. */
+const faultsPerSettingsChange = 3;
+/** Time for which programs are observed after their settings must be in use; an idle gateway probes every 2 s. */
+const settingsObservationMs = 2_500;
 
 /** Waits until `condition` is true; resolves with false once `limitMs` has passed. */
 async function waitUntil(clock: Clock, limitMs: number, condition: () => Promise<boolean>): Promise<boolean> {
@@ -54,7 +63,7 @@
 
 function endAllFaults(bed: SoakTestBed): void {
     bed.store.setMode("well");
-    bed.storeLinks.forEach(link => link.setMode("well"));
+    [...bed.storeLinks.values()].flat().forEach(link => link.setMode("well"));
     bed.slots.forEach(slot => slot.link.setMode("well"));
     for (const program of bed.programs) {
         program.signal("SIGCONT");
@@ -80,7 +89,14 @@
     const departures = options.hasDepartures === true
         ? drawDepartures(random.fork(), modelSamplers, lengthMs)
         : [];
-    const faults = [...drawn, ...departures].sort((a, b) => a.atMs - b.atMs);
+    const settingsChanges = options.hasSettingsChanges === true
+        ? drawSettingsChanges(random.fork(), {
+            processes,
+            lengthMs,
+            series: Math.ceil(options.faults / faultsPerSettingsChange),
+        })
+        : [];
+    const faults = [...drawn, ...departures, ...settingsChanges].sort((a, b) => a.atMs - b.atMs);
     const faultIntervals: FaultInterval[] = [];
 
     const isReady = async (gateway: Program): Promise<boolean> => {
@@ -143,6 +159,15 @@
         }
     }
 
+    async function checkAllSettings(): Promise<void> {
+        const haveStarted = async (): Promise<boolean> => bed.programs.every(program => program.hasStarted());
+        checker.check(await waitUntil(clock, recoveryLimitMs, haveStarted), "programs start again", {});
+        await clock.sleep(settingsLimitMs + settingsObservationMs);
+        for (const program of bed.programs) {
+            checkSettings(program, bed.storeLinks.get(program.name)!, checker, clock.monotonicMs());
+        }
+    }
+
     try {
         checker.check(await waitUntil(clock, recoveryLimitMs, allReady), "gateways start", {});
         const stopped = new AbortController();
@@ -150,7 +175,10 @@
         await injectAll();
         stopped.abort();
         await Promise.all(traffic);
-        await checkRecovery();
+        await Promise.all([
+            checkRecovery(),
+            options.hasSettingsChanges === true ? checkAllSettings() : undefined,
+        ]);
         const steps = trainers.flatMap(trainer => trainer.steps());
         checkFinalState(bed, checker, steps, caller.calls());
         checkTeams(bed, checker, new Set(steps.flatMap(step => step.items)));
--- a/packages/soak/src/settingsChange.test.ts
+++ b/packages/soak/src/settingsChange.test.ts
@@ -20,7 +20,7 @@
             name: "one",
             role,
             folder,
-            storePort: await findFreePort(),
+            storePorts: [await findFreePort()],
             usagePort: await findFreePort(),
             clientPort: await findFreePort(),
             readyPort: await findFreePort(),
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -27,3 +27,16 @@
     expect(report.breaches).toEqual([]);
     expect(report.faults.filter(({ fault }) => fault.kind === "leaveSampler").length).toBe(2);
 });
+
+test("every process uses the store that its settings file names last, with a signal and without", async () => {
+    const report = await runSoak(createSystemClock(), {
+        seed: 15_252,
+        lengthMs: 4_000,
+        faults: 7,
+        gateways: 2,
+        runners: 2,
+        hasSettingsChanges: true,
+    });
+    expect(report.breaches).toEqual([]);
+    expect(report.faults.filter(({ fault }) => fault.kind === "changeSettings").length).toBe(3);
+});
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -43,6 +43,7 @@
             default: "6000",
             description: "Time for which traffic goes on after the faults",
         },
+        settingsChanges: { type: "boolean", default: true, description: "Change settings files" },
         logs: {
             type: "string",
             default: "soak-logs",
@@ -63,6 +64,7 @@
                     runners: Number(args.runners),
                     calmMs: Number(args.calmMs),
                     hasDepartures: true,
+                    hasSettingsChanges: args.settingsChanges,
                 });
                 printReport(report);
                 if (report.breaches.length > 0) {
--- a/packages/soak/src/stopAtStart.test.ts
+++ b/packages/soak/src/stopAtStart.test.ts
@@ -39,7 +39,7 @@
         name: "front-1",
         role: "gateway",
         folder,
-        storePort: await findFreePort(),
+        storePorts: [await findFreePort()],
         usagePort: await findFreePort(),
         clientPort,
         readyPort: await findFreePort(),
