Wait at the start for settings that are being written

What operators saw: a settings file written in place while its process starts: settingsInvalid "Unexpected end of JSON input", exit code 2, and the process down until it is started again.

Cause: a file written in place is empty for a moment, and the first read was not repeated. A running process waits for the next content.

Change: a file that can't be read or is no JSON is read again for a second. A whole file with faults ends the start at once, as before.

--- a/packages/daemon/src/createSettingsFile.ts
+++ b/packages/daemon/src/createSettingsFile.ts
@@ -1,12 +1,9 @@
 import type { RoleSettings } from "@auburnarch/config/RoleSettings";
 import { validateRoleSettings } from "@auburnarch/config/validateRoleSettings";
-import type { ConfigFault } from "@auburnarch/types/ConfigFault";
 import type { Logger } from "@auburnarch/types/Logger";
 import { isDeepStrictEqual } from "node:util";
 import { createCoalescedRun } from "./createCoalescedRun.js";
-import type { SettingsFile } from "./SettingsFile.js";
-
-type OpenResult = { kind: "opened"; file: SettingsFile; } | { kind: "invalid"; faults: ConfigFault[]; };
+import type { OpenedSettings } from "./OpenedSettings.js";
 
 type Checked = ReturnType<typeof validateRoleSettings>;
 
@@ -66,7 +63,7 @@
 export async function createSettingsFile(
     readText: () => Promise<string>,
     { onNewContent = () => undefined, limitRead = read => read }: SettingsFileOptions = {},
-): Promise<OpenResult> {
+): Promise<OpenedSettings> {
     let last = await readContent(readText);
     const first = checkContent(last);
     if (first.kind === "invalid") {
--- a/packages/daemon/src/runRole.ts
+++ b/packages/daemon/src/runRole.ts
@@ -7,6 +7,7 @@
 import { createSettingsFile } from "./createSettingsFile.js";
 import { followSettingsFile } from "./followSettingsFile.js";
 import { onHangUp } from "./onHangUp.js";
+import { openWrittenSettings } from "./openWrittenSettings.js";
 import type { ProcessContext } from "./ProcessContext.js";
 import type { RoleContext } from "./RoleContext.js";
 import type { RunningRole } from "./RunningRole.js";
@@ -34,13 +35,15 @@
             metrics.set("settings_applied_at_ms", {}, clock.wallMs());
         }
     };
-    const opened = await createSettingsFile(() => readFile(settingsPath, "utf8"), {
-        onNewContent: outcome => {
-            metrics.count("settings_changes_total", { result: outcome });
-            recordSettings(outcome);
-        },
-        limitRead: readText => createLimitedRead({ readText, clock, limitMs: settingsReadLimitMs }),
-    });
+    const openFile = () =>
+        createSettingsFile(() => readFile(settingsPath, "utf8"), {
+            onNewContent: outcome => {
+                metrics.count("settings_changes_total", { result: outcome });
+                recordSettings(outcome);
+            },
+            limitRead: readText => createLimitedRead({ readText, clock, limitMs: settingsReadLimitMs }),
+        });
+    const opened = await openWrittenSettings(openFile, clock);
     if (opened.kind === "invalid") {
         for (const { path, message } of opened.faults) {
             context.writeLine(`level=error event=settingsInvalid path=${path} message="${message}"`);
