Wait out the hand-over after a holder was killed while it waited

What callers could see: two runners order the same sampler within two seconds, which may put older weights back, or report one window twice.

Cause: a runner that starts again takes its own lease back without a wait. If the process before it had just taken the lease from another runner and was still waiting for that one's calls to be over, nobody waited for the rest.

Change: the lease records that its holder has waited. A lease that is taken back without that record is waited for in full.

--- a/packages/lease/src/createHeldLease.ts
+++ b/packages/lease/src/createHeldLease.ts
@@ -20,6 +20,7 @@
     ttlMs: number;
     isFirst: boolean;
     found: NonNullable<Lease["found"]>;
+    isSettled: boolean;
     onEnd: () => void;
 }
 
@@ -39,6 +40,7 @@
     let confirmedSentAtMs = acquired.sentAtMs;
     let sequence = 0;
     let released = false;
+    let { isSettled } = acquired;
     let cancelTimer = (): void => {};
 
     const isEnded = (): boolean => released || lost.signal.aborted;
@@ -46,7 +48,8 @@
     function nextValue(holder: string | undefined): LeaseValue {
         sequence++;
         sentAtMs.set(sequence, clock.monotonicMs());
-        return { holder, fencing, ttlMs, stamp: { writer, sequence } };
+        const settled = isSettled && holder !== undefined ? { isSettled } : {};
+        return { holder, fencing, ttlMs, ...settled, stamp: { writer, sequence } };
     }
 
     function confirm(confirmed: number, at: ObjectVersion): void {
@@ -162,6 +165,9 @@
         found: acquired.found,
         ageMs,
         isHeld,
+        settle: () => {
+            isSettled = true;
+        },
         release,
         lost: lost.signal,
     };
--- a/packages/lease/src/createLeaseManager.ts
+++ b/packages/lease/src/createLeaseManager.ts
@@ -30,12 +30,16 @@
     if (object === undefined) {
         return "nothing";
     }
+    const value = parseLeaseValue(object.value);
     if (isOwnEarlier) {
-        return "ownEarlier";
+        return value?.isSettled === true ? "ownEarlier" : "ownUnsettled";
     }
-    return parseLeaseValue(object.value)?.holder === undefined ? "released" : "lapsed";
+    return value?.holder === undefined ? "released" : "lapsed";
 }
 
+/** True if no earlier holder can have acted recently, whatever the new one waits for. */
+const isSettledBy = (found: Acquisition["found"]): boolean => found === "nothing" || found === "ownEarlier";
+
 /** Creates the manager of a process's leases in the object API; see `docs/design/03-leases.md`. */
 export function createLeaseManager(deps: LeaseDeps): LeaseManager {
     const { store, clock, random, logger, invariants } = deps;
@@ -70,6 +74,7 @@
             ttlMs,
             isFirst,
             found,
+            isSettled: isSettledBy(found),
             onEnd,
         });
         held.set(key, lease);
@@ -94,7 +99,8 @@
         const isFirst = expected === absent;
         const sent: Acquisition = { writer: random.nextId(), sentAtMs: clock.monotonicMs(), isFirst, found };
         const stamp = { writer: sent.writer, sequence: 0 };
-        const value: LeaseValue = { holder: deps.holder, fencing: undefined, ttlMs, stamp };
+        const settled = isSettledBy(found) ? { isSettled: true } : {};
+        const value: LeaseValue = { holder: deps.holder, fencing: undefined, ttlMs, ...settled, stamp };
         unresolved.set(key, sent);
         const outcome = await store.write(key, value, expected);
         if (outcome.kind === "written") {
--- a/packages/lease/src/parseLeaseValue.ts
+++ b/packages/lease/src/parseLeaseValue.ts
@@ -5,6 +5,7 @@
     holder: z.string().optional(),
     fencing: z.number().int().positive().optional(),
     ttlMs: z.number().positive(),
+    isSettled: z.boolean().optional(),
     stamp: z.object({ writer: z.string(), sequence: z.number().int() }),
 });
 
--- a/packages/runner/src/duties/createDutyHolder.ts
+++ b/packages/runner/src/duties/createDutyHolder.ts
@@ -73,6 +73,7 @@
             isHeld = lease.isHeld;
             logger.info("dutiesTaken", { fencing, found, quietMs });
             await clock.sleep(quietMs, stopped.signal);
+            lease.settle?.();
             await runDuties(lease);
             logger.info("dutiesEnded", { fencing });
             await lease.release();
