--- a/packages/daemon/src/SettingsFile.ts
+++ b/packages/daemon/src/SettingsFile.ts
@@ -2,8 +2,8 @@
 import type { Logger } from "@auburnarch/types/Logger";
 
 /**
- * Settings file of a running gateway or runner. Reads follow each other, so the newest content is applied last. A
- * content with faults is logged once, and the previous settings stay in effect.
+ * Settings file of a running gateway or runner. Reads follow each other, so the newest content is applied last. The
+ * faults of a content are logged, and the previous settings stay in effect.
  */
 export interface SettingsFile {
     current(): RoleSettings;
