Log what a process knows of a content that broke off, and what a report changed

Volume: one line for each attempt that broke off, and at most 40 a second for reports. Nothing is decided otherwise.

--- a/packages/daemon/src/createFeedExtras.ts
+++ b/packages/daemon/src/createFeedExtras.ts
@@ -1,6 +1,7 @@
 import { createMedianTime } from "@auburnarch/clock/createMedianTime";
 import { createReportedTime } from "@auburnarch/clock/createReportedTime";
 import { createBreakRegistry } from "@auburnarch/forwarding/createBreakRegistry";
+import { createLimitedLogger } from "@auburnarch/log/createLimitedLogger";
 import { createStartCountRegistry } from "@auburnarch/usage/createStartCountRegistry";
 import { createStartMeter } from "@auburnarch/usage/createStartMeter";
 import type { FeedExtras } from "./FeedExtras.js";
@@ -8,12 +9,14 @@
 
 /** Interval of the metric for the offset between the local clock and true time. */
 const clockMetricIntervalMs = 1_000;
+/** Lines about reports of other processes; many contents break off together when samplers are cut off. */
+const maxBreakLinesPerSecond = 40;
 
 /**
  * Creates the state that a process exchanges along with changes of the store. Gateways count starting requests and
  * receive the true time; runners derive it from their clocks and store the counts.
  */
-export function createFeedExtras({ settings, clock, random, metrics }: RoleContext): FeedExtras {
+export function createFeedExtras({ settings, clock, random, metrics, logger }: RoleContext): FeedExtras {
     const { role, usage } = settings;
     const isRunner = role === "runner";
     const trueTime = isRunner ? createMedianTime(clock) : createReportedTime(clock);
@@ -31,7 +34,7 @@
         recordClockOffset();
     }
     return {
-        breaks: createBreakRegistry(clock),
+        breaks: createBreakRegistry(clock, createLimitedLogger(clock, logger, maxBreakLinesPerSecond)),
         trueTime,
         meter,
         starts: usage === undefined || !isRunner ? undefined : createStartCountRegistry(clock),
--- a/packages/daemon/src/createInternalCallHandler.ts
+++ b/packages/daemon/src/createInternalCallHandler.ts
@@ -26,7 +26,7 @@
 ): (method: string, params: unknown) => Promise<unknown> {
     async function handleFeedQuery(params: unknown): Promise<unknown> {
         const query = feedSchemas.query.parse(params);
-        breaks.merge(feedSchemas.breaks.parse(params).breaks);
+        breaks.merge(feedSchemas.breaks.parse(params).breaks, "query");
         const report = feedExtrasSchemas.query.parse(params).starts;
         if (report !== undefined) {
             starts?.merge(report);
--- a/packages/daemon/src/createRunnerClient.ts
+++ b/packages/daemon/src/createRunnerClient.ts
@@ -67,7 +67,7 @@
             if (trueMs !== undefined) {
                 trueTime.recordReading(address.host, trueMs, clock.monotonicMs());
             }
-            breaks.merge(feedSchemas.breaks.parse(answer).breaks);
+            breaks.merge(feedSchemas.breaks.parse(answer).breaks, address.host);
             return feedSchemas.answer.parse(answer);
         },
     };
--- a/packages/forwarding/src/BreakRegistry.ts
+++ b/packages/forwarding/src/BreakRegistry.ts
@@ -1,4 +1,5 @@
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { LogFields } from "@auburnarch/types/LogFields";
 import type { BreakReport } from "./BreakReport.js";
 
 /** Contents of requests whose attempts broke off at samplers, regardless of the process that sent them. */
@@ -19,5 +20,7 @@
     /** The same, including reports received from other processes. */
     listAll(withinMs: number): BreakReport[];
     /** Merges the reports of another process that are later than what is known here. */
-    merge(reports: readonly BreakReport[]): void;
+    merge(reports: readonly BreakReport[], from?: string): void;
+    /** What is known of a content, for the log. */
+    describe(content: ContentDigest): LogFields;
 }
--- a/packages/forwarding/src/ContentGuard.ts
+++ b/packages/forwarding/src/ContentGuard.ts
@@ -1,3 +1,5 @@
+import type { LogFields } from "@auburnarch/types/LogFields";
+
 /** The break registry as seen by one request, for that request's content. */
 export interface ContentGuard {
     /** Time for which the content must not be sent to any sampler; 0 if it may be sent now. */
@@ -7,4 +9,6 @@
     recordSent(): void;
     recordBreak(): void;
     recordCompletion(): void;
+    /** What is known of the content, for the log; empty while no content is recorded. */
+    describe(): LogFields;
 }
--- a/packages/forwarding/src/createBreakRegistry.ts
+++ b/packages/forwarding/src/createBreakRegistry.ts
@@ -1,6 +1,7 @@
 import { pauseAfterBreaks } from "@auburnarch/transport/pauseAfterBreaks";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { Logger } from "@auburnarch/types/Logger";
 import type { BreakRegistry } from "./BreakRegistry.js";
 import type { BreakReport } from "./BreakReport.js";
 
@@ -10,6 +11,8 @@
     atMs: number;
     /** Whether requests of this process caused the record. */
     isOwn: boolean;
+    /** Name of the process whose report changed the record last; undefined if this one changed it. */
+    reporter: string | undefined;
 }
 
 /** One break may be a crash or a lost connection during a harmless request; two in a row likely have one cause. */
@@ -24,9 +27,9 @@
 /**
  * Creates the break registry of one process. A request that crashes samplers is sent again to other processes, each of
  * which would try it on as many samplers as its route allows. So the processes exchange their reports and count them
- * together.
+ * together. Each change is written to `logger`.
  */
-export function createBreakRegistry(clock: Clock): BreakRegistry {
+export function createBreakRegistry(clock: Clock, logger?: Logger): BreakRegistry {
     /** Ordered by their last change, the latest last. */
     const records = new Map<ContentDigest, BreakRecord>();
 
@@ -50,7 +53,21 @@
     const breaksOf = (content: ContentDigest): number => find(content)?.breaks ?? 0;
 
     function recordOwn(content: ContentDigest, breaks: number): void {
-        set(content, { breaks, atMs: clock.monotonicMs(), isOwn: true });
+        set(content, { breaks, atMs: clock.monotonicMs(), isOwn: true, reporter: undefined });
+    }
+
+    function logReport(
+        event: string,
+        report: BreakReport,
+        present: BreakRecord | undefined,
+        from: string,
+    ): void {
+        logger?.info(event, {
+            ...report,
+            from,
+            knownBreaks: present?.breaks ?? 0,
+            knownAgeMs: present === undefined ? undefined : Math.round(clock.monotonicMs() - present.atMs),
+        });
     }
 
     function listReports(withinMs: number, isWanted: (record: BreakRecord) => boolean): BreakReport[] {
@@ -61,15 +78,22 @@
             .map(([content, { breaks, atMs }]) => ({ content, breaks, ageMs: Math.round(nowMs - atMs) }));
     }
 
-    function mergeOne({ content, breaks, ageMs }: BreakReport): void {
+    function mergeOne(report: BreakReport, from: string): void {
+        const { content, breaks, ageMs } = report;
         const atMs = clock.monotonicMs() - ageMs;
         const present = find(content);
         if (present !== undefined && present.atMs >= atMs) {
+            if (present.breaks !== breaks) {
+                logReport("breakReportIgnored", report, present, from);
+            }
             return;
         }
         // Two processes may have counted concurrently; only a completed attempt resets the count.
         const counted = breaks === 0 ? 0 : Math.max(breaks, present?.breaks ?? 0);
-        set(content, { breaks: counted, atMs, isOwn: false });
+        if (counted !== (present?.breaks ?? 0)) {
+            logReport("breakReportMerged", report, present, from);
+        }
+        set(content, { breaks: counted, atMs, isOwn: false, reporter: from });
     }
 
     return {
@@ -95,6 +119,15 @@
         },
         listOwn: withinMs => listReports(withinMs, record => record.isOwn),
         listAll: withinMs => listReports(withinMs, () => true),
-        merge: reports => reports.forEach(mergeOne),
+        merge: (reports, from = "") => reports.forEach(report => mergeOne(report, from)),
+        describe: content => {
+            const record = find(content);
+            return {
+                content,
+                breaks: record?.breaks ?? 0,
+                breakAgeMs: record === undefined ? undefined : Math.round(clock.monotonicMs() - record.atMs),
+                breakReporter: record?.reporter,
+            };
+        },
     };
 }
--- a/packages/forwarding/src/createContentGuard.ts
+++ b/packages/forwarding/src/createContentGuard.ts
@@ -27,5 +27,6 @@
                 breaks.recordCompletion(contentOf());
             }
         },
+        describe: () => breaks.isEmpty() ? {} : breaks.describe(contentOf()),
     };
 }
--- a/packages/forwarding/src/createRequestForwarder.ts
+++ b/packages/forwarding/src/createRequestForwarder.ts
@@ -19,7 +19,12 @@
         const pauseMs = content.pauseMs();
         if (pauseMs > 0) {
             const code = resultCodes.contentPaused;
-            deps.logger.info("requestPaused", { request: request.requestId, code: code.number, pauseMs });
+            deps.logger.info("requestPaused", {
+                request: request.requestId,
+                code: code.number,
+                pauseMs: Math.round(pauseMs),
+                ...content.describe(),
+            });
             return { kind: "failed", code, detail: "runs of this content broke off", retryAfterMs: pauseMs };
         }
         return new Promise(resolve => startForwarding(deps, tries, content, request, signal, resolve));
--- /dev/null
+++ b/packages/forwarding/src/recordAttemptEnd.ts
@@ -0,0 +1,30 @@
+import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { Logger } from "@auburnarch/types/Logger";
+import type { ContentGuard } from "./ContentGuard.js";
+import type { SamplerAttemptOutcome } from "./SamplerAttemptOutcome.js";
+
+interface EndedAttempt {
+    request: string;
+    sampler: IncarnationId;
+    outcome: SamplerAttemptOutcome;
+    /** Whether this process cancelled the attempt or its time ran out. */
+    isGivenUp: boolean;
+}
+
+/** Records what the end of an attempt says about its content. */
+export function recordAttemptEnd(content: ContentGuard, logger: Logger, ended: EndedAttempt): void {
+    const { request, sampler, outcome, isGivenUp } = ended;
+    if (outcome.kind === "done") {
+        const known = content.describe();
+        if (Number(known["breaks"] ?? 0) > 0) {
+            logger.info("breaksCleared", { request, sampler, status: outcome.answer.status, ...known });
+        }
+        content.recordCompletion();
+    }
+    const isBroken = outcome.kind === "unknown" && outcome.code === resultCodes.connectionBroken;
+    if (isBroken && !isGivenUp) {
+        content.recordBreak();
+        logger.info("breakRecorded", { request, sampler, ...content.describe() });
+    }
+}
--- a/packages/forwarding/src/startForwarding.ts
+++ b/packages/forwarding/src/startForwarding.ts
@@ -5,6 +5,7 @@
 import { createRunStartTracker } from "./createRunStartTracker.js";
 import type { ForwardingOutcome } from "./ForwardingOutcome.js";
 import { logForwardingOutcome } from "./logForwardingOutcome.js";
+import { recordAttemptEnd } from "./recordAttemptEnd.js";
 import type { RequestForwarderDeps } from "./RequestForwarderDeps.js";
 import type { RoutedRequest } from "./RoutedRequest.js";
 import type { SamplerAttemptOutcome } from "./SamplerAttemptOutcome.js";
@@ -139,21 +140,12 @@
         attemptsInFlight--;
         runStart.recordEnd(sampler.incarnation, outcome);
         endedAttempts.push(describeAttempt(sampler.incarnation, outcome));
-        recordEnd(outcome);
+        const isGivenUp = cancel.signal.aborted || leftMs() < minBudgetMs;
+        const ended = { request: request.requestId, sampler: sampler.incarnation, outcome, isGivenUp };
+        recordAttemptEnd(content, logger, ended);
         handleOutcome(outcome);
     }
 
-    /** An attempt that was cancelled here, or ran out of time, does not count as a break of its content. */
-    function recordEnd(outcome: SamplerAttemptOutcome): void {
-        if (outcome.kind === "done") {
-            content.recordCompletion();
-        }
-        const isBroken = outcome.kind === "unknown" && outcome.code === resultCodes.connectionBroken;
-        if (isBroken && !cancel.signal.aborted && leftMs() >= minBudgetMs) {
-            content.recordBreak();
-        }
-    }
-
     function handleOutcome(outcome: SamplerAttemptOutcome): void {
         mayHaveRun ||= outcome.kind !== "notRun";
         lastAnswer = outcome.kind === "done" ? outcome.answer : lastAnswer;
