--- /dev/null
+++ b/packages/daemon/src/testing/TestAnswer.ts
@@ -0,0 +1,6 @@
+/** An answer to a call of a test. */
+export interface TestAnswer {
+    status: number;
+    headers: Record<string, unknown>;
+    body: string;
+}
--- a/packages/daemon/src/testing/createPlatformTestBed.ts
+++ b/packages/daemon/src/testing/createPlatformTestBed.ts
@@ -12,12 +12,7 @@
 import type { RunningRole } from "../RunningRole.js";
 import { startGateway } from "../startGateway.js";
 import { startRunner } from "../startRunner.js";
-
-interface Answer {
-    status: number;
-    headers: Record<string, unknown>;
-    body: string;
-}
+import type { TestAnswer } from "./TestAnswer.js";
 
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -99,7 +94,7 @@
         path: string,
         headers: Record<string, string> = {},
         body = "",
-    ): Promise<Answer> {
+    ): Promise<TestAnswer> {
         return new Promise((resolve, reject) => {
             const sent = request({
                 host: "127.0.0.1",
