Understand a feed answer that contains the removal of an object

What callers saw: when a sampler's entry is removed from the store, every gateway and runner loses its feed for two to three seconds, asks one runner after the other, and then the store. In that time no process tells another of a request that crashes samplers, just after it has.

Cause: the change of a removed object has no value. JSON leaves the field out, and the schema of an answer requires it, so the answer is an error, its runner counts as silent and is avoided for two seconds; the next runner answers the same.

--- a/packages/feeds/src/feedSchemas.ts
+++ b/packages/feeds/src/feedSchemas.ts
@@ -4,6 +4,9 @@
 
 const version = z.number().int().nonnegative().transform(value => value as ObjectVersion);
 const object = z.object({ key: z.string(), version, value: z.unknown() });
+/** JSON has no `undefined`, so the value of a removed object is missing. */
+const change = z.object({ key: z.string(), version, value: z.unknown().optional() })
+    .transform(({ key, version, value }) => ({ key, version, value }));
 
 const sinceOutageMs = z.number().nonnegative().optional();
 
@@ -23,7 +26,7 @@
     }),
     answer: z.discriminatedUnion("kind", [
         z.object({ kind: z.literal("listed"), objects: z.array(object), revision: version, sinceOutageMs }),
-        z.object({ kind: z.literal("changed"), changes: z.array(object), revision: version, sinceOutageMs }),
+        z.object({ kind: z.literal("changed"), changes: z.array(change), revision: version, sinceOutageMs }),
         z.object({ kind: z.literal("elsewhere"), runner: z.string() }),
         z.object({ kind: z.literal("unsure"), sinceOutageMs }),
     ]),
