Clear a content only by an answer that shows that it ran

What callers saw: a request that crashes samplers runs again and again when a sampler at times answers it with 500.

Cause: any answer set the count of a content to 0 everywhere, also a failure (5xx) of a sampler that did not run it, or is about to end.

An answer below 500 still clears at once.

--- a/packages/forwarding/src/recordAttemptEnd.ts
+++ b/packages/forwarding/src/recordAttemptEnd.ts
@@ -12,10 +12,15 @@
     isGivenUp: boolean;
 }
 
-/** Records what the end of an attempt says about its content. */
+const serverErrorStatus = 500;
+
+/**
+ * Records what the end of an attempt says about its content. Only an answer that shows that the content ran clears it:
+ * a sampler may fail a request because it is about to end.
+ */
 export function recordAttemptEnd(content: ContentGuard, logger: Logger, ended: EndedAttempt): void {
     const { request, sampler, outcome, isGivenUp } = ended;
-    if (outcome.kind === "done") {
+    if (outcome.kind === "done" && outcome.answer.status < serverErrorStatus) {
         const known = content.describe();
         if (Number(known["breaks"] ?? 0) > 0) {
             logger.info("breaksCleared", { request, sampler, status: outcome.answer.status, ...known });
