Name each break of a content by the start of the sampler, and tell on all that is known

What callers saw: a request that crashes samplers is paused too late and too briefly, and sent again by processes that know nothing of its crashes.

Cause, one class: a count spread as 'the newest wins'. Two processes that counted at the same time merged to the larger count, a report older than an own first break was dropped, a process told only what its own requests saw, for three seconds, so that what was known ended with the process that saw it or with an exchange that failed for that long.

Change: a break is named by the content and the start of the sampler, and merged as a union at the earliest time told, like the deaths of the quarantine (mergeRecords, countedCrashes). A completed attempt clears the breaks before it. Processes compare a digest of what counts along with feed queries and tell the rest, own or heard, at most 32 contents a message in turns; while nothing counts, nothing is added. Records last an hour; those that may crash samplers are evicted last.

A process of an earlier version neither sends nor understands the new field, and is not disturbed by it.

--- a/packages/daemon/src/FeedExtras.ts
+++ b/packages/daemon/src/FeedExtras.ts
@@ -1,4 +1,5 @@
 import type { TrueTimeEstimate } from "@auburnarch/clock/TrueTimeEstimate";
+import type { BreakExchange } from "@auburnarch/forwarding/BreakExchange";
 import type { BreakRegistry } from "@auburnarch/forwarding/BreakRegistry";
 import type { StartCountRegistry } from "@auburnarch/usage/StartCountRegistry";
 import type { StartMeter } from "@auburnarch/usage/StartMeter";
@@ -7,6 +8,7 @@
 export interface FeedExtras {
     /** Contents of requests whose attempts broke off at samplers. */
     breaks: BreakRegistry;
+    breakExchange: BreakExchange;
     trueTime: TrueTimeEstimate;
     /** Counts requests that start to run, for reports to runners; undefined if this process counts none. */
     meter: StartMeter | undefined;
--- a/packages/daemon/src/createFeedExtras.ts
+++ b/packages/daemon/src/createFeedExtras.ts
@@ -1,5 +1,6 @@
 import { createMedianTime } from "@auburnarch/clock/createMedianTime";
 import { createReportedTime } from "@auburnarch/clock/createReportedTime";
+import { createBreakExchange } from "@auburnarch/forwarding/createBreakExchange";
 import { createBreakRegistry } from "@auburnarch/forwarding/createBreakRegistry";
 import { createLimitedLogger } from "@auburnarch/log/createLimitedLogger";
 import { createStartCountRegistry } from "@auburnarch/usage/createStartCountRegistry";
@@ -30,11 +31,14 @@
         clock.startTimer(clockMetricIntervalMs, recordClockOffset);
     }
 
+    const breakLogger = createLimitedLogger(clock, logger, maxBreakLinesPerSecond);
+    const breaks = createBreakRegistry(clock, breakLogger);
     if (usage !== undefined) {
         recordClockOffset();
     }
     return {
-        breaks: createBreakRegistry(clock, createLimitedLogger(clock, logger, maxBreakLinesPerSecond)),
+        breaks,
+        breakExchange: createBreakExchange(settings.name, breaks),
         trueTime,
         meter,
         starts: usage === undefined || !isRunner ? undefined : createStartCountRegistry(clock),
--- a/packages/daemon/src/createInternalCallHandler.test.ts
+++ b/packages/daemon/src/createInternalCallHandler.test.ts
@@ -2,6 +2,7 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
 import { createReportedTime } from "@auburnarch/clock/createReportedTime";
 import { codeOf } from "@auburnarch/errors/codeOf";
+import { createBreakExchange } from "@auburnarch/forwarding/createBreakExchange";
 import { createBreakRegistry } from "@auburnarch/forwarding/createBreakRegistry";
 import type { RunnerStatus } from "@auburnarch/runner/peers/RunnerStatus";
 import { expect, test } from "vitest";
@@ -10,6 +11,7 @@
 
 const received: unknown[] = [];
 const breaks = createBreakRegistry(createFakeClock());
+const breakExchange = createBreakExchange("storage-1", breaks);
 const handleCall = createInternalCallHandler({
     runner: () => ({
         status: () => ({ incarnation: "r1" }) as RunnerStatus,
@@ -24,7 +26,13 @@
             return { kind: "elsewhere", runner: "r2" };
         },
     }),
-    extras: { breaks, trueTime: createReportedTime(createFakeClock()), meter: undefined, starts: undefined },
+    extras: {
+        breaks,
+        breakExchange,
+        trueTime: createReportedTime(createFakeClock()),
+        meter: undefined,
+        starts: undefined,
+    },
 });
 
 test("each call is passed to the part that handles it, and unknown methods are rejected", async () => {
@@ -44,12 +52,13 @@
 });
 
 test("reports of breaks at samplers are forwarded with the next feed answer", async () => {
-    const breakReport = { content: "c1", breaks: 2, ageMs: 0 };
+    const report = { content: "c1", breaks: [{ sampler: "s1", ageMs: 0 }, { sampler: "s2", ageMs: 0 }] };
     const query = { prefix: "lots/", since: 7, waitMs: 100 };
-    await handleCall(rpcMethods.feed, { ...query, breaks: [breakReport] });
+    const contents = { from: "front-1", digest: "d1", reports: [report] };
+    await handleCall(rpcMethods.feed, { ...query, contents });
     expect(await handleCall(rpcMethods.feed, query)).toEqual({
         kind: "elsewhere",
         runner: "r2",
-        breaks: [breakReport],
+        contents: { from: "storage-1", digest: breaks.digest(), reports: [report] },
     });
 });
--- a/packages/daemon/src/createInternalCallHandler.ts
+++ b/packages/daemon/src/createInternalCallHandler.ts
@@ -6,7 +6,6 @@
 import { statusQuerySchema } from "@auburnarch/runner/peers/statusQuerySchema";
 import type { Runner } from "@auburnarch/runner/Runner";
 import { match } from "ts-pattern";
-import { breakReportWindowMs } from "./breakReportWindowMs.js";
 import type { FeedExtras } from "./FeedExtras.js";
 import { feedExtrasSchemas } from "./feedExtrasSchemas.js";
 import { rpcMethods } from "./rpcMethods.js";
@@ -22,21 +21,21 @@
 
 /** Handles the calls of gateways and other runners; rejects unknown methods with `badRequest`. */
 export function createInternalCallHandler(
-    { runner, hub, extras: { breaks, starts, trueTime } }: InternalCallHandlerDeps,
+    { runner, hub, extras: { breakExchange, starts, trueTime } }: InternalCallHandlerDeps,
 ): (method: string, params: unknown) => Promise<unknown> {
     async function handleFeedQuery(params: unknown): Promise<unknown> {
         const query = feedSchemas.query.parse(params);
-        breaks.merge(feedSchemas.breaks.parse(params).breaks, "query");
+        const received = feedSchemas.contents.parse(params).contents;
+        breakExchange.receiveQuery(received);
         const report = feedExtrasSchemas.query.parse(params).starts;
         if (report !== undefined) {
             starts?.merge(report);
         }
         const answer = await hub().answer(query);
-        const breakReports = breaks.listAll(query.since === undefined ? Infinity : breakReportWindowMs);
         return {
             ...answer,
             ...(starts === undefined ? {} : { trueMs: trueTime.nowMs() }),
-            ...(breakReports.length === 0 ? {} : { breaks: breakReports }),
+            ...breakExchange.createAnswer(received),
         };
     }
 
--- a/packages/daemon/src/createRunnerClient.ts
+++ b/packages/daemon/src/createRunnerClient.ts
@@ -11,7 +11,6 @@
 import { createRpcClient } from "@auburnarch/transport/createRpcClient";
 import type { Clock } from "@auburnarch/types/Clock";
 import { Agent } from "node:http";
-import { breakReportWindowMs } from "./breakReportWindowMs.js";
 import type { FeedExtras } from "./FeedExtras.js";
 import { feedExtrasSchemas } from "./feedExtrasSchemas.js";
 import { rpcMethods } from "./rpcMethods.js";
@@ -36,7 +35,7 @@
  * and the true time.
  */
 export function createRunnerClient(clock: Clock, extras: FeedExtras): RunnerClient {
-    const { breaks, trueTime, meter } = extras;
+    const { breakExchange, trueTime, meter } = extras;
     const agent = new Agent({ keepAlive: true });
 
     function call(
@@ -54,10 +53,10 @@
         results: async (address, query, timeoutMs) =>
             batchJobSchemas.resultsAnswer.parse(await call(address, rpcMethods.results, query, timeoutMs)),
         feed: async (address, query, timeoutMs) => {
-            const breakReports = breaks.listOwn(breakReportWindowMs);
+            const runner = `${address.host}:${address.port}`;
             const params = {
                 ...query,
-                ...(breakReports.length === 0 ? {} : { breaks: breakReports }),
+                ...breakExchange.createQuery(runner),
                 ...(query.prefix === configurationPrefix && meter !== undefined
                     ? { starts: meter.report() }
                     : {}),
@@ -67,7 +66,7 @@
             if (trueMs !== undefined) {
                 trueTime.recordReading(address.host, trueMs, clock.monotonicMs());
             }
-            breaks.merge(feedSchemas.breaks.parse(answer).breaks, address.host);
+            breakExchange.receiveAnswer(runner, feedSchemas.contents.parse(answer).contents);
             return feedSchemas.answer.parse(answer);
         },
     };
--- a/packages/feeds/src/feedSchemas.ts
+++ b/packages/feeds/src/feedSchemas.ts
@@ -1,4 +1,5 @@
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
 import { z } from "zod";
 
@@ -10,12 +11,16 @@
 
 const sinceOutageMs = z.number().nonnegative().optional();
 
+const ageMs = z.number().nonnegative();
+
 const breakReport = z.object({
     content: z.string().transform(value => value as ContentDigest),
-    breaks: z.number().int().nonnegative(),
-    ageMs: z.number().nonnegative(),
+    breaks: z.array(z.object({ sampler: z.string().transform(value => value as IncarnationId), ageMs })),
+    completedAgeMs: ageMs.optional(),
 });
 
+const breakExchange = z.object({ from: z.string(), digest: z.string(), reports: z.array(breakReport) });
+
 /** Wire schemas of `FeedQuery` and `FeedAnswer`. */
 export const feedSchemas = {
     query: z.object({
@@ -30,6 +35,6 @@
         z.object({ kind: z.literal("elsewhere"), runner: z.string() }),
         z.object({ kind: z.literal("unsure"), sinceOutageMs }),
     ]),
-    /** Sent along with a query or an answer; a process of an earlier version sends none. */
-    breaks: z.object({ breaks: z.array(breakReport).default([]) }),
+    /** Sent along with a query or an answer by a process that knows of breaks; not sent by earlier versions. */
+    contents: z.object({ contents: breakExchange.optional() }),
 };
--- a/packages/forwarding/src/BreakRegistry.ts
+++ b/packages/forwarding/src/BreakRegistry.ts
@@ -1,4 +1,5 @@
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { LogFields } from "@auburnarch/types/LogFields";
 import type { BreakReport } from "./BreakReport.js";
 
@@ -10,17 +11,20 @@
     mayRetry(content: ContentDigest): boolean;
     /** Whether no content is recorded, so that no digest has to be computed. */
     isEmpty(): boolean;
-    /** Records the start of an attempt. If the content has a pause, the pause restarts for all other requests. */
-    recordSent(content: ContentDigest): void;
-    recordBreak(content: ContentDigest): void;
+    /** Number of starts of samplers that broke off the content since an attempt was last completed. */
+    countBreaks(content: ContentDigest): number;
+    /** Records that an attempt broke off at this start of a sampler, `ageMs` ago; further ones there add nothing. */
+    recordBreak(content: ContentDigest, sampler: IncarnationId, ageMs?: number): void;
     /** Records an attempt that completed; the content was not the cause of earlier breaks. */
     recordCompletion(content: ContentDigest): void;
-    /** Reports from this process's own requests of the last `withinMs`, the latest last. */
-    listOwn(withinMs: number): BreakReport[];
-    /** The same, including reports received from other processes. */
-    listAll(withinMs: number): BreakReport[];
-    /** Merges the reports of another process that are later than what is known here. */
-    merge(reports: readonly BreakReport[], from?: string): void;
+    /** Digest of the breaks that count; empty while there are none. */
+    digest(): string;
+    /** Reports for another process, bounded in number; later calls list other records if there are more. */
+    listReports(): BreakReport[];
+    /** The report on one content; undefined if nothing is known of it. */
+    reportOf(content: ContentDigest): BreakReport | undefined;
+    /** Merges the reports of another process, so that both know what either knew. */
+    merge(reports: readonly BreakReport[], from: string): void;
     /** What is known of a content, for the log. */
     describe(content: ContentDigest): LogFields;
 }
--- a/packages/forwarding/src/BreakReport.ts
+++ b/packages/forwarding/src/BreakReport.ts
@@ -1,10 +1,11 @@
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 
-/** Report of one process to others on a content whose attempts broke off at samplers. */
+/** What one process tells others of a content. Ages instead of times, because the processes' clocks differ. */
 export interface BreakReport {
     content: ContentDigest;
-    /** Number of consecutive attempts that broke off; 0 once one has completed. */
-    breaks: number;
-    /** Milliseconds since the last of them, or since the completion. An age, because the processes' clocks differ. */
-    ageMs: number;
+    /** Starts of samplers that broke off an attempt, each named once, whoever saw it. */
+    breaks: { sampler: IncarnationId; ageMs: number; }[];
+    /** Time since an attempt was last completed, which clears the breaks before it. */
+    completedAgeMs?: number | undefined;
 }
--- a/packages/forwarding/src/ContentGuard.ts
+++ b/packages/forwarding/src/ContentGuard.ts
@@ -1,3 +1,4 @@
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { LogFields } from "@auburnarch/types/LogFields";
 
 /** The break registry as seen by one request, for that request's content. */
@@ -6,8 +7,7 @@
     pauseMs(): number;
     /** Whether the content may be sent to another sampler. */
     mayRetry(): boolean;
-    recordSent(): void;
-    recordBreak(): void;
+    recordBreak(sampler: IncarnationId): void;
     recordCompletion(): void;
     /** What is known of the content, for the log; empty while no content is recorded. */
     describe(): LogFields;
--- a/packages/forwarding/src/createBreakRegistry.ts
+++ b/packages/forwarding/src/createBreakRegistry.ts
@@ -1,132 +1,136 @@
 import { pauseAfterBreaks } from "@auburnarch/transport/pauseAfterBreaks";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { Logger } from "@auburnarch/types/Logger";
+import type { QuarantineRecord } from "@auburnarch/types/QuarantineRecord";
+import type { VmId } from "@auburnarch/types/VmId";
 import type { BreakRegistry } from "./BreakRegistry.js";
 import type { BreakReport } from "./BreakReport.js";
+import { createBreakRecords } from "./createBreakRecords.js";
+import { digestBreaks } from "./digestBreaks.js";
 
-interface BreakRecord {
-    breaks: number;
-    /** Monotonic time of the last change. */
-    atMs: number;
-    /** Whether requests of this process caused the record. */
-    isOwn: boolean;
-    /** Name of the process whose report changed the record last; undefined if this one changed it. */
-    reporter: string | undefined;
-}
+type Break = QuarantineRecord["deaths"][number];
 
-/** One break may be a crash or a lost connection during a harmless request; two in a row likely have one cause. */
+/** One break may be a crash or a lost connection during a harmless request; two likely have one cause. */
 const maxBreaksWithRetry = 1;
-/** Maximum of recorded contents; the least recently changed one is evicted first. */
-const maxRecords = 1_024;
-/** Equal to the longest pause. */
-const retentionMs = 3_600_000;
 /** Maximum of reports in one message, which bounds its size when many samplers stop together. */
 const maxReports = 32;
+/** Reports of the contents that changed last; the others take turns in the rest of a message. */
+const latestReports = 16;
+
+/** A sampler has no VM here that outlives its start, so the start names both. */
+const createBreak = (sampler: IncarnationId, atMs: number): Break => ({
+    vm: sampler as string as VmId,
+    bootId: sampler,
+    atMs,
+});
+
+const latestMsOf = (breaks: Break[]): number => Math.max(...breaks.map(each => each.atMs));
 
 /**
  * Creates the break registry of one process. A request that crashes samplers is sent again to other processes, each of
- * which would try it on as many samplers as its route allows. So the processes exchange their reports and count them
- * together. Each change is written to `logger`.
+ * which would try it on as many samplers as its route allows. So the processes tell each other all they know, including
+ * what they were told, and what one of them saw outlives it.
  */
 export function createBreakRegistry(clock: Clock, logger?: Logger): BreakRegistry {
-    /** Ordered by their last change, the latest last. */
-    const records = new Map<ContentDigest, BreakRecord>();
+    const records = createBreakRecords(clock);
+    let cachedDigest: ReturnType<typeof digestBreaks> | undefined;
+    let nextReport = 0;
 
-    function set(content: ContentDigest, record: BreakRecord): void {
-        records.delete(content);
-        records.set(content, record);
-        if (records.size > maxRecords) {
-            records.delete(records.keys().next().value!);
-        }
-    }
+    const { breaksOf } = records;
+    const countBreaks = (content: ContentDigest): number => breaksOf(content).length;
+    const ageOf = (atMs: number): number => Math.max(0, Math.round(clock.monotonicMs() - atMs));
 
-    function find(content: ContentDigest): BreakRecord | undefined {
-        const record = records.get(content);
-        if (record === undefined || clock.monotonicMs() - record.atMs < retentionMs) {
-            return record;
+    function merge(
+        content: ContentDigest,
+        breaks: Break[],
+        completedAtMs: number | undefined,
+        from?: string,
+    ): boolean {
+        const isChanged = records.merge(content, breaks, completedAtMs, from);
+        if (isChanged) {
+            cachedDigest = undefined;
         }
-        records.delete(content);
-        return undefined;
-    }
-
-    const breaksOf = (content: ContentDigest): number => find(content)?.breaks ?? 0;
-
-    function recordOwn(content: ContentDigest, breaks: number): void {
-        set(content, { breaks, atMs: clock.monotonicMs(), isOwn: true, reporter: undefined });
-    }
-
-    function logReport(
-        event: string,
-        report: BreakReport,
-        present: BreakRecord | undefined,
-        from: string,
-    ): void {
-        logger?.info(event, {
-            ...report,
-            from,
-            knownBreaks: present?.breaks ?? 0,
-            knownAgeMs: present === undefined ? undefined : Math.round(clock.monotonicMs() - present.atMs),
-        });
+        return isChanged;
     }
 
-    function listReports(withinMs: number, isWanted: (record: BreakRecord) => boolean): BreakReport[] {
+    function mergeReport({ content, breaks, completedAgeMs }: BreakReport, from: string): void {
         const nowMs = clock.monotonicMs();
-        return [...records]
-            .filter(([, record]) => nowMs - record.atMs <= withinMs && isWanted(record))
-            .slice(-maxReports)
-            .map(([content, { breaks, atMs }]) => ({ content, breaks, ageMs: Math.round(nowMs - atMs) }));
+        const knownBreaks = countBreaks(content);
+        const reported = breaks.map(({ sampler, ageMs }) => createBreak(sampler, nowMs - ageMs));
+        const completedAtMs = completedAgeMs === undefined ? undefined : nowMs - completedAgeMs;
+        if (merge(content, reported, completedAtMs, from)) {
+            logger?.info("breakReportMerged", {
+                content,
+                from,
+                reportedBreaks: breaks.length,
+                completedAgeMs,
+                knownBreaks,
+                breaks: countBreaks(content),
+            });
+        }
     }
 
-    function mergeOne(report: BreakReport, from: string): void {
-        const { content, breaks, ageMs } = report;
-        const atMs = clock.monotonicMs() - ageMs;
-        const present = find(content);
-        if (present !== undefined && present.atMs >= atMs) {
-            if (present.breaks !== breaks) {
-                logReport("breakReportIgnored", report, present, from);
-            }
-            return;
-        }
-        // Two processes may have counted concurrently; only a completed attempt resets the count.
-        const counted = breaks === 0 ? 0 : Math.max(breaks, present?.breaks ?? 0);
-        if (counted !== (present?.breaks ?? 0)) {
-            logReport("breakReportMerged", report, present, from);
-        }
-        set(content, { breaks: counted, atMs, isOwn: false, reporter: from });
+    function toReport({ digest, deaths, liftedAtMs }: QuarantineRecord): BreakReport {
+        return {
+            content: digest,
+            breaks: deaths.map(({ bootId, atMs }) => ({
+                sampler: bootId as IncarnationId,
+                ageMs: ageOf(atMs),
+            })),
+            ...(liftedAtMs === undefined ? {} : { completedAgeMs: ageOf(liftedAtMs) }),
+        };
     }
 
     return {
         pauseMs: content => {
-            const record = find(content);
-            return record === undefined
+            const breaks = breaksOf(content);
+            return breaks.length === 0
                 ? 0
-                : Math.max(0, record.atMs + pauseAfterBreaks(record.breaks) - clock.monotonicMs());
+                : Math.max(0, latestMsOf(breaks) + pauseAfterBreaks(breaks.length) - clock.monotonicMs());
         },
-        mayRetry: content => breaksOf(content) <= maxBreaksWithRetry,
-        isEmpty: () => records.size === 0,
-        recordSent: content => {
-            const breaks = breaksOf(content);
-            if (pauseAfterBreaks(breaks) > 0) {
-                recordOwn(content, breaks);
-            }
+        mayRetry: content => countBreaks(content) <= maxBreaksWithRetry,
+        isEmpty: records.isEmpty,
+        countBreaks,
+        recordBreak: (content, sampler, ageMs = 0) => {
+            merge(content, [createBreak(sampler, clock.monotonicMs() - ageMs)], undefined);
         },
-        recordBreak: content => recordOwn(content, breaksOf(content) + 1),
         recordCompletion: content => {
-            if (breaksOf(content) > 0) {
-                recordOwn(content, 0);
+            if (countBreaks(content) > 0) {
+                merge(content, [], clock.monotonicMs());
             }
         },
-        listOwn: withinMs => listReports(withinMs, record => record.isOwn),
-        listAll: withinMs => listReports(withinMs, () => true),
-        merge: (reports, from = "") => reports.forEach(report => mergeOne(report, from)),
+        digest: () => {
+            if (cachedDigest === undefined || cachedDigest.validUntilMs <= clock.monotonicMs()) {
+                cachedDigest = digestBreaks(records.list(), breaksOf);
+            }
+            return cachedDigest.value;
+        },
+        listReports: () => {
+            const known = records.list();
+            const latest = known.slice(0, latestReports);
+            const others = known.slice(latestReports);
+            const turn = others.length === 0 ? 0 : nextReport % others.length;
+            const inTurn = [...others.slice(turn), ...others.slice(0, turn)].slice(
+                0,
+                maxReports - latestReports,
+            );
+            nextReport = turn + inTurn.length;
+            return [...latest, ...inTurn].map(toReport);
+        },
+        reportOf: content => {
+            const record = records.find(content);
+            return record === undefined ? undefined : toReport(record);
+        },
+        merge: (reports, from) => reports.forEach(report => mergeReport(report, from)),
         describe: content => {
-            const record = find(content);
+            const breaks = breaksOf(content);
             return {
                 content,
-                breaks: record?.breaks ?? 0,
-                breakAgeMs: record === undefined ? undefined : Math.round(clock.monotonicMs() - record.atMs),
-                breakReporter: record?.reporter,
+                breaks: breaks.length,
+                breakAgeMs: breaks.length === 0 ? undefined : ageOf(latestMsOf(breaks)),
+                breakReporter: records.find(content)?.reporter,
             };
         },
     };
--- a/packages/forwarding/src/createContentGuard.ts
+++ b/packages/forwarding/src/createContentGuard.ts
@@ -16,12 +16,7 @@
     return {
         pauseMs: () => breaks.isEmpty() ? 0 : breaks.pauseMs(contentOf()),
         mayRetry: () => breaks.isEmpty() || breaks.mayRetry(contentOf()),
-        recordSent: () => {
-            if (!breaks.isEmpty()) {
-                breaks.recordSent(contentOf());
-            }
-        },
-        recordBreak: () => breaks.recordBreak(contentOf()),
+        recordBreak: sampler => breaks.recordBreak(contentOf(), sampler),
         recordCompletion: () => {
             if (!breaks.isEmpty()) {
                 breaks.recordCompletion(contentOf());
--- a/packages/forwarding/src/recordAttemptEnd.ts
+++ b/packages/forwarding/src/recordAttemptEnd.ts
@@ -29,7 +29,7 @@
     }
     const isBroken = outcome.kind === "unknown" && outcome.code === resultCodes.connectionBroken;
     if (isBroken && !isGivenUp) {
-        content.recordBreak();
+        content.recordBreak(sampler);
         logger.info("breakRecorded", { request, sampler, ...content.describe() });
     }
 }
--- a/packages/forwarding/src/startForwarding.ts
+++ b/packages/forwarding/src/startForwarding.ts
@@ -134,7 +134,6 @@
         tried.add(sampler.incarnation);
         attemptsInFlight++;
         runStart.recordSent(sampler.incarnation);
-        content.recordSent();
         scheduleHedge();
         const outcome = await samplers.run(request, sampler, budgetMs, cancel.signal);
         attemptsInFlight--;
