Send a content that may crash samplers from one process at a time, and store what is known

What callers saw: samplers end under the same request at several gateways at the same moment, and again at gateways that have just started.

Cause: when a pause ended, every gateway that had heard of it let the next request through by itself; and what all processes knew was in their memories only, so that a process that starts knew nothing until its first exchange.

Change: from the second break on, an attempt of the content is a trial. It is written to the store under the version that was read, with all breaks known here: one process gets it, the others are refused with the time to ask again, and a process that cannot exchange reports learns them there. A completed trial clears the content and removes the object; one that was not run is released; any other counts as one more break until it is reported. While the store does not answer within half a second, each process decides by what it knows, one attempt at a time. A process lists these objects when it starts, and is not ready before; old ones are removed.

Cost: two calls a trial, one list for each start of a process; nothing otherwise.

--- a/packages/daemon/src/startCommon.ts
+++ b/packages/daemon/src/startCommon.ts
@@ -12,6 +12,8 @@
 import type { RunnerCaller } from "@auburnarch/feeds/RunnerCaller";
 import type { BreakRegistry } from "@auburnarch/forwarding/BreakRegistry";
 import type { CallSampler } from "@auburnarch/forwarding/CallSampler";
+import type { ContentTrials } from "@auburnarch/forwarding/ContentTrials";
+import { createContentTrials } from "@auburnarch/forwarding/createContentTrials";
 import { createCallSampler } from "@auburnarch/platform/createCallSampler";
 import { createPlatformStore } from "@auburnarch/platform/createPlatformStore";
 import { createSamplerAgents } from "@auburnarch/platform/createSamplerAgents";
@@ -25,6 +27,7 @@
 import { createRunnerClient } from "./createRunnerClient.js";
 import { createStoreHealth } from "./createStoreHealth.js";
 import type { FeedExtras } from "./FeedExtras.js";
+import { restoreTrials } from "./restoreTrials.js";
 import type { RoleContext } from "./RoleContext.js";
 import { watchRunners } from "./watchRunners.js";
 
@@ -42,6 +45,10 @@
     extras: FeedExtras;
     /** Contents of requests whose attempts broke off at samplers, as exchanged between processes. */
     breaks: BreakRegistry;
+    /** Attempts of contents that may crash samplers, granted to one process at a time. */
+    trials: ContentTrials;
+    /** Whether this process knows from the store what earlier processes knew of such contents. */
+    hasRestoredTrials: () => boolean;
     storeSilentMs: () => number;
     sinceStoreAnswerMs: () => number;
     sinceStoreRecoveryMs: () => number;
@@ -71,7 +78,7 @@
     idleProbeIntervalMs: number | undefined,
     hubRef: { hub?: FeedHub; } = {},
 ): Common {
-    const { clock, logger, metrics } = context;
+    const { clock, random, logger, metrics } = context;
     const address = (): { host: string; port: number; } =>
         splitAddress(context.currentSettings().storeAddress)!;
     const platformStore = createPlatformStore({
@@ -128,6 +135,8 @@
         coalesceMs: () => isBusy() ? busyCoalesceMs : idleCoalesceMs,
     });
     const agentFor = createSamplerAgents();
+    const { breaks } = extras;
+    const trials = createContentTrials({ store: health.store, breaks, clock, random: random.fork(), logger });
     return {
         writeStatus: platformStore.writeStatus,
         store,
@@ -136,7 +145,9 @@
         runnerClient,
         caller,
         extras,
-        breaks: extras.breaks,
+        breaks,
+        trials,
+        hasRestoredTrials: restoreTrials({ trials, clock, logger }),
         storeSilentMs: health.silentMs,
         sinceStoreAnswerMs: health.sinceAnswerMs,
         sinceStoreRecoveryMs: health.sinceRecoveryMs,
--- a/packages/forwarding/src/RequestForwarderDeps.ts
+++ b/packages/forwarding/src/RequestForwarderDeps.ts
@@ -7,6 +7,7 @@
 import type { Random } from "@auburnarch/types/Random";
 import type { BreakRegistry } from "./BreakRegistry.js";
 import type { CallSampler } from "./CallSampler.js";
+import type { ContentTrials } from "./ContentTrials.js";
 import type { RunMeter } from "./RunMeter.js";
 
 /** Dependencies of `createRequestForwarder`. */
@@ -22,6 +23,8 @@
     failureDomain: FailureDomain;
     /** May contain reports of other processes; by default only what this forwarder has seen. */
     breaks?: BreakRegistry;
+    /** Shared with other processes; by default every trial is granted. */
+    trials?: ContentTrials;
     /** Meters the requests of teams; undefined if they are not metered. */
     meter?: RunMeter | undefined;
 }
--- a/packages/forwarding/src/createBreakRegistry.test.ts
+++ b/packages/forwarding/src/createBreakRegistry.test.ts
@@ -1,14 +1,18 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
+import { createRandom } from "@auburnarch/clock/createRandom";
 import { createTestSampler } from "@auburnarch/discovery/testing/createTestSampler";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { createFakeObjectStore } from "@auburnarch/fakes/createFakeObjectStore";
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { IncarnationId } from "@auburnarch/types/IncarnationId";
+import type { Logger } from "@auburnarch/types/Logger";
 import fc from "fast-check";
 import { expect, test } from "vitest";
 import type { BreakExchange } from "./BreakExchange.js";
 import type { BreakRegistry } from "./BreakRegistry.js";
 import { createBreakExchange } from "./createBreakExchange.js";
 import { createBreakRegistry } from "./createBreakRegistry.js";
+import { createContentTrials } from "./createContentTrials.js";
 import type { ForwardingOutcome } from "./ForwardingOutcome.js";
 import type { SamplerReply } from "./SamplerReply.js";
 import { createTestForwarder } from "./testing/createTestForwarder.js";
@@ -16,6 +20,7 @@
 
 const noSignal = new AbortController().signal;
 const content = "c" as ContentDigest;
+const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
 const sampler = (at: number): IncarnationId => `s${at}` as IncarnationId;
 
 /** Lets two processes tell each other what they know. */
@@ -45,6 +50,7 @@
 const workMs = 25;
 /** Wait of one feed query to the runner; each gateway reports breaks with its query. */
 const exchangeIntervalMs = 800;
+const storeLatencyMs = 4;
 
 /** Gateways that exchange reports through one runner, and samplers that the body "killer" crashes. */
 function createFleet(
@@ -56,6 +62,7 @@
     const names = Array.from({ length: samplers }, (_, at) => createTestSampler(`s${at}`));
     const hub = createBreakRegistry(clock);
     const hubExchange = createBreakExchange("hub", hub);
+    const { store } = createFakeObjectStore({ clock, random: createRandom(9), latencyMs: storeLatencyMs });
 
     /** A crashed sampler starts again under the same name, as another start. */
     function restart(name: string): void {
@@ -91,6 +98,13 @@
             const own = createBreakExchange(`g${at}`, breaks);
             clock.startTimer(at * exchangeIntervalMs / gateways, () => exchange(own));
         }
+        const trials = createContentTrials({
+            store,
+            breaks,
+            clock,
+            random: createRandom(at),
+            logger: silent,
+        });
         return createTestForwarder({
             callSampler: ({ sampler, body }) =>
                 callSampler(sampler.instance, Buffer.from(body).toString() === "killer"),
@@ -98,6 +112,7 @@
             samplers: names,
             seed: at,
             breaks,
+            ...(isSharing ? { trials } : {}),
         });
     });
     const send = (at: number, text: string): Promise<ForwardingOutcome> => {
--- a/packages/forwarding/src/createRequestForwarder.ts
+++ b/packages/forwarding/src/createRequestForwarder.ts
@@ -1,25 +1,42 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { createBreakRegistry } from "./createBreakRegistry.js";
 import { createContentGuard } from "./createContentGuard.js";
+import { createLocalTrials } from "./createLocalTrials.js";
 import { createSamplerAttempts } from "./createSamplerAttempts.js";
+import type { ForwardingOutcome } from "./ForwardingOutcome.js";
 import type { RequestForwarder } from "./RequestForwarder.js";
 import type { RequestForwarderDeps } from "./RequestForwarderDeps.js";
+import { requestLimitMs } from "./requestLimitMs.js";
+import type { RoutedRequest } from "./RoutedRequest.js";
 import { startForwarding } from "./startForwarding.js";
 
+/** The request with the time that it has left after it has waited. */
+function withoutWait(request: RoutedRequest, waitedMs: number): RoutedRequest {
+    const { deadlineMs } = request;
+    return deadlineMs === undefined || waitedMs === 0
+        ? request
+        : { ...request, deadlineMs: Math.max(0, deadlineMs - waitedMs) };
+}
+
 /**
  * Creates the forwarder of plain requests. An idempotent request is retried on other samplers after a failure, and
  * hedged if an attempt is late; its answer is read completely before any byte is forwarded. Any other request is
- * retried only if it has certainly not run. A content whose attempts broke off is refused until its pause ends.
+ * retried only if it has certainly not run. A content whose attempts broke off is refused until its pause ends, and then
+ * sent by one process at a time.
  */
 export function createRequestForwarder(deps: RequestForwarderDeps): RequestForwarder {
+    const { clock, logger } = deps;
     const tries = createSamplerAttempts(deps);
-    const breaks = deps.breaks ?? createBreakRegistry(deps.clock);
+    const breaks = deps.breaks ?? createBreakRegistry(clock, logger);
+    const trials = deps.trials ?? createLocalTrials();
+
     return async (request, signal) => {
-        const content = createContentGuard(breaks, request);
-        const pauseMs = content.pauseMs();
+        const content = createContentGuard(breaks, trials, request);
+        const startedAtMs = clock.monotonicMs();
+        const pauseMs = await content.admit(requestLimitMs(request));
         if (pauseMs > 0) {
             const code = resultCodes.contentPaused;
-            deps.logger.info("requestPaused", {
+            logger.info("requestPaused", {
                 request: request.requestId,
                 code: code.number,
                 pauseMs: Math.round(pauseMs),
@@ -27,6 +44,11 @@
             });
             return { kind: "failed", code, detail: "runs of this content broke off", retryAfterMs: pauseMs };
         }
-        return new Promise(resolve => startForwarding(deps, tries, content, request, signal, resolve));
+        const left = withoutWait(request, clock.monotonicMs() - startedAtMs);
+        const outcome = await new Promise<ForwardingOutcome>(resolve =>
+            startForwarding(deps, tries, content, left, signal, resolve)
+        );
+        content.close();
+        return outcome;
     };
 }
--- a/packages/forwarding/src/recordAttemptEnd.ts
+++ b/packages/forwarding/src/recordAttemptEnd.ts
@@ -18,17 +18,28 @@
  * Records what the end of an attempt says about its content. Only an answer that shows that the content ran clears it:
  * a sampler may fail a request because it is about to end.
  */
-export function recordAttemptEnd(content: ContentGuard, logger: Logger, ended: EndedAttempt): void {
+export function recordAttemptEnd(
+    content: ContentGuard,
+    logger: Logger,
+    ended: EndedAttempt,
+): void {
     const { request, sampler, outcome, isGivenUp } = ended;
-    if (outcome.kind === "done" && outcome.answer.status < serverErrorStatus) {
+
+    function recordCompletion(status: number): void {
         const known = content.describe();
         if (Number(known["breaks"] ?? 0) > 0) {
-            logger.info("breaksCleared", { request, sampler, status: outcome.answer.status, ...known });
+            logger.info("breaksCleared", { request, sampler, status, ...known });
         }
         content.recordCompletion();
     }
-    const isBroken = outcome.kind === "unknown" && outcome.code === resultCodes.connectionBroken;
-    if (isBroken && !isGivenUp) {
+
+    if (outcome.kind === "done" && outcome.answer.status < serverErrorStatus) {
+        recordCompletion(outcome.answer.status);
+    }
+    else if (outcome.kind !== "unknown") {
+        content.recordNotRun();
+    }
+    else if (outcome.code === resultCodes.connectionBroken && !isGivenUp) {
         content.recordBreak(sampler);
         logger.info("breakRecorded", { request, sampler, ...content.describe() });
     }
--- a/packages/forwarding/src/startForwarding.ts
+++ b/packages/forwarding/src/startForwarding.ts
@@ -7,12 +7,11 @@
 import { logForwardingOutcome } from "./logForwardingOutcome.js";
 import { recordAttemptEnd } from "./recordAttemptEnd.js";
 import type { RequestForwarderDeps } from "./RequestForwarderDeps.js";
+import { requestLimitMs } from "./requestLimitMs.js";
 import type { RoutedRequest } from "./RoutedRequest.js";
 import type { SamplerAttemptOutcome } from "./SamplerAttemptOutcome.js";
 import type { SamplerAttempts } from "./SamplerAttempts.js";
 
-/** Used if neither the caller nor the route limits the time. */
-const defaultBudgetMs = 10_000;
 /** A hedge of an idempotent request starts after this fraction of the target latency without an answer. */
 const hedgeRatio = 0.45;
 const minHedgeMs = 60;
@@ -51,7 +50,7 @@
     const { clock, logger } = deps;
     const { route } = request;
     const startedAtMs = clock.monotonicMs();
-    const limitMs = Math.min(request.deadlineMs ?? defaultBudgetMs, route.timeoutMs ?? defaultBudgetMs);
+    const limitMs = requestLimitMs(request);
     const hedgeMs = hedgeMsOf(request);
     const isRepeatable = route.kind === "idempotent";
     const tried = new Set<IncarnationId>();
@@ -74,12 +73,8 @@
         if (!mayHaveRun && attemptsInFlight === 0) {
             return { kind: "failed", code: notRun, detail, retryAfterMs };
         }
-        const isLate = leftMs() < minBudgetMs;
-        return {
-            kind: "failed",
-            code: isLate ? resultCodes.deadlineWhileRunning : resultCodes.connectionBroken,
-            detail,
-        };
+        const code = leftMs() < minBudgetMs ? resultCodes.deadlineWhileRunning : resultCodes.connectionBroken;
+        return { kind: "failed", code, detail };
     }
 
     function finish(outcome: ForwardingOutcome): void {
@@ -134,13 +129,19 @@
         tried.add(sampler.incarnation);
         attemptsInFlight++;
         runStart.recordSent(sampler.incarnation);
+        content.recordSent();
         scheduleHedge();
         const outcome = await samplers.run(request, sampler, budgetMs, cancel.signal);
         attemptsInFlight--;
         runStart.recordEnd(sampler.incarnation, outcome);
         endedAttempts.push(describeAttempt(sampler.incarnation, outcome));
         const isGivenUp = cancel.signal.aborted || leftMs() < minBudgetMs;
-        const ended = { request: request.requestId, sampler: sampler.incarnation, outcome, isGivenUp };
+        const ended = {
+            request: request.requestId,
+            sampler: sampler.incarnation,
+            outcome,
+            isGivenUp,
+        };
         recordAttemptEnd(content, logger, ended);
         handleOutcome(outcome);
     }
--- a/packages/forwarding/src/testing/createTestForwarder.ts
+++ b/packages/forwarding/src/testing/createTestForwarder.ts
@@ -8,6 +8,7 @@
 import type { Logger } from "@auburnarch/types/Logger";
 import type { BreakRegistry } from "../BreakRegistry.js";
 import type { CallSampler } from "../CallSampler.js";
+import type { ContentTrials } from "../ContentTrials.js";
 import { createRequestForwarder } from "../createRequestForwarder.js";
 import type { RequestForwarder } from "../RequestForwarder.js";
 
@@ -16,6 +17,7 @@
     samplers: RegisteredSampler[];
     callSampler: CallSampler;
     breaks?: BreakRegistry;
+    trials?: ContentTrials;
     seed?: number;
 }
 
--- a/packages/gateway/src/GatewayDeps.ts
+++ b/packages/gateway/src/GatewayDeps.ts
@@ -13,6 +13,8 @@
     routing: RoutingView;
     /** Milliseconds since the configuration was last known to be up to date. */
     routingAgeMs: () => number;
+    /** Whether it is known which contents crashed samplers before this process started; by default nothing has to be. */
+    hasRestoredTrials?: () => boolean;
     directory: SamplerDirectory;
     forwardRequest: RequestForwarder;
     batchJobStore: BatchJobStore;
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -28,6 +28,10 @@
 /** Configuration changes arrive within two seconds of their acknowledgement; an older copy may lack some. */
 const maxRoutingAgeMs = 2_500;
 
+/** Whether the process knows what it needs to serve requests. */
+const isInformed = ({ routing, directory, hasRestoredTrials }: GatewayDeps): boolean =>
+    routing() !== undefined && directory.isKnown() && (hasRestoredTrials?.() ?? true);
+
 /** Creates the gateway of a process. */
 export function createGateway(deps: GatewayDeps): Gateway {
     const { clock, logger, metrics, routing } = deps;
@@ -169,7 +173,7 @@
         },
         isReady: () => {
             const hasStore = deps.storeSilentMs() < storeSilenceMs;
-            return !isLeaving && hasStore && routing() !== undefined && deps.directory.isKnown();
+            return !isLeaving && hasStore && isInformed(deps);
         },
         markNotReady: () => {
             isLeaving = true;
