Count an unanswered attempt as a break once its sampler turns out to have ended

What callers saw: a request whose samplers fall silent instead of resetting their connections is never paused.

Cause: an attempt that ran out of time, or was cancelled for a hedge that went the same way, said nothing of its content, as at a slow sampler.

It counts as a break at its start if no connection to that start of the sampler can be made, or its entry disappears; it says nothing if the sampler answers anything later or leaves as planned.

--- a/packages/forwarding/src/createRequestForwarder.ts
+++ b/packages/forwarding/src/createRequestForwarder.ts
@@ -3,6 +3,7 @@
 import { createContentGuard } from "./createContentGuard.js";
 import { createLocalTrials } from "./createLocalTrials.js";
 import { createSamplerAttempts } from "./createSamplerAttempts.js";
+import { createUnansweredAttempts } from "./createUnansweredAttempts.js";
 import type { ForwardingOutcome } from "./ForwardingOutcome.js";
 import type { RequestForwarder } from "./RequestForwarder.js";
 import type { RequestForwarderDeps } from "./RequestForwarderDeps.js";
@@ -26,7 +27,8 @@
  */
 export function createRequestForwarder(deps: RequestForwarderDeps): RequestForwarder {
     const { clock, logger } = deps;
-    const tries = createSamplerAttempts(deps);
+    const unanswered = createUnansweredAttempts(deps);
+    const tries = createSamplerAttempts(deps, unanswered);
     const breaks = deps.breaks ?? createBreakRegistry(clock, logger);
     const trials = deps.trials ?? createLocalTrials();
 
@@ -46,7 +48,7 @@
         }
         const left = withoutWait(request, clock.monotonicMs() - startedAtMs);
         const outcome = await new Promise<ForwardingOutcome>(resolve =>
-            startForwarding(deps, tries, content, left, signal, resolve)
+            startForwarding(deps, tries, unanswered, content, left, signal, resolve)
         );
         content.close();
         return outcome;
--- a/packages/forwarding/src/createSamplerAttempts.ts
+++ b/packages/forwarding/src/createSamplerAttempts.ts
@@ -2,6 +2,7 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { chooseService } from "@auburnarch/routing/chooseService";
 import { readFullBody } from "@auburnarch/transport/readFullBody";
+import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import { createSamplerRecords } from "./createSamplerRecords.js";
 import { estimateWaitMs } from "./estimateWaitMs.js";
 import type { RequestForwarderDeps } from "./RequestForwarderDeps.js";
@@ -10,6 +11,7 @@
 import type { SamplerAttempts } from "./SamplerAttempts.js";
 import type { SamplerRecord } from "./SamplerRecord.js";
 import type { SamplerReply } from "./SamplerReply.js";
+import type { UnansweredAttempts } from "./UnansweredAttempts.js";
 
 type Answered = Extract<SamplerReply, { kind: "answered"; }>;
 
@@ -45,7 +47,10 @@
 }
 
 /** Creates the attempts of one process; what it learns about a sampler applies to all its requests. */
-export function createSamplerAttempts(deps: RequestForwarderDeps): SamplerAttempts {
+export function createSamplerAttempts(
+    deps: RequestForwarderDeps,
+    unanswered: UnansweredAttempts,
+): SamplerAttempts {
     const { clock, random, logger, metrics, directory } = deps;
     const recordOf = createSamplerRecords();
 
@@ -65,6 +70,21 @@
         else if (!isCancelled) {
             record.failedAtMs = clock.monotonicMs();
         }
+        recordLiveness(sampler.incarnation, tried, isCancelled);
+    }
+
+    function recordLiveness(
+        sampler: IncarnationId,
+        tried: SamplerAttemptOutcome,
+        isCancelled: boolean,
+    ): void {
+        const isUnconnected = tried.kind === "notRun" && tried.code === resultCodes.connectFailed;
+        if (tried.kind === "done" || tried.kind === "notRun" && !isUnconnected) {
+            unanswered.recordAnswer(sampler);
+        }
+        else if (isUnconnected && !isCancelled) {
+            unanswered.recordFailure(sampler);
+        }
     }
 
     function recordUnlistedAttempt(
--- a/packages/forwarding/src/recordAttemptEnd.ts
+++ b/packages/forwarding/src/recordAttemptEnd.ts
@@ -3,11 +3,14 @@
 import type { Logger } from "@auburnarch/types/Logger";
 import type { ContentGuard } from "./ContentGuard.js";
 import type { SamplerAttemptOutcome } from "./SamplerAttemptOutcome.js";
+import type { UnansweredAttempts } from "./UnansweredAttempts.js";
 
 interface EndedAttempt {
     request: string;
     sampler: IncarnationId;
     outcome: SamplerAttemptOutcome;
+    /** Monotonic time. */
+    sentAtMs: number;
     /** Whether this process cancelled the attempt or its time ran out. */
     isGivenUp: boolean;
 }
@@ -20,10 +23,16 @@
  */
 export function recordAttemptEnd(
     content: ContentGuard,
+    unanswered: UnansweredAttempts,
     logger: Logger,
     ended: EndedAttempt,
 ): void {
-    const { request, sampler, outcome, isGivenUp } = ended;
+    const { request, sampler, outcome, sentAtMs, isGivenUp } = ended;
+
+    function recordBreak(ageMs: number, isNoticedLater: boolean): void {
+        content.recordBreak(sampler, ageMs);
+        logger.info("breakRecorded", { request, sampler, isNoticedLater, ...content.describe() });
+    }
 
     function recordCompletion(status: number): void {
         const known = content.describe();
@@ -40,7 +49,9 @@
         content.recordNotRun();
     }
     else if (outcome.code === resultCodes.connectionBroken && !isGivenUp) {
-        content.recordBreak(sampler);
-        logger.info("breakRecorded", { request, sampler, ...content.describe() });
+        recordBreak(0, false);
+    }
+    else {
+        unanswered.record(sampler, sentAtMs, ageMs => recordBreak(ageMs, true));
     }
 }
--- a/packages/forwarding/src/startForwarding.ts
+++ b/packages/forwarding/src/startForwarding.ts
@@ -11,6 +11,7 @@
 import type { RoutedRequest } from "./RoutedRequest.js";
 import type { SamplerAttemptOutcome } from "./SamplerAttemptOutcome.js";
 import type { SamplerAttempts } from "./SamplerAttempts.js";
+import type { UnansweredAttempts } from "./UnansweredAttempts.js";
 
 /** A hedge of an idempotent request starts after this fraction of the target latency without an answer. */
 const hedgeRatio = 0.45;
@@ -42,6 +43,7 @@
 export function startForwarding(
     deps: Pick<RequestForwarderDeps, "clock" | "directory" | "logger" | "invariants" | "meter">,
     samplers: SamplerAttempts,
+    unanswered: UnansweredAttempts,
     content: ContentGuard,
     request: RoutedRequest,
     signal: AbortSignal,
@@ -131,6 +133,7 @@
         runStart.recordSent(sampler.incarnation);
         content.recordSent();
         scheduleHedge();
+        const sentAtMs = clock.monotonicMs();
         const outcome = await samplers.run(request, sampler, budgetMs, cancel.signal);
         attemptsInFlight--;
         runStart.recordEnd(sampler.incarnation, outcome);
@@ -140,9 +143,10 @@
             request: request.requestId,
             sampler: sampler.incarnation,
             outcome,
+            sentAtMs,
             isGivenUp,
         };
-        recordAttemptEnd(content, logger, ended);
+        recordAttemptEnd(content, unanswered, logger, ended);
         handleOutcome(outcome);
     }
 
