Count breaks of one burst as one failed round, and keep a trial that was not run

Cause: each of the breaks made the pause ten times longer, though they came at the same moment and only an attempt after the pause tells more.

Change: breaks count until a pause begins; then only the first one after its end counts. Beside it, a trial that reached no sampler stays with its process for a second instead of being written back, and a trial of another process is looked at again after half a second, so that a service that is down costs few calls.

--- a/packages/forwarding/src/BreakRegistry.ts
+++ b/packages/forwarding/src/BreakRegistry.ts
@@ -13,6 +13,8 @@
     isEmpty(): boolean;
     /** Number of starts of samplers that broke off the content since an attempt was last completed. */
     countBreaks(content: ContentDigest): number;
+    /** Number of breaks that determine the pause: those of one burst count as few. */
+    countRounds(content: ContentDigest): number;
     /** Records that an attempt broke off at this start of a sampler, `ageMs` ago; further ones there add nothing. */
     recordBreak(content: ContentDigest, sampler: IncarnationId, ageMs?: number): void;
     /** Records an attempt that completed; the content was not the cause of earlier breaks. */
--- a/packages/forwarding/src/createBreakRecords.ts
+++ b/packages/forwarding/src/createBreakRecords.ts
@@ -11,6 +11,8 @@
 }
 
 interface BreakRecords {
+    /** Age at which breaks and completions are forgotten. */
+    retentionMs: number;
     /** The record of a content; undefined if none or an expired one. */
     find(content: ContentDigest): BreakRecord | undefined;
     /** Breaks of a content that count, since it was last completed. */
@@ -81,6 +83,7 @@
     }
 
     return {
+        retentionMs,
         find,
         breaksOf: content => breaksIn(find(content)),
         merge: (content, deaths, completedAtMs, reporter) => {
--- a/packages/forwarding/src/createBreakRegistry.ts
+++ b/packages/forwarding/src/createBreakRegistry.ts
@@ -7,6 +7,7 @@
 import type { VmId } from "@auburnarch/types/VmId";
 import type { BreakRegistry } from "./BreakRegistry.js";
 import type { BreakReport } from "./BreakReport.js";
+import { countFailedRounds } from "./countFailedRounds.js";
 import { createBreakRecords } from "./createBreakRecords.js";
 import { digestBreaks } from "./digestBreaks.js";
 
@@ -40,6 +41,8 @@
 
     const { breaksOf } = records;
     const countBreaks = (content: ContentDigest): number => breaksOf(content).length;
+    const countRounds = (content: ContentDigest): number =>
+        countFailedRounds(breaksOf(content).map(each => each.atMs).sort((a, b) => a - b));
     const ageOf = (atMs: number): number => Math.max(0, Math.round(clock.monotonicMs() - atMs));
 
     function merge(
@@ -58,7 +61,12 @@
     function mergeReport({ content, breaks, completedAgeMs }: BreakReport, from: string): void {
         const nowMs = clock.monotonicMs();
         const knownBreaks = countBreaks(content);
-        const reported = breaks.map(({ sampler, ageMs }) => createBreak(sampler, nowMs - ageMs));
+        const reported = breaks
+            .filter(({ ageMs }) => ageMs < records.retentionMs)
+            .map(({ sampler, ageMs }) => createBreak(sampler, nowMs - ageMs));
+        if (reported.length === 0 && completedAgeMs === undefined) {
+            return;
+        }
         const completedAtMs = completedAgeMs === undefined ? undefined : nowMs - completedAgeMs;
         if (merge(content, reported, completedAtMs, from)) {
             logger?.info("breakReportMerged", {
@@ -88,8 +96,12 @@
             const breaks = breaksOf(content);
             return breaks.length === 0
                 ? 0
-                : Math.max(0, latestMsOf(breaks) + pauseAfterBreaks(breaks.length) - clock.monotonicMs());
+                : Math.max(
+                    0,
+                    latestMsOf(breaks) + pauseAfterBreaks(countRounds(content)) - clock.monotonicMs(),
+                );
         },
+        countRounds,
         mayRetry: content => countBreaks(content) <= maxBreaksWithRetry,
         isEmpty: records.isEmpty,
         countBreaks,
@@ -129,6 +141,7 @@
             return {
                 content,
                 breaks: breaks.length,
+                rounds: countRounds(content),
                 breakAgeMs: breaks.length === 0 ? undefined : ageOf(latestMsOf(breaks)),
                 breakReporter: records.find(content)?.reporter,
             };
--- a/packages/forwarding/src/createContentTrials.ts
+++ b/packages/forwarding/src/createContentTrials.ts
@@ -1,18 +1,15 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
-import { pauseAfterBreaks } from "@auburnarch/transport/pauseAfterBreaks";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { ContentDigest } from "@auburnarch/types/ContentDigest";
 import type { Logger } from "@auburnarch/types/Logger";
 import type { ObjectStore } from "@auburnarch/types/ObjectStore";
 import type { ObjectVersion } from "@auburnarch/types/ObjectVersion";
 import type { Random } from "@auburnarch/types/Random";
-import type { StoredObject } from "@auburnarch/types/StoredObject";
-import type { z } from "zod";
 import type { BreakRegistry } from "./BreakRegistry.js";
 import type { ContentTrial } from "./ContentTrial.js";
 import type { ContentTrials } from "./ContentTrials.js";
+import { createTrialRecords } from "./createTrialRecords.js";
 import { trialRecordKey } from "./trialRecordKey.js";
-import { trialRecordSchema } from "./trialRecordSchema.js";
 import { trialRecordsKind } from "./trialRecordsKind.js";
 
 interface ContentTrialsDeps {
@@ -23,21 +20,24 @@
     logger: Logger;
 }
 
-type TrialRecord = z.infer<typeof trialRecordSchema>;
 type Decision = Awaited<ReturnType<ContentTrials["take"]>>;
+type Granted = Extract<Decision, { kind: "granted"; }>;
+
+interface StoredTrial {
+    id: string;
+    version: ObjectVersion;
+    keptUntilMs: number;
+}
 
 const absent = 0 as ObjectVersion;
 /** Time after which a request of a content whose trial is under way may ask again. */
 const underWayPauseMs = 250;
+/** A trial of another process is looked at again after this time at the latest, since it may have been released. */
+const maxRecheckMs = 500;
+/** Time for which a trial that was not run may be used by later requests of the same process. */
+const keepMs = 1_000;
 /** Without an answer of the store for this long, the trial is granted by what this process knows. */
 const storeWaitMs = 500;
-/** A record without a later break or trial is removed after this time. */
-const retentionMs = 3_600_000;
-/** Stored times further in the future come from a clock that was wrong. */
-const maxClockAheadMs = 5_000;
-
-const parseRecord = (object: StoredObject | undefined): TrialRecord =>
-    trialRecordSchema.safeParse(object?.value).data ?? { breaks: [] };
 
 /**
  * Creates the trials of one process. Each trial is written to the store under the version that was read, so that one of
@@ -46,35 +46,12 @@
  */
 export function createContentTrials(deps: ContentTrialsDeps): ContentTrials {
     const { store, breaks, clock, logger } = deps;
+    const records = createTrialRecords(breaks, clock);
     const underWay = new Set<ContentDigest>();
-
-    const ageOf = (atMs: number): number => {
-        const ageMs = clock.wallMs() - atMs;
-        return ageMs < -maxClockAheadMs ? Infinity : Math.max(0, ageMs);
-    };
-
-    function mergeBreaks(content: ContentDigest, record: TrialRecord): void {
-        const known = record.breaks.map(({ sampler, atMs }) => ({ sampler, ageMs: ageOf(atMs) }));
-        breaks.merge([{ content, breaks: known }], "store");
-    }
-
-    /** Pause of a trial that has not shown yet how it ended; it counts as a break until its own break is reported. */
-    function trialPauseMs(content: ContentDigest, { trial, breaks: before }: TrialRecord): number {
-        const known = breaks.reportOf(content)?.breaks ?? [];
-        const hasReported = known.some(({ sampler }) => !before.some(each => each.sampler === sampler));
-        if (trial === undefined || hasReported) {
-            return 0;
-        }
-        const pauseMs = Math.max(trial.limitMs, pauseAfterBreaks(breaks.countBreaks(content) + 1));
-        return Math.max(0, pauseMs - ageOf(trial.atMs));
-    }
-
-    function createRecord(content: ContentDigest, trial: TrialRecord["trial"]): TrialRecord {
-        const known = breaks.reportOf(content)?.breaks ?? [];
-        const nowMs = clock.wallMs();
-        const named = known.map(({ sampler, ageMs }) => ({ sampler, atMs: Math.round(nowMs - ageMs) }));
-        return { breaks: named, ...(trial === undefined ? {} : { trial }) };
-    }
+    /** Trials of this process that were not run. */
+    const kept = new Map<ContentDigest, StoredTrial>();
+    /** Ends of the pauses found in the store, so that it is not asked again meanwhile. */
+    const pausedUntilMs = new Map<ContentDigest, number>();
 
     /** A record that is not removed or released costs one more pause, and is removed when it is old. */
     async function update(change: () => Promise<unknown>): Promise<void> {
@@ -83,55 +60,72 @@
         });
     }
 
-    function createTrial(
-        content: ContentDigest,
-        id: string,
-        version: ObjectVersion | undefined,
-    ): ContentTrial {
-        return {
-            end: outcome => {
-                underWay.delete(content);
-                logger.info("trialEnded", { ...breaks.describe(content), trial: id, outcome });
-                if (version === undefined || outcome === "unknown") {
-                    return;
-                }
-                const key = trialRecordKey(content);
-                void update(() =>
-                    outcome === "completed"
-                        ? store.remove(key, version)
-                        : store.write(key, createRecord(content, undefined), version)
-                );
-            },
-        };
+    /** A trial that was not run remains with this process for a while, since samplers may be back soon. */
+    function keep(content: ContentDigest, stored: StoredTrial): void {
+        kept.set(content, stored);
+        clock.startTimer(stored.keptUntilMs - clock.monotonicMs(), () => {
+            if (kept.get(content) === stored) {
+                kept.delete(content);
+                const released = records.create(content, undefined);
+                void update(() => store.write(trialRecordKey(content), released, stored.version));
+            }
+        });
     }
 
-    function grant(
+    function endStored(
         content: ContentDigest,
-        id: string,
-        version: ObjectVersion | undefined,
-    ): Extract<Decision, { kind: "granted"; }> {
+        stored: StoredTrial,
+        outcome: Parameters<ContentTrial["end"]>[0],
+    ): void {
+        if (outcome === "completed") {
+            void update(() => store.remove(trialRecordKey(content), stored.version));
+        }
+        else if (outcome === "notRun") {
+            keep(content, stored);
+        }
+    }
+
+    function grant(content: ContentDigest, id: string, stored: StoredTrial | undefined): Granted {
         logger.info("trialStarted", {
             ...breaks.describe(content),
             trial: id,
-            isStored: version !== undefined,
+            isStored: stored !== undefined,
         });
-        return { kind: "granted", trial: createTrial(content, id, version) };
+        return {
+            kind: "granted",
+            trial: {
+                end: outcome => {
+                    underWay.delete(content);
+                    logger.info("trialEnded", { ...breaks.describe(content), trial: id, outcome });
+                    if (stored !== undefined) {
+                        endStored(content, stored, outcome);
+                    }
+                },
+            },
+        };
+    }
+
+    function pause(content: ContentDigest, pauseMs: number): Decision {
+        const untilMs = clock.monotonicMs() + Math.min(pauseMs, maxRecheckMs);
+        pausedUntilMs.set(content, untilMs);
+        clock.startTimer(maxRecheckMs, () => pausedUntilMs.delete(content));
+        return { kind: "paused", pauseMs };
     }
 
     async function takeStored(content: ContentDigest, id: string, limitMs: number): Promise<Decision> {
         const key = trialRecordKey(content);
         const object = await store.read(key);
-        const record = parseRecord(object);
-        mergeBreaks(content, record);
-        const pauseMs = Math.max(breaks.pauseMs(content), trialPauseMs(content, record));
+        const trialPauseMs = records.merge(content, object);
+        const pauseMs = Math.max(breaks.pauseMs(content), trialPauseMs);
         if (pauseMs > 0) {
-            return { kind: "paused", pauseMs };
+            return pause(content, pauseMs);
         }
-        const trial = { id, atMs: Math.round(clock.wallMs()), limitMs: Math.round(limitMs) };
-        const outcome = await store.write(key, createRecord(content, trial), object?.version ?? absent);
+        const keptUntilMs = clock.monotonicMs() + keepMs;
+        const trial = { id, atMs: Math.round(clock.wallMs()), limitMs: Math.round(limitMs + keepMs) };
+        const outcome = await store.write(key, records.create(content, trial), object?.version ?? absent);
         return outcome.kind === "written"
-            ? grant(content, id, outcome.version)
-            : { kind: "paused", pauseMs: underWayPauseMs };
+            ? grant(content, id, { id, version: outcome.version, keptUntilMs })
+            : pause(content, underWayPauseMs);
     }
 
     /** The store may still accept the trial after this process has stopped waiting for its answer. */
@@ -139,7 +133,7 @@
         content: ContentDigest,
         id: string,
         stored: Promise<Decision | undefined>,
-    ): Decision {
+    ): Granted {
         const { kind, trial } = grant(content, id, undefined);
         return {
             kind,
@@ -152,16 +146,27 @@
         };
     }
 
+    async function takeNew(content: ContentDigest, limitMs: number): Promise<Decision> {
+        const id = deps.random.nextId();
+        const stored = takeStored(content, id, limitMs).catch(() => undefined);
+        return await Promise.race([stored, clock.sleep(storeWaitMs).then(() => undefined)])
+            ?? grantUnstored(content, id, stored);
+    }
+
+    function takeKept(content: ContentDigest): Decision | undefined {
+        const stored = kept.get(content);
+        kept.delete(content);
+        return stored === undefined ? undefined : grant(content, stored.id, stored);
+    }
+
     return {
         take: async (content, limitMs) => {
-            if (underWay.has(content)) {
-                return { kind: "paused", pauseMs: underWayPauseMs };
+            const pauseMs = (pausedUntilMs.get(content) ?? 0) - clock.monotonicMs();
+            if (pauseMs > 0 || underWay.has(content)) {
+                return { kind: "paused", pauseMs: pauseMs > 0 ? pauseMs : underWayPauseMs };
             }
             underWay.add(content);
-            const id = deps.random.nextId();
-            const stored = takeStored(content, id, limitMs).catch(() => undefined);
-            const decision = await Promise.race([stored, clock.sleep(storeWaitMs).then(() => undefined)])
-                ?? grantUnstored(content, id, stored);
+            const decision = takeKept(content) ?? await takeNew(content, limitMs);
             if (decision.kind === "paused") {
                 underWay.delete(content);
             }
@@ -170,10 +175,8 @@
         restore: async () => {
             const { objects } = await store.list(`${trialRecordsKind}/`);
             for (const object of objects) {
-                const record = parseRecord(object);
-                mergeBreaks(object.key.slice(trialRecordsKind.length + 1) as ContentDigest, record);
-                const times = [...record.breaks, ...record.trial === undefined ? [] : [record.trial]];
-                if (times.every(({ atMs }) => ageOf(atMs) > retentionMs)) {
+                records.merge(object.key.slice(trialRecordsKind.length + 1) as ContentDigest, object);
+                if (records.isOld(object)) {
                     await update(() => store.remove(object.key, object.version));
                 }
             }
--- /dev/null
+++ b/packages/forwarding/src/createTrialRecords.ts
@@ -0,0 +1,70 @@
+import { pauseAfterBreaks } from "@auburnarch/transport/pauseAfterBreaks";
+import type { Clock } from "@auburnarch/types/Clock";
+import type { ContentDigest } from "@auburnarch/types/ContentDigest";
+import type { StoredObject } from "@auburnarch/types/StoredObject";
+import type { z } from "zod";
+import type { BreakRegistry } from "./BreakRegistry.js";
+import { trialRecordSchema } from "./trialRecordSchema.js";
+
+type TrialRecord = z.infer<typeof trialRecordSchema>;
+
+interface TrialRecords {
+    /** The value to store: all breaks that are known here, and a trial that starts now. */
+    create(content: ContentDigest, trial: TrialRecord["trial"]): TrialRecord;
+    /** Merges the stored breaks into the registry, and returns the pause that the stored trial requires. */
+    merge(content: ContentDigest, object: StoredObject | undefined): number;
+    /** Whether a stored record has expired. */
+    isOld(object: StoredObject): boolean;
+}
+
+/** A record without a later break or trial is removed after this time. */
+const retentionMs = 3_600_000;
+/** Stored times further in the future come from a clock that was wrong. */
+const maxClockAheadMs = 5_000;
+
+const parseRecord = (object: StoredObject | undefined): TrialRecord =>
+    trialRecordSchema.safeParse(object?.value).data ?? { breaks: [] };
+
+/** Creates the conversion between a registry and the records in the store. */
+export function createTrialRecords(breaks: BreakRegistry, clock: Clock): TrialRecords {
+    const ageOf = (atMs: number): number => {
+        const ageMs = clock.wallMs() - atMs;
+        return ageMs < -maxClockAheadMs ? Infinity : Math.max(0, ageMs);
+    };
+
+    /** A trial that has not shown yet how it ended counts as a break until its own break is reported. */
+    function trialPauseMs(content: ContentDigest, { trial, breaks: before }: TrialRecord): number {
+        if (trial === undefined) {
+            return 0;
+        }
+        const trialAgeMs = ageOf(trial.atMs);
+        const known = breaks.reportOf(content)?.breaks ?? [];
+        const isReported = known.some(({ sampler, ageMs }) =>
+            ageMs <= trialAgeMs && !before.some(each => each.sampler === sampler)
+        );
+        const pauseMs = Math.max(trial.limitMs, pauseAfterBreaks(breaks.countRounds(content) + 1));
+        return isReported ? 0 : Math.max(0, pauseMs - trialAgeMs);
+    }
+
+    return {
+        create: (content, trial) => {
+            const known = breaks.reportOf(content)?.breaks ?? [];
+            const nowMs = clock.wallMs();
+            return {
+                breaks: known.map(({ sampler, ageMs }) => ({ sampler, atMs: Math.round(nowMs - ageMs) })),
+                ...(trial === undefined ? {} : { trial }),
+            };
+        },
+        merge: (content, object) => {
+            const record = parseRecord(object);
+            const stored = record.breaks.map(({ sampler, atMs }) => ({ sampler, ageMs: ageOf(atMs) }));
+            breaks.merge([{ content, breaks: stored.filter(({ ageMs }) => ageMs < retentionMs) }], "store");
+            return trialPauseMs(content, record);
+        },
+        isOld: object => {
+            const { breaks: stored, trial } = parseRecord(object);
+            const times = [...stored, ...trial === undefined ? [] : [trial]];
+            return times.every(({ atMs }) => ageOf(atMs) >= retentionMs);
+        },
+    };
+}
