Soak: send a request that crashes samplers while processes are killed, cut and restarted

A send counts for the limit only if its gateway had run, and had reached the store, for 3 s: the rule that the users state.

--- a/packages/soak/src/checkDepartedSamplers.ts
+++ b/packages/soak/src/checkDepartedSamplers.ts
@@ -21,7 +21,7 @@
 export function checkDepartedSamplers(
     bed: Pick<SoakTestBed, "samplers" | "leftAtMs">,
     checker: PromiseChecker,
-    faultIntervals: FaultInterval[],
+    faultIntervals: readonly FaultInterval[],
 ): void {
     const disconnecting = faultIntervals.filter(({ kind }) => !harmlessKinds.has(kind));
     const isUndisturbed = (atMs: number): boolean =>
--- a/packages/soak/src/checks.test.ts
+++ b/packages/soak/src/checks.test.ts
@@ -1,6 +1,7 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
 import { createRandom } from "@auburnarch/clock/createRandom";
 import { expect, test } from "vitest";
+import { checkCrashInducing } from "./checkCrashInducing.js";
 import { checkDepartedSamplers } from "./checkDepartedSamplers.js";
 import { checkFinalState } from "./checkFinalState.js";
 import { checkPage } from "./checkPage.js";
@@ -318,3 +319,37 @@
       }
     `);
 });
+
+test("checkCrashInducing counts retries of undisturbed gateways after the third crash", () => {
+    const crashes = ["s-1", "s-2", "s-3"];
+    const sends = [0, 1, 2, 3, 4, 5, 6].map(at => ({ requestId: `k${at}`, gateway: "front-1", atMs: 0 }));
+    const breaches = (
+        retryTimesMs: number[],
+        overrides: { statuses?: number[]; runsFromMs?: number; faultIntervals?: FaultInterval[]; } = {},
+    ): string[] => {
+        const checker = createPromiseChecker(createFakeClock());
+        const { statuses = Array.from({ length: 10 }, () => 200), faultIntervals = [], runsFromMs = 0 } =
+            overrides;
+        const samplers = [
+            ...crashes.map((id, at) => ({ id, runs: () => [run(`k${at}`, 5_000)] })),
+            { id: "s-4", runs: () => retryTimesMs.map((atMs, at) => run(`k${at + 3}`, atMs)) },
+        ];
+        const programs = [{
+            name: "front-1",
+            runningSpans: () => [{ fromMs: runsFromMs, untilMs: Infinity }],
+        }];
+        const bed = { samplers, programs } as unknown as SoakTestBed;
+        checkCrashInducing(bed, checker, { sends, harmlessStatuses: statuses, faultIntervals });
+        return checker.breaches().map(breach => breach.promise);
+    };
+    const cut: FaultInterval = { kind: "storeLink", process: 0, fromMs: 9_000, untilMs: 10_000 };
+    expect({
+        three: breaches([9_000, 10_000, 11_000]),
+        four: breaches([9_000, 10_000, 11_000, 12_000]),
+        early: breaches([7_000, 7_500, 11_000, 12_000]),
+        justStarted: breaches([9_000, 10_000, 11_000, 12_000], { runsFromMs: 7_000 }),
+        cut: breaches([9_000, 10_000, 11_000, 14_000], { faultIntervals: [cut] }),
+        otherCut: breaches([9_000, 10_000, 11_000, 14_000], { faultIntervals: [{ ...cut, process: 1 }] }),
+        refused: breaches([], { statuses: [200, 200, 200, 200, 503, 503, 503, 503, 503, 503] }),
+    }).toMatchSnapshot();
+});
--- /dev/null
+++ b/packages/soak/src/crashInducingContent.ts
@@ -0,0 +1,2 @@
+/** Body of the requests that crash samplers. */
+export const crashInducingContent = "crash-inducing";
--- a/packages/soak/src/createSoakTestBed.ts
+++ b/packages/soak/src/createSoakTestBed.ts
@@ -1,9 +1,8 @@
 import { createPlatformWrites } from "@auburnarch/platform/testing/createPlatformWrites";
 import { encodeTestConfiguration } from "@auburnarch/platform/testing/encodeTestConfiguration";
-import type { FakeSampler } from "@auburnarch/platform/testing/FakeSampler";
 import { findFreePort } from "@auburnarch/platform/testing/findFreePort";
+import type { RequestFate } from "@auburnarch/platform/testing/RequestFate";
 import { serveFakePlatformStore } from "@auburnarch/platform/testing/serveFakePlatformStore";
-import { serveFakeSampler } from "@auburnarch/platform/testing/serveFakeSampler";
 import { serveFakeUsageReports } from "@auburnarch/platform/testing/serveFakeUsageReports";
 import type { Clock } from "@auburnarch/types/Clock";
 import { mkdtemp, rm } from "node:fs/promises";
@@ -11,6 +10,7 @@
 import { join } from "node:path";
 import { createLinkProxy } from "./createLinkProxy.js";
 import { createProgram } from "./createProgram.js";
+import { createSamplerSlots } from "./createSamplerSlots.js";
 import type { LinkProxy } from "./LinkProxy.js";
 import type { Program } from "./Program.js";
 import { soakTeam } from "./soakTeam.js";
@@ -22,13 +22,11 @@
     modelSamplers: number;
     plainSamplers: number;
     models: string[];
+    /** What happens to a plain request with this body; all are answered by default. */
+    fateOf?: (body: string) => RequestFate;
 }
 
-const eventsPerItem = 25;
-const eventIntervalMs = 20;
 const tenants = [{ "name": soakTeam.name, "api-keys": [soakTeam.key] }];
-/** Time for which a draining sampler continues to serve. */
-const drainMs = 2_500;
 /** Links from one program to the store, of which its settings file names one. */
 const linksToStore = 2;
 
@@ -45,10 +43,9 @@
     const writes = createPlatformWrites(store);
     const storeLinks = new Map<string, LinkProxy[]>();
     const programs: Program[] = [];
-    const samplers: FakeSampler[] = [];
-    const leftAtMs = new Map<string, number>();
     const versions = new Map(models.map(model => [model, 1]));
     const configVersions = [1];
+    const samplerSlots = createSamplerSlots({ ...options, clock, writes, versions });
 
     function publishConfiguration(): void {
         const version = configVersions.at(-1)!;
@@ -56,64 +53,6 @@
         writes.configure(encodeTestConfiguration({ version, models, extraRoutes, tenants }));
     }
 
-    async function startSampler(id: string, service: string, port: () => number): Promise<FakeSampler> {
-        const sampler = await serveFakeSampler({
-            id,
-            service,
-            events: eventsPerItem,
-            eventIntervalMs,
-            models: service === "llm" ? models : [],
-            startVersions: versions,
-            registeredPort: port,
-            onEntry: entry => {
-                if (!leftAtMs.has(id)) {
-                    writes.registerSampler(id, entry);
-                }
-            },
-        });
-        samplers.push(sampler);
-        writes.registerSampler(id, sampler.entry());
-        return sampler;
-    }
-
-    async function deregisterSampler(sampler: FakeSampler, isAnnounced: boolean): Promise<void> {
-        leftAtMs.set(sampler.id, clock.monotonicMs());
-        if (isAnnounced) {
-            writes.drainSampler(sampler.id, sampler.entry());
-        }
-        await clock.sleep(isAnnounced ? drainMs : 0);
-        writes.removeSampler(sampler.id);
-    }
-
-    async function createSlot(slotIndex: number, service: string): Promise<SoakTestBed["slots"][number]> {
-        let nextNumber = 0;
-        let hasLeft = false;
-        // Set once the sampler behind the link listens.
-        const slot: { sampler?: FakeSampler; } = {};
-        const link = await createLinkProxy(clock, () => slot.sampler!.port);
-        const startNext = (): Promise<FakeSampler> =>
-            startSampler(`${service}-${slotIndex}-${nextNumber++}`, service, () => link.port);
-        slot.sampler = await startNext();
-        return {
-            service,
-            link,
-            current: () => slot.sampler!,
-            replace: async isAnnounced => {
-                if (hasLeft) {
-                    return;
-                }
-                const old = slot.sampler!;
-                await deregisterSampler(old, isAnnounced);
-                slot.sampler = await startNext();
-                old.close();
-            },
-            leave: async isAnnounced => {
-                hasLeft = true;
-                await deregisterSampler(slot.sampler!, isAnnounced);
-            },
-        };
-    }
-
     async function startProgram(name: string, role: Program["role"]): Promise<Program> {
         const links = await createLinks(clock, store.port);
         storeLinks.set(name, links);
@@ -135,7 +74,7 @@
     publishConfiguration();
     const slots: SoakTestBed["slots"] = [];
     for (let index = 0; index < options.modelSamplers + options.plainSamplers; index++) {
-        slots.push(await createSlot(index, index < options.modelSamplers ? "llm" : "tiles"));
+        slots.push(await samplerSlots.create(index, index < options.modelSamplers ? "llm" : "tiles"));
     }
     const gateways: Program[] = [];
     for (let index = 1; index <= options.gateways; index++) {
@@ -147,15 +86,15 @@
 
     return {
         models,
-        eventsPerItem,
+        eventsPerItem: samplerSlots.eventsPerItem,
         store,
         usageReports,
         gateways,
         programs,
         storeLinks,
         slots,
-        samplers,
-        leftAtMs,
+        samplers: samplerSlots.samplers,
+        leftAtMs: samplerSlots.leftAtMs,
         versions,
         nameVersion: (model, version) => {
             versions.set(model, version);
@@ -167,9 +106,10 @@
             publishConfiguration();
         },
         close: async () => {
+            samplerSlots.stop();
             await Promise.all(programs.map(program => program.end("SIGKILL")));
             const links = [...[...storeLinks.values()].flat(), ...slots.map(slot => slot.link)];
-            [...links, ...samplers, store, usageReports].forEach(each => each.close());
+            [...links, ...samplerSlots.samplers, store, usageReports].forEach(each => each.close());
             await rm(folder, { recursive: true, force: true });
         },
     };
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -2,24 +2,25 @@
 import { clientCalls } from "@auburnarch/platform/testing/clientCalls";
 import { createFakeClient } from "@auburnarch/platform/testing/createFakeClient";
 import type { Clock } from "@auburnarch/types/Clock";
+import { checkCrashInducing } from "./checkCrashInducing.js";
 import { checkDepartedSamplers } from "./checkDepartedSamplers.js";
 import { checkFinalState } from "./checkFinalState.js";
 import { checkSettings } from "./checkSettings.js";
 import { checkTeams } from "./checkTeams.js";
+import { crashInducingContent } from "./crashInducingContent.js";
+import { createCrashInducingCaller } from "./createCrashInducingCaller.js";
+import { createFaultInjector } from "./createFaultInjector.js";
 import { createPromiseChecker } from "./createPromiseChecker.js";
 import { createSoakCaller } from "./createSoakCaller.js";
 import { createSoakTestBed } from "./createSoakTestBed.js";
 import { createSoakTrainer } from "./createSoakTrainer.js";
 import { drawDepartures } from "./drawDepartures.js";
+import { drawFate } from "./drawFate.js";
 import { drawFaults } from "./drawFaults.js";
 import { drawSettingsChanges } from "./drawSettingsChanges.js";
-import type { FaultInterval } from "./FaultInterval.js";
-import { injectFault } from "./injectFault.js";
 import type { Program } from "./Program.js";
 import { settingsLimitMs } from "./settingsLimitMs.js";
-import type { SoakFault } from "./SoakFault.js";
 import type { SoakReport } from "./SoakReport.js";
-import type { SoakTestBed } from "./SoakTestBed.js";
 
 interface SoakOptions {
     seed: number;
@@ -34,6 +35,8 @@
     hasDepartures?: boolean;
     /** Whether settings files change during the faults; false by default. */
     hasSettingsChanges?: boolean;
+    /** Whether a client sends a request that crashes samplers; false by default. */
+    hasCrashInducing?: boolean;
 }
 
 const models = ["plume", "ridge"];
@@ -61,23 +64,19 @@
     return true;
 }
 
-function endAllFaults(bed: SoakTestBed): void {
-    bed.store.setMode("well");
-    [...bed.storeLinks.values()].flat().forEach(link => link.setMode("well"));
-    bed.slots.forEach(slot => slot.link.setMode("well"));
-    for (const program of bed.programs) {
-        program.signal("SIGCONT");
-        if (!program.isUp()) {
-            program.start();
-        }
-    }
-}
-
 /** Runs the programs under the faults of one seed, with trainers and a caller that check the promises to clients. */
 export async function runSoak(clock: Clock, options: SoakOptions): Promise<SoakReport> {
     const random = createRandom(options.seed);
     const { gateways, runners, lengthMs, calmMs = 0 } = options;
-    const bed = await createSoakTestBed(clock, { gateways, runners, modelSamplers, plainSamplers, models });
+    const fates = createRandom(options.seed);
+    const bed = await createSoakTestBed(clock, {
+        gateways,
+        runners,
+        modelSamplers,
+        plainSamplers,
+        models,
+        fateOf: content => content === crashInducingContent ? drawFate(fates) : "answered",
+    });
     const checker = createPromiseChecker(clock);
     const probes = createFakeClient();
     const shared = { bed, clock, checker };
@@ -96,8 +95,11 @@
             series: Math.ceil(options.faults / faultsPerSettingsChange),
         })
         : [];
+    const crashInducing = options.hasCrashInducing === true
+        ? createCrashInducingCaller({ bed, clock, random: random.fork() })
+        : undefined;
     const faults = [...drawn, ...departures, ...settingsChanges].sort((a, b) => a.atMs - b.atMs);
-    const faultIntervals: FaultInterval[] = [];
+    const injector = createFaultInjector(bed, clock);
 
     const isReady = async (gateway: Program): Promise<boolean> => {
         const reply = await probes.call(gateway.readyPort, { ...clientCalls.isReady(), limitMs: 1_000 });
@@ -106,25 +108,6 @@
     const allReady = async (): Promise<boolean> =>
         (await Promise.all(bed.gateways.map(isReady))).every(Boolean);
 
-    async function injectRecorded(fault: SoakFault): Promise<void> {
-        const interval: FaultInterval = { kind: fault.kind, fromMs: clock.monotonicMs(), untilMs: Infinity };
-        faultIntervals.push(interval);
-        await injectFault(bed, clock, fault);
-        interval.untilMs = clock.monotonicMs();
-    }
-
-    async function injectAll(): Promise<void> {
-        const startedAtMs = clock.monotonicMs();
-        const injected: Promise<void>[] = [];
-        for (const { atMs, fault } of faults) {
-            await clock.sleep(Math.max(0, startedAtMs + atMs - clock.monotonicMs()));
-            injected.push(injectRecorded(fault));
-        }
-        await Promise.all(injected);
-        endAllFaults(bed);
-        await clock.sleep(calmMs);
-    }
-
     async function train(signal: AbortSignal): Promise<void> {
         await Promise.all(trainers.map(async trainer => {
             while (!signal.aborted) {
@@ -171,8 +154,13 @@
     try {
         checker.check(await waitUntil(clock, recoveryLimitMs, allReady), "gateways start", {});
         const stopped = new AbortController();
-        const traffic = [caller.run(stopped.signal), train(stopped.signal)];
-        await injectAll();
+        const traffic = [
+            caller.run(stopped.signal),
+            train(stopped.signal),
+            crashInducing?.run(stopped.signal),
+        ];
+        await injector.injectAll(faults);
+        await clock.sleep(calmMs);
         stopped.abort();
         await Promise.all(traffic);
         await Promise.all([
@@ -182,7 +170,14 @@
         const steps = trainers.flatMap(trainer => trainer.steps());
         checkFinalState(bed, checker, steps, caller.calls());
         checkTeams(bed, checker, new Set(steps.flatMap(step => step.items)));
-        checkDepartedSamplers(bed, checker, faultIntervals);
+        checkDepartedSamplers(bed, checker, injector.intervals());
+        if (crashInducing !== undefined) {
+            checkCrashInducing(bed, checker, {
+                sends: crashInducing.sends(),
+                harmlessStatuses: crashInducing.harmlessStatuses(),
+                faultIntervals: injector.intervals(),
+            });
+        }
         return {
             seed: options.seed,
             faults,
@@ -197,6 +192,7 @@
     finally {
         trainers.forEach(trainer => trainer.close());
         caller.close();
+        crashInducing?.close();
         probes.close();
         await bed.close();
     }
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -40,3 +40,16 @@
     expect(report.breaches).toEqual([]);
     expect(report.faults.filter(({ fault }) => fault.kind === "changeSettings").length).toBe(3);
 });
+
+test("a request that crashes samplers gets few retries while processes are killed, cut and restarted", async () => {
+    // Guards against evidence of crashes that any process loses or counts twice, and against refused bystanders.
+    const report = await runSoak(createSystemClock(), {
+        seed: 907,
+        lengthMs: 15_000,
+        faults: 10,
+        gateways: 4,
+        runners: 3,
+        hasCrashInducing: true,
+    });
+    expect(report.breaches).toEqual([]);
+});
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -44,6 +44,11 @@
             description: "Time for which traffic goes on after the faults",
         },
         settingsChanges: { type: "boolean", default: true, description: "Change settings files" },
+        crashInducing: {
+            type: "boolean",
+            default: true,
+            description: "Send a request that crashes samplers",
+        },
         logs: {
             type: "string",
             default: "soak-logs",
@@ -65,6 +70,7 @@
                     calmMs: Number(args.calmMs),
                     hasDepartures: true,
                     hasSettingsChanges: args.settingsChanges,
+                    hasCrashInducing: args.crashInducing,
                 });
                 printReport(report);
                 if (report.breaches.length > 0) {
