Let the breaks of an item outlive the runner that saw them

What callers saw: an item that crashes samplers is tried anew, three samplers at a time, by each runner that takes its batch job over.

Change: runners record the breaks of items in the registry that requests use, by content, and it is exchanged and counted alike. The longer of both pauses holds, also for an item that is submitted at a runner that has just taken the job.

One mechanism for requests, items and the quarantine: the same record, merge and count.

--- a/packages/dispatch/src/DispatcherDeps.ts
+++ b/packages/dispatch/src/DispatcherDeps.ts
@@ -9,6 +9,7 @@
 import type { SamplerId } from "@auburnarch/types/SamplerId";
 import type { SamplerView } from "@auburnarch/types/SamplerView";
 import type { SidecarPort } from "@auburnarch/types/SidecarPort";
+import type { SampleBreaks } from "./SampleBreaks.js";
 
 /** Dependencies of a dispatcher. */
 export interface DispatcherDeps {
@@ -34,6 +35,8 @@
     measuredTokensPerSecond?: (sampler: SamplerId) => number | undefined;
     /** An attempt is abandoned after this time without a token from a sampler that is suspected down. */
     stallTimeoutMs?: number;
+    /** Shared with other dispatchers and processes; by default each dispatcher counts for itself. */
+    sampleBreaks?: SampleBreaks;
     /** True if the swap roller is about to order this sampler to swap; by default always false. */
     isAboutToSwap?: (sampler: SamplerId) => boolean;
 }
--- a/packages/dispatch/src/crashInducingSample.test.ts
+++ b/packages/dispatch/src/crashInducingSample.test.ts
@@ -2,6 +2,7 @@
 import { createRandom } from "@auburnarch/clock/createRandom";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { createMetrics } from "@auburnarch/metrics/createMetrics";
+import { pauseAfterBreaks } from "@auburnarch/transport/pauseAfterBreaks";
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
 import type { JobManifest } from "@auburnarch/types/JobManifest";
 import type { LimitsManifest } from "@auburnarch/types/LimitsManifest";
@@ -13,6 +14,8 @@
 import type { SidecarPort } from "@auburnarch/types/SidecarPort";
 import { expect, test } from "vitest";
 import { createDispatcher } from "./createDispatcher.js";
+import type { DispatcherDeps } from "./DispatcherDeps.js";
+import type { SampleBreaks } from "./SampleBreaks.js";
 
 type Outcome = AttemptOutcome<SampleAnswer>;
 
@@ -99,31 +102,58 @@
         });
     }
 
-    const dispatcher = createDispatcher({
-        job: () => ({ job: "job", team: "team", policy: "plume", priority: 5 } as unknown as JobManifest),
-        limits: () => ({ retryBudgetRatio: 1 } as LimitsManifest),
-        fencing: 7 as SampleAttempt["fencing"],
-        clock,
-        random: createRandom(1),
-        logger: silent,
-        metrics: createMetrics(),
-        listSamplers: () => samplers.map(viewOf),
-        sidecar: sampler => ({
-            runSample: attempt => runSample(sampler, attempt),
-        } as Partial<SidecarPort> as SidecarPort),
-        mayAct: () => true,
-        onSampleGenerated: () => finishedAtMs.push(clock.monotonicMs()),
-        takeRetry: () => true,
-    });
-    return { clock, dispatcher, crashingRunsAtMs, finishedAtMs };
+    const breaksAtMs = new Map<string, number[]>();
+    const breaksOf = (sample: string): number[] => breaksAtMs.get(sample) ?? [];
+    const sampleBreaks: SampleBreaks = {
+        pauseMs: sample => {
+            const pauseMs = pauseAfterBreaks(breaksOf(sample).length);
+            return Math.max(0, (breaksOf(sample).at(-1) ?? 0) + pauseMs - clock.monotonicMs());
+        },
+        recordBreak: sample => breaksAtMs.set(sample, [...breaksOf(sample), clock.monotonicMs()]),
+        recordCompletion: sample => breaksAtMs.delete(sample),
+    };
+
+    const createOwner = (deps: Partial<DispatcherDeps> = {}) =>
+        createDispatcher({
+            job: () => ({ job: "job", team: "team", policy: "plume", priority: 5 } as unknown as JobManifest),
+            limits: () => ({ retryBudgetRatio: 1 } as LimitsManifest),
+            fencing: 7 as SampleAttempt["fencing"],
+            clock,
+            random: createRandom(1),
+            logger: silent,
+            metrics: createMetrics(),
+            listSamplers: () => samplers.map(viewOf),
+            sidecar: sampler => ({
+                runSample: attempt => runSample(sampler, attempt),
+            } as Partial<SidecarPort> as SidecarPort),
+            mayAct: () => true,
+            onSampleGenerated: () => finishedAtMs.push(clock.monotonicMs()),
+            takeRetry: () => true,
+            ...deps,
+        });
+    return { clock, createOwner, sampleBreaks, crashingRunsAtMs, finishedAtMs };
 }
 
 test("a sample that crashes every sampler gets at most three more attempts after the third, and the others finish", async () => {
-    const { clock, dispatcher, crashingRunsAtMs, finishedAtMs } = createFixture();
-    dispatcher.submit(Array.from({ length: 8 }, (_, index) => taskOf(index)));
+    const { clock, createOwner, crashingRunsAtMs, finishedAtMs } = createFixture();
+    createOwner().submit(Array.from({ length: 8 }, (_, index) => taskOf(index)));
     await clock.advance(600_000);
     expect(finishedAtMs).toHaveLength(7);
     // The required time for a step is 6 minutes; the other samples finish long before.
     expect(Math.max(...finishedAtMs)).toBeLessThan(6_000);
     expect(crashingRunsAtMs.length - 3).toBeLessThanOrEqual(3);
 });
+
+test("a sample that crashes every sampler keeps its pause when another owner takes it over", async () => {
+    // Guards against crashes that are forgotten with the owner that saw them.
+    const { clock, createOwner, sampleBreaks, crashingRunsAtMs } = createFixture();
+    const limitFromMs = 3_000;
+    for (let owner = 0; owner < 5; owner++) {
+        const dispatcher = createOwner({ sampleBreaks });
+        dispatcher.submit([taskOf(0)]);
+        await clock.advance(6_000);
+        await dispatcher.stop();
+    }
+    const late = crashingRunsAtMs.filter(atMs => atMs > crashingRunsAtMs[2]! + limitFromMs);
+    expect(late.length).toBeLessThanOrEqual(3);
+});
--- a/packages/dispatch/src/createOutcomeHandler.ts
+++ b/packages/dispatch/src/createOutcomeHandler.ts
@@ -42,6 +42,20 @@
     }
 }
 
+function recordBreak(
+    { sampleBreaks }: Pick<DispatcherDeps, "sampleBreaks">,
+    attempt: RunningAttempt,
+    code: ResultCode,
+): void {
+    const { work } = attempt;
+    if (!isFruitless(attempt, code)) {
+        work.fruitless = 0;
+        return;
+    }
+    work.fruitless++;
+    sampleBreaks?.recordBreak(work.task.sample, attempt.sampler);
+}
+
 /** Creates the outcome handler of one dispatcher. `enqueue` puts a sample back into the queue after a delay. */
 export function createOutcomeHandler(
     deps: DispatcherDeps,
@@ -62,6 +76,7 @@
     function finish(work: SampleWork, answer: SampleAnswer): void {
         state.unfinished.delete(work.task.sample);
         state.queue.remove(work);
+        deps.sampleBreaks?.recordCompletion(work.task.sample);
         work.running.forEach(other => runner().end(other, "lostRace"));
         const tokens = countTokens(answer.spans);
         state.lengthModel.observe(work.task.prompt, tokens);
@@ -118,7 +133,7 @@
             saveResumeSpans(work, joinSpans(attempt.resumedSpans, attempt.spans));
         }
         work.failures++;
-        work.fruitless = isFruitless(attempt, code) ? work.fruitless + 1 : 0;
+        recordBreak(deps, attempt, code);
         work.avoid.add(attempt.sampler);
         const isAllowed = takeRetry();
         logger.warn("sampleRetried", {
@@ -130,7 +145,8 @@
             withinBudget: isAllowed,
             keptTokens: countTokens(work.resume),
         });
-        enqueueIfIdle(work, pauseAfterFailure(code, work, isAllowed));
+        const sharedPauseMs = deps.sampleBreaks?.pauseMs(work.task.sample) ?? 0;
+        enqueueIfIdle(work, Math.max(pauseAfterFailure(code, work, isAllowed), sharedPauseMs));
     }
 
     function abandon(attempt: RunningAttempt): void {
--- a/packages/runner/src/items/createItemDispatch.ts
+++ b/packages/runner/src/items/createItemDispatch.ts
@@ -4,6 +4,7 @@
 import { createDispatcher } from "@auburnarch/dispatch/createDispatcher";
 import type { Dispatcher } from "@auburnarch/dispatch/Dispatcher";
 import type { DispatchPolicy } from "@auburnarch/dispatch/DispatchPolicy";
+import type { BreakRegistry } from "@auburnarch/forwarding/BreakRegistry";
 import type { CallSampler } from "@auburnarch/forwarding/CallSampler";
 import type { Metrics } from "@auburnarch/metrics/Metrics";
 import { findRoute } from "@auburnarch/routing/findRoute";
@@ -23,6 +24,7 @@
 import type { ServiceId } from "@auburnarch/types/ServiceId";
 import type { SidecarPort } from "@auburnarch/types/SidecarPort";
 import type { TeamId } from "@auburnarch/types/TeamId";
+import { createItemBreaks } from "./createItemBreaks.js";
 import { createItemPolicy } from "./createItemPolicy.js";
 import { createItemSidecar } from "./createItemSidecar.js";
 import { describeSampler } from "./describeSampler.js";
@@ -37,6 +39,8 @@
     callSampler: CallSampler;
     readEvents: ReadItemEvents;
     samplerHealth: SamplerHealth;
+    /** Contents of items and requests that broke off at samplers. */
+    breaks: BreakRegistry;
     /** Number of runs that other runners have at a sampler, by their last answers. */
     countPeerRuns: (sampler: IncarnationId) => number;
     clock: Clock;
@@ -81,6 +85,7 @@
     const dispatchers = new Map<string, Dispatcher>();
     const sidecars = new Map<SamplerId, Pick<SidecarPort, "runSample">>();
 
+    const sampleBreaks = createItemBreaks(deps.breaks, item => tasks.get(item)?.run);
     const policy = (deps.createPolicy ?? createItemPolicy)(item =>
         tasks.get(item as SampleId)?.run.expectedEvents
     );
@@ -162,6 +167,7 @@
                 mayAct: () => true,
                 onSampleGenerated: generated => tasks.get(generated.task.sample)?.onGenerated(generated),
                 takeRetry: alwaysRetry,
+                sampleBreaks,
                 measuredTokensPerSecond: sampler =>
                     samplerHealth.eventsPerSecond(sampler as string as IncarnationId),
                 stallTimeoutMs: stallMs,
