Do not count an attempt at a sampler that had already ended

Cause: a sampler that is gone stays listed for seconds. An attempt sent to it then broke off or was not answered, and counted like one that had ended it.

Change: it does not count if another content broke off at that start of the sampler in the five seconds before it was sent, as far as any process has told, and the sampler has not answered here since. Such a trial is released as not run.

--- a/packages/forwarding/src/BreakRegistry.ts
+++ b/packages/forwarding/src/BreakRegistry.ts
@@ -15,6 +15,11 @@
     countBreaks(content: ContentDigest): number;
     /** Number of breaks that determine the pause: those of one burst count as few. */
     countRounds(content: ContentDigest): number;
+    /**
+     * Whether the sampler broke off another content shortly before `sentAtMs`, and after `answeredAtMs`, the time of its
+     * latest answer here: what was sent then, a sampler that had already ended did not run.
+     */
+    hadEnded(content: ContentDigest, sampler: IncarnationId, sentAtMs: number, answeredAtMs: number): boolean;
     /** Records that an attempt broke off at this start of a sampler, `ageMs` ago; further ones there add nothing. */
     recordBreak(content: ContentDigest, sampler: IncarnationId, ageMs?: number): void;
     /** Records an attempt that completed; the content was not the cause of earlier breaks. */
--- a/packages/forwarding/src/ContentGuard.ts
+++ b/packages/forwarding/src/ContentGuard.ts
@@ -14,6 +14,8 @@
     recordSent(): void;
     /** Records that a sampler answered without having run the content, or could not be reached. */
     recordNotRun(): void;
+    /** Whether the sampler had ended under another content before the attempt was sent. */
+    hadEnded(sampler: IncarnationId, sentAtMs: number, answeredAtMs: number): boolean;
     /** Records that an attempt broke off, `ageMs` ago. */
     recordBreak(sampler: IncarnationId, ageMs?: number): void;
     recordCompletion(): void;
--- a/packages/forwarding/src/UnansweredAttempts.ts
+++ b/packages/forwarding/src/UnansweredAttempts.ts
@@ -6,6 +6,8 @@
     record(sampler: IncarnationId, sentAtMs: number, onCrash: (ageMs: number) => void): void;
     /** Records that the sampler answered, so that it did not crash during the attempts recorded so far. */
     recordAnswer(sampler: IncarnationId): void;
+    /** Monotonic time of the sampler's latest answer; -Infinity if it has not answered. */
+    answeredAtMs(sampler: IncarnationId): number;
     /** Records that no connection to the sampler could be made. */
     recordFailure(sampler: IncarnationId): void;
 }
--- a/packages/forwarding/src/createBreakRegistry.test.ts
+++ b/packages/forwarding/src/createBreakRegistry.test.ts
@@ -284,6 +284,36 @@
     expect([laterGateway!.countBreaks(content), laterGateway!.pauseMs(content)]).toEqual([4, 5_000]);
 });
 
+test("an attempt at a sampler that had ended under another content says nothing, unless it answered meanwhile", async () => {
+    // Guards against harmless contents that stay refused because their trials meet samplers that are gone.
+    const clock = createFakeClock();
+    const registry = createBreakRegistry(clock);
+    registry.recordBreak("killer" as ContentDigest, sampler(0));
+    const endedAtMs = clock.monotonicMs();
+    const hadEnded = (
+        sentAfterMs: number,
+        answeredAtMs = -Infinity,
+        of = content,
+        at = sampler(0),
+    ): boolean => registry.hadEnded(of, at, endedAtMs + sentAfterMs, answeredAtMs);
+    await clock.advance(1_000);
+    expect({
+        after: hadEnded(500),
+        meanwhile: hadEnded(20),
+        muchLater: hadEnded(6_000),
+        answered: hadEnded(500, endedAtMs + 100),
+        itself: hadEnded(500, -Infinity, "killer" as ContentDigest),
+        elsewhere: hadEnded(500, -Infinity, content, sampler(1)),
+    }).toEqual({
+        after: true,
+        meanwhile: false,
+        muchLater: false,
+        answered: false,
+        itself: false,
+        elsewhere: false,
+    });
+});
+
 test("processes that know the same send no reports, and while nothing is known nothing is added", () => {
     const clock = createFakeClock();
     const [here, there] = [createBreakRegistry(clock), createBreakRegistry(clock)];
--- a/packages/forwarding/src/createBreakRegistry.ts
+++ b/packages/forwarding/src/createBreakRegistry.ts
@@ -20,6 +20,11 @@
 /** Reports of the contents that changed last; the others take turns in the rest of a message. */
 const latestReports = 16;
 
+/** The entry of a sampler that has ended is removed within this time; until then requests are sent to it. */
+const maxListedAfterEndMs = 5_000;
+/** Reported times are inexact by the time that messages take. */
+const reportToleranceMs = 50;
+
 /** A sampler has no VM here that outlives its start, so the start names both. */
 const createBreak = (sampler: IncarnationId, atMs: number): Break => ({
     vm: sampler as string as VmId,
@@ -105,6 +110,14 @@
         mayRetry: content => countBreaks(content) <= maxBreaksWithRetry,
         isEmpty: records.isEmpty,
         countBreaks,
+        hadEnded: (content, sampler, sentAtMs, answeredAtMs) => {
+            const fromMs = Math.max(answeredAtMs, sentAtMs - maxListedAfterEndMs);
+            const untilMs = sentAtMs - reportToleranceMs;
+            return records.list().some(({ digest, deaths }) =>
+                digest !== content
+                && deaths.some(({ bootId, atMs }) => bootId === sampler && fromMs < atMs && atMs < untilMs)
+            );
+        },
         recordBreak: (content, sampler, ageMs = 0) => {
             merge(content, [createBreak(sampler, clock.monotonicMs() - ageMs)], undefined);
         },
--- a/packages/forwarding/src/createContentGuard.ts
+++ b/packages/forwarding/src/createContentGuard.ts
@@ -44,6 +44,8 @@
         recordNotRun: () => {
             outcome = "notRun";
         },
+        hadEnded: (sampler, sentAtMs, answeredAtMs) =>
+            !breaks.isEmpty() && breaks.hadEnded(contentOf(), sampler, sentAtMs, answeredAtMs),
         recordBreak: (sampler, ageMs) => {
             outcome = "unknown";
             breaks.recordBreak(contentOf(), sampler, ageMs);
--- a/packages/forwarding/src/createUnansweredAttempts.ts
+++ b/packages/forwarding/src/createUnansweredAttempts.ts
@@ -13,6 +13,7 @@
 /** Longer than the entry of a silent sampler remains in the store. */
 const retentionMs = 15_000;
 const maxAttempts = 256;
+const maxSamplers = 4_096;
 
 /**
  * Creates the unanswered attempts of one process. A sampler that crashes may fall silent instead of resetting its
@@ -23,6 +24,8 @@
     { directory, clock }: { directory: SamplerDirectory; clock: Clock; },
 ): UnansweredAttempts {
     let attempts: UnansweredAttempt[] = [];
+    /** Times of the latest answers, in ascending order. */
+    const answersAtMs = new Map<IncarnationId, number>();
     let isChecking = false;
 
     function take(isTaken: (attempt: UnansweredAttempt) => boolean): UnansweredAttempt[] {
@@ -54,7 +57,15 @@
                 clock.startTimer(checkIntervalMs, check);
             }
         },
-        recordAnswer: answered => void take(({ sampler }) => sampler === answered),
+        recordAnswer: answered => {
+            take(({ sampler }) => sampler === answered);
+            answersAtMs.delete(answered);
+            answersAtMs.set(answered, clock.monotonicMs());
+            if (answersAtMs.size > maxSamplers) {
+                answersAtMs.delete(answersAtMs.keys().next().value!);
+            }
+        },
+        answeredAtMs: sampler => answersAtMs.get(sampler) ?? -Infinity,
         recordFailure: failed => take(({ sampler }) => sampler === failed).forEach(reportCrash),
     };
 }
--- a/packages/forwarding/src/recordAttemptEnd.ts
+++ b/packages/forwarding/src/recordAttemptEnd.ts
@@ -29,7 +29,13 @@
 ): void {
     const { request, sampler, outcome, sentAtMs, isGivenUp } = ended;
 
+    /** An attempt at a sampler that had already ended says nothing of its content. */
+    const hadEnded = (): boolean => content.hadEnded(sampler, sentAtMs, unanswered.answeredAtMs(sampler));
+
     function recordBreak(ageMs: number, isNoticedLater: boolean): void {
+        if (hadEnded()) {
+            return;
+        }
         content.recordBreak(sampler, ageMs);
         logger.info("breakRecorded", { request, sampler, isNoticedLater, ...content.describe() });
     }
@@ -45,7 +51,7 @@
     if (outcome.kind === "done" && outcome.answer.status < serverErrorStatus) {
         recordCompletion(outcome.answer.status);
     }
-    else if (outcome.kind !== "unknown") {
+    else if (outcome.kind !== "unknown" || hadEnded()) {
         content.recordNotRun();
     }
     else if (outcome.code === resultCodes.connectionBroken && !isGivenUp) {
