Store a content from its second break on, before its first trial

Cause: all processes were killed half a second after the first crashes, before any trial; what was known was in no record.

Change: the process that records the second break of a content writes its record, at most eight a second. One write for a content that broke off twice, and its removal once it is cleared.

--- a/packages/forwarding/src/createContentGuard.ts
+++ b/packages/forwarding/src/createContentGuard.ts
@@ -49,6 +49,9 @@
         recordBreak: (sampler, ageMs) => {
             outcome = "unknown";
             breaks.recordBreak(contentOf(), sampler, ageMs);
+            if (!breaks.mayRetry(contentOf())) {
+                trials.store(contentOf());
+            }
         },
         recordCompletion: () => {
             outcome = "completed";
--- a/packages/forwarding/src/createContentTrials.test.ts
+++ b/packages/forwarding/src/createContentTrials.test.ts
@@ -133,3 +133,18 @@
     await clock.advance(2_100);
     expect((await settle(store.list("content-trials/"))).objects).toEqual([]);
 });
+
+test("a content is stored before its first trial, so that it is known after all processes were killed", async () => {
+    // Guards against evidence that is lost when all processes are killed right after the first crashes.
+    const { clock, store, settle, createProcess, a } = createFixture();
+    [0, 1].forEach(at => a.breaks.recordBreak(content, sampler(at)));
+    a.trials.store(content);
+    a.trials.store(content);
+    await clock.advance(20);
+    const later = createProcess(4);
+    await settle(later.trials.restore());
+    expect(later.breaks.countBreaks(content)).toBe(2);
+    Array.from({ length: 20 }, (_, at) => a.trials.store(`other ${at}` as ContentDigest));
+    await clock.advance(50);
+    expect((await settle(store.list("content-trials/"))).objects.length).toBe(8);
+});
--- a/packages/forwarding/src/createContentTrials.ts
+++ b/packages/forwarding/src/createContentTrials.ts
@@ -10,6 +10,7 @@
 import type { ContentTrial } from "./ContentTrial.js";
 import type { ContentTrials } from "./ContentTrials.js";
 import { createKeptTrials } from "./createKeptTrials.js";
+import { createRecordStorage } from "./createRecordStorage.js";
 import { createSeenRecords } from "./createSeenRecords.js";
 import { createTrialRecords } from "./createTrialRecords.js";
 import type { StoredTrial } from "./StoredTrial.js";
@@ -63,6 +64,7 @@
         clock,
         (content, version) => update(() => store.remove(trialRecordKey(content), version)),
     );
+    const storeRecord = createRecordStorage({ store, records, seen, clock, update });
     /** Ends of the pauses found in the store, so that it is not asked again meanwhile. */
     const pausedUntilMs = new Map<ContentDigest, number>();
 
@@ -173,6 +175,7 @@
             }
             return decision;
         },
+        store: storeRecord,
         restore: async () => {
             const { objects } = await store.list(`${trialRecordsKind}/`);
             for (const object of objects) {
--- a/packages/forwarding/src/createLocalTrials.ts
+++ b/packages/forwarding/src/createLocalTrials.ts
@@ -4,6 +4,7 @@
 export function createLocalTrials(): ContentTrials {
     return {
         take: async () => ({ kind: "granted", trial: { end: () => undefined } }),
+        store: () => undefined,
         restore: async () => 0,
     };
 }
--- a/packages/forwarding/src/createSeenRecords.ts
+++ b/packages/forwarding/src/createSeenRecords.ts
@@ -7,6 +7,7 @@
     /** Adds a record in the store that this process wrote or read. */
     add(content: ContentDigest, version: ObjectVersion): void;
     forget(content: ContentDigest): void;
+    has(content: ContentDigest): boolean;
 }
 
 const checkIntervalMs = 2_000;
@@ -44,6 +45,7 @@
                 clock.startTimer(checkIntervalMs, check);
             }
         },
+        has: content => versions.has(content),
         forget: content => void versions.delete(content),
     };
 }
