--- a/packages/forwarding/src/createContentTrials.test.ts
+++ b/packages/forwarding/src/createContentTrials.test.ts
@@ -148,3 +148,18 @@
     await clock.advance(50);
     expect((await settle(store.list("content-trials/"))).objects.length).toBe(8);
 });
+
+test("what is known reaches the store although it answers too late for a trial", async () => {
+    // Guards against gateways that know nothing when they start, because every trial was granted without the store.
+    const { clock, control, take, createProcess, a } = createFixture();
+    control.setSlow(600);
+    [0, 1].forEach(at => a.breaks.recordBreak(content, sampler(at)));
+    a.trials.store(content);
+    const trial = grantedOf(await take(a.trials, 550));
+    a.breaks.recordBreak(content, sampler(2));
+    trial.end("unknown");
+    await clock.advance(3_000);
+    const later = createProcess(4);
+    const [contents] = await Promise.all([later.trials.restore(), clock.advance(1_000)]);
+    expect([contents, later.breaks.countBreaks(content)]).toEqual([1, 2]);
+});
