--- a/packages/forwarding/src/ContentTrials.ts
+++ b/packages/forwarding/src/ContentTrials.ts
@@ -12,7 +12,7 @@
         limitMs: number,
     ): Promise<{ kind: "granted"; trial: ContentTrial; } | { kind: "paused"; pauseMs: number; }>;
     /** Stores what is known of a content that may crash samplers, unless its record has been seen. */
-    store(content: ContentDigest): void;
+    storeBreaks(content: ContentDigest): void;
     /**
      * Reads what earlier processes knew from the store, and removes old records. Resolves with the number of records
      * found; rejects if the store does not answer.
--- a/packages/forwarding/src/createContentGuard.ts
+++ b/packages/forwarding/src/createContentGuard.ts
@@ -50,7 +50,7 @@
             outcome = "unknown";
             breaks.recordBreak(contentOf(), sampler, ageMs);
             if (!breaks.mayRetry(contentOf())) {
-                trials.store(contentOf());
+                trials.storeBreaks(contentOf());
             }
         },
         recordCompletion: () => {
--- a/packages/forwarding/src/createContentTrials.test.ts
+++ b/packages/forwarding/src/createContentTrials.test.ts
@@ -138,13 +138,13 @@
     // Guards against evidence that is lost when all processes are killed right after the first crashes.
     const { clock, store, settle, createProcess, a } = createFixture();
     [0, 1].forEach(at => a.breaks.recordBreak(content, sampler(at)));
-    a.trials.store(content);
-    a.trials.store(content);
+    a.trials.storeBreaks(content);
+    a.trials.storeBreaks(content);
     await clock.advance(20);
     const later = createProcess(4);
     await settle(later.trials.restore());
     expect(later.breaks.countBreaks(content)).toBe(2);
-    Array.from({ length: 20 }, (_, at) => a.trials.store(`other ${at}` as ContentDigest));
+    Array.from({ length: 20 }, (_, at) => a.trials.storeBreaks(`other ${at}` as ContentDigest));
     await clock.advance(50);
     expect((await settle(store.list("content-trials/"))).objects.length).toBe(8);
 });
@@ -154,7 +154,7 @@
     const { clock, control, take, createProcess, a } = createFixture();
     control.setSlow(600);
     [0, 1].forEach(at => a.breaks.recordBreak(content, sampler(at)));
-    a.trials.store(content);
+    a.trials.storeBreaks(content);
     const trial = grantedOf(await take(a.trials, 550));
     a.breaks.recordBreak(content, sampler(2));
     trial.end("unknown");
--- a/packages/forwarding/src/createContentTrials.ts
+++ b/packages/forwarding/src/createContentTrials.ts
@@ -64,7 +64,7 @@
         clock,
         (content, version) => update(() => store.remove(trialRecordKey(content), version)),
     );
-    const storeRecord = createRecordStorage({ store, records, seen, clock, update });
+    const storeBreaks = createRecordStorage({ store, records, seen, clock, update });
     /** Ends of the pauses found in the store, so that it is not asked again meanwhile. */
     const pausedUntilMs = new Map<ContentDigest, number>();
 
@@ -175,7 +175,7 @@
             }
             return decision;
         },
-        store: storeRecord,
+        storeBreaks,
         restore: async () => {
             const { objects } = await store.list(`${trialRecordsKind}/`);
             for (const object of objects) {
--- a/packages/forwarding/src/createLocalTrials.ts
+++ b/packages/forwarding/src/createLocalTrials.ts
@@ -4,7 +4,7 @@
 export function createLocalTrials(): ContentTrials {
     return {
         take: async () => ({ kind: "granted", trial: { end: () => undefined } }),
-        store: () => undefined,
+        storeBreaks: () => undefined,
         restore: async () => 0,
     };
 }
--- a/packages/forwarding/src/createRequestForwarder.ts
+++ b/packages/forwarding/src/createRequestForwarder.ts
@@ -11,13 +11,9 @@
 import type { RoutedRequest } from "./RoutedRequest.js";
 import { startForwarding } from "./startForwarding.js";
 
-/** The request with the time that it has left after it has waited. */
-function withoutWait(request: RoutedRequest, waitedMs: number): RoutedRequest {
-    const { deadlineMs } = request;
-    return deadlineMs === undefined || waitedMs === 0
-        ? request
-        : { ...request, deadlineMs: Math.max(0, deadlineMs - waitedMs) };
-}
+/** The request with the time that it has left after it has waited for its admission. */
+const afterWait = (request: RoutedRequest, waitedMs: number): RoutedRequest =>
+    waitedMs === 0 ? request : { ...request, deadlineMs: Math.max(0, requestLimitMs(request) - waitedMs) };
 
 /**
  * Creates the forwarder of plain requests. An idempotent request is retried on other samplers after a failure, and
@@ -46,7 +42,7 @@
             });
             return { kind: "failed", code, detail: "runs of this content broke off", retryAfterMs: pauseMs };
         }
-        const left = withoutWait(request, clock.monotonicMs() - startedAtMs);
+        const left = afterWait(request, clock.monotonicMs() - startedAtMs);
         const outcome = await new Promise<ForwardingOutcome>(resolve =>
             startForwarding(deps, tries, unanswered, content, left, signal, resolve)
         );
