--- a/packages/forwarding/src/createBreakRecords.ts
+++ b/packages/forwarding/src/createBreakRecords.ts
@@ -97,6 +97,7 @@
                 set({ ...merged!, reporter });
             }
             else {
+                // The times may have become more exact; the order of the latest changes remains.
                 Object.assign(known, merged);
             }
             return isChanged;
