--- a/packages/daemon/src/crashInducingRequest.test.ts
+++ b/packages/daemon/src/crashInducingRequest.test.ts
@@ -80,6 +80,26 @@
     60_000,
 );
 
+test.concurrent(
+    "a request that crashes samplers gets few retries while no runner runs and gateways are replaced",
+    async context => {
+        // Guards against processes that start with an older count, because later breaks did not reach the store.
+        const { bed, portAt, runner } = await startFleet(context);
+        await runner.shutdown();
+        for (let round = 0; round < 3; round++) {
+            void bed.sendCrashInducing(portAt(round));
+            await bed.sleep(sendIntervalMs);
+        }
+        for (let round = 0; round < rounds - 3; round++) {
+            const port = await bed.startReadyGateway(`front-new-${round}`);
+            void bed.sendCrashInducing(port);
+            await bed.sleep(sendIntervalMs);
+        }
+        expect(bed.countRuns().late).toBeLessThanOrEqual(allowedRetries);
+    },
+    60_000,
+);
+
 test.concurrent(
     "a harmless content that ran beside a request that crashes samplers is served again soon",
     async context => {
--- a/packages/forwarding/src/createContentTrials.test.ts
+++ b/packages/forwarding/src/createContentTrials.test.ts
@@ -163,3 +163,68 @@
     const [contents] = await Promise.all([later.trials.restore(), clock.advance(1_000)]);
     expect([contents, later.breaks.countBreaks(content)]).toEqual([1, 2]);
 });
+
+test("breaks that follow the first record are added to it, whichever process saw them", async () => {
+    // Guards against processes that start with the first two breaks of a content and each try it once more.
+    const { clock, settle, createProcess, a, b } = createFixture();
+    const knownAtStart = async (seed: number): Promise<number> => {
+        const later = createProcess(seed);
+        await settle(later.trials.restore());
+        return later.breaks.countBreaks(content);
+    };
+    [0, 1].forEach(at => a.breaks.recordBreak(content, sampler(at)));
+    a.trials.storeBreaks(content);
+    await clock.advance(50);
+    [2, 3].forEach(at => b.breaks.recordBreak(content, sampler(at)));
+    b.trials.storeBreaks(content);
+    await clock.advance(50);
+    const afterOther = await knownAtStart(4);
+    a.breaks.recordBreak(content, sampler(4));
+    a.trials.storeBreaks(content);
+    a.breaks.recordBreak(content, sampler(5));
+    a.trials.storeBreaks(content);
+    await clock.advance(50);
+    expect([afterOther, await knownAtStart(5)]).toEqual([4, 6]);
+});
+
+test("a trial whose break is stored is followed by the pause of that break at a process that starts", async () => {
+    // Guards against a trial that counts twice, by its break and as one that did not end.
+    const { clock, settle, take, createProcess, a } = createFixture();
+    [0, 1, 2].forEach(at => a.breaks.recordBreak(content, sampler(at)));
+    await clock.advance(1_000);
+    const trial = grantedOf(await take(a.trials));
+    a.breaks.recordBreak(content, sampler(3));
+    a.trials.storeBreaks(content);
+    trial.end("unknown");
+    await clock.advance(50);
+    const later = createProcess(4);
+    await settle(later.trials.restore());
+    expect([later.breaks.countBreaks(content), (await take(later.trials)).kind]).toEqual([4, "paused"]);
+    await clock.advance(10_000);
+    expect((await take(later.trials)).kind).toBe("granted");
+});
+
+test("a record that another process extends during a trial is removed, or released, all the same", async () => {
+    // Guards against harmless contents that stay refused because their trial no longer finds the record it wrote.
+    const { clock, store, settle, take, a, b } = createFixture();
+    const extend = async (at: number): Promise<void> => {
+        b.trials.storeBreaks(content);
+        b.breaks.recordBreak(content, sampler(at), 5_000);
+        b.trials.storeBreaks(content);
+        await clock.advance(50);
+    };
+    [0, 1].forEach(at => a.breaks.recordBreak(content, sampler(at)));
+    const notRun = grantedOf(await take(a.trials));
+    await extend(2);
+    notRun.end("notRun");
+    await clock.advance(2_500);
+    const [released] = (await settle(store.list("content-trials/"))).objects;
+    expect(released?.value).not.toHaveProperty("trial");
+    await clock.advance(10_000);
+    const completed = grantedOf(await take(a.trials));
+    await extend(3);
+    a.breaks.recordCompletion(content);
+    completed.end("completed");
+    await clock.advance(2_500);
+    expect((await settle(store.list("content-trials/"))).objects).toEqual([]);
+});
--- a/packages/forwarding/src/createContentTrials.ts
+++ b/packages/forwarding/src/createContentTrials.ts
@@ -11,6 +11,7 @@
 import type { ContentTrials } from "./ContentTrials.js";
 import { createKeptTrials } from "./createKeptTrials.js";
 import { createRecordStorage } from "./createRecordStorage.js";
+import { createRecordUpdates } from "./createRecordUpdates.js";
 import { createSeenRecords } from "./createSeenRecords.js";
 import { createTrialRecords } from "./createTrialRecords.js";
 import type { StoredTrial } from "./StoredTrial.js";
@@ -58,13 +59,17 @@
     const { store, breaks, clock, logger } = deps;
     const records = createTrialRecords(breaks, clock);
     const underWay = new Set<ContentDigest>();
-    const kept = createKeptTrials(clock, (content, stored) => void update(() => release(content, stored)));
+    const kept = createKeptTrials(
+        clock,
+        (content, stored) => void update(() => updates.release(content, stored)),
+    );
     const seen = createSeenRecords(
         breaks,
         clock,
-        (content, version) => update(() => store.remove(trialRecordKey(content), version)),
+        (content, version) => update(() => updates.remove(content, version)),
     );
-    const storeBreaks = createRecordStorage({ store, records, seen, clock, update });
+    const updates = createRecordUpdates({ store, records, mergeRecord, onWritten: seen.add });
+    const storeBreaks = createRecordStorage({ store, records, seen, clock, mergeRecord, update });
     /** Ends of the pauses found in the store, so that it is not asked again meanwhile. */
     const pausedUntilMs = new Map<ContentDigest, number>();
 
@@ -75,17 +80,6 @@
         });
     }
 
-    async function release(content: ContentDigest, { version }: StoredTrial): Promise<void> {
-        const outcome = await store.write(
-            trialRecordKey(content),
-            records.create(content, undefined),
-            version,
-        );
-        if (outcome.kind === "written") {
-            seen.add(content, outcome.version);
-        }
-    }
-
     function endStored(
         content: ContentDigest,
         stored: StoredTrial,
@@ -93,7 +87,7 @@
     ): void {
         if (outcome === "completed") {
             seen.forget(content);
-            void update(() => store.remove(trialRecordKey(content), stored.version));
+            void update(() => updates.remove(content, stored.version));
         }
         else if (outcome === "notRun") {
             kept.keep(content, stored);
