--- a/packages/forwarding/src/createContentTrials.test.ts
+++ b/packages/forwarding/src/createContentTrials.test.ts
@@ -204,27 +204,36 @@
     expect((await take(later.trials)).kind).toBe("granted");
 });
 
-test("a record that another process extends during a trial is removed, or released, all the same", async () => {
-    // Guards against harmless contents that stay refused because their trial no longer finds the record it wrote.
+/** Lets another process add a break from before the trial to the record. */
+async function extendRecord(
+    { clock, b }: Pick<ReturnType<typeof createFixture>, "clock" | "b">,
+    at: number,
+): Promise<void> {
+    b.breaks.recordBreak(content, sampler(at), 5_000);
+    b.trials.storeBreaks(content);
+    await clock.advance(50);
+}
+
+test("a trial that was not run is released although another process has extended the record", async () => {
+    // Guards against a trial that counts as one that did not end, because its process no longer finds its record.
     const { clock, store, settle, take, a, b } = createFixture();
-    const extend = async (at: number): Promise<void> => {
-        b.trials.storeBreaks(content);
-        b.breaks.recordBreak(content, sampler(at), 5_000);
-        b.trials.storeBreaks(content);
-        await clock.advance(50);
-    };
     [0, 1].forEach(at => a.breaks.recordBreak(content, sampler(at)));
-    const notRun = grantedOf(await take(a.trials));
-    await extend(2);
-    notRun.end("notRun");
+    const trial = grantedOf(await take(a.trials));
+    await extendRecord({ clock, b }, 2);
+    trial.end("notRun");
     await clock.advance(2_500);
-    const [released] = (await settle(store.list("content-trials/"))).objects;
-    expect(released?.value).not.toHaveProperty("trial");
-    await clock.advance(10_000);
-    const completed = grantedOf(await take(a.trials));
-    await extend(3);
+    const [record] = (await settle(store.list("content-trials/"))).objects;
+    expect(record?.value).not.toHaveProperty("trial");
+});
+
+test("a completed trial removes the record although another process has extended it", async () => {
+    // Guards against harmless contents that stay refused after all processes were restarted.
+    const { clock, store, settle, take, a, b } = createFixture();
+    [0, 1].forEach(at => a.breaks.recordBreak(content, sampler(at)));
+    const trial = grantedOf(await take(a.trials));
+    await extendRecord({ clock, b }, 2);
     a.breaks.recordCompletion(content);
-    completed.end("completed");
+    trial.end("completed");
     await clock.advance(2_500);
     expect((await settle(store.list("content-trials/"))).objects).toEqual([]);
 });
--- a/packages/forwarding/src/createRecordStorage.ts
+++ b/packages/forwarding/src/createRecordStorage.ts
@@ -36,7 +36,7 @@
     /** Contents whose record is being written; the value says whether more has become known since. */
     const writing = new Map<ContentDigest, boolean>();
 
-    /** Returns whether nothing is left to write, or too much was written lately. */
+    /** Returns whether to stop: the record has all breaks, or too many records were written lately. */
     async function writeOnce(content: ContentDigest, mayExist: boolean): Promise<boolean> {
         const key = trialRecordKey(content);
         const object = mayExist ? await store.read(key) : undefined;
--- a/packages/forwarding/src/createTrialRecords.ts
+++ b/packages/forwarding/src/createTrialRecords.ts
@@ -16,6 +16,7 @@
     extend(content: ContentDigest, object: StoredObject | undefined): TrialRecord | undefined;
     /** Merges the stored breaks into the registry, and returns the pause that the stored trial requires. */
     merge(content: ContentDigest, object: StoredObject | undefined): number;
+    /** Id of the trial that a stored record names. */
     trialIdOf(object: StoredObject | undefined): string | undefined;
     /** Whether a stored record has expired. */
     isOld(object: StoredObject): boolean;
