--- a/review/lib/createBed.mjs
+++ b/review/lib/createBed.mjs
@@ -85,6 +85,12 @@
     }
 
     process.once("exit", killAll);
+    for (const event of ["uncaughtException", "unhandledRejection"]) {
+        process.on(event, error => {
+            console.error(error);
+            process.exit(2);
+        });
+    }
     for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) {
         process.once(signal, () => process.exit(2));
     }
