--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,5 +1,5 @@
-// Runners end by themselves, again and again, when an answer to a reward call on a route that is not idempotent breaks
-// off in its body.
+// Runners end by themselves, again and again, when an answer to a reward call breaks off in the middle of its stream.
+// The route's streams may be resumed, so its requests may be repeated.
 import { fileURLToPath } from "node:url";
 import { encodeBatchJob, endBatchJob, readBatchJob, submitBatchJob } from "../lib/batchJobs.mjs";
 import {
@@ -27,7 +27,7 @@
         ...models.map((model, index) =>
             rolloutRoute({ name: `roll-${index}`, prefix: `/roll${index}/`, service: "engines" })
         ),
-        plainRoute({ name: "score", prefix: "/score/", service: "score", kind: "non_idempotent" }),
+        plainRoute({ name: "score", prefix: "/score/", service: "score", streaming: true, resumable: true }),
     ];
     const services = [engineService("engines", models), plainService("score")];
     bed.store.put("config", "main", encodeConfiguration({ version: 3, routes, services }));
@@ -36,8 +36,13 @@
             bed.startSampler({ id, service: "engines", models, eventIntervalMs: 20 })
         ),
     );
-    await bed.startSampler({ id: "i-score1", service: "score", ...(withTrouble ? { cutEach } : {}) });
-    await bed.startSampler({ id: "i-score2", service: "score" });
+    await bed.startSampler({
+        id: "i-score1",
+        service: "score",
+        streamsAnswers: true,
+        ...(withTrouble ? { cutEach } : {}),
+    });
+    await bed.startSampler({ id: "i-score2", service: "score", streamsAnswers: true });
     const gateways = await Promise.all([0, 1].map(index => bed.startProgram("gateway", index)));
     const runners = await Promise.all([0, 1].map(index => bed.startProgram("runner", index)));
     if (!await waitFor(() => [...gateways, ...runners].every(each => each.hasStarted), 15_000)) {
--- a/review/lib/configuration.mjs
+++ b/review/lib/configuration.mjs
@@ -16,15 +16,16 @@
 });
 
 /** A route of plain requests. */
-export const plainRoute = ({ name, prefix, service, kind = "idempotent" }) => ({
+export const plainRoute = ({ name, prefix, service, ...others }) => ({
     name,
     host: "a.example",
     "path-prefix": prefix,
-    kind,
+    kind: "idempotent",
     service,
     "max-attempts": 4,
     "target-latency-ms": 190,
     "timeout-ms": 1_500,
+    ...others,
 });
 
 /** A configuration in full. */
--- a/review/lib/samplerProcess.mjs
+++ b/review/lib/samplerProcess.mjs
@@ -3,7 +3,7 @@
 import { createServer } from "node:http";
 
 const options = JSON.parse(process.argv[2]);
-const { id, host, models, startVersions, eventIntervalMs, loadMs, cutEach } = options;
+const { id, host, models, startVersions, eventIntervalMs, loadMs, cutEach, streamsAnswers } = options;
 const versions = new Map(Object.entries(startVersions));
 let sequence = 0;
 let isBusy = false;
@@ -98,14 +98,25 @@
     }, eventIntervalMs);
 }
 
+const scoreEvents = 3;
+
+/** Body of an answer: some text, or a stream of events with increasing ids. */
+function bodyOf(requestId) {
+    if (!streamsAnswers) {
+        return `${id} ran ${requestId}`.padEnd(200, ".");
+    }
+    const numbers = Array.from({ length: scoreEvents }, (_, index) => index + 1);
+    return numbers.map(number => `id: ${number}\ndata: ${requestId}.${number}\n\n`).join("");
+}
+
 /** Answers a plain request; with `cutEach` = n, each n-th answer breaks off after half of its body. */
 function answerPlain(request, response, requestId) {
     report({ kind: "plain", request: requestId, path: request.url });
-    const text = `${id} ran ${requestId}`.padEnd(200, ".");
+    const text = bodyOf(requestId);
     response.writeHead(200, {
         "auburnarch-request-id": requestId,
         "auburnarch-response-signature": `${id}.${requestId}`,
-        "content-length": text.length,
+        ...(streamsAnswers ? { "content-type": "text/event-stream" } : { "content-length": text.length }),
     });
     plainAnswers++;
     if (cutEach !== undefined && plainAnswers % cutEach === 0) {
