Say why a read could not settle an unknown acceptance

A batch job whose accepting write got no answer is answered 502, and the log line named the write's error only.

The outcome now carries the error of the read, and the 502 and its log line name it. What is answered does not change.

--- a/packages/batches/src/createBatchJobStore.test.ts
+++ b/packages/batches/src/createBatchJobStore.test.ts
@@ -160,6 +160,17 @@
     expect(await here.accept(batchJob, 6)).toMatchObject({ kind: "unknown" });
 });
 
+test("an unknown acceptance says why it could not be settled by a read", async () => {
+    // Guards against logs that do not tell a read-back that failed from one that found nothing.
+    const refused = createFixtureWithFates(["served", "answerLost", "refused"]);
+    expect(await refused.here.accept(batchJob, 5)).toMatchObject({
+        error: { code: resultCodes.storeUnavailable },
+        readBackError: { code: resultCodes.storeThrottled },
+    });
+    const foundNothing = createFixtureWithFates(["served", "lost", "served"]);
+    expect(await foundNothing.here.accept(batchJob, 5)).not.toHaveProperty("readBackError");
+});
+
 test("a refused read leaves the outcome of an end unknown", async () => {
     // Guards against an end that is answered "not run" and takes effect.
     const { here } = createFixtureWithFates(["served", "served", "answerLost", "refused"]);
--- a/packages/batches/src/createBatchJobStore.ts
+++ b/packages/batches/src/createBatchJobStore.ts
@@ -41,6 +41,22 @@
 const expectedTokensOf = (items: BatchJobItem[]): number =>
     items.reduce((sum, item) => sum + (item.expectedOutputTokens ?? item.maxOutputTokens), 0);
 
+/**
+ * Resolves an unknown outcome by a read that finds what was written. Nothing else resolves it: neither a read that fails,
+ * nor one that finds nothing, since the write may still arrive.
+ */
+async function settleByRead(
+    unknown: { kind: "unknown"; error: unknown; },
+    read: () => Promise<object | undefined>,
+): Promise<ChangeOutcome> {
+    try {
+        return await read() === undefined ? unknown : { kind: "done" };
+    }
+    catch (readBackError) {
+        return { ...unknown, readBackError };
+    }
+}
+
 /** Removes the last chunk first: the remaining ones are found by their consecutive numbers after an interruption. */
 async function removeChunks(store: ObjectStore, keyOf: (number: number) => string): Promise<void> {
     const versions: ObjectVersion[] = [];
@@ -86,15 +102,11 @@
         return cacheEntry(batchJobId, object);
     }
 
-    /**
-     * A batch job exists once its entry does, so an unknown outcome of this write is resolved by a read that finds it.
-     * Nothing else resolves it: neither a read that fails, nor one that finds nothing, since the write may still arrive.
-     */
+    /** A batch job exists once its entry does, so an unknown outcome of this write is resolved by a read that finds it. */
     async function createEntry(batchJobId: BatchJobId, entry: BatchJobEntry): Promise<ChangeOutcome> {
         const attempted = await attemptChange(() => store.write(entryKey(batchJobId), entry, absent));
         if (attempted.kind === "unknown") {
-            const found = await readEntry(batchJobId).catch(() => undefined);
-            return found === undefined ? attempted : { kind: "done" };
+            return settleByRead(attempted, () => readEntry(batchJobId));
         }
         if (attempted.kind === "refused") {
             return attempted;
--- a/packages/gateway/src/createBatchJobHandler.ts
+++ b/packages/gateway/src/createBatchJobHandler.ts
@@ -43,7 +43,9 @@
         throw outcome.proof;
     }
     if (outcome.kind === "unknown") {
-        throw new ResultError(unknownCode, String(outcome.error));
+        const { error, readBackError } = outcome;
+        const suffix = readBackError === undefined ? "" : `; read back: ${String(readBackError)}`;
+        throw new ResultError(unknownCode, `${String(error)}${suffix}`);
     }
 }
 
