Answer a request whose key may have been forgotten as unknown, not as not run

Callers saw 409 keyTooOld with outcome notRun for a request whose key is older than the answer window, although it may have run under that key; a caller that mints a new key then runs it twice.

Cause: the record of keys returns a kind and a code, the entry passed on the code only, and the answer derived the outcome from it. keyTooOld has both meanings: minted too far ahead (not run), or perhaps forgotten (unknown).

Why it works: UnknownOutcomeError carries the kind, and outcomeOfError takes it before the code, for each code.

--- a/packages/bench/src/faults/createCaller.ts
+++ b/packages/bench/src/faults/createCaller.ts
@@ -1,6 +1,5 @@
 import type { CallerRequest } from "@auburnarch/entry/CallerRequest";
-import { outcomeOfCode } from "@auburnarch/entry/outcomeOfCode";
-import { codeOf } from "@auburnarch/errors/codeOf";
+import { outcomeOfError } from "@auburnarch/entry/outcomeOfError";
 import { hashText } from "@auburnarch/fakes/hashText";
 import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
 import type { ServiceId } from "@auburnarch/types/ServiceId";
@@ -102,7 +101,7 @@
             return ended.kind === "notSent" ? "notRun" : await checkAnswer(request, ended.answer);
         }
         catch (error) {
-            return outcomeOfCode(codeOf(error));
+            return outcomeOfError(error);
         }
         finally {
             sent.catch(() => undefined);
--- a/packages/bench/src/faults/createEntryPorts.ts
+++ b/packages/bench/src/faults/createEntryPorts.ts
@@ -1,5 +1,5 @@
 import type { ForwardPlain } from "@auburnarch/entry/ForwardPlain";
-import { outcomeOfCode } from "@auburnarch/entry/outcomeOfCode";
+import { outcomeOfError } from "@auburnarch/entry/outcomeOfError";
 import type { PeerCall } from "@auburnarch/entry/PeerCall";
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
@@ -81,7 +81,7 @@
             }
             catch (error) {
                 const code = codeOf(error);
-                return outcomeOfCode(code) === "notRun"
+                return outcomeOfError(error) === "notRun"
                     ? { kind: "notRun", code, retryAfterMs: undefined }
                     : { kind: "unknown", code };
             }
--- a/packages/entry/src/createServiceHandler.ts
+++ b/packages/entry/src/createServiceHandler.ts
@@ -1,6 +1,7 @@
 import type { Quarantine } from "@auburnarch/admission/Quarantine";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { UnknownOutcomeError } from "@auburnarch/errors/UnknownOutcomeError";
 import type { Metrics } from "@auburnarch/metrics/Metrics";
 import { createRetryBudget } from "@auburnarch/transport/createRetryBudget";
 import type { SendGuards } from "@auburnarch/transport/SendGuards";
@@ -58,8 +59,10 @@
     if (outcome.kind === "ran") {
         return outcome.answer;
     }
-    const retryAfterMs = outcome.kind === "notRun" ? outcome.retryAfterMs : undefined;
-    throw new ResultError(outcome.code, "", retryAfterMs);
+    if (outcome.kind === "unknown") {
+        throw new UnknownOutcomeError(outcome.code);
+    }
+    throw new ResultError(outcome.code, "", outcome.retryAfterMs);
 }
 
 /**
--- a/packages/entry/src/sendFailure.ts
+++ b/packages/entry/src/sendFailure.ts
@@ -3,7 +3,7 @@
 import type { ServerResponse } from "node:http";
 import { ManifestConflictError } from "./ManifestConflictError.js";
 import { ManifestInvalidError } from "./ManifestInvalidError.js";
-import { outcomeOfCode } from "./outcomeOfCode.js";
+import { outcomeOfError } from "./outcomeOfError.js";
 
 const millisecondsPerSecond = 1_000;
 
@@ -21,6 +21,7 @@
         return;
     }
     const code = codeOf(error);
+    const outcome = outcomeOfError(error);
     const detail = error instanceof ResultError ? error.detail : "";
     const retryAfterMs = error instanceof ResultError ? error.retryAfterMs : undefined;
     const body = Buffer.from(JSON.stringify({
@@ -28,7 +29,7 @@
         name: code.name,
         message: detail === "" ? code.meaning : `${code.meaning} (${detail})`,
         action: code.action,
-        outcome: outcomeOfCode(code),
+        outcome,
         retryAfterMs,
         faults: error instanceof ManifestInvalidError ? error.faults : undefined,
         current: error instanceof ManifestConflictError ? describeCurrent(error) : undefined,
@@ -36,7 +37,7 @@
     const headers: Record<string, string | number> = {
         "content-type": "application/json",
         "content-length": body.byteLength,
-        "x-auburnarch-outcome": outcomeOfCode(code),
+        "x-auburnarch-outcome": outcome,
     };
     if (retryAfterMs !== undefined) {
         headers["retry-after"] = Math.max(1, Math.ceil(retryAfterMs / millisecondsPerSecond));
--- a/packages/entry/src/serveEntry.test.ts
+++ b/packages/entry/src/serveEntry.test.ts
@@ -53,6 +53,7 @@
         code?: number;
         name?: string;
         action?: string;
+        outcome?: string;
         result?: unknown;
         error?: { code: number; };
     };
@@ -184,6 +185,18 @@
         );
 });
 
+test("a request whose key is older than the answer window is answered as unknown, not as not run", async () => {
+    // Guards against a caller that mints a new key for a request which ran before its key was forgotten.
+    await waitForOwnWrites();
+    const forgotten = newKey({ msecs: Date.now() - 3_600_000 });
+    const { status, json } = await send("POST /v1/services/tiles/alerts", {
+        token: entry.tokens.plume,
+        headers: { "idempotency-key": forgotten },
+        body: "{}",
+    });
+    expect([status, json.name, json.outcome]).toEqual([409, "keyTooOld", "unknown"]);
+});
+
 test("malformed or hostile JSON-RPC is answered with a numbered code", async () => {
     const call = (method: unknown, params?: unknown, id: unknown = 1) => ({
         jsonrpc: "2.0",
