Send a store call through a peer that is found while the direct call waits

What callers saw: a holder of the duties lost its lease although a peer reached the store, so no weights were loaded until the duties had been taken again.

Cause: while no relay could be used, a call was made directly and then bound to that way, also if a relay was found meanwhile; a direct call without an answer waits 1.2 s.

Why it works: a call that no relay could take looks for one every 250 ms until its direct copy has ended. Copies are conditional on a version as before, and a call that was never sent to a peer is not settled as a repeated one.

--- a/packages/feeds/src/createRelayingStore.test.ts
+++ b/packages/feeds/src/createRelayingStore.test.ts
@@ -24,7 +24,14 @@
 const callTimeoutMs = 1_200;
 
 function createFixture(
-    options: { direct: Fate[]; relayed: Fate[]; isDoubtful?: boolean; answersOthers?: boolean; },
+    options: {
+        direct: Fate[];
+        relayed: Fate[];
+        isDoubtful?: boolean;
+        answersOthers?: boolean;
+        /** No relay can be used before. */
+        relayFoundAtMs?: number;
+    },
 ) {
     const clock = createFakeClock();
     const { store, control } = createFakeObjectStore({ clock, random: createRandom(1), latencyMs: 4 });
@@ -81,7 +88,10 @@
     let next = 0;
     const dropped: string[] = [];
     const relays: StoreRelays = {
-        choose: async () => next < options.relayed.length ? { name: `storage-${next}`, address } : undefined,
+        choose: async () =>
+            next < options.relayed.length && clock.monotonicMs() >= (options.relayFoundAtMs ?? 0)
+                ? { name: `storage-${next}`, address }
+                : undefined,
         confirm: () => {},
         drop: (name, excludeMs, reason) => {
             dropped.push(`${name} ${reason} ${excludeMs}`);
@@ -154,6 +164,24 @@
     expect([none.sent, foreign.sent]).toEqual([["direct"], ["direct"]]);
 });
 
+test("a call that found no relay goes through one as soon as there is one", async () => {
+    // Guards against a lease that lapses while its renewal waits for a store that a peer reaches by then.
+    for (const relayFoundAtMs of [200, 500, 800]) {
+        const { clock, relaying, sent } = createFixture({
+            direct: ["lost"],
+            relayed: ["served"],
+            isDoubtful: true,
+            relayFoundAtMs,
+        });
+        const answered = relaying.write("lots/a", { n: 1 }, absent);
+        await clock.advance(relayFoundAtMs + 300);
+        expect([await Promise.race([answered, "no answer yet"]), sent]).toMatchObject([{ kind: "written" }, [
+            "direct",
+            "storage-0",
+        ]]);
+    }
+});
+
 test("a removal that is sent twice is reported as done once", async () => {
     const { store, relaying, settle, clock } = createFixture({ direct: ["answerLost"], relayed: ["served"] });
     const stored = store.write("lots/a", 1, absent);
--- a/packages/feeds/src/createRelayingStore.ts
+++ b/packages/feeds/src/createRelayingStore.ts
@@ -24,6 +24,8 @@
 }
 
 const recheckMs = 50;
+/** While no runner can be used, one is looked for this often until the direct call is answered or gives up. */
+const relayRetryMs = 250;
 
 type KnownAnswer = Exclude<StoreCallAnswer, { kind: "refused" | "unknown"; }>;
 
@@ -56,8 +58,8 @@
 
 /**
  * Creates a store whose reads, writes and removals go through a peer while this process's own calls do not reach the
- * store. While they do, a call is also sent through a peer if it fails or has no answer for `suspectAfterMs`. Without a
- * usable peer every call is made directly, as without relays. Lists and watches are not relayed.
+ * store. While they do, or while no peer can be used, a call is made directly, and also sent through a peer if it fails or
+ * has no answer for `suspectAfterMs`. Lists and watches are not relayed.
  */
 export function createRelayingStore(deps: RelayingStoreDeps): ObjectStore {
     const { direct, clock } = deps;
@@ -88,6 +90,30 @@
         return answer;
     }
 
+    /**
+     * Sends a call through a peer as soon as one can be used. Resolves with `notSent` if the direct call has ended by then;
+     * `isSent` is false for as long as no peer has the call.
+     */
+    function relayOnceFound(call: StoreCall, directAnswer: Promise<StoreCallAnswer>) {
+        const state = { isSent: true, hasDirectEnded: false };
+        const directEnd = directAnswer.then(() => {
+            state.hasDirectEnded = true;
+        });
+        const relay = async (): Promise<StoreCallAnswer | { kind: "notSent"; }> => {
+            state.isSent = true;
+            const answer = await deps.relayCall(call);
+            state.isSent = answer.kind !== "notSent";
+            if (state.isSent || state.hasDirectEnded) {
+                return answer;
+            }
+            const waited = new AbortController();
+            await Promise.race([directEnd, clock.sleep(relayRetryMs, waited.signal)]);
+            waited.abort();
+            return state.hasDirectEnded ? answer : relay();
+        };
+        return { answer: relay(), isSent: () => state.isSent };
+    }
+
     /** The direct call is not given up: its answer may still arrive before that of a peer. */
     async function callBoth(call: StoreCall): Promise<KnownAnswer> {
         const performed = performStoreCall(direct, call);
@@ -96,13 +122,13 @@
         if (early !== undefined && isKnown(early)) {
             return early;
         }
-        const relayed = deps.relayCall(call);
-        const known = await firstKnown([directAnswer, relayed]);
-        const relayedKind = (known === undefined ? await relayed : await peek(relayed))?.kind;
+        const relayed = relayOnceFound(call, directAnswer);
+        const known = await firstKnown([directAnswer, relayed.answer]);
         if (known !== undefined) {
-            return relayedKind === "notSent" ? known : settleRepeatedCall(call, known) as KnownAnswer;
+            return relayed.isSent() ? settleRepeatedCall(call, known) as KnownAnswer : known;
         }
         const { answer, error } = await performed;
+        const relayedKind = (await relayed.answer).kind;
         if (relayedKind === "notSent") {
             throw error;
         }
@@ -118,7 +144,7 @@
             return answer;
         }
         if (answer.kind === "notSent") {
-            return callDirectly(call);
+            return callBoth(call);
         }
         throw answer.kind === "refused"
             ? storeThrottled("refused through a peer")
@@ -153,8 +179,3 @@
         remove: (key, expectedVersion) => change({ call: "remove", key, expectedVersion }),
     };
 }
-
-/** The value of a promise if it is resolved already. */
-function peek<T>(pending: Promise<T>): Promise<T | undefined> {
-    return Promise.race([pending, Promise.resolve(undefined)]);
-}
