--- a/packages/forwarding/src/admission/admission.test.ts
+++ b/packages/forwarding/src/admission/admission.test.ts
@@ -97,6 +97,18 @@
     },
 );
 
+test("a small team is served beside one that presses, also where a slot is held for longer than a request may wait", async () => {
+    // Guards against a shortage in which nobody may wait, so that slots go to the team that arrives most often.
+    const records = (await Promise.all([1, 2, 3].map(async seed => {
+        const fixture = createLoadFixture({ samplers: [[2, 150]], gateways: 1, hasAdmission: true, seed });
+        const pressing = [{ team: "large", requestsPerS: 17 }, { team: "small", requestsPerS: 2 }];
+        const played = playCallers({ ...fixture, teams: pressing, targetMs: 200, durationMs: 20_000 });
+        await fixture.clock.advance(23_000);
+        return played;
+    }))).flat();
+    expect(shareOf(ofTeam(records, "small"), isServed)).toBeGreaterThanOrEqual(0.99);
+});
+
 test("the team of the highest priority is answered in time more often than any other of that size", async () => {
     // Guards against a priority without effect. One run has 70 requests of this team, too few to compare by seed.
     const records = (await Promise.all([1, 2, 3].map(seed => play(true, seed)))).flatMap(played =>
