--- a/packages/feeds/src/chooseStoreRelay.ts
+++ b/packages/feeds/src/chooseStoreRelay.ts
@@ -5,6 +5,7 @@
 
 /** Reports are requested every 400 ms; an older one no longer shows that the store answers the runner. */
 const maxReportAgeMs = 1_000;
+
 const canRelay = ({ reach, isLeaving, reportAgeMs, isExcluded }: RelayCandidate): boolean =>
     reach !== undefined && !isStoreDoubtful(reach) && !isLeaving && !isExcluded
     && reportAgeMs < maxReportAgeMs;
