--- a/review/lib-2/createDeployment.mjs
+++ b/review/lib-2/createDeployment.mjs
@@ -100,6 +100,8 @@
                 stdio: ["ignore", "pipe", "pipe"],
             });
             child = started;
+            const killAtExit = () => started.kill("SIGKILL");
+            process.once("exit", killAtExit);
             const killer = setTimeout(() => started.kill("SIGKILL"), maxLifetimeMs);
             for (const stream of [started.stdout, started.stderr]) {
                 createInterface({ input: stream }).on("line", line => lines.push(line));
@@ -107,6 +109,7 @@
             ended = new Promise(resolve => {
                 started.once("exit", (code, signal) => {
                     clearTimeout(killer);
+                    process.removeListener("exit", killAtExit);
                     if (!isClosing) {
                         record({ event: "processEnded", name, code, signal, isEndRequested });
                     }
