--- a/review/lib-2/createDeployment.mjs
+++ b/review/lib-2/createDeployment.mjs
@@ -1,5 +1,6 @@
 import { spawn } from "node:child_process";
 import { mkdir, mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { createInterface } from "node:readline";
@@ -8,8 +9,6 @@
 import { fillTemplate } from "./fillTemplate.mjs";
 
 const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
-const clientPort = 8149;
-const readyPort = 8141;
 const zones = ["pamplona", "lugo", "burgos", "bilbao"];
 const classes = { gateway: "front", runner: "storage" };
 const maxLifetimeMs = 115_000;
@@ -45,6 +44,14 @@
     "thaw-ms": 300,
 };
 
+async function findFreePort() {
+    const server = createServer();
+    await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address();
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
 /** The command of a role and the path of its template, from the deploy file. */
 async function readRole(role) {
     const deployFile = await readFile(join(root, "deploy/system.toml"), "utf8");
@@ -58,6 +65,11 @@
  */
 export async function createDeployment({ store, gateways, runners, record }) {
     const folder = await mkdtemp(join(tmpdir(), "auburnarch-review-"));
+    const [clientPort, readyPort, internalPort] = [
+        await findFreePort(),
+        await findFreePort(),
+        await findFreePort(),
+    ];
     const processes = [];
     let hosts = 10;
     let isClosing = false;
@@ -75,7 +87,7 @@
             "ip": host,
             zone,
             "region": "norte",
-            "internal-ports": [7_380, 7_395],
+            "internal-ports": [internalPort, internalPort],
             "listen-addrs": role === "gateway"
                 ? { front: `${host}:${clientPort}`, ready: `${host}:${readyPort}` }
                 : {},
--- a/review/lib-2/sendCall.mjs
+++ b/review/lib-2/sendCall.mjs
@@ -2,7 +2,7 @@
 
 /**
  * Sends a client's call on a new connection. Resolves with status, headers and body, or with why there is no complete
- * answer; never rejects.
+ * answer; never rejects. With an agent the connection may be a kept one, as `isKept` says.
  */
 export function sendCall(
     { host, port, method, path, headers = {}, body = "", limitMs = 4_000, agent = false },
@@ -21,7 +21,7 @@
                 const chunks = [];
                 const { statusCode: status, headers: answerHeaders } = answer;
                 answer.on("data", chunk => chunks.push(chunk));
-                answer.on("error", error => resolve({ status: 0, detail: error.message }));
+                answer.on("error", error => resolve({ status: 0, detail: error.message, isKept: isKept() }));
                 answer.on(
                     "end",
                     () =>
@@ -33,8 +33,9 @@
                 );
             },
         );
+        const isKept = () => sent.reusedSocket;
         sent.setTimeout(limitMs, () => sent.destroy(new Error("client gave up")));
-        sent.on("error", error => resolve({ status: 0, detail: error.message }));
+        sent.on("error", error => resolve({ status: 0, detail: error.message, isKept: isKept() }));
         sent.end(body);
     });
 }
