Take an answer without a length as whole only if its sender closed it

Beside samplers whose answers never end, items were `completed` with no text at all.

Cause: Node ends a body that is delimited by the end of its connection as complete however the connection ends. In these orders of events the reader saw a whole answer: - a reset: `error` on the request (dropped, the head had been answered), then `end` of the message; - a destroy by this process, for a deadline, a stalled run, a hedge that won or an attempt that was given up: the message is drained and ends; - a reset that arrives together with the last bytes: no error at all, since libuv reports a hangup after a partial read as an end; - a destroy while a whole message is paused: no event, so that its reader waits forever; - over TLS, a connection that is closed below TLS. `message.complete` is true in all but the last but one.

Change: `trackResponseEnd` says whether a response is whole: a delimited one by the parser, any other only if the sender closed the connection, which must then still have a remote address. An exchange that is given up fails its body at once. All that goes through `exchangeHttp` has the fix: plain requests, streams, items, reward calls, orders and reports of samplers, store calls and watches, usage reports, calls between processes. Bytes that follow a whole answer still don't spoil it.

--- /dev/null
+++ b/packages/streams/src/trackResponseEnd.ts
@@ -0,0 +1,31 @@
+import type { IncomingMessage } from "node:http";
+import { TLSSocket } from "node:tls";
+
+const bodilessStatuses = new Set([204, 304]);
+
+/** Any other body ends with the connection. */
+function isDelimited({ headers, statusCode = 0 }: IncomingMessage, method: string): boolean {
+    const encoding = headers["transfer-encoding"];
+    const isFramed = encoding === undefined ? "content-length" in headers : /\bchunked\s*$/i.test(encoding);
+    return isFramed || method === "HEAD" || bodilessStatuses.has(statusCode);
+}
+
+/**
+ * To be called as soon as the head of a response is received; returns whether the response, once it has ended, is the
+ * sender's whole response. Node reports a body that ends with the connection as complete however the connection ends:
+ * only a sender that closed it has ended the body.
+ */
+export function trackResponseEnd(response: IncomingMessage, method: string): () => boolean {
+    const { socket } = response;
+    if (isDelimited(response, method)) {
+        return () => response.complete;
+    }
+    let isClosedBySender = false;
+    // Before the listener that closes this side, which would also clear the address.
+    socket.prependOnceListener("end", () => {
+        // Node also reports a reset as an end if it arrives together with the last bytes, but then there is no remote
+        // address any more. Over TLS it does not report whether the other side closed the connection.
+        isClosedBySender = socket.remoteAddress !== undefined && !(socket instanceof TLSSocket);
+    });
+    return () => response.complete && isClosedBySender;
+}
--- a/packages/transport/src/exchangeHttp.ts
+++ b/packages/transport/src/exchangeHttp.ts
@@ -1,6 +1,7 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import { createByteStream } from "@auburnarch/streams/createByteStream";
+import { trackResponseEnd } from "@auburnarch/streams/trackResponseEnd";
 import type { Clock } from "@auburnarch/types/Clock";
 import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 import { Agent as HttpsAgent } from "node:https";
@@ -45,7 +46,11 @@
             resolve({ kind: "notWritten", detail: error instanceof Error ? error.message : String(error) });
             return;
         }
-        const abortRequest = (): void => void request.destroy(new Error("given up"));
+        let failBody = (): void => {};
+        const abortRequest = (): void => {
+            request.destroy(new Error("given up"));
+            failBody();
+        };
         call.signal.addEventListener("abort", abortRequest);
         const cancelTimer = call.clock.startTimer(call.timeoutMs, () => {
             timedOut = true;
@@ -74,8 +79,10 @@
         const failUnanswered = (): void => fail("closed without a response");
         request.once("response", message => {
             request.removeListener("close", failUnanswered);
-            const body = readMessage(request, message, release);
-            resolve({ kind: "answered", status: message.statusCode ?? 0, headers: message.headers, body });
+            const response = readResponse(request, message, release);
+            failBody = response.fail;
+            const { statusCode = 0, headers } = message;
+            resolve({ kind: "answered", status: statusCode, headers, body: response.body });
         });
         request.on("error", error => fail(error.message));
         request.once("close", failUnanswered);
@@ -96,12 +103,18 @@
     return !socket.connecting && isReady;
 }
 
-/** Streams the body of a response; it rejects if the connection ends before the message does. */
-function readMessage(
-    request: ClientRequest,
-    message: IncomingMessage,
-    release: () => void,
-): AsyncIterable<Uint8Array> {
+interface ResponseReader {
+    body: AsyncIterable<Uint8Array>;
+    /** Makes the body reject unless it has ended. */
+    fail: () => void;
+}
+
+/**
+ * Streams the body of a response; it rejects if the connection ends, or this process destroys it, before the response
+ * is whole. Bytes that follow a whole response do not belong to it.
+ */
+function readResponse(request: ClientRequest, message: IncomingMessage, release: () => void): ResponseReader {
+    const isWhole = trackResponseEnd(message, request.method);
     const stream = createByteStream({
         onDrain: () => void message.resume(),
         onCancel: () => void request.destroy(),
@@ -111,16 +124,21 @@
             message.pause();
         }
     });
-    const failBody = (): void => {
+    const fail = (): void => {
         release();
         stream.fail(new ResultError(resultCodes.connectionBroken, "the answer was cut short"));
     };
     message.once("end", () => {
         release();
-        message.removeListener("close", failBody);
-        stream.end();
+        message.removeListener("close", fail);
+        if (isWhole()) {
+            stream.end();
+        }
+        else {
+            fail();
+        }
     });
-    message.once("error", failBody);
-    message.once("close", failBody);
-    return stream.body;
+    message.once("error", fail);
+    message.once("close", fail);
+    return { body: stream.body, fail };
 }
