Check the end of answers also in the clients of the own interface

What callers saw: a plain service behind the sidecar that answers without a length and is reset, or does not end within its time limit: its caller got 200 with a part of the body.

`createHttpPlainBackend` asked `message.complete`, which Node sets however such a connection ends. The JSON clients (object API, engine orders, peers, entry, operator) took what had come, and were saved only by the parser, which refuses most parts of a JSON text.

Change: all of them ask `trackResponseEnd`. Completions of engines have their own last event and were right.

--- a/packages/cli/src/createOperatorClient.ts
+++ b/packages/cli/src/createOperatorClient.ts
@@ -1,4 +1,5 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { trackResponseEnd } from "@auburnarch/streams/trackResponseEnd";
 import type { OperatorError } from "@auburnarch/types/OperatorError";
 import { type IncomingMessage, request as httpRequest } from "node:http";
 import { request as httpsRequest } from "node:https";
@@ -27,7 +28,13 @@
     });
 }
 
-async function readText(response: IncomingMessage): Promise<string> {
+interface Answer {
+    response: IncomingMessage;
+    /** Whether the response, once it has ended, is complete. */
+    isWhole: () => boolean;
+}
+
+async function readText({ response, isWhole }: Answer): Promise<string> {
     const parts: Buffer[] = [];
     let bytes = 0;
     for await (const part of response) {
@@ -38,6 +45,9 @@
         }
         parts.push(part as Buffer);
     }
+    if (!isWhole()) {
+        throw new Error("the answer was cut short");
+    }
     return Buffer.concat(parts).toString("utf8");
 }
 
@@ -45,7 +55,7 @@
 export function createOperatorClient(entryUrl: string, token: string): OperatorClient {
     const startRequest = entryUrl.startsWith("https:") ? httpsRequest : httpRequest;
 
-    function send(method: string, path: string, body: unknown): Promise<IncomingMessage> {
+    function send(method: string, path: string, body: unknown): Promise<Answer> {
         const bytes = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
         const headers = {
             "authorization": `Bearer ${token}`,
@@ -55,7 +65,9 @@
         };
         return new Promise((resolve, reject) => {
             const request = startRequest(new URL(path, entryUrl), { method, headers, timeout: timeoutMs });
-            request.on("response", resolve);
+            request.on("response", response => {
+                resolve({ response, isWhole: trackResponseEnd(response, method) });
+            });
             request.on("error", reject);
             request.on("timeout", () => request.destroy(new Error(`no answer within ${timeoutMs} ms`)));
             request.end(bytes);
@@ -66,9 +78,9 @@
         let status: number;
         let value: unknown;
         try {
-            const response = await send(method, path, body);
-            status = response.statusCode ?? 0;
-            value = JSON.parse(await readText(response));
+            const answer = await send(method, path, body);
+            status = answer.response.statusCode ?? 0;
+            value = JSON.parse(await readText(answer));
         }
         catch (error) {
             throw unreachable(entryUrl, error instanceof Error ? error.message : String(error));
--- a/packages/daemon/src/callEntry.ts
+++ b/packages/daemon/src/callEntry.ts
@@ -1,6 +1,7 @@
 import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { trackResponseEnd } from "@auburnarch/streams/trackResponseEnd";
 import { request as httpRequest } from "node:http";
 import type { Agent } from "node:http";
 
@@ -53,10 +54,15 @@
             headers,
             timeout: timeoutMs,
         }, answer => {
+            const isWhole = trackResponseEnd(answer, method);
             const chunks: Buffer[] = [];
             answer.on("data", (chunk: Buffer) => chunks.push(chunk));
             answer.on("error", error => reject(broken(error)));
             answer.on("end", () => {
+                if (!isWhole()) {
+                    reject(broken(new Error("answer cut short")));
+                    return;
+                }
                 try {
                     resolve(parseAnswer(answer.statusCode ?? 0, Buffer.concat(chunks).toString()));
                 }
--- a/packages/entry/src/createPeerCall.ts
+++ b/packages/entry/src/createPeerCall.ts
@@ -1,6 +1,7 @@
 import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { trackResponseEnd } from "@auburnarch/streams/trackResponseEnd";
 import { sidecarHeaders } from "@auburnarch/transport/sidecarHeaders";
 import { isJSONRPCResponse, JSONRPCClient, JSONRPCErrorException } from "json-rpc-2.0";
 import { Agent, type AgentOptions, request as httpRequest } from "node:http";
@@ -68,6 +69,7 @@
         };
         return new Promise((resolve, reject) => {
             const request = startRequest(url, options, answer => {
+                const isWhole = trackResponseEnd(answer, "POST");
                 const chunks: Buffer[] = [];
                 let answerBytes = 0;
                 answer.on("data", (chunk: Buffer) => {
@@ -80,6 +82,10 @@
                 });
                 answer.on("error", reject);
                 answer.on("end", () => {
+                    if (!isWhole()) {
+                        reject(new Error("answer cut short"));
+                        return;
+                    }
                     try {
                         resolve(JSON.parse(Buffer.concat(chunks).toString()));
                     }
--- a/packages/store/src/createHttpPlainBackend.ts
+++ b/packages/store/src/createHttpPlainBackend.ts
@@ -1,5 +1,6 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { trackResponseEnd } from "@auburnarch/streams/trackResponseEnd";
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
 import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
 import type { PlainBackend } from "@auburnarch/types/PlainBackend";
@@ -51,7 +52,10 @@
     return () => mayHaveSent;
 }
 
-async function* readAnswerBody(response: IncomingMessage): AsyncGenerator<Uint8Array> {
+async function* readAnswerBody(
+    response: IncomingMessage,
+    isWhole: () => boolean,
+): AsyncGenerator<Uint8Array> {
     try {
         for await (const part of response) {
             yield part as Buffer;
@@ -60,7 +64,7 @@
     catch (error) {
         throw new ResultError(resultCodes.connectionBroken, String(error));
     }
-    if (!response.complete) {
+    if (!isWhole()) {
         throw new ResultError(resultCodes.connectionBroken, "response body was truncated");
     }
 }
@@ -99,7 +103,8 @@
             sent.on("response", response => {
                 const headers = toForwardedHeaders(response.headers);
                 const status = response.statusCode ?? 502;
-                resolve({ kind: "ran", answer: { status, headers, body: readAnswerBody(response) } });
+                const body = readAnswerBody(response, trackResponseEnd(response, request.method));
+                resolve({ kind: "ran", answer: { status, headers, body } });
             });
             sent.end(request.body);
         });
--- a/packages/store/src/createJsonClient.ts
+++ b/packages/store/src/createJsonClient.ts
@@ -1,6 +1,7 @@
 import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { trackResponseEnd } from "@auburnarch/streams/trackResponseEnd";
 import type { ResultCode } from "@auburnarch/types/ResultCode";
 import { Agent, type IncomingMessage, request as startRequest } from "node:http";
 import type { HttpClientOptions } from "./HttpClientOptions.js";
@@ -11,7 +12,13 @@
 const maxAnswerBytes = 16_000_000;
 const conflictStatus = 409;
 
-async function readJson(response: IncomingMessage): Promise<unknown> {
+interface Answer {
+    response: IncomingMessage;
+    /** Whether the response, once it has ended, is complete. */
+    isWhole: () => boolean;
+}
+
+async function readJson({ response, isWhole }: Answer): Promise<unknown> {
     const parts: Buffer[] = [];
     let bytes = 0;
     for await (const part of response) {
@@ -22,6 +29,9 @@
         }
         parts.push(part as Buffer);
     }
+    if (!isWhole()) {
+        throw new Error("answer cut short");
+    }
     return bytes === 0 ? undefined : JSON.parse(Buffer.concat(parts).toString("utf8")) as unknown;
 }
 
@@ -44,7 +54,7 @@
     const { timeoutMs = defaultTimeoutMs, maxConnections = defaultMaxConnections } = options;
     const agent = new Agent({ keepAlive: true, maxSockets: maxConnections });
 
-    function send(method: string, path: string, body: unknown, limitMs: number): Promise<IncomingMessage> {
+    function send(method: string, path: string, body: unknown, limitMs: number): Promise<Answer> {
         const bytes = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
         const headers = bytes === undefined
             ? {}
@@ -56,7 +66,9 @@
                 headers,
                 timeout: limitMs,
             });
-            request.on("response", resolve);
+            request.on("response", response => {
+                resolve({ response, isWhole: trackResponseEnd(response, method) });
+            });
             request.on("error", reject);
             request.on("timeout", () => request.destroy(new Error("timeout")));
             request.end(bytes);
@@ -70,8 +82,8 @@
         limitMs: number,
     ): Promise<{ status: number; value: unknown; }> {
         try {
-            const response = await send(method, path, body, limitMs);
-            return { status: response.statusCode ?? 0, value: await readJson(response) };
+            const answer = await send(method, path, body, limitMs);
+            return { status: answer.response.statusCode ?? 0, value: await readJson(answer) };
         }
         catch (error) {
             throw new ResultError(faultCode, error instanceof Error ? error.message : String(error));
--- a/packages/store/src/httpAdapters.test.ts
+++ b/packages/store/src/httpAdapters.test.ts
@@ -30,6 +30,7 @@
 import type { VmId } from "@auburnarch/types/VmId";
 import type { VmRecord } from "@auburnarch/types/VmRecord";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { afterEach, expect, test } from "vitest";
 import { createHttpEngine } from "./createHttpEngine.js";
 import { createHttpObjectStore } from "./createHttpObjectStore.js";
@@ -208,3 +209,39 @@
     expect(outcome.kind).toBe("ran");
     expect(control.runsByAttempt().get("p1")).toBe(1);
 });
+
+const cuts: Record<string, (connection: Socket) => void> = {
+    "is reset with its last bytes": connection => void connection.resetAndDestroy(),
+    "is reset": connection => void setTimeout(() => connection.resetAndDestroy(), 30),
+    "never ends": () => {},
+};
+
+test.each(Object.keys(cuts))("an answer without a length that %s is not taken for a whole one", async cut => {
+    // Guards against a part of a body that is delivered as the whole.
+    const connections = new Set<Socket>();
+    const server = createServer(connection => {
+        connections.add(connection);
+        connection.on("error", () => {});
+        connection.once("data", head => {
+            connection.write(`HTTP/1.1 200 OK\r\n\r\n${head.includes("/tile") ? "half" : ""}`);
+            cuts[cut]!(connection);
+        });
+    });
+    servers.push({
+        port: 0,
+        close: async () => {
+            connections.forEach(connection => connection.destroy());
+            server.close();
+        },
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const store = createHttpObjectStore(address, { timeoutMs: 100 });
+    const plain = await createHttpPlainBackend(address)(plainRequest(), AbortSignal.timeout(100));
+    const names = [
+        await codeName(store.read("a")),
+        await codeName(plain.kind === "ran" ? textOf(plain.answer.body) : Promise.resolve()),
+    ];
+    store.close();
+    expect(names).toEqual(["storeUnavailable", "connectionBroken"]);
+});
