Send an item again soon after samplers crashed under it

What callers saw: the users report a system in which several servers died under the same sound item, and the item was never placed again. It can happen here: with three or more bursts of crashes before the first event of a run, items wait 1 s, 10 s, 100 s, up to an hour, also at the runner that takes their batch job over, and expire with their step.

Cause: a content whose attempts break off without output was suspected of crashing its samplers, for items as for requests. The users now say that what is handed in for later never crashes servers by itself and is still owed, so such a break says nothing about an item.

Change: items neither ask nor feed the registry of suspected contents (`createItemBreaks` and `SampleBreaks` are gone), so a request with the same path and body isn't suspected for an item either.

--- a/packages/dispatch/src/DispatcherDeps.ts
+++ b/packages/dispatch/src/DispatcherDeps.ts
@@ -12,7 +12,6 @@
 import type { ServiceId } from "@auburnarch/types/ServiceId";
 import type { SidecarPort } from "@auburnarch/types/SidecarPort";
 import type { TokenSpan } from "@auburnarch/types/TokenSpan";
-import type { SampleBreaks } from "./SampleBreaks.js";
 
 /** Dependencies of a dispatcher. */
 export interface DispatcherDeps {
@@ -45,8 +44,6 @@
     measuredTokensPerSecond?: (sampler: SamplerId) => number | undefined;
     /** An attempt is abandoned after this time without a token from a sampler that is suspected down. */
     stallTimeoutMs?: number;
-    /** Shared with other dispatchers and processes; by default each dispatcher counts for itself. */
-    sampleBreaks?: SampleBreaks;
     /** Adjusts the result of the room rule, so that slots are left to other dispatchers; by default it is kept. */
     adjustRoom?: (
         sampler: SamplerId,
--- a/packages/dispatch/src/createDispatcher.ts
+++ b/packages/dispatch/src/createDispatcher.ts
@@ -153,7 +153,7 @@
                 );
                 state.unfinished.set(task.sample, work);
                 state.needForecast.recordOpened(task.step, clock.monotonicMs());
-                enqueue(work, deps.sampleBreaks?.pauseMs(task.sample) ?? 0);
+                enqueue(work, 0);
             }
         },
         withdraw: samples => {
--- a/packages/dispatch/src/createOutcomeHandler.ts
+++ b/packages/dispatch/src/createOutcomeHandler.ts
@@ -42,20 +42,6 @@
     }
 }
 
-function recordBreak(
-    { sampleBreaks }: Pick<DispatcherDeps, "sampleBreaks">,
-    attempt: RunningAttempt,
-    code: ResultCode,
-): void {
-    const { work } = attempt;
-    if (!isFruitless(attempt, code)) {
-        work.fruitless = 0;
-        return;
-    }
-    work.fruitless++;
-    sampleBreaks?.recordBreak(work.task.sample, attempt.sampler);
-}
-
 /** Creates the outcome handler of one dispatcher. `enqueue` puts a sample back into the queue after a delay. */
 export function createOutcomeHandler(
     deps: DispatcherDeps,
@@ -76,7 +62,6 @@
     function finish(work: SampleWork, answer: SampleAnswer): void {
         state.unfinished.delete(work.task.sample);
         state.queue.remove(work);
-        deps.sampleBreaks?.recordCompletion(work.task.sample);
         work.running.forEach(other => runner().end(other, "lostRace"));
         const tokens = countTokens(answer.spans);
         state.lengthModel.observe(work.task.prompt, tokens);
@@ -133,7 +118,7 @@
             saveResumeSpans(work, joinSpans(attempt.resumedSpans, attempt.spans));
         }
         work.failures++;
-        recordBreak(deps, attempt, code);
+        work.fruitless = isFruitless(attempt, code) ? work.fruitless + 1 : 0;
         work.avoid.add(attempt.sampler);
         const isAllowed = takeRetry();
         logger.warn("sampleRetried", {
@@ -145,8 +130,7 @@
             withinBudget: isAllowed,
             keptTokens: countTokens(work.resume),
         });
-        const sharedPauseMs = deps.sampleBreaks?.pauseMs(work.task.sample) ?? 0;
-        enqueueIfIdle(work, Math.max(pauseAfterFailure(code, work, isAllowed), sharedPauseMs));
+        enqueueIfIdle(work, pauseAfterFailure(code, work, isAllowed));
     }
 
     function abandon(attempt: RunningAttempt): void {
--- a/packages/runner/src/items/createItemDispatch.ts
+++ b/packages/runner/src/items/createItemDispatch.ts
@@ -5,7 +5,6 @@
 import { createDispatcher } from "@auburnarch/dispatch/createDispatcher";
 import type { Dispatcher } from "@auburnarch/dispatch/Dispatcher";
 import type { DispatchPolicy } from "@auburnarch/dispatch/DispatchPolicy";
-import type { BreakRegistry } from "@auburnarch/forwarding/BreakRegistry";
 import type { CallSampler } from "@auburnarch/forwarding/CallSampler";
 import type { Metrics } from "@auburnarch/metrics/Metrics";
 import type { Clock } from "@auburnarch/types/Clock";
@@ -27,7 +26,6 @@
 import type { TokenSpan } from "@auburnarch/types/TokenSpan";
 import type { WeightVersion } from "@auburnarch/types/WeightVersion";
 import type { SamplerUse } from "../lateness/SamplerUse.js";
-import { createItemBreaks } from "./createItemBreaks.js";
 import { createItemPolicy } from "./createItemPolicy.js";
 import { createItemRoutes } from "./createItemRoutes.js";
 import { createItemSidecar } from "./createItemSidecar.js";
@@ -45,8 +43,6 @@
     callSampler: CallSampler;
     readEvents: ReadItemEvents;
     samplerHealth: SamplerHealth;
-    /** Contents of items and requests that broke off at samplers. */
-    breaks: BreakRegistry;
     /** Number of runs that other runners have at a sampler, by their last answers. */
     countPeerRuns: (sampler: IncarnationId) => number;
     /** Expected events per second of one run at a sampler; as observed by this process by default. */
@@ -137,7 +133,6 @@
     const dispatcherOf = new WeakMap<BatchJob, ItemDispatcher>();
     const sidecars = new Map<SamplerId, Pick<SidecarPort, "runSample">>();
 
-    const sampleBreaks = createItemBreaks(deps.breaks, item => tasks.get(item)?.run);
     const policy = (deps.createPolicy ?? createItemPolicy)(item =>
         tasks.get(item as SampleId)?.run.expectedEvents
     );
@@ -219,7 +214,6 @@
             mayAct: () => true,
             onSampleGenerated: generated => tasks.get(generated.task.sample)?.onGenerated(generated),
             takeRetry: alwaysRetry,
-            sampleBreaks,
             measuredTokensPerSecond: sampler => eventsPerSecond(sampler as string as IncarnationId),
             adjustRoom: (sampler, use) =>
                 jobPolicy === undefined || deps.adjustRoom === undefined
--- a/packages/runner/src/testing/createSimulatedRunner.ts
+++ b/packages/runner/src/testing/createSimulatedRunner.ts
@@ -3,7 +3,6 @@
 import type { RoutingView } from "@auburnarch/discovery/RoutingView";
 import type { SamplerDirectory } from "@auburnarch/discovery/SamplerDirectory";
 import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
-import type { BreakRegistry } from "@auburnarch/forwarding/BreakRegistry";
 import type { CallSampler } from "@auburnarch/forwarding/CallSampler";
 import type { Metrics } from "@auburnarch/metrics/Metrics";
 import type { Clock } from "@auburnarch/types/Clock";
@@ -45,8 +44,6 @@
     stop(): Promise<void>;
 }
 
-const noBreaks = { isEmpty: () => true, recordBreak: () => {} } as unknown as BreakRegistry;
-
 /** Creates the part of a runner that dispatches items: samplers' health, dispatchers and, if enabled, lateness. */
 export function createSimulatedRunner(deps: SimulatedRunnerDeps): SimulatedRunner {
     const { name, clock } = deps;
@@ -54,7 +51,6 @@
     const dispatch = createItemDispatch({
         ...deps,
         samplerHealth,
-        breaks: noBreaks,
         countPeerRuns: sampler => countPeerRuns(sampler, deps.peers()),
         eventsPerSecond: sampler => (lateness ?? samplerHealth).eventsPerSecond(sampler),
         adjustRoom: (policy, sampler, use) => lateness?.adjustRoom(policy, sampler, use) ?? use.room,
