Score an item again soon after samplers crashed under its reward call

What callers saw: an item whose text is complete gets no score while its step lasts, after several samplers of the scoring service crashed under its reward call.

Cause: the runner's forwarder guards contents as gateways do, so a reward call that broke off is paused for 1, 10, 100 s. It belongs to its item, which by the users' word is never the cause of a crash and is still owed.

Change: the guard of a forwarder is an argument; runners pass one that refuses and records nothing (`createOpenGuard`). The pauses of 50 to 800 ms between calls and the maximum of attempts in a call remain.

--- a/packages/forwarding/src/RequestForwarderDeps.ts
+++ b/packages/forwarding/src/RequestForwarderDeps.ts
@@ -8,7 +8,9 @@
 import type { RequestAdmission } from "./admission/RequestAdmission.js";
 import type { BreakRegistry } from "./BreakRegistry.js";
 import type { CallSampler } from "./CallSampler.js";
+import type { ContentGuard } from "./ContentGuard.js";
 import type { ContentTrials } from "./ContentTrials.js";
+import type { RoutedRequest } from "./RoutedRequest.js";
 import type { RunMeter } from "./RunMeter.js";
 
 /** Dependencies of `createRequestForwarder`. */
@@ -26,6 +28,8 @@
     breaks?: BreakRegistry;
     /** Shared with other processes; by default every trial is granted. */
     trials?: ContentTrials;
+    /** Guards the content of a request; by default one whose attempts break off is suspected of crashing samplers. */
+    createGuard?: (request: RoutedRequest) => ContentGuard;
     /** Admission of requests under load; by default every request is sent at once. */
     admission?: RequestAdmission | undefined;
     /** Meters the requests of teams; undefined if they are not metered. */
--- a/packages/forwarding/src/createRequestForwarder.ts
+++ b/packages/forwarding/src/createRequestForwarder.ts
@@ -28,6 +28,7 @@
     const tries = createSamplerAttempts(deps, unanswered);
     const breaks = deps.breaks ?? createBreakRegistry(clock, logger);
     const trials = deps.trials ?? createLocalTrials();
+    const createGuard = deps.createGuard ?? (request => createContentGuard(breaks, trials, request));
 
     async function forward(
         request: RoutedRequest,
@@ -49,7 +50,7 @@
     }
 
     return async (request, signal) => {
-        const content = createContentGuard(breaks, trials, request);
+        const content = createGuard(request);
         const startedAtMs = clock.monotonicMs();
         const pauseMs = await content.admit(requestLimitMs(request));
         if (pauseMs > 0) {
--- a/packages/forwarding/src/testing/createTestForwarder.ts
+++ b/packages/forwarding/src/testing/createTestForwarder.ts
@@ -9,6 +9,7 @@
 import type { RequestAdmission } from "../admission/RequestAdmission.js";
 import type { BreakRegistry } from "../BreakRegistry.js";
 import type { CallSampler } from "../CallSampler.js";
+import type { ContentGuard } from "../ContentGuard.js";
 import type { ContentTrials } from "../ContentTrials.js";
 import { createRequestForwarder } from "../createRequestForwarder.js";
 import type { RequestForwarder } from "../RequestForwarder.js";
@@ -19,6 +20,7 @@
     callSampler: CallSampler;
     breaks?: BreakRegistry;
     trials?: ContentTrials;
+    createGuard?: () => ContentGuard;
     admission?: RequestAdmission | undefined;
     seed?: number;
 }
--- a/packages/runner/src/RunnerDeps.ts
+++ b/packages/runner/src/RunnerDeps.ts
@@ -4,9 +4,7 @@
 import type { RunnerAddress } from "@auburnarch/discovery/RunnerAddress";
 import type { SamplerDirectory } from "@auburnarch/discovery/SamplerDirectory";
 import type { WatchedKind } from "@auburnarch/discovery/WatchedKind";
-import type { BreakRegistry } from "@auburnarch/forwarding/BreakRegistry";
 import type { CallSampler } from "@auburnarch/forwarding/CallSampler";
-import type { ContentTrials } from "@auburnarch/forwarding/ContentTrials";
 import type { Invariants } from "@auburnarch/invariants/Invariants";
 import type { Metrics } from "@auburnarch/metrics/Metrics";
 import type { Clock } from "@auburnarch/types/Clock";
@@ -47,10 +45,6 @@
     registered: WatchedKind<RunnerAddress>;
     watchVersions: () => WatchedKind<NamedVersion>;
     callSampler: CallSampler;
-    /** Contents of items and requests that broke off at samplers, as exchanged between processes. */
-    breaks: BreakRegistry;
-    /** Attempts of contents that may crash samplers, granted to one process at a time. */
-    trials: ContentTrials;
     readEvents: ReadItemEvents;
     orders: EngineOrders;
     probe: (address: RunnerAddress, timeoutMs: number, query: StatusQuery) => Promise<RunnerStatus>;
--- a/packages/runner/src/createRunner.ts
+++ b/packages/runner/src/createRunner.ts
@@ -1,5 +1,6 @@
 import type { BatchJobStore } from "@auburnarch/batches/BatchJobStore";
 import { createBatchJobStore } from "@auburnarch/batches/createBatchJobStore";
+import { createOpenGuard } from "@auburnarch/forwarding/createOpenGuard";
 import { createRequestForwarder } from "@auburnarch/forwarding/createRequestForwarder";
 import { createLeaseManager } from "@auburnarch/lease/createLeaseManager";
 import type { LeaseManager } from "@auburnarch/lease/LeaseManager";
@@ -159,7 +160,12 @@
     const { clock, random, logger, routing, directory } = deps;
     const batchJobStore = createBatchJobStore(deps.store);
     const samplerHealth = createSamplerHealth(clock);
-    const forwardRequest = createRequestForwarder({ ...deps, random: random.fork() });
+    // A reward call belongs to its item, which is still owed whatever crashed under it.
+    const forwardRequest = createRequestForwarder({
+        ...deps,
+        random: random.fork(),
+        createGuard: createOpenGuard,
+    });
     const scoreItem = createScoreItem({ forwardRequest, routing, clock, logger });
     const dispatch = createItemDispatch({
         ...deps,
--- a/packages/runner/src/items/createScoreItem.test.ts
+++ b/packages/runner/src/items/createScoreItem.test.ts
@@ -1,6 +1,7 @@
 import { createFakeClock } from "@auburnarch/clock/createFakeClock";
 import { createTestSampler } from "@auburnarch/discovery/testing/createTestSampler";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { createOpenGuard } from "@auburnarch/forwarding/createOpenGuard";
 import type { SamplerReply } from "@auburnarch/forwarding/SamplerReply";
 import { createTestForwarder } from "@auburnarch/forwarding/testing/createTestForwarder";
 import { createTestRoute } from "@auburnarch/forwarding/testing/createTestRoute";
@@ -29,18 +30,30 @@
 const full: SamplerReply = { kind: "notRun", code: resultCodes.overloaded, detail: "full" };
 const reset: SamplerReply = { kind: "unknown", code: resultCodes.connectionBroken, detail: "reset" };
 
+interface SimulatedReply {
+    afterMs: number;
+    reply: SamplerReply;
+    /** Whether the sampler is replaced by one with another start. */
+    isCrash?: boolean;
+}
+
 /** Scores one item at six samplers that reply to their nth attempt as told, and reports how long that took. */
-async function score(replyOf: (attempt: number) => { afterMs: number; reply: SamplerReply; }) {
+async function score(replyOf: (attempt: number) => SimulatedReply) {
     const clock = createFakeClock();
     let attempts = 0;
+    const samplers = ["a", "b", "c", "d", "e", "f"].map(name => createTestSampler(name));
     const forwardRequest = createTestForwarder({
-        callSampler: async (_request, signal) => {
-            const { afterMs, reply } = replyOf(attempts++);
+        callSampler: async ({ sampler }, signal) => {
+            const { afterMs, reply, isCrash = false } = replyOf(attempts++);
             await clock.sleep(afterMs, signal);
+            if (isCrash) {
+                samplers[samplers.indexOf(sampler)] = createTestSampler(`${sampler.instance}'`);
+            }
             return signal.aborted ? reset : reply;
         },
         clock,
-        samplers: ["a", "b", "c", "d", "e", "f"].map(name => createTestSampler(name)),
+        samplers,
+        createGuard: createOpenGuard,
     });
     const route = { ...createTestRoute("idempotent", { maxAttempts: 4, timeoutMs: 1_000 }), host: call.host };
     const routing = (): RoutingTable => ({ routes: [route] } as unknown as RoutingTable);
@@ -89,3 +102,15 @@
       }
     `);
 });
+
+test("a reward call under which samplers crashed in a burst is scored within a second of the calm", async () => {
+    // Guards against a score that is withheld for minutes, as an answer to a request that may crash what runs it.
+    const crashes = 9;
+    const scored = await score(attempt =>
+        attempt < crashes
+            ? { afterMs: 300, reply: reset, isCrash: true }
+            : { afterMs: 30, reply: answered(200) }
+    );
+    expect(scored).toMatchObject({ kind: "scored" });
+    expect(scored.atMs).toBeLessThan(crashes * 300 + 1_000);
+});
