Reset the connection of a broken answer that has no chunks

What callers saw: a client of HTTP/1.0, or any whose answer is sent without chunks, gets a part of an answer that ends like a whole one, when the sampler's answer breaks off on a route that is streamed.

Change: `breakOffResponse` resets the connection where no chunk can be left out. It is used towards clients, callers of the own interface and entries.

Evidence: streams/breakOffResponse fails for HTTP/1.0 with the plain destroy. Bodies of callers were checked as well: one that is cut in any way rejects (streams/readRequestBody, passes before and after).

--- a/packages/entry/src/sendFailure.ts
+++ b/packages/entry/src/sendFailure.ts
@@ -1,5 +1,6 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { breakOffResponse } from "@auburnarch/streams/breakOffResponse";
 import type { ServerResponse } from "node:http";
 import { ManifestConflictError } from "./ManifestConflictError.js";
 import { ManifestInvalidError } from "./ManifestInvalidError.js";
@@ -17,7 +18,7 @@
  */
 export function sendFailure(response: ServerResponse, error: unknown): void {
     if (response.headersSent) {
-        response.destroy();
+        breakOffResponse(response);
         return;
     }
     const code = codeOf(error);
--- a/packages/sidecar/src/createPlainHandler.ts
+++ b/packages/sidecar/src/createPlainHandler.ts
@@ -1,5 +1,6 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { breakOffResponse } from "@auburnarch/streams/breakOffResponse";
 import { createResponseSink } from "@auburnarch/streams/createResponseSink";
 import { pipeBody } from "@auburnarch/streams/pipeBody";
 import { readRequestBody } from "@auburnarch/streams/readRequestBody";
@@ -83,7 +84,7 @@
         }
         catch {
             // The sender must see a broken connection, never a complete response.
-            response.destroy();
+            breakOffResponse(response);
         }
     }
 
