Give up answers that go on beyond what was asked

What callers saw, beside samplers whose answers never end: runners ended out of memory, items were lost or late, gateways grew up to 33 MB a request.

Cause: an item's answer had no bound but 4 MB between two events, an answer that is read whole one of 33 MB, and their sum none. An answer that was given up counted as broken off, so its content became suspected of crashes.

Change: an item's answer is bounded by what the item asks for, in events (its output tokens) and bytes; beyond, its text of that run is dropped, since nobody knows where it should have ended, and the run counts as one without output. `createBodyReader` bounds the sum of what a process holds of answers that it reads whole, and gives up the largest first, so that sound ones don't pay. Both are `answerTooLong`: a failure of the sampler, a try elsewhere, nothing said of the content.

--- a/packages/errors/src/resultCodes.ts
+++ b/packages/errors/src/resultCodes.ts
@@ -317,6 +317,13 @@
         "The store did not say whether the batch job is ended; its items may still run.",
         "End the same job again; a job that has ended stays so.",
     ),
+    answerTooLong: define(
+        3008,
+        "answerTooLong",
+        502,
+        "The answer went on beyond what its request allows and was given up; unknown whether it ran.",
+        "Repeat only if the request is idempotent.",
+    ),
     storeUnavailable: define(
         4000,
         "storeUnavailable",
--- a/packages/forwarding/src/createRequestForwarder.test.ts
+++ b/packages/forwarding/src/createRequestForwarder.test.ts
@@ -191,3 +191,20 @@
     const outcome = await forwarder(request, new AbortController().signal);
     expect(outcome).toMatchObject({ kind: "failed", code: resultCodes.connectionBroken });
 });
+
+test.each([resultCodes.answerTooLong, resultCodes.answerMixed])(
+    "a content is not suspected of crashing samplers that send bytes in place of an answer ($name)",
+    async code => {
+        // Guards against requests that are refused for minutes because of what samplers sent in their place.
+        const spoiled: SamplerReply = { kind: "unknown", code, detail: "no answer" };
+        const script = Object.fromEntries(
+            ["a", "b", "c", "d"].map(name => [name, [{ afterMs: 10, reply: spoiled }]]),
+        );
+        const { ask, clock } = createFixture(script);
+        const first = ask("idempotent", { maxAttempts: 4 });
+        await clock.advance(500);
+        const second = ask("idempotent", { maxAttempts: 4 });
+        await clock.advance(500);
+        expect([first, second].map(({ settled }) => settled.outcome?.kind)).toEqual(["failed", "answered"]);
+    },
+);
--- a/packages/forwarding/src/createSamplerAttempts.ts
+++ b/packages/forwarding/src/createSamplerAttempts.ts
@@ -1,7 +1,8 @@
 import type { RegisteredSampler } from "@auburnarch/discovery/RegisteredSampler";
+import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { chooseService } from "@auburnarch/routing/chooseService";
-import { readFullBody } from "@auburnarch/transport/readFullBody";
+import { createBodyReader } from "@auburnarch/transport/createBodyReader";
 import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { CallSampler } from "./CallSampler.js";
 import { createSamplerRecords } from "./createSamplerRecords.js";
@@ -17,7 +18,8 @@
 type Answered = Extract<SamplerReply, { kind: "answered"; }>;
 
 const latencySmoothing = 0.2;
-const maxAnswerBytes = 33_554_432;
+/** Of all answers that are read completely before they are forwarded. */
+const maxHeldBytes = 33_554_432;
 
 const chunkOf = (whole: Uint8Array): AsyncIterable<Uint8Array> => ({
     async *[Symbol.asyncIterator]() {
@@ -25,18 +27,6 @@
     },
 });
 
-/** Reads an answer completely, so that one that breaks off can be retried before any byte is forwarded. */
-async function readAnswer(answer: Answered): Promise<SamplerAttemptOutcome> {
-    try {
-        const whole = await readFullBody(answer.body, maxAnswerBytes);
-        return { kind: "done", answer: { ...answer, body: chunkOf(whole) } };
-    }
-    catch (error) {
-        const detail = error instanceof Error ? error.message : "cut short";
-        return { kind: "unknown", code: resultCodes.connectionBroken, detail };
-    }
-}
-
 /** Records a start time, made unique by adding fractions of a millisecond where two are equal. */
 function recordStart(record: SamplerRecord, nowMs: number): number {
     let sentAtMs = nowMs;
@@ -54,6 +44,20 @@
 ): SamplerAttempts {
     const { clock, random, logger, metrics, directory } = deps;
     const recordOf = createSamplerRecords();
+    const readBody = createBodyReader(maxHeldBytes);
+
+    /** Reads an answer completely, so that one that breaks off can be retried before any byte is forwarded. */
+    async function readAnswer(answer: Answered): Promise<SamplerAttemptOutcome> {
+        try {
+            const whole = await readBody(answer.body);
+            return { kind: "done", answer: { ...answer, body: chunkOf(whole) } };
+        }
+        catch (error) {
+            const isTooLong = codeOf(error) === resultCodes.answerTooLong;
+            const code = isTooLong ? resultCodes.answerTooLong : resultCodes.connectionBroken;
+            return { kind: "unknown", code, detail: error instanceof Error ? error.message : "cut short" };
+        }
+    }
 
     function recordEnd(
         sampler: RegisteredSampler,
--- a/packages/forwarding/src/recordAttemptEnd.ts
+++ b/packages/forwarding/src/recordAttemptEnd.ts
@@ -1,6 +1,7 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { Logger } from "@auburnarch/types/Logger";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
 import type { ContentGuard } from "./ContentGuard.js";
 import type { SamplerAttemptOutcome } from "./SamplerAttemptOutcome.js";
 import type { UnansweredAttempts } from "./UnansweredAttempts.js";
@@ -16,6 +17,13 @@
 }
 
 const serverErrorStatus = 500;
+/** What a sampler sends in place of an answer shows that it did not end, and nothing of the content. */
+const codesOfNoAnswer: ReadonlySet<ResultCode> = new Set([
+    resultCodes.answerMixed,
+    resultCodes.answerTooLong,
+]);
+
+const isNoAnswer = (code: ResultCode): boolean => codesOfNoAnswer.has(code);
 
 /**
  * Records what the end of an attempt says about its content. Only an answer that shows that the content ran clears it:
@@ -51,7 +59,7 @@
     if (outcome.kind === "done" && outcome.answer.status < serverErrorStatus) {
         recordCompletion(outcome.answer.status);
     }
-    else if (outcome.kind !== "unknown" || hadEnded()) {
+    else if (outcome.kind !== "unknown" || isNoAnswer(outcome.code) || hadEnded()) {
         content.recordNotRun();
     }
     else if (outcome.code === resultCodes.connectionBroken && !isGivenUp) {
--- a/packages/runner/src/items/createItemSidecar.test.ts
+++ b/packages/runner/src/items/createItemSidecar.test.ts
@@ -5,6 +5,7 @@
 import type { SamplerReply } from "@auburnarch/forwarding/SamplerReply";
 import type { SamplerRequest } from "@auburnarch/forwarding/SamplerRequest";
 import type { Route } from "@auburnarch/routing/Route";
+import { limitBody } from "@auburnarch/transport/limitBody";
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
 import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { Logger } from "@auburnarch/types/Logger";
@@ -50,6 +51,7 @@
             path: "/p",
             headers: {},
             bodyBase64: "",
+            maxOutputTokens: 3,
         } as unknown as ItemRun["item"],
         expectedEvents: undefined,
         failures: 2,
@@ -64,7 +66,10 @@
             sent.push(request);
             return reply;
         },
-        readEvents: async function*() {
+        readEvents: async function*(body, maxBytes) {
+            for await (const _chunk of limitBody(body, maxBytes)) {
+                // Events are told by the test.
+            }
             yield* events;
             if (isBroken) {
                 throw new Error("reset");
@@ -137,3 +142,22 @@
     const refused = await run({ kind: "notRun", code: resultCodes.overloaded, detail: "full" }, []);
     expect([refused.outcome, refused.terminated]).toEqual(["notRun overloaded", []]);
 });
+
+test("an answer that goes on beyond what its item asks for ends the run as too long", async () => {
+    // Guards against texts and memory that grow for as long as a sampler sends events, or bytes between them.
+    const endless = answered(200);
+    const reply: SamplerReply = {
+        ...endless as Extract<SamplerReply, { kind: "answered"; }>,
+        body: (async function*() {
+            for (;;) {
+                yield Buffer.alloc(1_000);
+            }
+        })(),
+    };
+    const outcomes = [
+        (await run(answered(200), [event(1), event(2), event(3)])).outcome,
+        (await run(answered(200), [event(1), event(2), event(3), event(4)])).outcome,
+        (await run(reply, [])).outcome,
+    ];
+    expect(outcomes).toEqual(["ran 4:e1 4:e2 4:e3", "unknown answerTooLong", "unknown answerTooLong"]);
+});
--- a/packages/runner/src/items/createItemSidecar.ts
+++ b/packages/runner/src/items/createItemSidecar.ts
@@ -1,5 +1,7 @@
 import type { RegisteredSampler } from "@auburnarch/discovery/RegisteredSampler";
+import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { ResultError } from "@auburnarch/errors/ResultError";
 import type { CallSampler } from "@auburnarch/forwarding/CallSampler";
 import type { SamplerReply } from "@auburnarch/forwarding/SamplerReply";
 import type { Route } from "@auburnarch/routing/Route";
@@ -7,6 +9,7 @@
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { Logger } from "@auburnarch/types/Logger";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
 import type { SampleAnswer } from "@auburnarch/types/SampleAnswer";
 import type { SampleAttempt } from "@auburnarch/types/SampleAttempt";
 import type { SampleId } from "@auburnarch/types/SampleId";
@@ -42,9 +45,24 @@
  */
 const refusedPauseMs = 150;
 const maxFailureBytes = 1_048_576;
+/** Bounds of an answer by the tokens that its item asks for; an event holds one token or more. */
+const maxBytesPerToken = 1_024;
+const maxOtherBytes = 65_536;
 const itemFailedStatus = 500;
 const itemImpossibleStatus = 422;
 
+const maxAnswerBytesOf = ({ maxOutputTokens }: ItemRun["item"]): number =>
+    maxOtherBytes + maxBytesPerToken * maxOutputTokens;
+
+/** Codes of runs whose sampler is suspected for a while. */
+const codesOfTrouble: ReadonlySet<ResultCode> = new Set([
+    resultCodes.connectionBroken,
+    resultCodes.answerTooLong,
+]);
+
+const codeOfBrokenRun = (error: unknown): ResultCode =>
+    codeOf(error) === resultCodes.answerTooLong ? resultCodes.answerTooLong : resultCodes.connectionBroken;
+
 const countEvents = (spans: TokenSpan[]): number => spans.reduce((sum, span) => sum + span.tokens, 0);
 
 function handleFailure(run: ItemRun, status: number, route: Route): Ended {
@@ -75,6 +93,7 @@
 
     async function readRun(
         attempt: SampleAttempt,
+        item: ItemRun["item"],
         reply: Extract<SamplerReply, { kind: "answered"; }>,
         route: Route,
         sampler: RegisteredSampler,
@@ -84,7 +103,7 @@
         let version = reply.weightVersion;
         let next = countEvents(spans) + 1;
         let lastEventAtMs: number | undefined;
-        for await (const event of deps.readEvents(reply.body)) {
+        for await (const event of deps.readEvents(reply.body, maxAnswerBytesOf(item))) {
             const nowMs = deps.clock.monotonicMs();
             samplerHealth.recordActivity(
                 sampler.incarnation,
@@ -94,6 +113,9 @@
             if (event.number !== next) {
                 return { kind: "unknown", code: resultCodes.answerMixed };
             }
+            if (event.number > item.maxOutputTokens) {
+                throw new ResultError(resultCodes.answerTooLong, `more than ${item.maxOutputTokens} events`);
+            }
             next++;
             version = event.weightVersion ?? version;
             if (version === undefined) {
@@ -161,7 +183,7 @@
             await readFullBody(reply.body, maxFailureBytes);
             return handleFailure(run, reply.status, route);
         }
-        return readRun(attempt, reply, route, sampler, onSpan, spans);
+        return readRun(attempt, item, reply, route, sampler, onSpan, spans);
     }
 
     const runSample: RunSample = async (attempt, onSpan, signal) => {
@@ -188,13 +210,16 @@
                 sampler: samplerId,
                 detail,
             });
-            ended = { kind: "unknown", code: resultCodes.connectionBroken };
+            ended = { kind: "unknown", code: codeOfBrokenRun(error) };
         }
         samplerHealth.recordRunEnded(sampler.incarnation);
-        if (signal.aborted && ended.kind === "unknown") {
+        if (ended.kind !== "unknown") {
+            return ended;
+        }
+        if (signal.aborted && ended.code !== resultCodes.answerTooLong) {
             return toAnswer(attempt, spans, false);
         }
-        if (ended.kind === "unknown" && ended.code === resultCodes.connectionBroken) {
+        if (codesOfTrouble.has(ended.code)) {
             samplerHealth.recordFailure(sampler.incarnation);
         }
         return ended;
