--- a/packages/transport/src/HttpExchange.ts
+++ b/packages/transport/src/HttpExchange.ts
@@ -5,5 +5,8 @@
     | { kind: "answered"; status: number; headers: IncomingHttpHeaders; body: AsyncIterable<Uint8Array>; }
     /** No connection was established, so not a byte of the request was written. */
     | { kind: "notWritten"; detail: string; }
-    /** The connection broke or was aborted after bytes may have been written. */
-    | { kind: "broken"; detail: string; timedOut: boolean; };
+    /**
+     * The connection broke or was aborted after bytes may have been written; `isMalformed`: because of bytes that are no
+     * response.
+     */
+    | { kind: "broken"; detail: string; timedOut: boolean; isMalformed: boolean; };
--- a/packages/transport/src/exchangeHttp.test.ts
+++ b/packages/transport/src/exchangeHttp.test.ts
@@ -32,7 +32,7 @@
     });
     agent.destroy();
     server.close();
-    return outcome.kind;
+    return outcome.kind === "broken" && outcome.isMalformed ? "broken, malformed" : outcome.kind;
 }
 
 test("a request that can't be sent has certainly not been written", async () => {
@@ -54,6 +54,17 @@
     expect(kind).toBe("broken");
 });
 
+test("an exchange ends at bytes that are no response, and after too many informational responses", async () => {
+    // Guards against a request that is held for as long as its sampler sends informational responses.
+    const early = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const whole = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    expect([
+        await exchange("no response"),
+        await exchange(early.repeat(40)),
+        await exchange(early.repeat(16) + whole),
+    ]).toEqual(["broken, malformed", "broken, malformed", "answered"]);
+});
+
 const halfSent = {
     "no length": "HTTP/1.1 200 OK\r\n\r\nhalf",
     "no length, nothing sent": "HTTP/1.1 200 OK\r\n\r\n",
--- a/packages/transport/src/exchangeHttp.ts
+++ b/packages/transport/src/exchangeHttp.ts
@@ -27,6 +27,11 @@
 /** A removed VM does not answer at all; without this limit the whole request budget would be spent on it. */
 const connectTimeoutMs = 1_000;
 
+/** A response may be preceded by informational ones (1xx), without a limit of Node's own. */
+const maxInformationalResponses = 16;
+/** Codes of errors in bytes that are no HTTP. */
+const parserErrorPrefix = "HPE_";
+
 /**
  * Sends one request and resolves with the status and headers of its response. Never rejects; the body of a truncated
  * response does.
@@ -38,6 +43,8 @@
     return new Promise(resolve => {
         let connected = false;
         let timedOut = false;
+        let isMalformed = false;
+        let informationalResponses = 0;
         let request: ClientRequest;
         try {
             request = startRequest(call);
@@ -62,7 +69,11 @@
         };
         const fail = (detail: string): void => {
             release();
-            resolve(connected ? { kind: "broken", detail, timedOut } : { kind: "notWritten", detail });
+            resolve(
+                connected
+                    ? { kind: "broken", detail, timedOut, isMalformed }
+                    : { kind: "notWritten", detail },
+            );
         };
         request.once("socket", socket => {
             connected = isConnected(socket);
@@ -84,7 +95,17 @@
             const { statusCode = 0, headers } = message;
             resolve({ kind: "answered", status: statusCode, headers, body: response.body });
         });
-        request.on("error", error => fail(error.message));
+        request.on("information", () => {
+            informationalResponses++;
+            if (informationalResponses > maxInformationalResponses) {
+                isMalformed = true;
+                abortRequest();
+            }
+        });
+        request.on("error", error => {
+            isMalformed ||= "code" in error && String(error.code).startsWith(parserErrorPrefix);
+            fail(error.message);
+        });
         request.once("close", failUnanswered);
         request.end(call.body);
     });
