--- a/packages/forwarding/src/recordAttemptEnd.ts
+++ b/packages/forwarding/src/recordAttemptEnd.ts
@@ -59,7 +59,11 @@
     if (outcome.kind === "done" && outcome.answer.status < serverErrorStatus) {
         recordCompletion(outcome.answer.status);
     }
-    else if (outcome.kind !== "unknown" || isNoAnswer(outcome.code) || hadEnded()) {
+    else if (outcome.kind === "unknown" && isNoAnswer(outcome.code)) {
+        logger.info("answerSpoiled", { request, sampler, code: outcome.code.number, detail: outcome.detail });
+        content.recordNotRun();
+    }
+    else if (outcome.kind !== "unknown" || hadEnded()) {
         content.recordNotRun();
     }
     else if (outcome.code === resultCodes.connectionBroken && !isGivenUp) {
