Refuse requests at a leaving gateway that it may not live to answer

Cause: while requests were in flight, `shutdown` left idle connections open and took new requests up to the end; then it closes every connection. `closeIdle` had no caller.

Change: once the load balancer has moved on, idle connections are closed, and what is still received is refused as not run, with Connection: close. Whoever is refused can ask another gateway at once.

--- a/packages/daemon/src/startGateway.ts
+++ b/packages/daemon/src/startGateway.ts
@@ -83,6 +83,9 @@
             served.drain();
             const endMs = clock.monotonicMs() + settings.gracePeriodMs - exitSlackMs;
             await clock.sleep(balancerRemovalMs);
+            // What is read from here on may not be answered before the process ends. Connections that were in use when idle
+            // ones were closed close with their answers.
+            served.refuse();
             while (served.active() > 0 && clock.monotonicMs() < endMs) {
                 await clock.sleep(pollMs);
             }
