--- a/packages/daemon/src/endlessAnswers.test.ts
+++ b/packages/daemon/src/endlessAnswers.test.ts
@@ -64,8 +64,7 @@
                 await serveEndlessSampler({ id: "e-0", service: "llm", models: [model], output }),
             ];
             troubled.forEach(sampler => {
-                const { id, ...entry } = sampler.entry();
-                testBed.store.put("servers", String(id), entry);
+                testBed.store.put("servers", sampler.id, sampler.entry());
                 closers.push(sampler.close);
             });
             const gateway = await testBed.startGatewayAt("front-1");
--- a/packages/daemon/src/gatewayShutdown.test.ts
+++ b/packages/daemon/src/gatewayShutdown.test.ts
@@ -1,3 +1,4 @@
+import { encodeTestSampler } from "@auburnarch/platform/testing/encodeTestSampler";
 import { testClientLimits } from "@auburnarch/platform/testing/testClientLimits";
 import { wireHeaders } from "@auburnarch/platform/wireHeaders";
 import { Agent, createServer, request } from "node:http";
@@ -42,15 +43,8 @@
         }, isLong ? longWorkMs : workMs);
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const entry = {
-        service: "tiles",
-        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-        zone: "lugo",
-        version: "v1",
-        "max-batch-size": 64,
-        state: "ready",
-        sequence: 1,
-    };
+    const { port } = server.address() as AddressInfo;
+    const entry = encodeTestSampler({ service: "tiles", port, maxBatchSize: 64 });
     const close = (): void => {
         server.close();
         server.closeAllConnections();
--- a/packages/dispatch/src/SampleWork.ts
+++ b/packages/dispatch/src/SampleWork.ts
@@ -11,7 +11,7 @@
     resume: TokenSpan[];
     /** Attempts that ended with an unknown outcome. */
     failures: number;
-    /** Consecutive attempts that broke off before their first span. */
+    /** Consecutive attempts that ended without output of use. */
     fruitless: number;
     attemptsSent: number;
     /** Number of moves to another sampler while it was running. */
--- a/packages/dispatch/src/samplerCrashes.test.ts
+++ b/packages/dispatch/src/samplerCrashes.test.ts
@@ -18,7 +18,7 @@
 type Outcome = AttemptOutcome<SampleAnswer>;
 
 const silent: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => silent };
-const crashInducingSample = "job/0/0/0";
+const unluckySample = "job/0/0/0";
 const samplers = ["s1", "s2", "s3", "s4"];
 const crashAfterMs = 50;
 const runMs = 200;
@@ -68,7 +68,7 @@
     const clock = createFakeClock();
     const upAtMs = new Map<string, number>();
     const inFlight = new Map<string, Set<(outcome: Outcome) => void>>();
-    const crashingRunsAtMs: number[] = [];
+    const crashedRunsAtMs: number[] = [];
     const finishedAtMs: number[] = [];
     let isCalm = false;
     const broken: Outcome = { kind: "unknown", code: resultCodes.connectionBroken };
@@ -90,8 +90,8 @@
                 resolve(outcome);
             };
             running.add(end);
-            if (attempt.sample === crashInducingSample && !isCalm) {
-                crashingRunsAtMs.push(clock.monotonicMs());
+            if (attempt.sample === unluckySample && !isCalm) {
+                crashedRunsAtMs.push(clock.monotonicMs());
                 clock.startTimer(crashAfterMs, () => crash(sampler));
                 return;
             }
@@ -128,19 +128,19 @@
         isCalm = true;
         upAtMs.clear();
     };
-    return { clock, createOwner, crashingRunsAtMs, finishedAtMs, calm };
+    return { clock, createOwner, crashedRunsAtMs, finishedAtMs, calm };
 }
 
 test("a sample under which every sampler crashes stays owed, at most one attempt a second, and the others finish", async () => {
     // Guards against an item that is never placed again after a burst of crashes, and against attempts without a pause.
-    const { clock, createOwner, crashingRunsAtMs, finishedAtMs } = createFixture();
+    const { clock, createOwner, crashedRunsAtMs, finishedAtMs } = createFixture();
     createOwner().submit(Array.from({ length: 8 }, (_, index) => taskOf(index)));
     await clock.advance(600_000);
     expect(finishedAtMs).toHaveLength(7);
     // The required time for a step is 6 minutes; the other samples finish long before.
     expect(Math.max(...finishedAtMs)).toBeLessThan(6_000);
-    const gapsMs = crashingRunsAtMs.slice(1).map((atMs, index) => atMs - crashingRunsAtMs[index]!);
-    const sinceLastMs = clock.monotonicMs() - crashingRunsAtMs.at(-1)!;
+    const gapsMs = crashedRunsAtMs.slice(1).map((atMs, index) => atMs - crashedRunsAtMs[index]!);
+    const sinceLastMs = clock.monotonicMs() - crashedRunsAtMs.at(-1)!;
     expect(Math.max(...gapsMs, sinceLastMs)).toBeLessThanOrEqual(maxUnplacedMs);
     expect(Math.min(...gapsMs.slice(maxQuickRetries))).toBeGreaterThanOrEqual(1_000);
 });
@@ -149,10 +149,10 @@
     "after %i crashes in a row a sound sample runs within a second of the calm, also at another owner",
     async crashes => {
         // Guards against a pause that grows with the crashes and outlasts the time of the step.
-        const { clock, createOwner, crashingRunsAtMs, finishedAtMs, calm } = createFixture();
+        const { clock, createOwner, crashedRunsAtMs, finishedAtMs, calm } = createFixture();
         const owner = createOwner();
         owner.submit([taskOf(0)]);
-        await clock.runUntil(() => crashingRunsAtMs.length >= crashes, 60_000);
+        await clock.runUntil(() => crashedRunsAtMs.length >= crashes, 60_000);
         await clock.advance(crashAfterMs);
         calm();
         await clock.advance(1_000 + runMs + crashAfterMs);
--- a/packages/forwarding/src/recordAttemptEnd.ts
+++ b/packages/forwarding/src/recordAttemptEnd.ts
@@ -17,13 +17,13 @@
 }
 
 const serverErrorStatus = 500;
-/** What a sampler sends in place of an answer shows that it did not end, and nothing of the content. */
-const codesOfNoAnswer: ReadonlySet<ResultCode> = new Set([
+/** Bytes in place of an answer show that the sampler has not crashed, and nothing of the content. */
+const invalidAnswerCodes: ReadonlySet<ResultCode> = new Set([
     resultCodes.answerMixed,
     resultCodes.answerTooLong,
 ]);
 
-const isNoAnswer = (code: ResultCode): boolean => codesOfNoAnswer.has(code);
+const isInvalidAnswer = (code: ResultCode): boolean => invalidAnswerCodes.has(code);
 
 /**
  * Records what the end of an attempt says about its content. Only an answer that shows that the content ran clears it:
@@ -59,7 +59,7 @@
     if (outcome.kind === "done" && outcome.answer.status < serverErrorStatus) {
         recordCompletion(outcome.answer.status);
     }
-    else if (outcome.kind === "unknown" && isNoAnswer(outcome.code)) {
+    else if (outcome.kind === "unknown" && isInvalidAnswer(outcome.code)) {
         logger.info("answerSpoiled", { request, sampler, code: outcome.code.number, detail: outcome.detail });
         content.recordNotRun();
     }
--- a/packages/runner/src/items/createItemSidecar.ts
+++ b/packages/runner/src/items/createItemSidecar.ts
@@ -54,13 +54,13 @@
 const maxAnswerBytesOf = ({ maxOutputTokens }: ItemRun["item"]): number =>
     maxOtherBytes + maxBytesPerToken * maxOutputTokens;
 
-/** Codes of runs whose sampler is suspected for a while. */
-const codesOfTrouble: ReadonlySet<ResultCode> = new Set([
+/** After these a sampler is suspected for a while. */
+const samplerFailureCodes: ReadonlySet<ResultCode> = new Set([
     resultCodes.connectionBroken,
     resultCodes.answerTooLong,
 ]);
 
-const codeOfBrokenRun = (error: unknown): ResultCode =>
+const brokenRunCode = (error: unknown): ResultCode =>
     codeOf(error) === resultCodes.answerTooLong ? resultCodes.answerTooLong : resultCodes.connectionBroken;
 
 const countEvents = (spans: TokenSpan[]): number => spans.reduce((sum, span) => sum + span.tokens, 0);
@@ -210,7 +210,7 @@
                 sampler: samplerId,
                 detail,
             });
-            ended = { kind: "unknown", code: codeOfBrokenRun(error) };
+            ended = { kind: "unknown", code: brokenRunCode(error) };
         }
         samplerHealth.recordRunEnded(sampler.incarnation);
         if (ended.kind !== "unknown") {
@@ -219,7 +219,7 @@
         if (signal.aborted && ended.code !== resultCodes.answerTooLong) {
             return toAnswer(attempt, spans, false);
         }
-        if (codesOfTrouble.has(ended.code)) {
+        if (samplerFailureCodes.has(ended.code)) {
             samplerHealth.recordFailure(sampler.incarnation);
         }
         return ended;
--- a/packages/transport/src/exchangeHttp.ts
+++ b/packages/transport/src/exchangeHttp.ts
@@ -53,6 +53,7 @@
             resolve({ kind: "notWritten", detail: error instanceof Error ? error.message : String(error) });
             return;
         }
+        // Replaced once there is a response.
         let failBody = (): void => {};
         const abortRequest = (): void => {
             request.destroy(new Error("given up"));
