Bound the memory of request bodies at gateways, on by default

Callers saw a gateway end out of memory, and with it the requests of all others. Many chunked bodies at once did that: in large chunks that stop just short of their end (20 bodies: 750 MB of a VM of 200 MB), as batch jobs (725 MB), with an announced length (708 MB), in chunks of a byte (the process ended at its heap limit), and as bodies whose clients leave (361 MB).

Cause: only deployments with usage reports set `maxHeldBodyBytes`, and what it counted was bytes of bodies, not memory. A chunk costs an object, and its slice keeps the block that was read from the socket. A body was kept until its connection ended where the bound was off, since the time limit was off with it. An announced length was reserved as a whole, so that one client that announces 33 MB and sends nothing kept the others out.

Fix: one reader (package `overload`) for gateways, sidecars, calls between processes and fakes. The budget is a fifth of the memory of the process unless set. If bytes do not fit, the largest unfinished body is refused (503 `bodiesFull`, not run): a body that stops short cannot keep others out, and of large bodies that do not fit together one arrives. Bodies that were received are kept. An eighth is left to small bodies. An announced length that cannot fit is still refused before it is read. The time limit of bodies holds everywhere.

Evidence: clientCrowds.test.ts plays the crowds against the real programs with the deployed heap limits.

--- a/packages/config/src/roleSettingsSchema.ts
+++ b/packages/config/src/roleSettingsSchema.ts
@@ -39,7 +39,9 @@
     }).optional(),
     /** Gateways: admission of plain requests under load; if omitted, every request is sent at once. */
     admission: z.strictObject({}).optional(),
-    /** Gateways: maximum of bytes of request bodies held at once; if omitted, they are not bounded. */
+    /** Memory that the process may use; if omitted, it is derived from the heap limit. */
+    memoryMb: z.int().min(1).optional(),
+    /** Gateways: maximum of bytes of request bodies held at once; if omitted, a fifth of the memory. */
     maxHeldBodyBytes: z.int().min(1).optional(),
     maxLoadingSamplers: z.int().min(1).optional(),
     /** Whether store calls go through a runner while the process itself does not reach the store. */
--- /dev/null
+++ b/packages/daemon/src/clientCrowds.test.ts
@@ -0,0 +1,109 @@
+import { expect, test } from "vitest";
+import { createCrowdTestBed } from "./testing/createCrowdTestBed.js";
+import { crowdPieces } from "./testing/crowdPieces.js";
+import { sendCrowd } from "./testing/sendCrowd.js";
+
+type Member = Parameters<typeof sendCrowd>[1][number];
+type Paths = Awaited<ReturnType<typeof createCrowdTestBed>>["paths"];
+
+/** The smallest gateways and runners that are deployed run on VMs with so much memory. */
+const maxPeakBytes = { gateway: 200_000_000, runner: 220_000_000 };
+const maxBodyBytes = 33_554_432;
+const blockBytes = 65_536;
+const crowdSize = 20;
+const maxTestMs = 120_000;
+
+const members = (count: number, memberOf: (index: number) => Member): Member[] =>
+    Array.from({ length: count }, (_, index) => memberOf(index));
+
+interface CrowdPlan {
+    membersAt: (paths: Paths) => Member[];
+    /** Limit of the gateway's descriptors; the limit of the test if it is not lowered. */
+    maxOpenFiles?: number;
+    /** Statuses of which each member gets one; undefined if members need not get an answer. */
+    statuses?: number[];
+}
+
+const bodies = (path: string, plan: Partial<Parameters<typeof crowdPieces>[1]>): Member[] =>
+    members(crowdSize, index => ({
+        pieces: () =>
+            crowdPieces(`c-${index}`, {
+                path,
+                bytes: maxBodyBytes - blockBytes,
+                chunkBytes: blockBytes,
+                ...plan,
+            }),
+    }));
+
+const tiny = { bytes: 150_000, chunkBytes: 1 };
+
+const plans: Record<string, CrowdPlan> = {
+    "bodies in large chunks that stop short": { membersAt: ({ plain }) => bodies(plain, {}) },
+    "batch jobs in large chunks that stop short": { membersAt: ({ batchJob }) => bodies(batchJob, {}) },
+    "bodies of an announced length that stop short": {
+        membersAt: ({ plain }) => bodies(plain, { announcedBytes: maxBodyBytes }),
+    },
+    "bodies in chunks of a byte": { membersAt: ({ plain }) => bodies(plain, tiny) },
+    "batch jobs in chunks of a byte": { membersAt: ({ batchJob }) => bodies(batchJob, tiny) },
+    "connections that leave within a body": {
+        membersAt: ({ plain }) => bodies(plain, {}).map(member => ({ ...member, isLeaving: true })),
+    },
+};
+
+test.each(Object.keys(plans))("a gateway outlives %s and answers a request beside them", async name => {
+    // Guards against clients that end a process or keep all others out.
+    const { membersAt, statuses, maxOpenFiles: openFiles } = plans[name]!;
+    const testBed = await createCrowdTestBed(openFiles === undefined ? {} : { maxOpenFiles: openFiles });
+    try {
+        const crowd = await sendCrowd(testBed.port, membersAt(testBed.paths));
+        const status = await testBed.callOnce(testBed.paths.plain, "ordinary");
+        const gateway = await testBed.gatewayState();
+        const runner = await testBed.runnerState();
+        const received = crowd.statuses();
+        crowd.close();
+        const seen = { gateway, runner, status, received: [...new Set(received)] };
+        expect({
+            ended: [gateway.ended, runner.ended],
+            isGatewayBounded: gateway.peakBytes < maxPeakBytes.gateway,
+            isRunnerBounded: runner.peakBytes < maxPeakBytes.runner,
+            hasSpareFiles: gateway.openFiles < (openFiles ?? Infinity),
+            status,
+            others: statuses === undefined ? [] : received.filter(each => !statuses.includes(each)),
+        }, JSON.stringify(seen)).toEqual({
+            ended: [undefined, undefined],
+            isGatewayBounded: true,
+            isRunnerBounded: true,
+            hasSpareFiles: true,
+            status: 200,
+            others: [],
+        });
+    }
+    finally {
+        await testBed.close();
+    }
+}, maxTestMs);
+
+test(
+    "a request of the largest size is served in calm",
+    async () => {
+        // Guards against a bound that refuses clients within the limits.
+        const testBed = await createCrowdTestBed();
+        try {
+            const statuses = [
+                await testBed.callOnce(testBed.paths.plain, Buffer.alloc(maxBodyBytes)),
+                await testBed.callOnce(testBed.paths.plain, Buffer.alloc(maxBodyBytes)),
+                await testBed.callOnce(testBed.paths.plain, "ordinary"),
+            ];
+            const seen = await testBed.gatewayState();
+            const { ended, peakBytes } = seen;
+            expect(
+                { statuses, ended, isBounded: peakBytes < maxPeakBytes.gateway },
+                JSON.stringify(seen),
+            ).toEqual({ statuses: [200, 200, 200], ended: undefined, isBounded: true });
+        }
+        finally {
+            await testBed.close();
+        }
+    },
+    maxTestMs,
+);
--- a/packages/daemon/src/serveInternal.ts
+++ b/packages/daemon/src/serveInternal.ts
@@ -1,5 +1,6 @@
 import { createPeerServer } from "@auburnarch/entry/createPeerServer";
-import { readRequestBody } from "@auburnarch/streams/readRequestBody";
+import { createBodyBudget } from "@auburnarch/overload/createBodyBudget";
+import { readBoundedBody } from "@auburnarch/overload/readBoundedBody";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { RoleContext } from "./RoleContext.js";
 
@@ -10,6 +11,7 @@
 
 /** A relayed write holds a value of the store, of at most 1,048,576 bytes, and its envelope. */
 const maxRpcBytes = 1_179_648;
+const maxHeldRpcBytes = 33_554_432;
 
 /** Serves metrics and calls of peers on the first internal port, and on the metrics port if one is set. */
 export async function serveInternal(
@@ -20,17 +22,22 @@
         logger.warn("peerCallFailed", { code: code.number, name: code.name, detail: String(error) });
     });
 
-    async function answer(message: IncomingMessage): Promise<{ type: string; text: string; }> {
+    const bodies = createBodyBudget({ maxHeldBytes: maxHeldRpcBytes });
+
+    async function answer(
+        message: IncomingMessage,
+        response: ServerResponse,
+    ): Promise<{ type: string; text: string; }> {
         if (message.method === "GET") {
             return { type: "text/plain; version=0.0.4", text: await metrics.render() };
         }
-        const body = Buffer.from(await readRequestBody(message, maxRpcBytes)).toString("utf8");
-        const result = await peers.receive(JSON.parse(body));
+        const body = await readBoundedBody(bodies, message, response, maxRpcBytes);
+        const result = await peers.receive(JSON.parse(Buffer.from(body).toString("utf8")));
         return { type: "application/json", text: JSON.stringify(result) };
     }
 
     async function handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-        const { type, text } = await answer(message);
+        const { type, text } = await answer(message, response);
         response.writeHead(200, { "content-type": type, "content-length": Buffer.byteLength(text) });
         response.end(text);
     }
--- a/packages/daemon/src/startGateway.ts
+++ b/packages/daemon/src/startGateway.ts
@@ -2,13 +2,14 @@
 import { createBatchJobStore } from "@auburnarch/batches/createBatchJobStore";
 import { createRequestAdmission } from "@auburnarch/forwarding/admission/createRequestAdmission";
 import { createRequestForwarder } from "@auburnarch/forwarding/createRequestForwarder";
-import { createBodyBudget } from "@auburnarch/gateway/bodies/createBodyBudget";
 import { createGateway } from "@auburnarch/gateway/createGateway";
 import { createRunnerResults } from "@auburnarch/gateway/createRunnerResults";
+import { createBodyBudget } from "@auburnarch/overload/createBodyBudget";
 import { decodeBatchJob } from "@auburnarch/platform/decodeBatchJob";
 import { serveClients } from "@auburnarch/platform/serveClients";
 import { splitAddress } from "@auburnarch/platform/splitAddress";
 import type { FailureDomain } from "@auburnarch/types/FailureDomain";
+import { clientBoundsOf } from "./clientBoundsOf.js";
 import type { RoleContext } from "./RoleContext.js";
 import type { RunningRole } from "./RunningRole.js";
 import { serveInternal } from "./serveInternal.js";
@@ -47,6 +48,7 @@
         failureDomain: settings.failureDomain as FailureDomain,
         meter: common.extras.meter,
     });
+    const { maxHeldBodyBytes } = clientBoundsOf(settings);
     const results = createRunnerResults({ caller: common.caller, send: common.runnerClient.results });
     const gateway = createGateway({
         ...common,
@@ -55,10 +57,12 @@
         batchJobStore,
         batchJobReader: createBatchJobReader(batchJobStore, clock, results),
         decodeBatchJob,
-        bodyBudget: settings.maxHeldBodyBytes === undefined
-            ? undefined
-            : createBodyBudget({ maxHeldBytes: settings.maxHeldBodyBytes, random: random.fork(), metrics }),
+        bodyBudget: createBodyBudget({
+            maxHeldBytes: maxHeldBodyBytes,
+            onChange: bytes => metrics.set("held_body_bytes", {}, bytes),
+        }),
         clock,
+        random: random.fork(),
         logger,
         metrics,
     });
--- a/packages/gateway/src/ClientRequest.ts
+++ b/packages/gateway/src/ClientRequest.ts
@@ -1,3 +1,4 @@
+import type { BodyHold } from "@auburnarch/overload/BodyHold";
 import type { Credential } from "@auburnarch/routing/Credential";
 
 /** A client's request as received from the platform's adapter. */
@@ -15,11 +16,9 @@
     credentialHeaders: () => Record<string, string>;
     /** Milliseconds that the client still waits; undefined if it has set no deadline. */
     deadlineMs: number | undefined;
-    /** Length of the body that the client has announced; undefined if it has not. */
-    announcedBodyBytes?: number | undefined;
     /**
-     * Rejects with `bodyTooLarge`, with `bodiesFull` once `mayHold` refuses the bytes of a chunk, or with
+     * Rejects with `bodyTooLarge`, with `bodiesFull` if the body does not fit into the hold or the hold is closed, or with
      * `connectionBroken` if the client disconnects.
      */
-    readBody: (maxBytes: number, mayHold?: (bytes: number) => boolean) => Promise<Uint8Array>;
+    readBody: (maxBytes: number, hold: BodyHold) => Promise<Uint8Array>;
 }
--- a/packages/gateway/src/GatewayDeps.ts
+++ b/packages/gateway/src/GatewayDeps.ts
@@ -4,9 +4,10 @@
 import type { SamplerDirectory } from "@auburnarch/discovery/SamplerDirectory";
 import type { RequestForwarder } from "@auburnarch/forwarding/RequestForwarder";
 import type { Metrics } from "@auburnarch/metrics/Metrics";
+import type { BodyBudget } from "@auburnarch/overload/BodyBudget";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { Logger } from "@auburnarch/types/Logger";
-import type { BodyBudget } from "./bodies/BodyBudget.js";
+import type { Random } from "@auburnarch/types/Random";
 import type { DecodeBatchJob } from "./DecodeBatchJob.js";
 
 /** Dependencies of a gateway. */
@@ -23,9 +24,10 @@
     decodeBatchJob: DecodeBatchJob;
     /** Milliseconds since calls to the store began to fail without a success in between; 0 while calls succeed. */
     storeSilentMs: () => number;
-    /** Bounds the request bodies that the process holds; by default they are not bounded. */
-    bodyBudget?: BodyBudget | undefined;
+    /** Bounds the request bodies that the process holds. */
+    bodyBudget: BodyBudget;
     clock: Clock;
+    random: Random;
     logger: Logger;
     metrics: Metrics;
 }
--- a/packages/gateway/src/createBatchJobHandler.ts
+++ b/packages/gateway/src/createBatchJobHandler.ts
@@ -2,14 +2,14 @@
 import type { ChangeOutcome } from "@auburnarch/batches/ChangeOutcome";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import type { BodyHold } from "@auburnarch/overload/BodyHold";
 import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
 import type { ResultCode } from "@auburnarch/types/ResultCode";
 import type { TeamId } from "@auburnarch/types/TeamId";
-import type { BodyHold } from "./bodies/BodyHold.js";
-import { readHeldBody } from "./bodies/readHeldBody.js";
 import type { ClientAnswer } from "./ClientAnswer.js";
 import type { ClientRequest } from "./ClientRequest.js";
 import type { GatewayDeps } from "./GatewayDeps.js";
+import { readHeldBody } from "./readHeldBody.js";
 
 /** Handles calls about batch jobs of the caller's team. Every call may reject with a `ResultError`. */
 interface BatchJobHandler {
@@ -31,7 +31,7 @@
     end(batchJobId: BatchJobId, caller: TeamId | undefined): Promise<ClientAnswer>;
 }
 
-/** Limits the time in which a batch job is received if bodies are bounded and the client has set no deadline. */
+/** Limits the time in which a batch job is received if the client has set no deadline. */
 const maxReadMs = 10_000;
 
 /**
@@ -60,12 +60,12 @@
         table: RoutingTable,
         signal: AbortSignal,
     ): Promise<ClientAnswer> {
-        const hold = deps.bodyBudget?.open();
+        const hold = deps.bodyBudget.open();
         try {
             return await acceptHeld(id, team, request, table, hold, signal);
         }
         finally {
-            hold?.close();
+            hold.close();
         }
     }
 
@@ -74,7 +74,7 @@
         team: TeamId | undefined,
         request: ClientRequest,
         table: RoutingTable,
-        hold: BodyHold | undefined,
+        hold: BodyHold,
         signal: AbortSignal,
     ): Promise<ClientAnswer> {
         const startedAtMs = clock.monotonicMs();
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -13,6 +13,7 @@
 import { createRequestHandler } from "./createRequestHandler.js";
 import type { Gateway } from "./Gateway.js";
 import type { GatewayDeps } from "./GatewayDeps.js";
+import { pickBodyRetryAfterMs } from "./pickBodyRetryAfterMs.js";
 import { requireCaller } from "./requireCaller.js";
 import { requireRequestId } from "./requireRequestId.js";
 import { requireRoute } from "./requireRoute.js";
@@ -46,7 +47,7 @@
         const isRefusal = code.httpStatus === 503 || code.httpStatus === 429;
         const deadlineMs = call.kind === "request" ? call.request.deadlineMs : undefined;
         const delayMs = code === resultCodes.bodiesFull
-            ? deps.bodyBudget?.retryAfterMs(deadlineMs)
+            ? pickBodyRetryAfterMs(deps.random, deadlineMs)
             : retryAfterMs;
         return { kind: "failed", code, detail, retryAfterMs: isRefusal ? delayMs : undefined };
     }
--- a/packages/gateway/src/createRequestHandler.ts
+++ b/packages/gateway/src/createRequestHandler.ts
@@ -1,12 +1,12 @@
 import { requestLimitMs } from "@auburnarch/forwarding/requestLimitMs";
+import type { BodyHold } from "@auburnarch/overload/BodyHold";
 import type { Route } from "@auburnarch/routing/Route";
 import type { RoutingTable } from "@auburnarch/routing/RoutingTable";
 import type { Team } from "@auburnarch/routing/Team";
-import type { BodyHold } from "./bodies/BodyHold.js";
-import { readHeldBody } from "./bodies/readHeldBody.js";
 import type { ClientAnswer } from "./ClientAnswer.js";
 import type { ClientRequest } from "./ClientRequest.js";
 import type { GatewayDeps } from "./GatewayDeps.js";
+import { readHeldBody } from "./readHeldBody.js";
 import { requireRequestId } from "./requireRequestId.js";
 
 /** Answers a plain request. May reject with a `ResultError`. */
@@ -29,12 +29,12 @@
         table: RoutingTable,
         signal: AbortSignal,
     ): Promise<ClientAnswer> {
-        const hold = deps.bodyBudget?.open();
+        const hold = deps.bodyBudget.open();
         try {
             return await forwardHeld(request, team, route, table, hold, signal);
         }
         finally {
-            hold?.close();
+            hold.close();
         }
     }
 
@@ -43,7 +43,7 @@
         team: Team | undefined,
         route: Route,
         table: RoutingTable,
-        hold: BodyHold | undefined,
+        hold: BodyHold,
         signal: AbortSignal,
     ): Promise<ClientAnswer> {
         const receivedAtMs = clock.monotonicMs();
--- a/packages/sidecar/src/createPlainHandler.ts
+++ b/packages/sidecar/src/createPlainHandler.ts
@@ -1,9 +1,10 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
+import type { BodyBudget } from "@auburnarch/overload/BodyBudget";
+import { readBoundedBody } from "@auburnarch/overload/readBoundedBody";
 import { breakOffResponse } from "@auburnarch/streams/breakOffResponse";
 import { createResponseSink } from "@auburnarch/streams/createResponseSink";
 import { pipeBody } from "@auburnarch/streams/pipeBody";
-import { readRequestBody } from "@auburnarch/streams/readRequestBody";
 import { sidecarHeaders } from "@auburnarch/transport/sidecarHeaders";
 import { toForwardedHeaders } from "@auburnarch/transport/toForwardedHeaders";
 import { toNodeHeaders } from "@auburnarch/transport/toNodeHeaders";
@@ -25,6 +26,7 @@
     clock: Clock;
     incarnation: IncarnationId;
     maxBodyBytes: number;
+    bodies: BodyBudget;
 }
 
 /** Tokens after the first are batched for this long, so that an entry handles a fraction of the frames. */
@@ -46,7 +48,7 @@
             return;
         }
         try {
-            plain.body = await readRequestBody(request, deps.maxBodyBytes);
+            plain.body = await readBoundedBody(deps.bodies, request, response, deps.maxBodyBytes);
         }
         catch (error) {
             writeErrorAnswer(response, incarnation, codeOf(error), "body");
--- a/packages/sidecar/src/createRpcHandler.ts
+++ b/packages/sidecar/src/createRpcHandler.ts
@@ -1,7 +1,8 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
-import { readRequestBody } from "@auburnarch/streams/readRequestBody";
+import type { BodyBudget } from "@auburnarch/overload/BodyBudget";
+import { readBoundedBody } from "@auburnarch/overload/readBoundedBody";
 import { samplerOrderSchema } from "@auburnarch/transport/samplerOrderSchema";
 import { sidecarHeaders } from "@auburnarch/transport/sidecarHeaders";
 import type { AttemptId } from "@auburnarch/types/AttemptId";
@@ -17,6 +18,7 @@
     sidecar: Sidecar;
     incarnation: IncarnationId;
     cancelSample: (attempt: AttemptId) => boolean;
+    bodies: BodyBudget;
 }
 
 const maxRpcBytes = 262_144;
@@ -33,8 +35,8 @@
     const { incarnation } = deps;
     const server = createRpcServer(deps);
 
-    async function answer(request: IncomingMessage): Promise<string> {
-        const body = await readRequestBody(request, maxRpcBytes);
+    async function answer(request: IncomingMessage, response: ServerResponse): Promise<string> {
+        const body = await readBoundedBody(deps.bodies, request, response, maxRpcBytes);
         const message: unknown = JSON.parse(Buffer.from(body).toString("utf8"));
         if (Array.isArray(message) && message.length > maxBatchedCalls) {
             throw new ResultError(resultCodes.badRequest, "one call a message");
@@ -45,7 +47,7 @@
 
     async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         try {
-            const body = Buffer.from(await answer(request));
+            const body = Buffer.from(await answer(request, response));
             response.writeHead(200, {
                 "content-type": "application/json",
                 "content-length": body.length,
--- a/packages/sidecar/src/createSampleHandler.ts
+++ b/packages/sidecar/src/createSampleHandler.ts
@@ -1,6 +1,7 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
-import { readRequestBody } from "@auburnarch/streams/readRequestBody";
+import type { BodyBudget } from "@auburnarch/overload/BodyBudget";
+import { readBoundedBody } from "@auburnarch/overload/readBoundedBody";
 import { sampleAttemptSchema } from "@auburnarch/transport/sampleAttemptSchema";
 import { sidecarHeaders } from "@auburnarch/transport/sidecarHeaders";
 import type { AttemptId } from "@auburnarch/types/AttemptId";
@@ -20,6 +21,7 @@
     clock: Clock;
     incarnation: IncarnationId;
     maxBodyBytes: number;
+    bodies: BodyBudget;
 }
 
 interface SampleHandler {
@@ -39,8 +41,8 @@
     const { sidecar, incarnation } = deps;
     const aborts = new Map<AttemptId, AbortController>();
 
-    async function readAttempt(request: IncomingMessage): Promise<SampleAttempt> {
-        const body = await readRequestBody(request, deps.maxBodyBytes);
+    async function readAttempt(request: IncomingMessage, response: ServerResponse): Promise<SampleAttempt> {
+        const body = await readBoundedBody(deps.bodies, request, response, deps.maxBodyBytes);
         return sampleAttemptSchema.parse(JSON.parse(Buffer.from(body).toString("utf8")));
     }
 
@@ -74,7 +76,7 @@
     async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         let attempt: SampleAttempt;
         try {
-            attempt = await readAttempt(request);
+            attempt = await readAttempt(request, response);
         }
         catch (error) {
             const code = codeOf(error);
--- a/packages/sidecar/src/serveSidecar.ts
+++ b/packages/sidecar/src/serveSidecar.ts
@@ -1,4 +1,5 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { createBodyBudget } from "@auburnarch/overload/createBodyBudget";
 import { closeServer } from "@auburnarch/transport/closeServer";
 import { sidecarHeaders } from "@auburnarch/transport/sidecarHeaders";
 import { once } from "node:events";
@@ -17,6 +18,7 @@
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
 
 const defaultMaxBodyBytes = 8_388_608;
+const maxHeldBodyBytes = 134_217_728;
 const defaultMaxConnections = 4_096;
 const defaultRequestTimeoutMs = 60_000;
 const defaultHeadersTimeoutMs = 10_000;
@@ -35,10 +37,11 @@
     const tokenChecks = [options.clusterTokenDigest, options.previousClusterTokenDigest]
         .filter(digest => digest !== undefined)
         .map(createTokenCheck);
-    const samples = createSampleHandler({ sidecar, clock, incarnation, maxBodyBytes });
-    const plain = createPlainHandler({ sidecar, clock, incarnation, maxBodyBytes });
+    const bodies = createBodyBudget({ maxHeldBytes: maxHeldBodyBytes });
+    const samples = createSampleHandler({ sidecar, clock, incarnation, maxBodyBytes, bodies });
+    const plain = createPlainHandler({ sidecar, clock, incarnation, maxBodyBytes, bodies });
     const probes = createProbeHandler(sidecar, options.renderMetrics ?? (async () => ""));
-    const rpc = createRpcHandler({ sidecar, incarnation, cancelSample: samples.cancel });
+    const rpc = createRpcHandler({ sidecar, incarnation, cancelSample: samples.cancel, bodies });
 
     function handlerOf(request: IncomingMessage): Handler | undefined {
         const url = request.url ?? "";
