Read bodies of the own interface with the shared reader and budget

Callers of the own interface saw an entry that did not answer for half a minute: 20 clients with a team's token sent bodies in chunks of a byte, and the process took 2.9 GB (at its heap limit it ends). The entry's pool counted the bytes of chunks, while each costs an object and a block. It also refused whoever came when the pool was full, so bodies that stop short kept other callers of their team out for the minute of the request timeout.

Cause and fix are those of gateways: the entry uses the same reader and budget, with the share of a team as the share of an owner. Codes and Retry-After are those of before. A request that is incomplete is told from one that runs by the reader's listener, as before.

--- a/packages/entry/src/answerClientErrors.ts
+++ b/packages/entry/src/answerClientErrors.ts
@@ -21,7 +21,7 @@
 
 /** True while `readBody` is waiting for more of the body; the request cannot have run at that point. */
 function isUnread({ request, response }: Exchange): boolean {
-    return !response.headersSent && !request.complete && request.listenerCount("readable") > 0;
+    return !response.headersSent && !request.complete && request.listenerCount("data") > 0;
 }
 
 /**
--- a/packages/entry/src/readBody.ts
+++ b/packages/entry/src/readBody.ts
@@ -1,41 +1,35 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
-import type { IncomingMessage } from "node:http";
-import type { BodyBudget } from "./BodyBudget.js";
+import type { BodyBudget } from "@auburnarch/overload/BodyBudget";
+import { readBoundedBody } from "@auburnarch/overload/readBoundedBody";
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+const retryAfterMs = 1_000;
 
 /**
- * Reads a request body of at most `maxBytes`, because an endless body would exhaust the memory of the process; a larger
- * body is rejected with code `bodyTooLarge` before more of it is stored. `budget` limits the memory of all requests
- * together; if it is exceeded, the body is rejected with code `overloaded`.
+ * Reads a request body of at most `maxBytes`, which stays counted in the budget until the response ends. Rejects with
+ * `bodyTooLarge` beyond the limit, with `overloaded` if the bodies of all requests take too much memory, and with
+ * `requestTimeout` if the caller does not send it completely.
  */
 export async function readBody(
     request: IncomingMessage,
+    response: ServerResponse,
     maxBytes: number,
     budget: BodyBudget,
+    owner: string,
 ): Promise<Uint8Array> {
-    const declaredBytes = Number(request.headers["content-length"] ?? 0);
-    if (declaredBytes > maxBytes) {
-        throw new ResultError(resultCodes.bodyTooLarge, `${declaredBytes} bytes, limit ${maxBytes}`);
-    }
-    const chunks: Uint8Array[] = [];
-    let bodyBytes = 0;
     try {
-        // By default, leaving the loop destroys the request: the rest of the body could not be drained, and the
-        // connection would delay a shutdown by seconds.
-        const body = request.iterator({ destroyOnReturn: false }) as AsyncIterable<Uint8Array>;
-        for await (const chunk of body) {
-            bodyBytes += chunk.byteLength;
-            budget.reserve(chunk.byteLength);
-            if (bodyBytes > maxBytes) {
-                throw new ResultError(resultCodes.bodyTooLarge, `more than ${maxBytes} bytes`);
-            }
-            chunks.push(chunk);
-        }
+        return await readBoundedBody(budget, request, response, maxBytes, owner);
     }
     catch (error) {
-        throw error instanceof ResultError
-            ? error
-            : new ResultError(resultCodes.requestTimeout, "body cut short");
+        if (!(error instanceof ResultError)) {
+            throw error;
+        }
+        if (error.code === resultCodes.bodiesFull) {
+            throw new ResultError(resultCodes.overloaded, "request bodies in flight", retryAfterMs);
+        }
+        throw error.code === resultCodes.connectionBroken
+            ? new ResultError(resultCodes.requestTimeout, "body cut short")
+            : error;
     }
-    return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
 }
--- a/packages/entry/src/serveEntry.ts
+++ b/packages/entry/src/serveEntry.ts
@@ -1,6 +1,7 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { createBodyBudget } from "@auburnarch/overload/createBodyBudget";
 import { closeServer } from "@auburnarch/transport/closeServer";
 import type { ResultCode } from "@auburnarch/types/ResultCode";
 import type { TeamId } from "@auburnarch/types/TeamId";
@@ -9,8 +10,6 @@
 import type { AddressInfo } from "node:net";
 import { match } from "ts-pattern";
 import { answerClientErrors } from "./answerClientErrors.js";
-import type { BodyBudget } from "./BodyBudget.js";
-import { createBodyPool } from "./createBodyPool.js";
 import { createPeerServer } from "./createPeerServer.js";
 import type { Entry } from "./Entry.js";
 import type { EntryRoute } from "./EntryRoute.js";
@@ -82,17 +81,6 @@
     return team as TeamId;
 }
 
-/** Reads a body and returns its bytes to the budget when the answer ends. */
-function readBudgetedBody(
-    request: IncomingMessage,
-    response: ServerResponse,
-    maxBytes: number,
-    budget: BodyBudget,
-): Promise<Uint8Array> {
-    response.once("close", budget.release);
-    return readBody(request, maxBytes, budget);
-}
-
 async function listen(options: ServeEntryOptions): Promise<Server> {
     const server = (options.createServer ?? createServer)({
         requestTimeout: options.requestTimeoutMs,
@@ -131,8 +119,8 @@
 
     const peers = createPeerServer(entry, logInternal);
     const bodyPoolBytes = options.maxBodyPoolBytes ?? defaultBodyPoolBytes;
-    const teamBudget = createBodyPool(bodyPoolBytes, bodyPoolBytes * maxTeamBodyShare);
-    const peerBudget = createBodyPool(bodyPoolBytes, bodyPoolBytes);
+    const teamBudget = createBodyBudget({ maxHeldBytes: bodyPoolBytes, maxOwnerShare: maxTeamBodyShare });
+    const peerBudget = createBodyBudget({ maxHeldBytes: bodyPoolBytes });
 
     async function callService(
         route: EntryRoute & { kind: "service"; },
@@ -141,7 +129,7 @@
     ): Promise<void> {
         const forwarded = request.headers[forwardHeaders.forwarded] === "1";
         const team = forwarded ? forwardedTeam(request, options) : entry.authenticate(tokenOf(request));
-        const body = await readBudgetedBody(request, response, entry.maxBodyBytes(), teamBudget(team));
+        const body = await readBody(request, response, entry.maxBodyBytes(), teamBudget, team);
         const call = { ...readCallerRequest(request, team, route.service, route.path, body), forwarded };
         await writeAnswer(options.clock, response, await entry.call(call, disconnectSignal(response)));
     }
@@ -164,7 +152,7 @@
             );
             return;
         }
-        const body = parseJson(await readBudgetedBody(request, response, maxPeerBodyBytes, teamBudget(team)));
+        const body = parseJson(await readBody(request, response, maxPeerBodyBytes, teamBudget, team));
         sendJson(
             response,
             200,
@@ -180,7 +168,7 @@
         requireToken(request, options.operatorTokenDigest);
         const body = request.method === "POST"
             ? parseJson(
-                await readBudgetedBody(request, response, maxOperatorBodyBytes, peerBudget("operators")),
+                await readBody(request, response, maxOperatorBodyBytes, peerBudget, "operators"),
             )
             : undefined;
         sendJson(response, 200, await entry.operate(route.action, route.query, body) ?? {});
@@ -189,7 +177,7 @@
     async function receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
         requirePeer(request, options);
         const body = parseJson(
-            await readBudgetedBody(request, response, maxPeerBodyBytes, peerBudget("peers")),
+            await readBody(request, response, maxPeerBodyBytes, peerBudget, "peers"),
         );
         sendJson(response, 200, await peers.receive(body));
     }
