Discard the rest of a refused request before its connection closes

Clients whose body was refused while they still sent it saw a reset connection in place of the 413 or 503, at times: the answer was followed at once by the close, and closing a socket with unread bytes resets the connection, which may destroy the answer on its way. Such a client cannot tell "not run" from "unknown". In the own interface the rest of the body was read until the timeout of the request, a minute, however long it went on.

Fix: `endResponse` sends the answer with its length and `Connection: close`, discards what still arrives for a second, and closes then. The bytes are freed as they come.

--- a/packages/daemon/src/clientCrowds.test.ts
+++ b/packages/daemon/src/clientCrowds.test.ts
@@ -35,6 +35,7 @@
             }),
     }));
 
+const overlong = { bytes: 3 * maxBodyBytes };
 const tiny = { bytes: 150_000, chunkBytes: 1 };
 
 const plans: Record<string, CrowdPlan> = {
@@ -45,6 +46,14 @@
     },
     "bodies in chunks of a byte": { membersAt: ({ plain }) => bodies(plain, tiny) },
     "batch jobs in chunks of a byte": { membersAt: ({ batchJob }) => bodies(batchJob, tiny) },
+    "bodies far over the limit": {
+        membersAt: ({ plain }) => bodies(plain, overlong),
+        statuses: [413, 503],
+    },
+    "bodies announced far over the limit": {
+        membersAt: ({ plain }) => bodies(plain, { announcedBytes: overlong.bytes, ...overlong }),
+        statuses: [413],
+    },
     "connections that leave within a body": {
         membersAt: ({ plain }) => bodies(plain, {}).map(member => ({ ...member, isLeaving: true })),
     },
--- a/packages/entry/src/sendFailure.ts
+++ b/packages/entry/src/sendFailure.ts
@@ -1,7 +1,7 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import { breakOffResponse } from "@auburnarch/streams/breakOffResponse";
-import type { ServerResponse } from "node:http";
+import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
 import { ManifestConflictError } from "./ManifestConflictError.js";
 import { ManifestInvalidError } from "./ManifestInvalidError.js";
 import { outcomeOfError } from "./outcomeOfError.js";
@@ -12,11 +12,21 @@
     return current === undefined ? undefined : { version: current.version, manifest: current.value };
 }
 
+/** Sends a complete response. */
+type Send = (status: number, headers: OutgoingHttpHeaders, body: Uint8Array) => void;
+
+function sendAtOnce(response: ServerResponse): Send {
+    return (status, headers, body) => {
+        response.writeHead(status, { ...headers, "content-length": body.length });
+        response.end(body);
+    };
+}
+
 /**
  * Sends an error as JSON with its numbered code, the suggested action and whether the request ran. If the answer has
  * already begun, the connection is destroyed instead, so that a partial answer is not taken for a complete one.
  */
-export function sendFailure(response: ServerResponse, error: unknown): void {
+export function sendFailure(response: ServerResponse, error: unknown, send = sendAtOnce(response)): void {
     if (response.headersSent) {
         breakOffResponse(response);
         return;
@@ -37,12 +47,10 @@
     }));
     const headers: Record<string, string | number> = {
         "content-type": "application/json",
-        "content-length": body.byteLength,
         "x-auburnarch-outcome": outcome,
     };
     if (retryAfterMs !== undefined) {
         headers["retry-after"] = Math.max(1, Math.ceil(retryAfterMs / millisecondsPerSecond));
     }
-    response.writeHead(code.httpStatus, headers);
-    response.end(body);
+    send(code.httpStatus, headers, body);
 }
--- a/packages/entry/src/serveEntry.ts
+++ b/packages/entry/src/serveEntry.ts
@@ -2,7 +2,9 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import { createBodyBudget } from "@auburnarch/overload/createBodyBudget";
+import { endResponse } from "@auburnarch/overload/endResponse";
 import { closeServer } from "@auburnarch/transport/closeServer";
+import type { Clock } from "@auburnarch/types/Clock";
 import type { ResultCode } from "@auburnarch/types/ResultCode";
 import type { TeamId } from "@auburnarch/types/TeamId";
 import { createServer } from "node:http";
@@ -81,6 +83,14 @@
     return team as TeamId;
 }
 
+function refuse(clock: Clock, response: ServerResponse, error: unknown): void {
+    sendFailure(
+        response,
+        error,
+        (status, headers, body) => endResponse(clock, response, status, headers, body),
+    );
+}
+
 async function listen(options: ServeEntryOptions): Promise<Server> {
     const server = (options.createServer ?? createServer)({
         requestTimeout: options.requestTimeoutMs,
@@ -225,8 +235,7 @@
     server.on("request", (request, response) => {
         handle(request, response).catch(error => {
             logInternal(codeOf(error), error);
-            request.resume();
-            sendFailure(response, error);
+            refuse(options.clock, response, error);
         });
     });
     return {
