Count the memory of batch jobs that are decoded

A gateway of 200 MB could not bear batch jobs that clients may send: one of 32 MB took 243 MB before it was answered 502, and 40 whole jobs of 0.9 MB at once passed 200 MB too.

Cause: only the bytes of the body were counted, but its items, their encoded copy and the call to the store take about eight times as much.

Fix: that memory is reserved beside the body before it is decoded; what does not fit beside others is refused with 503 and Retry-After, as not run. A job that could not be decoded within the budget even if nothing else were held is refused with 413 as soon as its length is known, which is above what an object of the platform's store takes (1 MB), where all bodies of a job go: such a job was never accepted.

--- a/packages/gateway/src/createBatchJobHandler.ts
+++ b/packages/gateway/src/createBatchJobHandler.ts
@@ -33,6 +33,8 @@
 
 /** Limits the time in which a batch job is received if the client has set no deadline. */
 const maxReadMs = 10_000;
+/** Memory that the decoded batch job and its encoded copy take for each byte of the body. */
+const decodedBytesPerByte = 8;
 
 /**
  * Throws unless the change was made. Only a proof that nothing was changed is answered with the status of its code, from
@@ -78,9 +80,14 @@
         signal: AbortSignal,
     ): Promise<ClientAnswer> {
         const startedAtMs = clock.monotonicMs();
-        const { maxBodyBytes } = table.clientLimits;
+        // A larger batch job could not be decoded within the memory, also if nothing else is held.
+        const maxDecodableBytes = Math.floor(deps.bodyBudget.maxBodyBytes / (1 + decodedBytesPerByte));
+        const maxBodyBytes = Math.min(table.clientLimits.maxBodyBytes, maxDecodableBytes);
         const limitMs = request.deadlineMs ?? maxReadMs;
         const body = await readHeldBody({ request, maxBodyBytes, hold, limitMs, clock, signal });
+        if (!hold.reserve(decodedBytesPerByte * body.length)) {
+            throw new ResultError(resultCodes.bodiesFull, `${body.length} bytes to decode`);
+        }
         const batchJob = { ...deps.decodeBatchJob(id as BatchJobId, request.host, request.path, body), team };
         const outcome = await deps.batchJobStore.accept(batchJob, clock.wallMs());
         requireDone(outcome, resultCodes.acceptanceUnknown);
--- a/packages/overload/src/createBodyBudget.ts
+++ b/packages/overload/src/createBodyBudget.ts
@@ -138,5 +138,9 @@
         };
     }
 
-    return { open, heldBytes: () => heldBytes };
+    return {
+        open,
+        heldBytes: () => heldBytes,
+        maxBodyBytes: Math.min(maxOwnerBytes, totalLimitBytes(maxHeldBytes)),
+    };
 }
