Close connections on which nothing runs for new ones

While clients opened more connections than the process may have descriptors, others got no answer, and the process could reach neither store nor samplers nor peers. Silent connections stayed for 30 s and longer, though the configuration says 3 s.

Cause: gateways had no limit of connections. Entries and sidecars had one, but closed the new connections at it, so whoever holds the old ones keeps all others out. Timeouts of heads were checked every 30 s, Node's default.

Fix: `limitConnections`, used by gateways, entries and sidecars. At the limit the oldest silent connection is closed for the new one, then the oldest idle one, then the oldest whose request is incomplete; never one with a request that may run. A gateway's limit comes from its descriptors (half of them, so that each request can have a connection to a sampler and 200 remain for files, store, peers and probes) and from its memory: 1,000 connections at 200 MB.

Evidence: clientCrowds.test.ts, 600 connections at a process with 300 descriptors: silent ones, with half a head, with a part of a body, and with each second one leaving.

--- a/packages/config/src/roleSettingsSchema.ts
+++ b/packages/config/src/roleSettingsSchema.ts
@@ -41,8 +41,12 @@
     admission: z.strictObject({}).optional(),
     /** Memory that the process may use; if omitted, it is derived from the heap limit. */
     memoryMb: z.int().min(1).optional(),
+    /** Descriptors that the process may use; if omitted, the limit that the process was started with. */
+    maxOpenFiles: z.int().min(1).optional(),
     /** Gateways: maximum of bytes of request bodies held at once; if omitted, a fifth of the memory. */
     maxHeldBodyBytes: z.int().min(1).optional(),
+    /** Gateways: maximum of open client connections; if omitted, it is derived from the two limits above. */
+    maxClientConnections: z.int().min(1).optional(),
     maxLoadingSamplers: z.int().min(1).optional(),
     /** Whether store calls go through a runner while the process itself does not reach the store. */
     relaysStoreCalls: z.boolean().optional(),
--- a/packages/daemon/src/clientCrowds.test.ts
+++ b/packages/daemon/src/clientCrowds.test.ts
@@ -12,6 +12,7 @@
 const maxBodyBytes = 33_554_432;
 const blockBytes = 65_536;
 const crowdSize = 20;
+const maxOpenFiles = 300;
 const batchJobItems = 30;
 const itemBytes = 22_000;
 /** The batch job is about as large as clients may send, and larger than an object of the store. */
@@ -42,6 +43,7 @@
 
 const overlong = { bytes: 3 * maxBodyBytes };
 const tiny = { bytes: 150_000, chunkBytes: 1 };
+const halfHead = "POST /tiles/1 HTTP/1.1\r\nhost: a.ex";
 
 /** A batch job of a size that the platform's store takes. */
 function encodeBatchJob(lot: string, bodyBytes = itemBytes): string {
@@ -78,6 +80,32 @@
     "connections that leave within a body": {
         membersAt: ({ plain }) => bodies(plain, {}).map(member => ({ ...member, isLeaving: true })),
     },
+    "connections that send nothing": {
+        membersAt: () => members(2 * maxOpenFiles, () => ({ pieces: () => [] })),
+        maxOpenFiles,
+    },
+    "connections with half a head": {
+        membersAt: () => members(2 * maxOpenFiles, () => ({ pieces: () => [halfHead] })),
+        maxOpenFiles,
+    },
+    "connections with a part of a body": {
+        membersAt: ({ plain: path }) =>
+            members(2 * maxOpenFiles, index => ({
+                pieces: () =>
+                    crowdPieces(`c-${index}`, {
+                        path,
+                        bytes: 1_000,
+                        chunkBytes: 1_000,
+                        announcedBytes: 2_000,
+                    }),
+            })),
+        maxOpenFiles,
+    },
+    "connections of which each second one leaves": {
+        membersAt: () =>
+            members(2 * maxOpenFiles, index => ({ pieces: () => [halfHead], isLeaving: index % 2 === 0 })),
+        maxOpenFiles,
+    },
 };
 
 test.each(Object.keys(plans))("a gateway outlives %s and answers a request beside them", async name => {
--- a/packages/daemon/src/entryCrowds.test.ts
+++ b/packages/daemon/src/entryCrowds.test.ts
@@ -11,6 +11,7 @@
 const blockBytes = 65_536;
 const crowdSize = 20;
 const bodyBytes = 33_554_432;
+const connections = 4_200;
 const maxTestMs = 120_000;
 
 const path = "/v1/jobs/plume-forecast/steps";
@@ -54,3 +55,21 @@
     },
     maxTestMs,
 );
+
+test("the own interface answers a request beside more silent connections than it keeps open", async () => {
+    // Guards against connections that send nothing and keep all others out.
+    const entry = await startStandaloneProcess(heapLimitMb);
+    try {
+        const crowd = await sendCrowd(
+            entry.port,
+            Array.from({ length: connections }, () => ({ pieces: () => [] })),
+        );
+        const isAnswered = await isHealthy(entry.port);
+        const { ended } = await entry.state();
+        crowd.close();
+        expect({ ended, isAnswered }).toEqual({ ended: undefined, isAnswered: true });
+    }
+    finally {
+        entry.close();
+    }
+}, maxTestMs);
--- a/packages/daemon/src/startGateway.ts
+++ b/packages/daemon/src/startGateway.ts
@@ -48,7 +48,7 @@
         failureDomain: settings.failureDomain as FailureDomain,
         meter: common.extras.meter,
     });
-    const { maxHeldBodyBytes } = clientBoundsOf(settings);
+    const { maxHeldBodyBytes, maxConnections } = clientBoundsOf(settings);
     const results = createRunnerResults({ caller: common.caller, send: common.runnerClient.results });
     const gateway = createGateway({
         ...common,
@@ -70,6 +70,9 @@
         gateway,
         clients: splitAddress(settings.clientAddress!)!,
         ready: splitAddress(settings.readyAddress!)!,
+        maxConnections,
+        onConnections: connections => metrics.set("client_connections", {}, connections),
+        onConnectionClosed: state => metrics.count("client_connections_closed_total", { state }),
         clock,
         logger,
     });
--- a/packages/entry/src/serveEntry.ts
+++ b/packages/entry/src/serveEntry.ts
@@ -3,6 +3,7 @@
 import { ResultError } from "@auburnarch/errors/ResultError";
 import { createBodyBudget } from "@auburnarch/overload/createBodyBudget";
 import { endResponse } from "@auburnarch/overload/endResponse";
+import { limitConnections } from "@auburnarch/overload/limitConnections";
 import { closeServer } from "@auburnarch/transport/closeServer";
 import type { Clock } from "@auburnarch/types/Clock";
 import type { ResultCode } from "@auburnarch/types/ResultCode";
@@ -99,7 +100,7 @@
         // The host header is not used, and Node's own refusal has no result code.
         requireHostHeader: false,
     });
-    server.maxConnections = options.maxConnections;
+    limitConnections(server, { maxConnections: options.maxConnections });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen(options.port, options.host, resolve);
--- a/packages/sidecar/src/serveSidecar.ts
+++ b/packages/sidecar/src/serveSidecar.ts
@@ -1,5 +1,6 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { createBodyBudget } from "@auburnarch/overload/createBodyBudget";
+import { limitConnections } from "@auburnarch/overload/limitConnections";
 import { closeServer } from "@auburnarch/transport/closeServer";
 import { sidecarHeaders } from "@auburnarch/transport/sidecarHeaders";
 import { once } from "node:events";
@@ -82,7 +83,7 @@
         }
         handler(request, response);
     });
-    server.maxConnections = options.maxConnections ?? defaultMaxConnections;
+    limitConnections(server, { maxConnections: options.maxConnections ?? defaultMaxConnections });
     server.listen(options.port, options.host);
     await once(server, "listening");
     const { port } = server.address() as AddressInfo;
