Handle pipelined requests one after the other

20 connections with 10,000 pipelined requests each ended a gateway out of memory: all requests of a connection were in flight at once, each with a connection to a sampler.

Clients that wait for answers are not concerned.

--- a/packages/daemon/src/clientCrowds.test.ts
+++ b/packages/daemon/src/clientCrowds.test.ts
@@ -43,6 +43,10 @@
 
 const overlong = { bytes: 3 * maxBodyBytes };
 const tiny = { bytes: 150_000, chunkBytes: 1 };
+const pipelined = Array.from(
+    { length: 10_000 },
+    (_, index) => `GET /tiles/1 HTTP/1.1\r\nhost: a.example\r\nauburnarch-request-id: p-${index}\r\n\r\n`,
+).join("");
 const halfHead = "POST /tiles/1 HTTP/1.1\r\nhost: a.ex";
 
 /** A batch job of a size that the platform's store takes. */
@@ -106,6 +110,10 @@
             members(2 * maxOpenFiles, index => ({ pieces: () => [halfHead], isLeaving: index % 2 === 0 })),
         maxOpenFiles,
     },
+    "pipelined requests whose answers are not read": {
+        membersAt: () => members(crowdSize, () => ({ pieces: () => [pipelined], isReading: false })),
+        maxOpenFiles,
+    },
 };
 
 test.each(Object.keys(plans))("a gateway outlives %s and answers a request beside them", async name => {
--- a/packages/entry/src/serveEntry.ts
+++ b/packages/entry/src/serveEntry.ts
@@ -1,6 +1,7 @@
 import { codeOf } from "@auburnarch/errors/codeOf";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { answerInTurn } from "@auburnarch/overload/answerInTurn";
 import { createBodyBudget } from "@auburnarch/overload/createBodyBudget";
 import { endResponse } from "@auburnarch/overload/endResponse";
 import { limitConnections } from "@auburnarch/overload/limitConnections";
@@ -233,12 +234,15 @@
     };
 
     answerClientErrors(server);
-    server.on("request", (request, response) => {
-        handle(request, response).catch(error => {
-            logInternal(codeOf(error), error);
-            refuse(options.clock, response, error);
-        });
-    });
+    server.on(
+        "request",
+        answerInTurn((request, response) => {
+            handle(request, response).catch(error => {
+                logInternal(codeOf(error), error);
+                refuse(options.clock, response, error);
+            });
+        }),
+    );
     return {
         port,
         entry,
