--- a/packages/overload/src/readRequestBody.ts
+++ b/packages/overload/src/readRequestBody.ts
@@ -26,7 +26,6 @@
     }
     return new Promise((resolve, reject) => {
         const buffer = createBodyBuffer(announcedBytes ?? maxBytes, hold);
-
         let isSettled = false;
 
         function stop(): void {
