Refuse responses whose framing is broken

Callers saw: 200, a sampler's signature, and content that wasn't the sampler's: the framing of the chunks, or the rest of the head. Items were completed with an empty text.

Cause: where Node's parser doesn't understand the framing of a response, it reads everything to the end of the connection and reports it as whole: any Transfer-Encoding that isn't exactly "chunked", a misspelt field name, a blank line before the length. Bodies beside 204 are dropped. No reader asked more than the parser, and each had its own listener.

Change: streams/findHeadFault says what a sound head is; streams/receiveResponse passes on only such responses and is used by all readers: exchangeHttp (requests, streams, items, rewards, peers, store, usage reports, orders, reports) and the clients of engines, plain services, JSON services, entries and operators. The linter refuses other listeners. Everything else is a MalformedResponseError, result code 3009 (502, unknown whether it ran), which is no mark against the content, at plain services of the own interface either; there, answers that the parser refused were one until now.

A success whose body ends with its connection has to say "Connection: close": else its framing is missing, misspelt or behind a blank line. Heads of the tests' own stand-ins that didn't say so do now, so that they still reach what their tests check; "an encoding that ends with the connection" (gzip) is refused by its head, so HTTP/1.0 takes its place there, and brokenAnswers checks the codings.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -24,6 +24,14 @@
 
 const clockOnly = "Take it from the Clock or Random argument, so that the same code runs under a fake clock.";
 
+const restrictedSyntax = [
+    {
+        selector: "ClassDeclaration[superClass=null]",
+        message: "Use a factory function that closes over its state.",
+    },
+    { selector: "Literal[raw='null']", message: "Use undefined." },
+];
+
 export default tseslint.config(
     { ignores: ["**/dist/**", "**/node_modules/**", "target/**", "journal/**"] },
     ...tseslint.configs.recommended,
@@ -48,14 +56,7 @@
                 { selector: "interface", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
                 { selector: "typeLike", format: ["PascalCase"] },
             ],
-            "no-restricted-syntax": [
-                "error",
-                {
-                    selector: "ClassDeclaration[superClass=null]",
-                    message: "Use a factory function that closes over its state.",
-                },
-                { selector: "Literal[raw='null']", message: "Use undefined." },
-            ],
+            "no-restricted-syntax": ["error", ...restrictedSyntax],
         },
     },
     {
@@ -77,6 +78,26 @@
             ],
         },
     },
+    {
+        files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
+        ignores: [
+            "**/*.test.ts",
+            "**/testing/**",
+            "packages/streams/src/receiveResponse.ts",
+            "packages/bench/**",
+        ],
+        rules: {
+            "no-restricted-syntax": [
+                "error",
+                ...restrictedSyntax,
+                {
+                    selector:
+                        "CallExpression[callee.property.name=/^(on|once)$/][arguments.0.value='response']",
+                    message: "Use receiveResponse, which refuses responses with a broken head.",
+                },
+            ],
+        },
+    },
     {
         files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
         ignores: [
--- a/packages/cli/src/createOperatorClient.ts
+++ b/packages/cli/src/createOperatorClient.ts
@@ -1,4 +1,5 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
+import { receiveResponse } from "@auburnarch/streams/receiveResponse";
 import { trackResponseEnd } from "@auburnarch/streams/trackResponseEnd";
 import type { OperatorError } from "@auburnarch/types/OperatorError";
 import { type IncomingMessage, request as httpRequest } from "node:http";
@@ -65,10 +66,11 @@
         };
         return new Promise((resolve, reject) => {
             const request = startRequest(new URL(path, entryUrl), { method, headers, timeout: timeoutMs });
-            request.on("response", response => {
-                resolve({ response, isWhole: trackResponseEnd(response, method) });
-            });
-            request.on("error", reject);
+            receiveResponse(
+                request,
+                response => resolve({ response, isWhole: trackResponseEnd(response, method) }),
+                reject,
+            );
             request.on("timeout", () => request.destroy(new Error(`no answer within ${timeoutMs} ms`)));
             request.end(bytes);
         });
--- a/packages/daemon/src/callEntry.ts
+++ b/packages/daemon/src/callEntry.ts
@@ -1,6 +1,7 @@
 import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { receiveResponse } from "@auburnarch/streams/receiveResponse";
 import { trackResponseEnd } from "@auburnarch/streams/trackResponseEnd";
 import { request as httpRequest } from "node:http";
 import type { Agent } from "node:http";
@@ -53,7 +54,8 @@
             method,
             headers,
             timeout: timeoutMs,
-        }, answer => {
+        });
+        receiveResponse(sent, answer => {
             const isWhole = trackResponseEnd(answer, method);
             const chunks: Buffer[] = [];
             answer.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -70,9 +72,8 @@
                     reject(error as Error);
                 }
             });
-        });
+        }, error => reject(broken(error)));
         sent.on("timeout", () => sent.destroy(new Error(`no answer within ${timeoutMs} ms`)));
-        sent.on("error", error => reject(broken(error)));
         sent.end(body);
     });
 }
--- a/packages/errors/src/resultCodes.ts
+++ b/packages/errors/src/resultCodes.ts
@@ -324,6 +324,13 @@
         "The answer went on beyond what its request allows and was given up; unknown whether it ran.",
         "Repeat only if the request is idempotent.",
     ),
+    answerMalformed: define(
+        3009,
+        "answerMalformed",
+        502,
+        "The answer of the server broke the protocol; unknown whether it ran.",
+        "Repeat only if the request is idempotent.",
+    ),
     storeUnavailable: define(
         4000,
         "storeUnavailable",
--- a/packages/forwarding/src/recordAttemptEnd.ts
+++ b/packages/forwarding/src/recordAttemptEnd.ts
@@ -1,8 +1,8 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import type { IncarnationId } from "@auburnarch/types/IncarnationId";
 import type { Logger } from "@auburnarch/types/Logger";
-import type { ResultCode } from "@auburnarch/types/ResultCode";
 import type { ContentGuard } from "./ContentGuard.js";
+import { isInvalidAnswer } from "./isInvalidAnswer.js";
 import type { SamplerAttemptOutcome } from "./SamplerAttemptOutcome.js";
 import type { UnansweredAttempts } from "./UnansweredAttempts.js";
 
@@ -17,13 +17,6 @@
 }
 
 const serverErrorStatus = 500;
-/** Bytes in place of an answer show that the sampler has not crashed, and nothing of the content. */
-const invalidAnswerCodes: ReadonlySet<ResultCode> = new Set([
-    resultCodes.answerMixed,
-    resultCodes.answerTooLong,
-]);
-
-const isInvalidAnswer = (code: ResultCode): boolean => invalidAnswerCodes.has(code);
 
 /**
  * Records what the end of an attempt says about its content. Only an answer that shows that the content ran clears it:
--- a/packages/sidecar/src/createPlainRunner.ts
+++ b/packages/sidecar/src/createPlainRunner.ts
@@ -46,7 +46,7 @@
         else if (outcome.kind === "notRun") {
             context.plainHealth.recordRefusedConnection();
         }
-        else if (!work.signal.aborted) {
+        else if (!work.signal.aborted && outcome.code !== resultCodes.answerMalformed) {
             context.plainHealth.recordBrokenConnection(request.digest);
         }
     }
--- a/packages/store/src/createHttpEngine.ts
+++ b/packages/store/src/createHttpEngine.ts
@@ -1,5 +1,6 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { receiveResponse } from "@auburnarch/streams/receiveResponse";
 import type { EngineChunk } from "@auburnarch/types/EngineChunk";
 import type { EngineDescription } from "@auburnarch/types/EngineDescription";
 import type { EngineFinish } from "@auburnarch/types/EngineFinish";
@@ -107,8 +108,7 @@
         return new Promise((resolve, reject) => {
             const url = new URL("/v1/completions", baseUrl);
             const sent = startRequest(url, { method: "POST", agent, headers, signal });
-            sent.on("response", resolve);
-            sent.on("error", reject);
+            receiveResponse(sent, resolve, reject);
             sent.end(body);
         });
     }
--- a/packages/store/src/createHttpPlainBackend.ts
+++ b/packages/store/src/createHttpPlainBackend.ts
@@ -1,10 +1,13 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { MalformedResponseError } from "@auburnarch/streams/MalformedResponseError";
+import { receiveResponse } from "@auburnarch/streams/receiveResponse";
 import { trackResponseEnd } from "@auburnarch/streams/trackResponseEnd";
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
 import type { PlainAnswer } from "@auburnarch/types/PlainAnswer";
 import type { PlainBackend } from "@auburnarch/types/PlainBackend";
 import type { PlainRequest } from "@auburnarch/types/PlainRequest";
+import type { ResultCode } from "@auburnarch/types/ResultCode";
 import { Agent, type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
 import type { Socket } from "node:net";
 import type { HttpClientOptions } from "./HttpClientOptions.js";
@@ -52,6 +55,15 @@
     return () => mayHaveSent;
 }
 
+function brokenCode(error: Error, signal: AbortSignal): ResultCode {
+    if (signal.aborted) {
+        return resultCodes.cancelled;
+    }
+    return error instanceof MalformedResponseError
+        ? resultCodes.answerMalformed
+        : resultCodes.connectionBroken;
+}
+
 async function* readAnswerBody(
     response: IncomingMessage,
     isWhole: () => boolean,
@@ -91,21 +103,19 @@
             const sent = send(request, signal);
             const mayHaveSent = trackSentBytes(sent);
             sent.on("timeout", () => sent.destroy(new Error("timeout")));
-            sent.on("error", () => {
+            receiveResponse(sent, response => {
+                const headers = toForwardedHeaders(response.headers);
+                const { statusCode: status = 0 } = response;
+                const body = readAnswerBody(response, trackResponseEnd(response, request.method));
+                resolve({ kind: "ran", answer: { status, headers, body } });
+            }, error => {
                 if (mayHaveSent()) {
-                    const code = signal.aborted ? resultCodes.cancelled : resultCodes.connectionBroken;
-                    resolve({ kind: "unknown", code });
+                    resolve({ kind: "unknown", code: brokenCode(error, signal) });
                 }
                 else {
                     resolve({ kind: "notRun", code: resultCodes.connectFailed, retryAfterMs: undefined });
                 }
             });
-            sent.on("response", response => {
-                const headers = toForwardedHeaders(response.headers);
-                const status = response.statusCode ?? 502;
-                const body = readAnswerBody(response, trackResponseEnd(response, request.method));
-                resolve({ kind: "ran", answer: { status, headers, body } });
-            });
             sent.end(request.body);
         });
 
--- a/packages/store/src/createJsonClient.ts
+++ b/packages/store/src/createJsonClient.ts
@@ -1,6 +1,7 @@
 import { codeByNumber } from "@auburnarch/errors/codeByNumber";
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { receiveResponse } from "@auburnarch/streams/receiveResponse";
 import { trackResponseEnd } from "@auburnarch/streams/trackResponseEnd";
 import type { ResultCode } from "@auburnarch/types/ResultCode";
 import { Agent, type IncomingMessage, request as startRequest } from "node:http";
@@ -66,10 +67,11 @@
                 headers,
                 timeout: limitMs,
             });
-            request.on("response", response => {
-                resolve({ response, isWhole: trackResponseEnd(response, method) });
-            });
-            request.on("error", reject);
+            receiveResponse(
+                request,
+                response => resolve({ response, isWhole: trackResponseEnd(response, method) }),
+                reject,
+            );
             request.on("timeout", () => request.destroy(new Error("timeout")));
             request.end(bytes);
         });
--- a/packages/streams/src/trackResponseEnd.ts
+++ b/packages/streams/src/trackResponseEnd.ts
@@ -3,21 +3,15 @@
 
 const bodilessStatuses = new Set([204, 304]);
 
-/** Any other body ends with the connection. */
-function isDelimited({ headers, statusCode = 0 }: IncomingMessage, method: string): boolean {
-    const encoding = headers["transfer-encoding"];
-    const isFramed = encoding === undefined ? "content-length" in headers : /\bchunked\s*$/i.test(encoding);
-    return isFramed || method === "HEAD" || bodilessStatuses.has(statusCode);
-}
-
 /**
- * To be called as soon as the head of a response is received; returns whether the response, once it has ended, is the
- * sender's whole response. Node reports a body that ends with the connection as complete however the connection ends:
- * only a sender that closed it has ended the body.
+ * To be called as soon as the head of a response is received and found sound; returns whether the response, once it has
+ * ended, is the sender's whole response. Node reports a body that ends with the connection as complete however the
+ * connection ends: only a sender that closed it has ended the body.
  */
 export function trackResponseEnd(response: IncomingMessage, method: string): () => boolean {
-    const { socket } = response;
-    if (isDelimited(response, method)) {
+    const { socket, headers, statusCode = 0 } = response;
+    const isFramed = "content-length" in headers || "transfer-encoding" in headers;
+    if (isFramed || method === "HEAD" || bodilessStatuses.has(statusCode)) {
         return () => response.complete;
     }
     let isClosedBySender = false;
--- a/packages/transport/src/exchangeHttp.ts
+++ b/packages/transport/src/exchangeHttp.ts
@@ -1,6 +1,8 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import { createByteStream } from "@auburnarch/streams/createByteStream";
+import { MalformedResponseError } from "@auburnarch/streams/MalformedResponseError";
+import { receiveResponse } from "@auburnarch/streams/receiveResponse";
 import { trackResponseEnd } from "@auburnarch/streams/trackResponseEnd";
 import type { Clock } from "@auburnarch/types/Clock";
 import { type Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
@@ -29,8 +31,6 @@
 
 /** A response may be preceded by informational ones (1xx), without a limit of Node's own. */
 const maxInformationalResponses = 16;
-/** Codes of errors in bytes that are no HTTP. */
-const parserErrorPrefix = "HPE_";
 
 /**
  * Sends one request and resolves with the status and headers of its response. Never rejects; the body of a truncated
@@ -87,14 +87,16 @@
                 });
             }
         });
-        // A response that switches protocols closes the connection without an event `response` or `error`.
         const failUnanswered = (): void => fail("closed without a response");
-        request.once("response", message => {
+        receiveResponse(request, message => {
             request.removeListener("close", failUnanswered);
             const response = readResponse(request, message, release);
             failBody = response.fail;
             const { statusCode = 0, headers } = message;
             resolve({ kind: "answered", status: statusCode, headers, body: response.body });
+        }, error => {
+            isMalformed ||= error instanceof MalformedResponseError;
+            fail(error.message);
         });
         request.on("information", () => {
             informationalResponses++;
@@ -103,10 +105,6 @@
                 abortRequest();
             }
         });
-        request.on("error", error => {
-            isMalformed ||= "code" in error && String(error.code).startsWith(parserErrorPrefix);
-            fail(error.message);
-        });
         request.once("close", failUnanswered);
         request.end(call.body);
     });
