Refuse responses whose status is no status

Callers saw: a closed connection without an answer for status 000, 001 or 099, or no gateway any more; 600 and 999 passed on. JSON clients and store calls took 000 as a success, usage reports took it as refused.

Cause: Node's parser takes any three digits. A status below 100 throws when it is written to the client.

Change: findHeadFault refuses statuses outside 200 to 599, so that readers see 3009 and other samplers are tried.

--- a/packages/streams/src/findHeadFault.ts
+++ b/packages/streams/src/findHeadFault.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage } from "node:http";
 
+const firstFinalStatus = 200;
 const firstOtherStatus = 300;
+const lastStatus = 599;
 const noContentStatus = 204;
 const closePattern = /(?:^|,)\s*close\s*(?:,|$)/iu;
 
@@ -33,9 +35,13 @@
 
 /**
  * Returns what is wrong with the head of a response to a request with this method; undefined if it is sound. Node's
- * parser rejects fields that break the grammar; it reads a body whose
+ * parser rejects fields that break the grammar; it accepts any status, and reads a body whose
  * framing it does not understand to the end of the connection.
  */
 export function findHeadFault(response: IncomingMessage, method: string): string | undefined {
+    const { statusCode = 0 } = response;
+    if (statusCode < firstFinalStatus || statusCode > lastStatus) {
+        return `status ${String(statusCode).padStart(3, "0")}`;
+    }
     return findFramingFault(response, method);
 }
