Refuse responses of other protocols than HTTP/1

Callers saw: 200 for answers of HTTP/2.0, HTTP/0.9, RTSP and with NUL or another control byte in the reason. Clients without a timeout waited forever for a server that switched protocols.

Cause: Node's parser also reads related protocols and doesn't report which one it read; it doesn't check the reason. A switch of protocols raises neither "response" nor "error".

Change: receiveResponse looks at the first bytes of a response and refuses a switch of protocols; findHeadFault checks version and reason. The test of a switch in exchangeHttp asks for a malformed response now, which is stricter.

--- a/packages/streams/src/findHeadFault.ts
+++ b/packages/streams/src/findHeadFault.ts
@@ -4,6 +4,8 @@
 const firstOtherStatus = 300;
 const lastStatus = 599;
 const noContentStatus = 204;
+const versions = new Set(["1.0", "1.1"]);
+const reasonPattern = /^[\t\x20-\x7e\x80-\xff]*$/u;
 const closePattern = /(?:^|,)\s*close\s*(?:,|$)/iu;
 
 /**
@@ -35,13 +37,19 @@
 
 /**
  * Returns what is wrong with the head of a response to a request with this method; undefined if it is sound. Node's
- * parser rejects fields that break the grammar; it accepts any status, and reads a body whose
+ * parser rejects fields that break the grammar; it accepts any status and protocol version, and reads a body whose
  * framing it does not understand to the end of the connection.
  */
 export function findHeadFault(response: IncomingMessage, method: string): string | undefined {
-    const { statusCode = 0 } = response;
+    const { statusCode = 0, statusMessage = "", httpVersion } = response;
+    if (!versions.has(httpVersion)) {
+        return `version ${httpVersion}`;
+    }
     if (statusCode < firstFinalStatus || statusCode > lastStatus) {
         return `status ${String(statusCode).padStart(3, "0")}`;
     }
+    if (!reasonPattern.test(statusMessage)) {
+        return "a control character in the reason";
+    }
     return findFramingFault(response, method);
 }
--- a/packages/streams/src/receiveResponse.ts
+++ b/packages/streams/src/receiveResponse.ts
@@ -4,6 +4,13 @@
 
 /** Codes of Node's errors in bytes that are no HTTP. */
 const parserErrorPrefix = "HPE_";
+const protocolName = Buffer.from("HTTP/");
+
+/** Node's parser also accepts the names of related protocols, and does not report which one it read. */
+const namesHttp = (bytes: Uint8Array): boolean => {
+    const length = Math.min(bytes.length, protocolName.length);
+    return protocolName.subarray(0, length).equals(bytes.subarray(0, length));
+};
 
 const isParserError = (error: Error): boolean =>
     "code" in error && String(error.code).startsWith(parserErrorPrefix);
@@ -17,12 +24,18 @@
     onResponse: (response: IncomingMessage) => void,
     onError: (error: Error) => void,
 ): void {
+    let isHttp = true;
     const reject = (detail: string): void => {
         onError(new MalformedResponseError(detail));
         request.destroy();
     };
+    request.once("socket", socket => {
+        socket.prependOnceListener("data", (bytes: Buffer) => {
+            isHttp = namesHttp(bytes);
+        });
+    });
     request.once("response", response => {
-        const fault = findHeadFault(response, request.method);
+        const fault = isHttp ? findHeadFault(response, request.method) : "another protocol than HTTP";
         if (fault === undefined) {
             onResponse(response);
         }
@@ -30,6 +43,10 @@
             reject(fault);
         }
     });
+    request.once("upgrade", (_response, socket) => {
+        socket.destroy();
+        reject("a switch of protocols");
+    });
     request.on("error", error => {
         onError(isParserError(error) ? new MalformedResponseError(error.message) : error);
     });
--- a/packages/transport/src/exchangeHttp.test.ts
+++ b/packages/transport/src/exchangeHttp.test.ts
@@ -52,7 +52,7 @@
     const kind = await exchange(
         "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
     );
-    expect(kind).toBe("broken");
+    expect(kind).toBe("broken, malformed");
 });
 
 test("an exchange ends at bytes that are no response, and after too many informational responses", async () => {
