--- a/packages/transport/src/exchangeHttp.ts
+++ b/packages/transport/src/exchangeHttp.ts
@@ -93,7 +93,8 @@
             const response = readResponse(request, message, release);
             failBody = response.fail;
             const { statusCode = 0, headers } = message;
-            resolve({ kind: "answered", status: statusCode, headers, body: response.body });
+            const valuesOf = (name: string): string[] => message.headersDistinct[name] ?? [];
+            resolve({ kind: "answered", status: statusCode, headers, valuesOf, body: response.body });
         }, error => {
             isMalformed ||= error instanceof MalformedResponseError;
             fail(error.message);
