Reject when the first write of a response fails in its timer

Callers saw: a gateway ended by itself, with all its requests, when the head of an answer couldn't be written and the rest of the body came later than the first write.

Cause: that write happens in a timer of pipeBody, where nothing catches what it throws.

Change: pipeBody rejects with the error, as it does for a write beside a chunk, and writes nothing after it.

--- a/packages/streams/src/pipeBody.ts
+++ b/packages/streams/src/pipeBody.ts
@@ -9,15 +9,29 @@
 /**
  * Writes a body to a sink and ends it. Chunks are joined for up to `flushDelayMs`, before the first write for up to
  * `firstFlushDelayMs`: otherwise a token stream costs a system call and a frame per token, here and at each later hop.
- * Rejects if the body does; the caller then has to break the connection, so that an incomplete response is never taken
- * for a complete one.
+ * Rejects if the body does, or if the sink can't be written; the caller then has to break the connection, so that an
+ * incomplete response is never taken for a complete one.
  */
-export async function pipeBody(
+export function pipeBody(
     clock: Clock,
     body: AsyncIterable<Uint8Array>,
     sink: ByteSink,
     flushDelayMs = defaultFlushDelayMs,
 ): Promise<void> {
+    return new Promise((resolve, reject) => {
+        pump(clock, body, sink, flushDelayMs, reject).then(resolve, reject);
+    });
+}
+
+/** `onFlushError` is called with an error of a write that no chunk awaits; nothing is written after it. */
+async function pump(
+    clock: Clock,
+    body: AsyncIterable<Uint8Array>,
+    sink: ByteSink,
+    flushDelayMs: number,
+    onFlushError: (error: unknown) => void,
+): Promise<void> {
+    let hasFailed = false;
     let buffered: Uint8Array[] = [];
     let bufferedBytes = 0;
     let hasBegun = false;
@@ -45,17 +59,32 @@
         return joined === undefined || sink.write(joined);
     }
 
+    function flushLater(): void {
+        try {
+            flush();
+        }
+        catch (error) {
+            hasFailed = true;
+            onFlushError(error);
+        }
+    }
+
     try {
         for await (const chunk of body) {
+            if (hasFailed) {
+                return;
+            }
             buffered.push(chunk);
             bufferedBytes += chunk.length;
-            cancelTimer ??= clock.startTimer(hasBegun ? flushDelayMs : firstFlushDelayMs, () => void flush());
+            cancelTimer ??= clock.startTimer(hasBegun ? flushDelayMs : firstFlushDelayMs, flushLater);
             if (bufferedBytes >= flushThresholdBytes && !flush()) {
                 await sink.drained();
             }
         }
-        begin(bufferedBytes);
-        sink.end(takeBuffered());
+        if (!hasFailed) {
+            begin(bufferedBytes);
+            sink.end(takeBuffered());
+        }
     }
     finally {
         cancelTimer?.();
