--- a/packages/forwarding/src/createSamplerAttempts.ts
+++ b/packages/forwarding/src/createSamplerAttempts.ts
@@ -7,6 +7,7 @@
 import type { CallSampler } from "./CallSampler.js";
 import { createSamplerRecords } from "./createSamplerRecords.js";
 import { estimateWaitMs } from "./estimateWaitMs.js";
+import { isInvalidAnswer } from "./isInvalidAnswer.js";
 import type { RequestForwarderDeps } from "./RequestForwarderDeps.js";
 import type { RoutedRequest } from "./RoutedRequest.js";
 import type { SamplerAttemptOutcome } from "./SamplerAttemptOutcome.js";
@@ -53,8 +54,8 @@
             return { kind: "done", answer: { ...answer, body: chunkOf(whole) } };
         }
         catch (error) {
-            const isTooLong = codeOf(error) === resultCodes.answerTooLong;
-            const code = isTooLong ? resultCodes.answerTooLong : resultCodes.connectionBroken;
+            const cause = codeOf(error);
+            const code = isInvalidAnswer(cause) ? cause : resultCodes.connectionBroken;
             return { kind: "unknown", code, detail: error instanceof Error ? error.message : "cut short" };
         }
     }
--- a/packages/transport/src/exchangeHttp.ts
+++ b/packages/transport/src/exchangeHttp.ts
@@ -90,7 +90,7 @@
         const failUnanswered = (): void => fail("closed without a response");
         receiveResponse(request, message => {
             request.removeListener("close", failUnanswered);
-            const response = readResponse(request, message, release);
+            const response = readResponse(request, message, release, () => isMalformed);
             failBody = response.fail;
             const { statusCode = 0, headers } = message;
             const valuesOf = (name: string): string[] => message.headersDistinct[name] ?? [];
@@ -134,7 +134,12 @@
  * Streams the body of a response; it rejects if the connection ends, or this process destroys it, before the response
  * is whole. Bytes that follow a whole response do not belong to it.
  */
-function readResponse(request: ClientRequest, message: IncomingMessage, release: () => void): ResponseReader {
+function readResponse(
+    request: ClientRequest,
+    message: IncomingMessage,
+    release: () => void,
+    isMalformed: () => boolean,
+): ResponseReader {
     const isWhole = trackResponseEnd(message, request.method);
     const stream = createByteStream({
         onDrain: () => void message.resume(),
@@ -147,7 +152,11 @@
     });
     const fail = (): void => {
         release();
-        stream.fail(new ResultError(resultCodes.connectionBroken, "the answer was cut short"));
+        stream.fail(
+            isMalformed()
+                ? new ResultError(resultCodes.answerMalformed, "the body of the answer")
+                : new ResultError(resultCodes.connectionBroken, "the answer was cut short"),
+        );
     };
     message.once("end", () => {
         release();
