Count broken answers to items as failures of their samplers

Trainers saw: an item completed with an empty text after status 204. Operators saw nothing: runs that ended with such an answer left no log line, and no metric counted them.

Cause: any status below 300 was taken for a stream of events. Answers that break the protocol, or miss an event, ended a run without a line and didn't count against the sampler, so that it was asked again at once.

Change: 204 is no answer to an item; after any such answer its sampler is suspected for a while, as after a broken connection; runBroken is logged with its code, and auburnarch_answers_spoiled_total counts at gateways and runners.

Evidence: the new test of createItemSidecar fails on (204 completes the item; no sampler is suspected).

--- a/packages/forwarding/src/createSamplerAttempts.ts
+++ b/packages/forwarding/src/createSamplerAttempts.ts
@@ -69,6 +69,9 @@
         const record = recordOf(sampler.incarnation);
         const result = tried.kind === "done" ? String(tried.answer.status) : tried.kind;
         metrics.observeMs("relay_try_ms", { service: sampler.service, result }, tookMs);
+        if (tried.kind === "unknown" && isInvalidAnswer(tried.code)) {
+            metrics.count("answers_spoiled_total", { service: sampler.service });
+        }
         if (tried.kind === "done") {
             const before = record.latencyMs ?? tookMs;
             record.latencyMs = before + latencySmoothing * (tookMs - before);
--- a/packages/runner/src/items/createItemSidecar.test.ts
+++ b/packages/runner/src/items/createItemSidecar.test.ts
@@ -4,6 +4,7 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import type { SamplerReply } from "@auburnarch/forwarding/SamplerReply";
 import type { SamplerRequest } from "@auburnarch/forwarding/SamplerRequest";
+import { createMetrics } from "@auburnarch/metrics/createMetrics";
 import type { Route } from "@auburnarch/routing/Route";
 import { limitBody } from "@auburnarch/transport/limitBody";
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
@@ -44,6 +45,8 @@
     const sent: SamplerRequest[] = [];
     const spans: TokenSpan[] = [];
     const clock = createFakeClock();
+    const samplerHealth = createSamplerHealth(clock);
+    const metrics = createMetrics();
     const item: ItemRun = {
         batchJob: { host: "a", policy: "m0" } as unknown as BatchJob,
         item: {
@@ -75,9 +78,10 @@
                 throw new Error("reset");
             }
         },
-        samplerHealth: createSamplerHealth(clock),
+        samplerHealth,
         clock,
         logger: silent,
+        metrics,
     }, "s-1" as SamplerId);
     const attempt = {
         attempt: "a",
@@ -90,6 +94,8 @@
         outcome: describeOutcome(outcome),
         terminated,
         sent,
+        isSuspected: samplerHealth.isSuspected(sampler.incarnation),
+        isCounted: (await metrics.render()).includes("answers_spoiled_total"),
         spans: spans.map(each => `${each.version}:${each.text.trim()}`),
     };
 }
@@ -143,6 +149,21 @@
     expect([refused.outcome, refused.terminated]).toEqual(["notRun overloaded", []]);
 });
 
+test("an answer that breaks the protocol is a failure of its sampler", async () => {
+    // Guards against an item that is completed without a text, and one that is sent to the same sampler again and again.
+    const malformed = { kind: "unknown", code: resultCodes.answerMalformed, detail: "status 000" } as const;
+    const ended = await Promise.all([
+        run(malformed, []),
+        run(answered(204), []),
+        run(answered(200), [event(2)]),
+    ]);
+    expect(ended.map(({ outcome, isSuspected, isCounted }) => [outcome, isSuspected, isCounted])).toEqual([
+        ["unknown answerMalformed", true, true],
+        ["unknown answerMalformed", true, true],
+        ["unknown answerMixed", true, true],
+    ]);
+});
+
 test("an answer that goes on beyond what its item asks for ends the run as too long", async () => {
     // Guards against texts and memory that grow for as long as a sampler sends events, or bytes between them.
     const endless = answered(200);
--- a/packages/runner/src/items/createItemSidecar.ts
+++ b/packages/runner/src/items/createItemSidecar.ts
@@ -3,7 +3,9 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
 import type { CallSampler } from "@auburnarch/forwarding/CallSampler";
+import { isInvalidAnswer } from "@auburnarch/forwarding/isInvalidAnswer";
 import type { SamplerReply } from "@auburnarch/forwarding/SamplerReply";
+import type { Metrics } from "@auburnarch/metrics/Metrics";
 import type { Route } from "@auburnarch/routing/Route";
 import { readFullBody } from "@auburnarch/transport/readFullBody";
 import type { AttemptOutcome } from "@auburnarch/types/AttemptOutcome";
@@ -33,6 +35,7 @@
     samplerHealth: SamplerHealth;
     clock: Clock;
     logger: Logger;
+    metrics: Metrics;
 }
 
 type RunSample = SidecarPort["runSample"];
@@ -50,18 +53,44 @@
 const maxOtherBytes = 65_536;
 const itemFailedStatus = 500;
 const itemImpossibleStatus = 422;
+const noContentStatus = 204;
 
 const maxAnswerBytesOf = ({ maxOutputTokens }: ItemRun["item"]): number =>
     maxOtherBytes + maxBytesPerToken * maxOutputTokens;
 
-/** After these a sampler is suspected for a while. */
-const samplerFailureCodes: ReadonlySet<ResultCode> = new Set([
-    resultCodes.connectionBroken,
-    resultCodes.answerTooLong,
-]);
+/** After such an end of a run its sampler is suspected for a while. */
+const isSamplerFailure = (code: ResultCode): boolean =>
+    code === resultCodes.connectionBroken || isInvalidAnswer(code);
 
-const brokenRunCode = (error: unknown): ResultCode =>
-    codeOf(error) === resultCodes.answerTooLong ? resultCodes.answerTooLong : resultCodes.connectionBroken;
+function describeError(error: unknown): string {
+    if (error instanceof ResultError) {
+        return error.detail;
+    }
+    return error instanceof Error ? error.message : String(error);
+}
+
+/** Returns the result code of a run that broke off. */
+function recordBrokenRun(
+    { logger, metrics }: Pick<ItemSidecarDeps, "logger" | "metrics">,
+    attempt: SampleAttempt,
+    sampler: RegisteredSampler,
+    error: unknown,
+): ResultCode {
+    const cause = codeOf(error);
+    const isInvalid = isInvalidAnswer(cause);
+    const code = isInvalid ? cause : resultCodes.connectionBroken;
+    logger.info("runBroken", {
+        item: attempt.sample,
+        attempt: attempt.attempt,
+        sampler: sampler.incarnation,
+        code: code.number,
+        detail: describeError(error),
+    });
+    if (isInvalid) {
+        metrics.count("answers_spoiled_total", { service: sampler.service });
+    }
+    return code;
+}
 
 const countEvents = (spans: TokenSpan[]): number => spans.reduce((sum, span) => sum + span.tokens, 0);
 
@@ -89,7 +118,7 @@
     deps: ItemSidecarDeps,
     samplerId: SamplerId,
 ): Pick<SidecarPort, "runSample"> {
-    const { samplerHealth, logger } = deps;
+    const { samplerHealth } = deps;
 
     async function readRun(
         attempt: SampleAttempt,
@@ -111,7 +140,10 @@
             );
             lastEventAtMs = nowMs;
             if (event.number !== next) {
-                return { kind: "unknown", code: resultCodes.answerMixed };
+                throw new ResultError(
+                    resultCodes.answerMixed,
+                    `event ${event.number} in place of event ${next}`,
+                );
             }
             if (event.number > item.maxOutputTokens) {
                 throw new ResultError(resultCodes.answerTooLong, `more than ${item.maxOutputTokens} events`);
@@ -176,13 +208,16 @@
             return { kind: "notRun", code: reply.code, retryAfterMs: refusedPauseMs };
         }
         if (reply.kind === "unknown") {
-            return { kind: "unknown", code: reply.code };
+            throw new ResultError(reply.code, reply.detail);
         }
         samplerHealth.recordActivity(sampler.incarnation);
         if (reply.status >= 300) {
             await readFullBody(reply.body, maxFailureBytes);
             return handleFailure(run, reply.status, route);
         }
+        if (reply.status === noContentStatus) {
+            throw new ResultError(resultCodes.answerMalformed, `status ${reply.status} in place of events`);
+        }
         return readRun(attempt, item, reply, route, sampler, onSpan, spans);
     }
 
@@ -203,14 +238,7 @@
             ended = await runOnce(attempt, run, route, sampler, onSpan, signal, spans);
         }
         catch (error) {
-            const detail = error instanceof Error ? error.message : String(error);
-            logger.info("runBroken", {
-                item: attempt.sample,
-                attempt: attempt.attempt,
-                sampler: samplerId,
-                detail,
-            });
-            ended = { kind: "unknown", code: brokenRunCode(error) };
+            ended = { kind: "unknown", code: recordBrokenRun(deps, attempt, sampler, error) };
         }
         samplerHealth.recordRunEnded(sampler.incarnation);
         if (ended.kind !== "unknown") {
@@ -219,7 +247,7 @@
         if (signal.aborted && ended.code !== resultCodes.answerTooLong) {
             return toAnswer(attempt, spans, false);
         }
-        if (samplerFailureCodes.has(ended.code)) {
+        if (isSamplerFailure(ended.code)) {
             samplerHealth.recordFailure(sampler.incarnation);
         }
         return ended;
