Take no body whose chunks the parser did not recognize

Callers would see: 200 with the framing of the chunks as content, of a sound sampler.

Cause: behind the coding "chunked" Node's parser accepts spaces but no tab, though both are blanks there. It then reads to the end of the connection; the field's value that it reports is trimmed.

--- a/packages/transport/src/exchangeHttp.test.ts
+++ b/packages/transport/src/exchangeHttp.test.ts
@@ -216,6 +216,15 @@
     `);
 });
 
+test("chunks that Node's parser does not recognize are not taken for a body", async () => {
+    // Guards against the framing of chunks in a text: behind the coding, the parser understands spaces, but no tab.
+    const answerWith = (blank: string): string =>
+        `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked${blank}\r\n\r\n4\r\nhalf\r\n0\r\n\r\n`;
+    const end = (socket: Socket): void => void socket.end();
+    expect([await readEnd(answerWith(" "), { end }), await readEnd(answerWith("\t"), { end })])
+        .toEqual(["whole, 4 bytes", "cut short"]);
+});
+
 test("a body that its reader leaves unread ends when the exchange is given up", async () => {
     // Guards against a reader that waits forever: a paused response that was received whole emits no event then.
     const large = `HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${"x".repeat(400_000)}`;
