Bound completions of engines, and count none that is malformed as a crash

Operators would see: a sidecar that keeps all of a text without end until its memory ends; contents suspected of crashing engines, since an engine sent one event without end, events that are no JSON, or malformed chunks.

Cause: createHttpEngine asked nothing of a stream but its last event, and took every other end for a crash.

Change: a text is bounded by the tokens that its request asks for, as items are on the platform. An answer that is no completion rejects with engineUnreachable, which marks the engine and not the content; a stream that ends early still finishes as crashed.

--- a/packages/sidecar/src/runGeneration.ts
+++ b/packages/sidecar/src/runGeneration.ts
@@ -93,7 +93,7 @@
             return await Promise.race([engine.generate(request, handleChunk, abort.signal), whenUnanswered]);
         }
         catch (error) {
-            // The engine was unreachable before it accepted the request, which is therefore not suspect of the crash.
+            // The engine was unreachable, or its answer was none: the request is not suspect of a crash.
             weights.markEngineDown(codeOf(error).name);
             lossCode ??= resultCodes.engineUnreachable;
             return unansweredFinish;
--- a/packages/store/src/createHttpEngine.ts
+++ b/packages/store/src/createHttpEngine.ts
@@ -1,5 +1,6 @@
 import { resultCodes } from "@auburnarch/errors/resultCodes";
 import { ResultError } from "@auburnarch/errors/ResultError";
+import { MalformedResponseError } from "@auburnarch/streams/MalformedResponseError";
 import { receiveResponse } from "@auburnarch/streams/receiveResponse";
 import type { EngineChunk } from "@auburnarch/types/EngineChunk";
 import type { EngineDescription } from "@auburnarch/types/EngineDescription";
@@ -16,6 +17,9 @@
 const defaultMaxStreams = 1_024;
 const orderTimeoutMs = 300_000;
 const faultCode = resultCodes.engineUnreachable;
+/** Bounds of a text by the tokens that its request asks for. */
+const maxCharsPerToken = 1_024;
+const maxOtherChars = 65_536;
 
 const description = z.object({
     bootId: z.string(),
@@ -73,14 +77,25 @@
     cachedPromptTokens: 0,
 });
 
+/** Whether an answer was no completion, which says nothing of its request; others end early because the engine did. */
+const isInvalidAnswer = (error: unknown): boolean =>
+    error instanceof ResultError || error instanceof SyntaxError || error instanceof MalformedResponseError;
+
 async function readCompletion(
     response: IncomingMessage,
+    maxTokens: number,
     onChunk: (chunk: EngineChunk) => void,
 ): Promise<EngineFinish> {
+    const maxChars = maxOtherChars + maxCharsPerToken * maxTokens;
+    let chars = 0;
     let finish: EngineFinish | undefined;
     for await (const data of readServerEvents(response)) {
         const event = parseAnswer(completionEvent, data, faultCode);
         const reason = event.choices[0].finish_reason ?? undefined;
+        chars += event.choices[0].text.length;
+        if (chars > maxChars) {
+            throw new ResultError(faultCode, `more than ${maxChars} characters`);
+        }
         if (event.choices[0].text !== "") {
             onChunk(toChunk(event));
         }
@@ -95,7 +110,7 @@
 /**
  * Creates a client of an engine over HTTP: completions in the OpenAI format as an event stream, orders as separate JSON
  * calls. A stream that ends before its last event finishes with reason `crashed`; its engine time is then unknown and
- * reported as 0.
+ * reported as 0. An answer that is no completion, or is longer than asked for, rejects with `engineUnreachable`.
  */
 export function createHttpEngine(baseUrl: string, options: HttpClientOptions = {}): EnginePort {
     const client = createJsonClient(baseUrl, faultCode, options);
@@ -108,7 +123,14 @@
         return new Promise((resolve, reject) => {
             const url = new URL("/v1/completions", baseUrl);
             const sent = startRequest(url, { method: "POST", agent, headers, signal });
-            receiveResponse(sent, resolve, reject);
+            let response: IncomingMessage | undefined;
+            receiveResponse(sent, received => {
+                response = received;
+                resolve(received);
+            }, error => {
+                response?.destroy(error);
+                reject(error);
+            });
             sent.end(body);
         });
     }
@@ -133,9 +155,12 @@
             throw new ResultError(faultCode, `status ${response.statusCode}`);
         }
         try {
-            return await readCompletion(response, onChunk);
+            return await readCompletion(response, request.maxTokens, onChunk);
         }
-        catch {
+        catch (error) {
+            if (!signal.aborted && isInvalidAnswer(error)) {
+                throw new ResultError(faultCode, error instanceof ResultError ? error.detail : String(error));
+            }
             return finishWithReason(signal.aborted ? "cancelled" : "crashed");
         }
     }
--- a/packages/store/src/httpAdapters.test.ts
+++ b/packages/store/src/httpAdapters.test.ts
@@ -210,6 +210,88 @@
     expect(control.runsByAttempt().get("p1")).toBe(1);
 });
 
+const engineRequest: EngineRequest = {
+    attempt: "a1" as AttemptId,
+    policy,
+    prompt: "p",
+    maxTokens: 8,
+    seed: 1,
+    priority: 0,
+    resumeText: "",
+    resumeTokens: 0,
+};
+
+const endless: Record<string, { head: string; block: string; }> = {
+    "a header": { head: "HTTP/1.1 200 OK\r\nname: ", block: "x".repeat(65_536) },
+    "no HTTP": { head: "", block: "x".repeat(65_536) },
+    "a text": {
+        head: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        block: `data: ${JSON.stringify({ choices: [{ text: "x".repeat(60_000) }] })}\n\n`,
+    },
+    "malformed chunks": {
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        block: "zz\r\n".repeat(1_000),
+    },
+    "malformed events": {
+        head: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        block: "data: x\n\n".repeat(1_000),
+    },
+    "one event": {
+        head: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ndata: ",
+        block: "x".repeat(65_536),
+    },
+};
+
+test.each(Object.keys(endless))(
+    "an engine that sends %s without end is given up, and so is a service",
+    async output => {
+        // Guards against a process that keeps all that such a server sends, and a call that never ends.
+        const { head, block } = endless[output]!;
+        const connections = new Set<Socket>();
+        const server = createServer(connection => {
+            connections.add(connection);
+            connection.on("error", () => {});
+            connection.once("data", () => {
+                connection.write(head);
+                const write = (): void => {
+                    if (!connection.destroyed) {
+                        if (connection.write(block)) {
+                            setImmediate(write);
+                        }
+                        else {
+                            connection.once("drain", write);
+                        }
+                    }
+                };
+                write();
+            });
+        });
+        servers.push({
+            port: 0,
+            close: async () => {
+                connections.forEach(connection => connection.destroy());
+                server.close();
+            },
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+        let chars = 0;
+        const generated = createHttpEngine(address).generate(
+            engineRequest,
+            ({ text }) => chars += text.length,
+            neverAborted,
+        );
+        const store = createHttpObjectStore(address);
+        const names = [
+            await generated.then(({ reason }) => reason, error => codeOf(error).name),
+            await codeName(store.read("a")),
+        ];
+        store.close();
+        expect([...names, chars < 1_000_000]).toEqual(["engineUnreachable", "storeUnavailable", true]);
+    },
+    10_000,
+);
+
 const cuts: Record<string, (connection: Socket) => void> = {
     "is reset with its last bytes": connection => void connection.resetAndDestroy(),
     "is reset": connection => void setTimeout(() => connection.resetAndDestroy(), 30),
--- a/packages/store/src/readServerEvents.ts
+++ b/packages/store/src/readServerEvents.ts
@@ -21,7 +21,7 @@
             }
         }
         if (pending.length > maxEventChars) {
-            throw new Error(`event exceeds ${maxEventChars} characters`);
+            throw new SyntaxError(`event exceeds ${maxEventChars} characters`);
         }
     }
     throw new Error("stream ended before its last event");
