Bound informational responses in every client

Operators would see: a call to an engine or to a JSON service that never ends, since each informational response counts as activity of its connection.

Cause: the bound of 16 was a part of exchangeHttp; the other clients had none.

Change: it moved to receiveResponse, which all clients use. What follows too many is malformed, as before.

--- a/packages/store/src/httpAdapters.test.ts
+++ b/packages/store/src/httpAdapters.test.ts
@@ -222,6 +222,7 @@
 };
 
 const endless: Record<string, { head: string; block: string; }> = {
+    "informational responses": { head: "", block: "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(100) },
     "a header": { head: "HTTP/1.1 200 OK\r\nname: ", block: "x".repeat(65_536) },
     "no HTTP": { head: "", block: "x".repeat(65_536) },
     "a text": {
--- a/packages/streams/src/receiveResponse.ts
+++ b/packages/streams/src/receiveResponse.ts
@@ -4,6 +4,8 @@
 
 /** Codes of Node's errors in bytes that are no HTTP. */
 const parserErrorPrefix = "HPE_";
+/** A response may be preceded by informational ones (1xx), without a limit of Node's own. */
+const maxInformationalResponses = 16;
 const protocolName = Buffer.from("HTTP/");
 
 /** Node's parser also accepts the names of related protocols, and does not report which one it read. */
@@ -25,6 +27,7 @@
     onError: (error: Error) => void,
 ): void {
     let isHttp = true;
+    let informationalResponses = 0;
     const reject = (detail: string): void => {
         onError(new MalformedResponseError(detail));
         request.destroy();
@@ -43,6 +46,12 @@
             reject(fault);
         }
     });
+    request.on("information", () => {
+        informationalResponses++;
+        if (informationalResponses > maxInformationalResponses) {
+            reject("too many informational responses");
+        }
+    });
     request.once("upgrade", (_response, socket) => {
         socket.destroy();
         reject("a switch of protocols");
--- a/packages/transport/src/exchangeHttp.ts
+++ b/packages/transport/src/exchangeHttp.ts
@@ -29,9 +29,6 @@
 /** A removed VM does not answer at all; without this limit the whole request budget would be spent on it. */
 const connectTimeoutMs = 1_000;
 
-/** A response may be preceded by informational ones (1xx), without a limit of Node's own. */
-const maxInformationalResponses = 16;
-
 /**
  * Sends one request and resolves with the status and headers of its response. Never rejects; the body of a truncated
  * response does.
@@ -44,7 +41,6 @@
         let connected = false;
         let timedOut = false;
         let isMalformed = false;
-        let informationalResponses = 0;
         let request: ClientRequest;
         try {
             request = startRequest(call);
@@ -99,13 +95,6 @@
             isMalformed ||= error instanceof MalformedResponseError;
             fail(error.message);
         });
-        request.on("information", () => {
-            informationalResponses++;
-            if (informationalResponses > maxInformationalResponses) {
-                isMalformed = true;
-                abortRequest();
-            }
-        });
         request.once("close", failUnanswered);
         request.end(call.body);
     });
