Keep a completion of an engine that is followed by other bytes

The error of the parser destroys only a response that isn't complete. The new test failed before (engineUnreachable).

--- a/packages/store/src/createHttpEngine.ts
+++ b/packages/store/src/createHttpEngine.ts
@@ -128,7 +128,9 @@
                 response = received;
                 resolve(received);
             }, error => {
-                response?.destroy(error);
+                if (response?.complete === false) {
+                    response.destroy(error);
+                }
                 reject(error);
             });
             sent.end(body);
--- a/packages/store/src/httpAdapters.test.ts
+++ b/packages/store/src/httpAdapters.test.ts
@@ -293,6 +293,23 @@
     10_000,
 );
 
+test("bytes that follow a whole completion belong to no answer", async () => {
+    // Guards against a sound text that is made again since its engine sent more than it.
+    const event = { choices: [{ text: "t", finish_reason: "stop" }] };
+    const body = `data: ${JSON.stringify(event)}\n\ndata: [DONE]\n\n`;
+    const server = createServer(connection => {
+        connection.on("error", () => {});
+        connection.once("data", () => {
+            connection.end(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}no HTTP`);
+        });
+    });
+    servers.push({ port: 0, close: async () => void server.close() });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const engine = createHttpEngine(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+    const { reason } = await engine.generate(engineRequest, () => {}, neverAborted);
+    expect(reason).toBe("stop");
+});
+
 const cuts: Record<string, (connection: Socket) => void> = {
     "is reset with its last bytes": connection => void connection.resetAndDestroy(),
     "is reset": connection => void setTimeout(() => connection.resetAndDestroy(), 30),
