--- a/packages/store/src/httpAdapters.test.ts
+++ b/packages/store/src/httpAdapters.test.ts
@@ -50,6 +50,24 @@
     return `http://127.0.0.1:${server.port}`;
 }
 
+/** Serves a connection by what `respond` writes to it after it has sent something; returns the address. */
+async function listenRaw(respond: (connection: Socket, head: Buffer) => void): Promise<string> {
+    const connections = new Set<Socket>();
+    const server = createServer(connection => {
+        connections.add(connection);
+        connection.on("error", () => {});
+        connection.once("data", head => respond(connection, head as Buffer));
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    const close = async (): Promise<void> => {
+        connections.forEach(connection => connection.destroy());
+        server.close();
+    };
+    servers.push({ port, close });
+    return `http://127.0.0.1:${port}`;
+}
+
 const codeName = (call: Promise<unknown>): Promise<string> =>
     call.then(() => "ok", error => codeOf(error).name);
 
@@ -248,34 +266,21 @@
     async output => {
         // Guards against a process that keeps all that such a server sends, and a call that never ends.
         const { head, block } = endless[output]!;
-        const connections = new Set<Socket>();
-        const server = createServer(connection => {
-            connections.add(connection);
-            connection.on("error", () => {});
-            connection.once("data", () => {
-                connection.write(head);
-                const write = (): void => {
-                    if (!connection.destroyed) {
-                        if (connection.write(block)) {
-                            setImmediate(write);
-                        }
-                        else {
-                            connection.once("drain", write);
-                        }
-                    }
-                };
-                write();
-            });
+        const address = await listenRaw(connection => {
+            connection.write(head);
+            const write = (): void => {
+                if (connection.destroyed) {
+                    return;
+                }
+                if (connection.write(block)) {
+                    setImmediate(write);
+                }
+                else {
+                    connection.once("drain", write);
+                }
+            };
+            write();
         });
-        servers.push({
-            port: 0,
-            close: async () => {
-                connections.forEach(connection => connection.destroy());
-                server.close();
-            },
-        });
-        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-        const address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
         let chars = 0;
         const generated = createHttpEngine(address).generate(
             engineRequest,
@@ -297,15 +302,10 @@
     // Guards against a sound text that is made again since its engine sent more than it.
     const event = { choices: [{ text: "t", finish_reason: "stop" }] };
     const body = `data: ${JSON.stringify(event)}\n\ndata: [DONE]\n\n`;
-    const server = createServer(connection => {
-        connection.on("error", () => {});
-        connection.once("data", () => {
-            connection.end(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}no HTTP`);
-        });
-    });
-    servers.push({ port: 0, close: async () => void server.close() });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const engine = createHttpEngine(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+    const address = await listenRaw(connection =>
+        void connection.end(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}no HTTP`)
+    );
+    const engine = createHttpEngine(address);
     const { reason } = await engine.generate(engineRequest, () => {}, neverAborted);
     expect(reason).toBe("stop");
 });
@@ -318,26 +318,11 @@
 
 test.each(Object.keys(cuts))("an answer without a length that %s is not taken for a whole one", async cut => {
     // Guards against a part of a body that is delivered as the whole.
-    const connections = new Set<Socket>();
-    const server = createServer(connection => {
-        connections.add(connection);
-        connection.on("error", () => {});
-        connection.once("data", head => {
-            connection.write(
-                `HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${head.includes("/tile") ? "half" : ""}`,
-            );
-            cuts[cut]!(connection);
-        });
+    const address = await listenRaw((connection, head) => {
+        const part = head.includes("/tile") ? "half" : "";
+        connection.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${part}`);
+        cuts[cut]!(connection);
     });
-    servers.push({
-        port: 0,
-        close: async () => {
-            connections.forEach(connection => connection.destroy());
-            server.close();
-        },
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
     const store = createHttpObjectStore(address, { timeoutMs: 100 });
     const plain = await createHttpPlainBackend(address)(plainRequest(), AbortSignal.timeout(100));
     const names = [
--- a/packages/streams/src/findHeadFault.ts
+++ b/packages/streams/src/findHeadFault.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from "node:http";
 
 const firstFinalStatus = 200;
-const firstOtherStatus = 300;
+const firstRedirectStatus = 300;
 const lastStatus = 599;
 const noContentStatus = 204;
 const versions = new Set(["1.0", "1.1"]);
@@ -17,7 +17,7 @@
     const { statusCode = 0, httpVersion, headers } = response;
     const isDelimited = "transfer-encoding" in headers || "content-length" in headers;
     const closes = httpVersion === "1.0" || closePattern.test(headers.connection ?? "");
-    return statusCode < firstOtherStatus && method !== "HEAD" && !isDelimited && !closes;
+    return statusCode < firstRedirectStatus && method !== "HEAD" && !isDelimited && !closes;
 }
 
 function findFramingFault(response: IncomingMessage, method: string): string | undefined {
--- a/packages/transport/src/exchangeHttp.ts
+++ b/packages/transport/src/exchangeHttp.ts
@@ -143,7 +143,7 @@
         release();
         stream.fail(
             isMalformed()
-                ? new ResultError(resultCodes.answerMalformed, "the body of the answer")
+                ? new ResultError(resultCodes.answerMalformed, "the body of the answer is malformed")
                 : new ResultError(resultCodes.connectionBroken, "the answer was cut short"),
         );
     };
